build: lay the ground, the ports and the typed messages

Schemas of settings, configuration objects, peer messages, failures and steps, and the ports to the platform. Nothing runs yet; every other part is built on these types.

--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,27 @@
+import js from '@eslint/js';
+import prettier from 'eslint-config-prettier';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['dist/**', 'node_modules/**', 'out/**'] },
+  js.configs.recommended,
+  {
+    files: ['**/*.ts'],
+    extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
+    languageOptions: {
+      parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
+    },
+    rules: {
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
+      '@typescript-eslint/consistent-type-imports': 'error',
+    },
+  },
+  {
+    files: ['test/**/*.ts'],
+    rules: {
+      // chai's property assertions (`to.be.true`) are expressions by design
+      '@typescript-eslint/no-unused-expressions': 'off',
+    },
+  },
+  prettier,
+);
--- /dev/null
+++ b/src/errors/index.ts
@@ -0,0 +1,4 @@
+/** Failures, the steps at which they arise, and the HTTP status of each. */
+export * from './failure.js';
+export * from './http-status.js';
+export * from './step.js';
--- /dev/null
+++ b/src/events/catalogue.ts
@@ -0,0 +1,70 @@
+/**
+ * The catalogue of log events. Each has a number that never changes meaning; `docs/EVENTS.md` is
+ * generated from this list and checked in CI.
+ */
+
+/** How serious an event is. */
+export type Level = 'debug' | 'info' | 'warn' | 'error';
+
+/** What the catalogue knows of one event. */
+export interface CatalogueEntry {
+  id: number;
+  level: Level;
+  /** One line for the log and the page. */
+  text: string;
+}
+
+/** Every event, by name. Numbers: 1xxx process, 2xxx leases and orders, 3xxx requests,
+ * 4xxx configuration, 5xxx membership and links, 6xxx claims. */
+export const eventCatalogue = {
+  nodeStarted: { id: 1001, level: 'info', text: 'node started' },
+  nodeStopping: { id: 1002, level: 'info', text: 'node is stopping; in-flight requests finish' },
+  nodeStopped: { id: 1003, level: 'info', text: 'node stopped' },
+  portTaken: { id: 1004, level: 'error', text: 'a listening address is taken' },
+  taskFailed: { id: 1005, level: 'error', text: 'a task could not handle a message' },
+  settingsWrong: { id: 1006, level: 'error', text: 'settings are wrong' },
+  graceExceeded: { id: 1007, level: 'warn', text: 'stopped before every request had ended' },
+  leaseJoined: { id: 2001, level: 'info', text: 'node lease acquired' },
+  leaseRenewalFailed: { id: 2002, level: 'warn', text: 'node lease could not be renewed' },
+  leaseLapsed: { id: 2003, level: 'warn', text: 'own node lease ran out' },
+  leaseLost: { id: 2004, level: 'warn', text: 'own node lease was taken away' },
+  peerLapsed: { id: 2005, level: 'warn', text: 'declared the lease of a silent node lapsed' },
+  shardTaken: { id: 2006, level: 'info', text: 'shard taken' },
+  shardReleased: { id: 2007, level: 'info', text: 'shard released' },
+  shardLost: { id: 2008, level: 'warn', text: 'shard lost to another holder' },
+  orderJournalled: { id: 2010, level: 'info', text: 'order written to the journal' },
+  orderSent: { id: 2011, level: 'info', text: 'order accepted by the engine' },
+  orderSettled: { id: 2012, level: 'info', text: 'order took effect' },
+  orderRefused: { id: 2013, level: 'warn', text: 'engine refused an order with a stale fence' },
+  orderUncertain: { id: 2014, level: 'warn', text: 'the answer to an order was lost' },
+  ordersWithheld: {
+    id: 2015,
+    level: 'warn',
+    text: 'orders withheld: a former holder may still order this engine',
+  },
+  drainStarted: { id: 2020, level: 'info', text: 'backend server gets no new work' },
+  drainFinished: { id: 2021, level: 'info', text: 'backend server has no permits out' },
+  requestFinished: { id: 3001, level: 'debug', text: 'request ended' },
+  requestRetried: { id: 3002, level: 'info', text: 'request goes on elsewhere' },
+  answerMismatched: { id: 3003, level: 'warn', text: 'chunk of another request was dropped' },
+  holderUnreachable: { id: 3004, level: 'warn', text: 'shard holder unreachable' },
+  configurationApplied: { id: 4001, level: 'info', text: 'configuration change in force here' },
+  configurationAccepted: { id: 4002, level: 'info', text: 'configuration change accepted' },
+  configurationUnreadable: { id: 4003, level: 'warn', text: 'configuration log could not be read' },
+  configurationStale: {
+    id: 4004,
+    level: 'error',
+    text: 'no word from table or peers; no new work is taken',
+  },
+  peerLinked: { id: 5001, level: 'info', text: 'link to a peer is up' },
+  peerUnlinked: { id: 5002, level: 'info', text: 'link to a peer is down' },
+  peerRejected: { id: 5003, level: 'warn', text: 'a process without the peer key was turned away' },
+  vmListUnavailable: { id: 5004, level: 'warn', text: 'VM list could not be read' },
+  frameMalformed: { id: 5005, level: 'warn', text: 'a malformed frame closed a link' },
+  claimUncertain: { id: 6001, level: 'warn', text: 'the answer to a claim was lost' },
+  claimFenced: { id: 6002, level: 'info', text: 'a late claim was fenced off' },
+  claimSettleFailed: { id: 6003, level: 'warn', text: 'the outcome of a claim is not stored yet' },
+} as const satisfies Record<string, CatalogueEntry>;
+
+/** Name of an event. */
+export type EventName = keyof typeof eventCatalogue;
--- /dev/null
+++ b/src/events/index.ts
@@ -0,0 +1,3 @@
+/** Numbered log events and the log that writes them. */
+export * from './catalogue.js';
+export * from './log.js';
--- /dev/null
+++ b/src/links/messages.ts
@@ -0,0 +1,252 @@
+/**
+ * What nodes say to each other. Every frame is one of these messages, encoded by msgpackr; a frame
+ * that does not fit its schema closes the link.
+ */
+import { z } from 'zod';
+import { changeSchema } from '../configuration/objects.js';
+import { failureSchema } from '../errors/index.js';
+import { roleSchema } from '../platform/index.js';
+
+export const nodeStateSchema = z.object({
+  node: z.string(),
+  /** Changes with every start of the process. */
+  incarnation: z.string(),
+  zone: z.string(),
+  caller: z.string(),
+  operator: z.string(),
+  peer: z.string(),
+  leaving: z.boolean(),
+  /** Grows with every heartbeat of this incarnation. */
+  sequence: z.number().int().nonnegative(),
+  /** The newest configuration that is in force on the node. */
+  configurationVersion: z.number().int().nonnegative(),
+  /** Requests in flight, for callers' choice of an entry point. */
+  inFlight: z.number().int().nonnegative(),
+});
+
+/** What a node says of itself. */
+export type NodeState = z.infer<typeof nodeStateSchema>;
+
+export const serverSummarySchema = z.object({
+  id: z.string(),
+  /** Free places for requests. */
+  free: z.number().int(),
+  role: roleSchema.optional(),
+});
+
+export const shardSummarySchema = z.object({
+  shard: z.string(),
+  holder: z.string(),
+  fence: z.number().int().positive(),
+  /** Grows with each summary of this fence. */
+  sequence: z.number().int().nonnegative(),
+  waiting: z.number().int().nonnegative(),
+  servers: z.array(serverSummarySchema),
+});
+
+/** What the holder of a shard says of it. */
+export type ShardSummary = z.infer<typeof shardSummarySchema>;
+
+export const heartbeatSchema = z.object({
+  kind: z.literal('heartbeat'),
+  from: nodeStateSchema,
+  /** States of other nodes that changed since the last heartbeat on this link. */
+  others: z.array(nodeStateSchema),
+  shards: z.array(shardSummarySchema),
+});
+
+export const permitQuerySchema = z.object({
+  kind: z.literal('permit.request'),
+  shard: z.string(),
+  requestId: z.string(),
+  /** Number of the attempt for this request, from 1. */
+  attempt: z.number().int().positive(),
+  /** The configuration under which the request was resolved. */
+  configurationVersion: z.number().int().nonnegative(),
+  group: z.string(),
+  team: z.string(),
+  class: z.string(),
+  weight: z.number().positive(),
+  priority: z.number().int(),
+  /** Time left until the first token or the whole service answer is late, in milliseconds. */
+  firstTokenInMs: z.number(),
+  /** Time left until the deadline, in milliseconds. */
+  deadlineInMs: z.number(),
+  promptTokens: z.number().int().nonnegative(),
+  expectedOutputTokens: z.number().int().nonnegative(),
+  /** Hashes of ever longer prefixes of the prompt, the shortest first. */
+  prefixes: z.array(z.string()),
+  model: z.string().optional(),
+  adapter: z.string().optional(),
+  /** A permit for a request that may not be repeated is given only under a valid lease. */
+  repeatable: z.boolean(),
+  /** Backend servers that failed this request before. */
+  avoid: z.array(z.string()),
+});
+
+/** A router's wish for a place on a backend server. */
+export type PermitQuery = z.infer<typeof permitQuerySchema>;
+
+export const permitSchema = z.object({
+  permitId: z.string(),
+  shard: z.string(),
+  fence: z.number().int().positive(),
+  server: z.string(),
+  address: z.string(),
+  /** How long the request waited for it, in milliseconds. */
+  waitedMs: z.number(),
+  /** Where the prompt is to be read first, when it is not on `server`. */
+  prefill: z.object({ server: z.string(), address: z.string() }).optional(),
+});
+
+/** Leave to run one request on one backend server. */
+export type Permit = z.infer<typeof permitSchema>;
+
+export const permitAnswerSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('permit.granted'), permit: permitSchema }),
+  z.object({ kind: z.literal('permit.refused'), failure: failureSchema }),
+]);
+
+/** What the holder answers. */
+export type PermitAnswer = z.infer<typeof permitAnswerSchema>;
+
+export const permitReleaseSchema = z.object({
+  kind: z.literal('permit.release'),
+  shard: z.string(),
+  permitId: z.string(),
+  requestId: z.string(),
+  server: z.string(),
+  team: z.string(),
+  class: z.string(),
+  /** How the use of the permit ended. */
+  result: z.enum(['answered', 'refused', 'cut', 'cancelled', 'slow']),
+  promptTokens: z.number().int().nonnegative(),
+  cachedTokens: z.number().int().nonnegative(),
+  outputTokens: z.number().int().nonnegative(),
+  /** Time from the call to the first token, in milliseconds, where there was one. */
+  firstTokenMs: z.number().optional(),
+  /** Time from the call to the end, in milliseconds. */
+  totalMs: z.number().nonnegative(),
+});
+
+/** A router's word that a permit is no longer in use. */
+export type PermitRelease = z.infer<typeof permitReleaseSchema>;
+
+/** Takes back a wish that is still waiting; a permit already granted is released instead. */
+export const permitCancelSchema = z.object({
+  kind: z.literal('permit.cancel'),
+  shard: z.string(),
+  requestId: z.string(),
+  attempt: z.number().int().positive(),
+});
+
+/** A router's permits in use, told to a new holder. */
+export const permitAdoptSchema = z.object({
+  kind: z.literal('permit.adopt'),
+  shard: z.string(),
+  node: z.string(),
+  incarnation: z.string(),
+  permits: z.array(
+    z.object({
+      permitId: z.string(),
+      requestId: z.string(),
+      server: z.string(),
+      team: z.string(),
+      class: z.string(),
+      promptTokens: z.number().int(),
+      expectedOutputTokens: z.number().int(),
+    }),
+  ),
+});
+
+/** A router's permits in use. */
+export type PermitAdoption = z.infer<typeof permitAdoptSchema>;
+
+export const changesPushSchema = z.object({
+  kind: z.literal('configuration.push'),
+  changes: z.array(changeSchema),
+});
+
+export const changesFetchSchema = z.object({
+  kind: z.literal('configuration.fetch'),
+  after: z.number().int().nonnegative(),
+});
+
+export const changesAnswerSchema = z.object({
+  kind: z.literal('configuration.changes'),
+  changes: z.array(changeSchema),
+  /** The newest version that the peer has. */
+  newest: z.number().int().nonnegative(),
+});
+
+export const fateQuerySchema = z.object({
+  kind: z.literal('request.fate'),
+  requestId: z.string(),
+});
+
+export const fateSchema = z.object({
+  requestId: z.string(),
+  team: z.string(),
+  state: z.enum(['running', 'answered', 'not-run', 'unknown']),
+  failure: failureSchema.optional(),
+});
+
+/** What became of a request. */
+export type Fate = z.infer<typeof fateSchema>;
+
+export const fateAnswerSchema = z.object({
+  kind: z.literal('request.fate.answer'),
+  fate: fateSchema.optional(),
+});
+
+export const doneSchema = z.object({ kind: z.literal('done') });
+
+/** Messages that want no answer. */
+export const noticeSchema = z.discriminatedUnion('kind', [
+  heartbeatSchema,
+  permitReleaseSchema,
+  permitCancelSchema,
+  permitAdoptSchema,
+  changesPushSchema,
+]);
+
+/** A message that wants no answer. */
+export type Notice = z.infer<typeof noticeSchema>;
+
+/** Messages that want one answer. */
+export const querySchema = z.discriminatedUnion('kind', [
+  permitQuerySchema,
+  changesFetchSchema,
+  fateQuerySchema,
+]);
+
+/** A message that wants one answer. */
+export type Query = z.infer<typeof querySchema>;
+
+export const answerSchema = z.discriminatedUnion('kind', [
+  z.object({ kind: z.literal('permit.granted'), permit: permitSchema }),
+  z.object({ kind: z.literal('permit.refused'), failure: failureSchema }),
+  changesAnswerSchema,
+  fateAnswerSchema,
+  doneSchema,
+]);
+
+/** The answer to a query. */
+export type Answer = z.infer<typeof answerSchema>;
+
+export const frameSchema = z.discriminatedUnion('type', [
+  z.object({ type: z.literal('challenge'), nonce: z.string() }),
+  z.object({
+    type: z.literal('proof'),
+    node: z.string(),
+    nonce: z.string(),
+    proof: z.string(),
+  }),
+  z.object({ type: z.literal('welcome'), node: z.string(), proof: z.string() }),
+  z.object({ type: z.literal('notice'), notice: noticeSchema }),
+  z.object({ type: z.literal('query'), id: z.number().int(), query: querySchema }),
+  z.object({ type: z.literal('answer'), id: z.number().int(), answer: answerSchema }),
+]);
+
+/** One frame on a link. */
+export type Frame = z.infer<typeof frameSchema>;
--- /dev/null
+++ b/src/task/index.ts
@@ -0,0 +1,4 @@
+/** Tasks, clocks and random sources. */
+export * from './clock.js';
+export * from './random.js';
+export * from './task.js';
