--- /dev/null
+++ b/src/metrics/index.ts
@@ -0,0 +1,2 @@
+/** Metrics of one node. */
+export * from './metrics.js';
--- /dev/null
+++ b/src/metrics/metrics.ts
@@ -0,0 +1,111 @@
+/**
+ * Counters and histograms of one node. Every refusal and every retry is counted under its reason.
+ */
+import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+
+const LATENCY_BUCKETS_SECONDS = [
+  0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.35, 0.5, 1, 2, 5, 10, 30, 60,
+];
+
+/** A node's metrics; `registry` renders them for `/metrics`. */
+export type Metrics = ReturnType<typeof createMetrics>;
+
+/** Creates the metrics of one node in a registry of their own. */
+export function createMetrics() {
+  const registry = new Registry();
+  const registers = [registry];
+  const buckets = LATENCY_BUCKETS_SECONDS;
+  return {
+    registry,
+    requests: new Counter({
+      name: 'reedtally_requests_total',
+      help: 'Requests ended, by class and outcome',
+      labelNames: ['class', 'outcome'],
+      registers,
+    }),
+    refusals: new Counter({
+      name: 'reedtally_refusals_total',
+      help: 'Requests that were not run, by reason and step',
+      labelNames: ['reason', 'step'],
+      registers,
+    }),
+    retries: new Counter({
+      name: 'reedtally_retries_total',
+      help: 'Attempts after the first, by reason',
+      labelNames: ['reason'],
+      registers,
+    }),
+    firstToken: new Histogram({
+      name: 'reedtally_first_token_seconds',
+      help: 'Time from arrival to the first token, by class',
+      labelNames: ['class'],
+      buckets,
+      registers,
+    }),
+    betweenTokens: new Histogram({
+      name: 'reedtally_between_tokens_seconds',
+      help: 'Time between two tokens of one answer, by class',
+      labelNames: ['class'],
+      buckets,
+      registers,
+    }),
+    permitWait: new Histogram({
+      name: 'reedtally_permit_wait_seconds',
+      help: 'Time from asking for a permit to having it, by class',
+      labelNames: ['class'],
+      buckets,
+      registers,
+    }),
+    inFlight: new Gauge({
+      name: 'reedtally_requests_in_flight',
+      help: 'Requests in flight at this node',
+      registers,
+    }),
+    permitsOut: new Gauge({
+      name: 'reedtally_permits_out',
+      help: 'Permits granted and not yet released, by shard held here',
+      labelNames: ['shard'],
+      registers,
+    }),
+    permitsWaiting: new Gauge({
+      name: 'reedtally_permits_waiting',
+      help: 'Requests that wait for a permit, by shard held here',
+      labelNames: ['shard'],
+      registers,
+    }),
+    tableCalls: new Counter({
+      name: 'reedtally_table_calls_total',
+      help: 'Calls to the table service, by purpose, operation and outcome',
+      labelNames: ['purpose', 'operation', 'outcome'],
+      registers,
+    }),
+    orders: new Counter({
+      name: 'reedtally_orders_total',
+      help: 'Orders to engines, by outcome',
+      labelNames: ['outcome'],
+      registers,
+    }),
+    configurationVersion: new Gauge({
+      name: 'reedtally_configuration_version',
+      help: 'Newest configuration in force on this node',
+      registers,
+    }),
+    peers: new Gauge({
+      name: 'reedtally_peers',
+      help: 'Peers with a link up',
+      registers,
+    }),
+    claims: new Counter({
+      name: 'reedtally_claims_total',
+      help: 'Claims of requests that may not be repeated, by outcome',
+      labelNames: ['outcome'],
+      registers,
+    }),
+    peerBytes: new Counter({
+      name: 'reedtally_peer_bytes_total',
+      help: 'Bytes on links between nodes, by direction and purpose',
+      labelNames: ['direction', 'purpose'],
+      registers,
+    }),
+  };
+}
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -55,11 +55,11 @@
     .prefault({})
     .refine((lease) => lease.holderMs < lease.takerMs, {
       path: ['takerMs'],
-      message: 'expected more than lease.holderMs, by the time an order may be in flight',
+      error: 'expected more than lease.holderMs, by the time an order may be in flight',
     })
     .refine((lease) => lease.renewEveryMs * 2 < lease.holderMs, {
       path: ['renewEveryMs'],
-      message: 'expected less than half of lease.holderMs, so that one renewal may be lost',
+      error: 'expected less than half of lease.holderMs, so that one renewal may be lost',
     }),
   membership: z
     .strictObject({
