--- a/src/configuration/objects.ts
+++ b/src/configuration/objects.ts
@@ -178,3 +178,19 @@
 
 /** One accepted change of the configuration. */
 export type Change = z.infer<typeof changeSchema>;
+
+export const changeBatchSchema = z.object({
+  /** The oldest first. */
+  changes: z.array(changeSchema),
+  /** The newest version that the sender has in force; 0 when it has none. */
+  newest: z.number().int().nonnegative(),
+  /**
+   * False: `changes` follow the version asked for without a gap. True: they are the last change of
+   * each object that exists at `newest`, the whole configuration, and stand in place of what the
+   * receiver had.
+   */
+  compacted: z.boolean(),
+});
+
+/** Changes, as one replica hands them to another. */
+export type ChangeBatch = z.infer<typeof changeBatchSchema>;
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -56,6 +56,11 @@
     level: 'error',
     text: 'no word from table or peers; no new work is taken',
   },
+  configurationFenced: {
+    id: 4005,
+    level: 'info',
+    text: 'a late configuration write was fenced off',
+  },
   peerLinked: { id: 5001, level: 'info', text: 'link to a peer is up' },
   peerUnlinked: { id: 5002, level: 'info', text: 'link to a peer is down' },
   peerRejected: { id: 5003, level: 'warn', text: 'a process without the peer key was turned away' },
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -3,7 +3,7 @@
  * that does not fit its schema closes the link.
  */
 import { z } from 'zod';
-import { changeSchema } from '../configuration/objects.js';
+import { changeBatchSchema, changeSchema } from '../configuration/objects.js';
 import { failureSchema } from '../errors/index.js';
 import { roleSchema } from '../platform/index.js';
 
@@ -172,11 +172,8 @@
   after: z.number().int().nonnegative(),
 });
 
-export const changesAnswerSchema = z.object({
+export const changesAnswerSchema = changeBatchSchema.extend({
   kind: z.literal('configuration.changes'),
-  changes: z.array(changeSchema),
-  /** The newest version that the peer has. */
-  newest: z.number().int().nonnegative(),
 });
 
 export const fateQuerySchema = z.object({
