--- /dev/null
+++ b/stand-ins/object-store/index.ts
@@ -0,0 +1,2 @@
+/** The object store's stand-in. */
+export * from './stand-in.js';
--- /dev/null
+++ b/stand-ins/plain-service/index.ts
@@ -0,0 +1,2 @@
+/** The stand-in for a plain service's worker. */
+export * from './stand-in.js';
--- /dev/null
+++ b/stand-ins/table-service/index.ts
@@ -0,0 +1,3 @@
+/** The table service's stand-in. */
+export * from './stand-in.js';
+export * from './table.js';
--- /dev/null
+++ b/stand-ins/vm-list/index.ts
@@ -0,0 +1,2 @@
+/** The stand-in for the platform's list of VMs. */
+export * from './stand-in.js';
--- /dev/null
+++ b/stand-ins/weight-store/index.ts
@@ -0,0 +1,2 @@
+/** The weight store's stand-in. */
+export * from './stand-in.js';
