--- /dev/null
+++ b/src/caller/commands/call-service.ts
@@ -0,0 +1,182 @@
+/**
+ * `/v1/services/{service}/…`: calls to plain services. A call of a class that may not be repeated
+ * carries an idempotency key; it is claimed before it is sent, and its outcome is kept.
+ */
+import { createHash } from 'node:crypto';
+import type { Context, Handler } from 'hono';
+import { Err, Ok, type Result } from 'ts-results-es';
+import type { Claim } from '../../claims/index.js';
+import { resolveRoute } from '../../configuration/index.js';
+import { createRefusal, type Failure } from '../../errors/index.js';
+import type { ServiceAnswer, ServiceCall } from '../../platform/index.js';
+import type { ServiceJob } from '../../router/index.js';
+import { refuse } from '../arrival.js';
+import type { CallerEnvironment } from '../environment.js';
+import { IDEMPOTENCY_HEADER, parseHeaders } from '../input.js';
+import type { Arrival, CallerParts, KeyedRequest } from '../parts.js';
+import { createTracker } from '../tracker.js';
+
+const PREFIX = '/v1/services/';
+const REPLAYED_HEADER = 'x-reedtally-replayed';
+
+/** A call that was read and may run. */
+interface Prepared {
+  job: ServiceJob;
+  keyed: KeyedRequest | undefined;
+}
+
+/** How a call ended, and whether its answer is of an earlier time. */
+interface Ending {
+  result: Result<ServiceAnswer, Failure>;
+  isReplayed: boolean;
+}
+
+/**
+ * Creates the handler of service calls.
+ *
+ * @param parts the node's runner, claims and configuration
+ */
+export function createCallServiceHandler(parts: CallerParts): Handler<CallerEnvironment> {
+  return async (context) => {
+    const arrival = context.get('arrival');
+    const prepared = await prepare(parts, context, arrival);
+    if (prepared.isErr()) return refuse(parts, context, prepared.error);
+    const { job, keyed } = prepared.value;
+    const tracker = createTracker(parts, job.requestId, job.team.name, job.requestClass.name);
+    const signal = context.req.raw.signal;
+    const ending =
+      keyed === undefined
+        ? await runOpen(parts, job, signal)
+        : await runKeyed(parts, job, keyed, signal);
+    if (ending.result.isErr()) return refuse(parts, context, tracker.fail(ending.result.error));
+    tracker.answer();
+    return answer(context, ending.result.value, ending.isReplayed);
+  };
+}
+
+async function prepare(
+  parts: CallerParts,
+  context: Context,
+  arrival: Arrival,
+): Promise<Result<Prepared, Failure>> {
+  const { node } = parts;
+  const headers = parseHeaders(context, node);
+  if (headers.isErr()) return headers;
+  const { className, deadlineMs, idempotencyKey } = headers.value;
+  const call = await readCall(context, arrival.requestId);
+  const target = { service: context.req.param('service') ?? '' };
+  const query = { team: arrival.team.name, class: className, target };
+  const route = resolveRoute(parts.replica.current(), query, node);
+  if (route.isErr()) return route;
+  const { team, requestClass, groups } = route.value;
+  const { requestId, arrivedAt } = arrival;
+  const deadlineAt = arrivedAt + (deadlineMs ?? requestClass.deadlineMs);
+  const job = { requestId, team, requestClass, groups, call, arrivedAt, deadlineAt };
+  if (requestClass.repeatable) return Ok({ job, keyed: undefined });
+  if (idempotencyKey === undefined) return Err(keyMissing(node, className));
+  const bodyHash = hashCall(target.service, call);
+  return Ok({ job, keyed: { team: team.name, key: idempotencyKey, requestId, bodyHash } });
+}
+
+async function readCall(context: Context, requestId: string): Promise<ServiceCall> {
+  const url = new URL(context.req.url);
+  const rest = url.pathname.slice(PREFIX.length);
+  const slash = rest.indexOf('/');
+  const path = `${slash < 0 ? '/' : rest.slice(slash)}${url.search}`;
+  const body = new Uint8Array(await context.req.arrayBuffer());
+  const contentType = context.req.header('content-type');
+  return {
+    requestId,
+    method: context.req.method,
+    path,
+    ...(contentType === undefined ? {} : { contentType }),
+    ...(body.length === 0 ? {} : { body }),
+  };
+}
+
+function hashCall(service: string, call: ServiceCall): string {
+  const hash = createHash('sha256');
+  hash.update(JSON.stringify([service, call.method, call.path, call.contentType ?? '']));
+  hash.update(call.body ?? '');
+  return hash.digest('hex');
+}
+
+async function runOpen(
+  parts: CallerParts,
+  job: ServiceJob,
+  signal: AbortSignal,
+): Promise<Ending> {
+  const result = await parts.services.run(job, signal, () => Promise.resolve(undefined));
+  return { result, isReplayed: false };
+}
+
+/** The claim is made once there is a place, so that refused requests cost no write. */
+async function runKeyed(
+  parts: CallerParts,
+  job: ServiceJob,
+  keyed: KeyedRequest,
+  signal: AbortSignal,
+): Promise<Ending> {
+  let claim: Claim | undefined;
+  let earlier: ServiceAnswer | undefined;
+  let isRefused = false;
+  const result = await parts.services.run(job, signal, async () => {
+    const claimed = await parts.claims.claim(keyed);
+    if (claimed.kind === 'claimed') {
+      claim = claimed.claim;
+      return undefined;
+    }
+    if (claimed.kind === 'refused') {
+      isRefused = true;
+      return claimed.failure;
+    }
+    earlier = claimed.answer;
+    return alreadyAnswered(parts.node);
+  });
+  if (earlier !== undefined) return { result: Ok(earlier), isReplayed: true };
+  if (claim !== undefined) {
+    await parts.claims.settle(claim, result);
+    return { result, isReplayed: false };
+  }
+  if (isRefused) return { result, isReplayed: false };
+  return lookBack(parts, keyed, result);
+}
+
+/** Without a place nothing was claimed, but the key may have its outcome from an earlier time. */
+async function lookBack(
+  parts: CallerParts,
+  keyed: KeyedRequest,
+  result: Result<ServiceAnswer, Failure>,
+): Promise<Ending> {
+  const earlier = await parts.claims.look(keyed);
+  if (earlier?.kind === 'answered') return { result: Ok(earlier.answer), isReplayed: true };
+  if (earlier?.kind === 'refused') return { result: Err(earlier.failure), isReplayed: true };
+  return { result, isReplayed: false };
+}
+
+function answer(context: Context, given: ServiceAnswer, isReplayed: boolean): Response {
+  const headers = new Headers({ 'content-type': given.contentType });
+  if (isReplayed) headers.set(REPLAYED_HEADER, 'true');
+  const requestId = context.res.headers.get('x-request-id');
+  if (requestId !== null) headers.set('x-request-id', requestId);
+  return new Response(Uint8Array.from(given.body), { status: given.status, headers });
+}
+
+function keyMissing(node: string, className: string): Failure {
+  return createRefusal({
+    code: 'idempotency-key-missing',
+    message: `class "${className}" may not be repeated: send an Idempotency-Key header`,
+    step: 'request.read',
+    peer: node,
+    field: IDEMPOTENCY_HEADER,
+  });
+}
+
+function alreadyAnswered(node: string): Failure {
+  return createRefusal({
+    code: 'in-progress',
+    message: 'the request was answered before',
+    step: 'claim.insert',
+    peer: node,
+  });
+}
--- /dev/null
+++ b/src/caller/index.ts
@@ -0,0 +1,3 @@
+/** The caller front. */
+export * from './front.js';
+export * from './parts.js';
--- /dev/null
+++ b/src/caller/input.ts
@@ -0,0 +1,190 @@
+/**
+ * What callers may send, checked before anything is done with it.
+ */
+import type { Context } from 'hono';
+import { Err, Ok, type Result } from 'ts-results-es';
+import { z } from 'zod';
+import { createRefusal, type Failure } from '../errors/index.js';
+
+/** Header that names the request class. */
+export const CLASS_HEADER = 'x-reedtally-class';
+/** Header that gives the time left for the whole answer, in milliseconds. */
+export const DEADLINE_HEADER = 'x-reedtally-deadline-ms';
+/** Header under which a request that may not be repeated is known. */
+export const IDEMPOTENCY_HEADER = 'idempotency-key';
+/** The class of requests that name none. */
+export const DEFAULT_CLASS = 'default';
+
+const DEFAULT_MAX_TOKENS = 256;
+const MAX_MAX_TOKENS = 32_768;
+const MAX_KEY_LENGTH = 255;
+
+const maxTokensSchema = z.number().int().positive().max(MAX_MAX_TOKENS);
+
+const contentSchema = z.union([
+  z.string(),
+  z.array(z.object({ type: z.literal('text'), text: z.string() })),
+]);
+
+const commonFields = {
+  model: z.string().min(1),
+  stream: z.boolean().nullish(),
+  stream_options: z.object({ include_usage: z.boolean().optional() }).nullish(),
+  max_tokens: maxTokensSchema.nullish(),
+};
+
+export const chatRequestSchema = z.object({
+  ...commonFields,
+  messages: z.array(z.object({ role: z.string(), content: contentSchema })).min(1),
+  max_completion_tokens: maxTokensSchema.nullish(),
+});
+
+export const textRequestSchema = z.object({ ...commonFields, prompt: z.string().min(1) });
+
+/** A generation as both kinds of request ask for it. */
+export interface GenerationInput {
+  model: string;
+  adapter: string | undefined;
+  prompt: string;
+  maxTokens: number;
+  isStreamed: boolean;
+  includeUsage: boolean;
+}
+
+/** What the headers of a request say. */
+export interface RequestHeaders {
+  className: string;
+  deadlineMs: number | undefined;
+  idempotencyKey: string | undefined;
+}
+
+/**
+ * Reads a chat request.
+ *
+ * @param body the parsed body
+ * @param node this node, for failures
+ */
+export function parseChatRequest(body: unknown, node: string): Result<GenerationInput, Failure> {
+  const parsed = chatRequestSchema.safeParse(body);
+  if (!parsed.success) return Err(describeIssue(parsed.error, node));
+  const { data } = parsed;
+  const lines: string[] = [];
+  for (const message of data.messages) {
+    lines.push(`${message.role}: ${textOf(message.content)}`);
+  }
+  const maxTokens = data.max_completion_tokens ?? data.max_tokens ?? DEFAULT_MAX_TOKENS;
+  return Ok(createInput(data, lines.join('\n'), maxTokens));
+}
+
+/**
+ * Reads a text completion request.
+ *
+ * @param body the parsed body
+ * @param node this node, for failures
+ */
+export function parseTextRequest(body: unknown, node: string): Result<GenerationInput, Failure> {
+  const parsed = textRequestSchema.safeParse(body);
+  if (!parsed.success) return Err(describeIssue(parsed.error, node));
+  const { data } = parsed;
+  return Ok(createInput(data, data.prompt, data.max_tokens ?? DEFAULT_MAX_TOKENS));
+}
+
+function createInput(
+  data: Pick<z.infer<typeof textRequestSchema>, 'model' | 'stream' | 'stream_options'>,
+  prompt: string,
+  maxTokens: number,
+): GenerationInput {
+  const [model = '', adapter] = data.model.split(':');
+  return {
+    model,
+    adapter,
+    prompt,
+    maxTokens,
+    isStreamed: data.stream === true,
+    includeUsage: data.stream_options?.include_usage === true,
+  };
+}
+
+function textOf(content: z.infer<typeof contentSchema>): string {
+  if (typeof content === 'string') return content;
+  const texts: string[] = [];
+  for (const part of content) {
+    texts.push(part.text);
+  }
+  return texts.join('\n');
+}
+
+/**
+ * Reads the headers that reach every kind of request.
+ *
+ * @param context the request's context
+ * @param node this node, for failures
+ */
+export function parseHeaders(context: Context, node: string): Result<RequestHeaders, Failure> {
+  const deadline = context.req.header(DEADLINE_HEADER);
+  const deadlineMs = deadline === undefined ? undefined : Number(deadline);
+  if (deadlineMs !== undefined && !Number.isFinite(deadlineMs)) {
+    return Err(malformed(node, DEADLINE_HEADER, 'expected a number of milliseconds'));
+  }
+  if (deadlineMs !== undefined && deadlineMs <= 0) return Err(expired(node));
+  const idempotencyKey = context.req.header(IDEMPOTENCY_HEADER);
+  if (idempotencyKey !== undefined && !isKey(idempotencyKey)) {
+    return Err(malformed(node, IDEMPOTENCY_HEADER, `expected 1 to ${MAX_KEY_LENGTH} characters`));
+  }
+  const className = context.req.header(CLASS_HEADER) ?? DEFAULT_CLASS;
+  return Ok({ className, deadlineMs, idempotencyKey });
+}
+
+function isKey(key: string): boolean {
+  return key.length > 0 && key.length <= MAX_KEY_LENGTH;
+}
+
+/**
+ * Reads a JSON body.
+ *
+ * @param context the request's context
+ * @param node this node, for failures
+ */
+export async function readJsonBody(
+  context: Context,
+  node: string,
+): Promise<Result<unknown, Failure>> {
+  try {
+    return Ok(await context.req.json<unknown>());
+  } catch {
+    return Err(malformed(node, 'body', 'expected a JSON object'));
+  }
+}
+
+/**
+ * A refusal of a request that is wrong in one field.
+ *
+ * @param node this node
+ * @param field the wrong field
+ * @param expected what was expected there
+ */
+export function malformed(node: string, field: string, expected: string): Failure {
+  return createRefusal({
+    code: 'malformed-request',
+    message: `${field}: ${expected}`,
+    step: 'request.read',
+    peer: node,
+    field,
+  });
+}
+
+function expired(node: string): Failure {
+  return createRefusal({
+    code: 'deadline-expired',
+    message: 'the deadline had passed when the request came',
+    step: 'request.read',
+    peer: node,
+    field: DEADLINE_HEADER,
+  });
+}
+
+function describeIssue(error: z.ZodError, node: string): Failure {
+  const issue = error.issues[0];
+  const field = issue === undefined ? 'body' : issue.path.map(String).join('.') || 'body';
+  return malformed(node, field, issue?.message ?? 'is wrong');
+}
--- /dev/null
+++ b/src/caller/parts.ts
@@ -0,0 +1,44 @@
+/** What the caller front is made of. */
+import type { ClaimRequest, Claims } from '../claims/index.js';
+import type { ConfigurationReplica, Team } from '../configuration/index.js';
+import type { Log } from '../events/index.js';
+import type { Fate } from '../links/index.js';
+import type { EntryPoints } from '../membership/index.js';
+import type { Metrics } from '../metrics/index.js';
+import type { CompletionRunner, Fates, ServiceCallRunner } from '../router/index.js';
+import type { Settings } from '../settings/index.js';
+import type { Clock } from '../task/index.js';
+
+/** Whether a node takes new work. */
+export type Readiness = 'ready' | 'leaving' | 'configuration-stale';
+
+/** What the caller front is made of. */
+export interface CallerParts {
+  node: string;
+  clock: Clock;
+  log: Log;
+  metrics: Metrics;
+  terms: Settings['requests'];
+  replica: Pick<ConfigurationReplica, 'current'>;
+  completions: CompletionRunner;
+  services: ServiceCallRunner;
+  claims: Pick<Claims, 'claim' | 'settle' | 'look'>;
+  fates: Fates;
+  createRequestId(): string;
+  readiness(): Readiness;
+  entryPoints(zone: string | undefined): EntryPoints;
+  /** Finds the fate of a request of another node; `undefined` when nobody knows it. */
+  findFate(requestId: string): Promise<Fate | undefined>;
+  /** Counts a request in or out of flight. */
+  track(change: 1 | -1): void;
+}
+
+/** What is known of a request before its body is looked at. Times are on the node's clock. */
+export interface Arrival {
+  requestId: string;
+  team: Team;
+  arrivedAt: number;
+}
+
+/** A request under an idempotency key. */
+export type KeyedRequest = ClaimRequest;
--- /dev/null
+++ b/src/caller/tracker.ts
@@ -0,0 +1,52 @@
+/**
+ * Follows one request to its end: counts it in flight, remembers its fate and counts its outcome,
+ * once.
+ */
+import type { Failure } from '../errors/index.js';
+import type { CallerParts } from './parts.js';
+
+/** Follows one request. */
+export interface Tracker {
+  answer(): void;
+  /** @returns the failure, for the answer */
+  fail(failure: Failure): Failure;
+}
+
+/**
+ * Starts to follow a request.
+ *
+ * @param parts the node's fates and metrics
+ * @param requestId the request
+ * @param team whose it is
+ * @param className its class, for the metrics
+ */
+export function createTracker(
+  parts: CallerParts,
+  requestId: string,
+  team: string,
+  className: string,
+): Tracker {
+  const { fates, metrics, log } = parts;
+  let ended = false;
+  fates.begin(requestId, team);
+  parts.track(1);
+
+  function end(outcome: 'answered' | Failure['outcome'], failure?: Failure): void {
+    if (ended) return;
+    ended = true;
+    parts.track(-1);
+    metrics.requests.inc({ class: className, outcome });
+    fates.end({ requestId, team, state: outcome, ...(failure === undefined ? {} : { failure }) });
+    log.write('requestFinished', { requestId, team, class: className, outcome, failure });
+  }
+
+  return {
+    answer() {
+      end('answered');
+    },
+    fail(failure) {
+      end(failure.outcome, failure);
+      return failure;
+    },
+  };
+}
--- a/src/permits/server.ts
+++ b/src/permits/server.ts
@@ -34,6 +34,8 @@
   adapters: ReadonlySet<string>;
   /** Changes with every start of the server's process; empty until it was first reached. */
   incarnation: string;
+  /** How often in a row it did not answer the holder. */
+  silences: number;
   /** Carrying out an order. */
   busy: boolean;
   /** It said itself that it leaves. */
@@ -68,6 +70,7 @@
     models: new Set(),
     adapters: new Set(),
     incarnation: '',
+    silences: 0,
     busy: false,
     leaving: false,
     heldForOrder: false,
@@ -88,6 +91,7 @@
 export function learnEngine(server: Server, state: EngineState): void {
   if (server.incarnation !== state.incarnation) server.prefixes.clear();
   server.incarnation = state.incarnation;
+  server.silences = 0;
   server.slots = state.maxBatch;
   server.kvTokens = state.kvTokensTotal;
   server.prefillTokensPerSecond = state.prefillTokensPerSecond;
@@ -107,6 +111,7 @@
  */
 export function learnService(server: Server, state: ServiceState): void {
   server.incarnation = state.incarnation;
+  server.silences = 0;
   server.slots = state.maxConcurrency;
   server.leaving = state.leaving;
 }
--- a/src/permits/shard-holder.ts
+++ b/src/permits/shard-holder.ts
@@ -27,6 +27,8 @@
 } from './server.js';
 
 const EXPIRE_EVERY_MS = 50;
+/** A server that did not answer so often in a row gets no new work until it does. */
+const MAX_SILENCES = 2;
 const MS_PER_SECOND = 1_000;
 
 /** What a shard holder needs. */
@@ -69,6 +71,8 @@
   learnEngine(state: EngineState): void;
   learnService(state: ServiceState): void;
   learnLoad(server: string, report: LoadReport): void;
+  /** A server did not answer. */
+  learnSilence(server: string): void;
   /** Keeps a server free of new work, for an order. */
   holdForOrder(server: string, held: boolean): void;
   occupancy(server: string): Occupancy | undefined;
@@ -363,6 +367,10 @@
       server.reportedRunning = report.running + report.waiting;
       server.reportedAt = clock.now() - report.ageMs;
     },
+    learnSilence(id) {
+      const server = servers.get(id);
+      if (server !== undefined) server.silences += 1;
+    },
     holdForOrder(id, isHeld) {
       const server = servers.get(id);
       if (server === undefined) return;
--- a/src/shards/index.ts
+++ b/src/shards/index.ts
@@ -2,3 +2,4 @@
 export * from './ownership.js';
 export * from './partition.js';
 export * from './rows.js';
+export * from './server-watch.js';
--- /dev/null
+++ b/src/shards/server-watch.ts
@@ -0,0 +1,97 @@
+/**
+ * The task by which the holder of a shard keeps itself informed of each server: its own word on its
+ * state, and its load report, which lags.
+ */
+import type { Failure } from '../errors/index.js';
+import type {
+  EngineState,
+  LoadReport,
+  ModelEngine,
+  PlainService,
+  ServiceState,
+} from '../platform/index.js';
+import type { Clock, Timer } from '../task/index.js';
+import type { Result } from 'ts-results-es';
+
+/** What the watch tells its owner. */
+export interface ServerWatchOwner {
+  engineState(state: EngineState): void;
+  serviceState(state: ServiceState): void;
+  load(server: string, report: LoadReport): void;
+  /** The server did not answer. */
+  silent(server: string, failure: Failure): void;
+}
+
+/** A watch over one server. */
+export interface ServerWatch {
+  stop(): void;
+}
+
+/** What a watch needs. */
+export interface ServerWatchParts {
+  clock: Clock;
+  everyMs: number;
+  owner: ServerWatchOwner;
+}
+
+/**
+ * Watches a model engine until stopped.
+ *
+ * @param engine the engine
+ * @param parts the clock and who is told
+ */
+export function watchEngine(engine: ModelEngine, parts: ServerWatchParts): ServerWatch {
+  return watch(engine, parts, async () => {
+    const state = await engine.state();
+    if (state.isOk()) parts.owner.engineState(state.value);
+    return state;
+  });
+}
+
+/**
+ * Watches a worker of a plain service until stopped.
+ *
+ * @param service the worker
+ * @param parts the clock and who is told
+ */
+export function watchService(service: PlainService, parts: ServerWatchParts): ServerWatch {
+  return watch(service, parts, async () => {
+    const state = await service.state();
+    if (state.isOk()) parts.owner.serviceState(state.value);
+    return state;
+  });
+}
+
+function watch(
+  server: ModelEngine | PlainService,
+  parts: ServerWatchParts,
+  readState: () => Promise<Result<unknown, Failure>>,
+): ServerWatch {
+  const { clock, everyMs, owner } = parts;
+  let timer: Timer | undefined;
+  let stopped = false;
+
+  async function round(): Promise<void> {
+    const state = await readState();
+    if (state.isErr()) {
+      owner.silent(server.id, state.error);
+      return;
+    }
+    const load = await server.load();
+    if (load.isOk()) owner.load(server.id, load.value);
+  }
+
+  function step(): void {
+    void round().then(() => {
+      if (!stopped) timer = clock.after(everyMs, step);
+    });
+  }
+
+  step();
+  return {
+    stop() {
+      stopped = true;
+      timer?.cancel();
+    },
+  };
+}
