--- a/src/caller/commands/call-service.ts
+++ b/src/caller/commands/call-service.ts
@@ -5,7 +5,7 @@
 import { createHash } from 'node:crypto';
 import type { Context, Handler } from 'hono';
 import { Err, Ok, type Result } from 'ts-results-es';
-import type { Claim } from '../../claims/index.js';
+import type { ClaimAnswer } from '../../claims/index.js';
 import { resolveRoute } from '../../configuration/index.js';
 import { createRefusal, type Failure } from '../../errors/index.js';
 import type { ServiceAnswer, ServiceCall } from '../../platform/index.js';
@@ -101,11 +101,7 @@
   return hash.digest('hex');
 }
 
-async function runOpen(
-  parts: CallerParts,
-  job: ServiceJob,
-  signal: AbortSignal,
-): Promise<Ending> {
+async function runOpen(parts: CallerParts, job: ServiceJob, signal: AbortSignal): Promise<Ending> {
   const result = await parts.services.run(job, signal, () => Promise.resolve(undefined));
   return { result, isReplayed: false };
 }
@@ -117,29 +113,20 @@
   keyed: KeyedRequest,
   signal: AbortSignal,
 ): Promise<Ending> {
-  let claim: Claim | undefined;
-  let earlier: ServiceAnswer | undefined;
-  let isRefused = false;
+  const asked: { claim?: ClaimAnswer } = {};
   const result = await parts.services.run(job, signal, async () => {
-    const claimed = await parts.claims.claim(keyed);
-    if (claimed.kind === 'claimed') {
-      claim = claimed.claim;
-      return undefined;
-    }
-    if (claimed.kind === 'refused') {
-      isRefused = true;
-      return claimed.failure;
-    }
-    earlier = claimed.answer;
-    return alreadyAnswered(parts.node);
+    asked.claim = await parts.claims.claim(keyed);
+    return reasonNotToSend(parts, asked.claim);
   });
-  if (earlier !== undefined) return { result: Ok(earlier), isReplayed: true };
-  if (claim !== undefined) {
-    await parts.claims.settle(claim, result);
-    return { result, isReplayed: false };
-  }
-  if (isRefused) return { result, isReplayed: false };
-  return lookBack(parts, keyed, result);
+  if (asked.claim === undefined) return lookBack(parts, keyed, result);
+  if (asked.claim.kind === 'answered') return { result: Ok(asked.claim.answer), isReplayed: true };
+  if (asked.claim.kind === 'claimed') await parts.claims.settle(asked.claim.claim, result);
+  return { result, isReplayed: false };
+}
+
+function reasonNotToSend(parts: CallerParts, claim: ClaimAnswer): Failure | undefined {
+  if (claim.kind === 'claimed') return undefined;
+  return claim.kind === 'refused' ? claim.failure : alreadyAnswered(parts.node);
 }
 
 /** Without a place nothing was claimed, but the key may have its outcome from an earlier time. */
--- a/src/caller/commands/complete.ts
+++ b/src/caller/commands/complete.ts
@@ -6,7 +6,7 @@
 import type { Context, Handler } from 'hono';
 import { stream } from 'hono/streaming';
 import type { StreamingApi } from 'hono/utils/stream';
-import { Err, Ok, type Result } from 'ts-results-es';
+import { Ok, type Result } from 'ts-results-es';
 import { resolveRoute, type Route } from '../../configuration/index.js';
 import { createDoubt, type Failure } from '../../errors/index.js';
 import {
--- a/src/node/held-shards.ts
+++ b/src/node/held-shards.ts
@@ -2,11 +2,7 @@
  * The shards that this node holds at the moment: for each a holder with its tally, and a watch over
  * each of its servers.
  */
-import {
-  explainNoNewWork,
-  isMember,
-  type ConfigurationReplica,
-} from '../configuration/index.js';
+import { explainNoNewWork, isMember, type ConfigurationReplica } from '../configuration/index.js';
 import type { ShardSummary } from '../links/index.js';
 import type { Metrics } from '../metrics/index.js';
 import { AffinityChoice, createShardHolder, type ShardHolder } from '../permits/index.js';
@@ -32,8 +28,8 @@
   backends: Backends;
   replica: Pick<ConfigurationReplica, 'current'>;
   maxQueue: number;
-  createId(): string;
-  isLeaseValid(): boolean;
+  createId: () => string;
+  isLeaseValid: () => boolean;
 }
 
 /** The shards held here. */
--- /dev/null
+++ b/src/node/index.ts
@@ -0,0 +1,3 @@
+/** One node and its process. */
+export * from './main.js';
+export * from './node.js';
--- a/src/node/main.ts
+++ b/src/node/main.ts
@@ -1,13 +1,65 @@
 /**
- * The node process.
+ * The node process: reads settings, runs a node, and stops it gracefully on SIGTERM or SIGINT.
  */
+import { createLog, type Log } from '../events/index.js';
+import { loadSecret, loadSettings, type Mistake, type Settings } from '../settings/index.js';
+import { createNode, type Secrets } from './node.js';
+
+/** Exit code when the settings are wrong. */
+const WRONG_SETTINGS = 2;
+/** Exit code when an address is taken or the node cannot start. */
+const CANNOT_START = 1;
 
 /**
- * Runs a node until it is stopped.
+ * Runs a node until it is told to stop.
  *
  * @param file path of its settings
  * @returns the exit code
  */
-export function runNode(file: string): Promise<number> {
-  return Promise.reject(new Error(`no node to run with ${file} yet`));
+export async function runNode(file: string): Promise<number> {
+  const settings = loadSettings(file);
+  if (settings.isErr()) return reportMistakes(createLog('unnamed', 'info'), settings.error);
+  const log = createLog(settings.value.node, settings.value.log.level);
+  const secrets = loadSecrets(settings.value);
+  if (Array.isArray(secrets)) return reportMistakes(log, secrets);
+  const node = createNode(settings.value, secrets, log);
+  try {
+    await node.start();
+  } catch (error) {
+    log.write('portTaken', { error: String(error), advice: 'stop the other process or change it' });
+    return CANNOT_START;
+  }
+  await receiveStopSignal();
+  await node.stop();
+  return 0;
+}
+
+function loadSecrets(settings: Settings): Secrets | Mistake[] {
+  const peerKey = loadSecret('peerKey', settings.secrets.peerKey);
+  const operatorToken = loadSecret('operatorToken', settings.secrets.operatorToken);
+  const mistakes: Mistake[] = [];
+  if (peerKey.isErr()) mistakes.push(peerKey.error);
+  if (operatorToken.isErr()) mistakes.push(operatorToken.error);
+  if (peerKey.isOk() && operatorToken.isOk()) {
+    return { peerKey: peerKey.value, operatorToken: operatorToken.value };
+  }
+  return mistakes;
+}
+
+function reportMistakes(log: Log, mistakes: readonly Mistake[]): number {
+  for (const mistake of mistakes) {
+    log.write('settingsWrong', { ...mistake });
+  }
+  return WRONG_SETTINGS;
+}
+
+function receiveStopSignal(): Promise<void> {
+  return new Promise((resolve) => {
+    process.once('SIGTERM', () => {
+      resolve();
+    });
+    process.once('SIGINT', () => {
+      resolve();
+    });
+  });
 }
--- /dev/null
+++ b/src/node/node.ts
@@ -0,0 +1,519 @@
+/**
+ * One node, made of its tasks. Every entry VM runs one; all are alike.
+ */
+import { randomUUID } from 'node:crypto';
+import { match } from 'ts-pattern';
+import { createCallerFront, type Readiness } from '../caller/index.js';
+import { createClaims, createGatheredWriter } from '../claims/index.js';
+import {
+  createConfigurationReplica,
+  createConfigurationWriter,
+  explainNoNewWork,
+  isMember,
+  type ChangeBatch,
+  type EngineGroup,
+} from '../configuration/index.js';
+import { createLog, type Log } from '../events/index.js';
+import { createLapseWatch, createNodeLease } from '../lease/index.js';
+import { createLinks, type Answer, type Fate, type Notice, type Query } from '../links/index.js';
+import { createMembership, resolveEntryPoints } from '../membership/index.js';
+import { createMetrics } from '../metrics/index.js';
+import { createOperatorFront, type NodeStatus } from '../operator/index.js';
+import { createHttpModelEngine, createHttpPlainService } from '../platform/http/index.js';
+import type { Vm } from '../platform/index.js';
+import {
+  createBackends,
+  createCompletionRunner,
+  createDirectPlacement,
+  createFates,
+  createHolderPlacement,
+  createOutputEstimate,
+  createPlacesInUse,
+  createRetryBudget,
+  createServiceCallRunner,
+} from '../router/index.js';
+import type { Settings } from '../settings/index.js';
+import { createOwnership, resolveShards, type Shard } from '../shards/index.js';
+import { createSystemClock, createSystemRandom, wait, type Timer } from '../task/index.js';
+import { createHeldShards } from './held-shards.js';
+import { createPlatform } from './platform.js';
+import { listen, type Listener } from './servers.js';
+
+const OWNERSHIP_EVERY_MS = 250;
+const ADOPT_EVERY_MS = 1_000;
+const FATE_TIMEOUT_MS = 1_000;
+const DRAIN_POLL_MS = 50;
+
+/** Secrets of a node, as read from where the settings say. */
+export interface Secrets {
+  peerKey: string;
+  operatorToken: string;
+}
+
+/** Addresses that a node listens on. */
+export interface NodeAddresses {
+  caller: string;
+  operator: string;
+  peer: string;
+}
+
+/** A node. */
+export interface Node {
+  /** Starts every task; rejects when an address is taken. */
+  start(): Promise<NodeAddresses>;
+  /** Graceful shutdown: no request is cut. */
+  stop(): Promise<void>;
+}
+
+/**
+ * Creates a node.
+ *
+ * @param settings the node's settings
+ * @param secrets the keys it shares with its peers and operators
+ * @param log where its events go
+ */
+export function createNode(
+  settings: Settings,
+  secrets: Secrets,
+  log: Log = createLog(settings.node, settings.log.level),
+): Node {
+  const { node, zone } = settings;
+  const incarnation = randomUUID();
+  const clock = createSystemClock();
+  const random = createSystemRandom();
+  const metrics = createMetrics();
+  const platform = createPlatform(settings.platform, metrics);
+  const addresses: NodeAddresses = { ...settings.listen };
+  const listeners: Listener[] = [];
+  let shards: Shard[] = [];
+  let leaving = false;
+  let refusing = false;
+  let inFlight = 0;
+  let adoptTimer: Timer | undefined;
+
+  const inUse = createPlacesInUse();
+  const fates = createFates(clock, settings.requests.fateKeptMs);
+  const backends = createBackends({
+    createEngine: (id, address) => createHttpModelEngine({ id, address }),
+    createService: (id, address) => createHttpPlainService({ id, address }),
+  });
+
+  const links = createLinks({
+    node,
+    key: secrets.peerKey,
+    listen: settings.listen.peer,
+    clock,
+    log,
+    metrics,
+    opened: () => {
+      membership.announce();
+    },
+    noticed: receiveNotice,
+    asked: receiveQuery,
+  });
+
+  const replica = createConfigurationReplica({
+    table: platform.table('configuration'),
+    clock,
+    random,
+    log,
+    metrics,
+    terms: settings.configuration,
+    fetch: fetchChanges,
+    push: (changes) => {
+      links.broadcast({ kind: 'configuration.push', changes });
+    },
+    onChange: () => {
+      membership.announce();
+    },
+  });
+  const writer = createConfigurationWriter({
+    table: platform.table('configuration'),
+    clock,
+    replica,
+    random,
+    log,
+    metrics,
+    node,
+  });
+
+  const membership = createMembership({
+    terms: settings.membership,
+    seeds: settings.peers,
+    links,
+    vmList: platform.vmList,
+    clock,
+    log,
+    ownState: () => ({
+      node,
+      incarnation,
+      zone,
+      ...addresses,
+      leaving,
+      configurationVersion: replica.current().version,
+      inFlight,
+    }),
+    ownShards: () => held.summaries(),
+    heardVersion: (version) => {
+      replica.heardVersion(version);
+    },
+    heardShards: (summaries) => {
+      for (const summary of summaries) {
+        ownership.hear(summary);
+      }
+    },
+    listed: (vms) => {
+      shards = resolveShards(vms, settings.shards);
+      held.update(shards);
+    },
+  });
+
+  const lease = createNodeLease({
+    table: platform.table('lease'),
+    clock,
+    log,
+    terms: settings.lease,
+    node,
+    incarnation,
+    peer: settings.listen.peer,
+    createId: randomUUID,
+    acquired: () => undefined,
+    lost: () => {
+      ownership.loseAll();
+    },
+  });
+
+  const lapseWatch = createLapseWatch({
+    table: platform.table('lease'),
+    clock,
+    log,
+    terms: settings.lease,
+    node,
+    aliveNodes: () => aliveNames(),
+    suspectedHolders: () => ownership.suspectedHolders(),
+    lapsed: (row) => {
+      if (!membership.isAlive(row.holder.node)) held.forgetNode(row.holder.node);
+    },
+  });
+
+  const ownership = createOwnership({
+    table: platform.table('shards'),
+    clock,
+    log,
+    node,
+    everyMs: OWNERSHIP_EVERY_MS,
+    freshMs: settings.membership.suspectAfterMs,
+    shards: () => shards,
+    aliveNodes: () => aliveNames(),
+    leaseHolder: () => lease.holder(),
+    isLeaseValid: () => lease.isValid(),
+    readNodeRow: (name) => lapseWatch.read(name),
+    taken: (taken) => {
+      const shard = shards.find(({ name }) => name === taken.name);
+      if (shard !== undefined) held.begin(taken, shard);
+      membership.announce();
+    },
+    lost: (lost) => {
+      held.end(lost.name);
+    },
+  });
+
+  const held = createHeldShards({
+    node,
+    clock,
+    metrics,
+    backends,
+    replica,
+    maxQueue: settings.requests.maxQueue,
+    createId: randomUUID,
+    isLeaseValid: () => lease.isValid(),
+  });
+
+  const placement = createHolderPlacement({
+    node,
+    clock,
+    log,
+    metrics,
+    links,
+    inUse,
+    configurationVersion: () => replica.current().version,
+    shardsOf,
+    localHolder: (shard) => held.find(shard),
+    remoteHolder: (shard) => {
+      const known = ownership.holderOf(shard);
+      return known?.node === node ? undefined : known;
+    },
+    fallback: createDirectPlacement({
+      node,
+      random,
+      inUse,
+      createId: randomUUID,
+      serversOf,
+      shardOf,
+      lastFree,
+    }),
+  });
+
+  const budget = createRetryBudget(settings.requests.retryShare);
+  const routing = { node, clock, log, metrics, placement, backends, budget };
+  const { maxAttempts } = settings.requests;
+  const estimate = createOutputEstimate();
+  const completions = createCompletionRunner({ ...routing, maxAttempts, estimate });
+  const services = createServiceCallRunner({ ...routing, maxAttempts });
+
+  const claims = createClaims({
+    table: platform.table('claims'),
+    objectStore: platform.objectStore,
+    writer: createGatheredWriter({
+      table: platform.table('claims'),
+      clock,
+      gatherMs: settings.claims.gatherMs,
+      maxPerTransaction: settings.claims.maxPerTransaction,
+    }),
+    clock,
+    log,
+    metrics,
+    node,
+    incarnation,
+    maxInlineBytes: settings.claims.maxInlineBytes,
+    createId: randomUUID,
+    wallClock: () => Date.now(),
+    isOver: async (claimer, claimerIncarnation) => {
+      const row = await lapseWatch.read(claimer);
+      if (row === undefined) return false;
+      return row.state !== 'held' || row.holder.incarnation !== claimerIncarnation;
+    },
+  });
+
+  const callerFront = createCallerFront({
+    node,
+    clock,
+    log,
+    metrics,
+    terms: settings.requests,
+    replica,
+    completions,
+    services,
+    claims,
+    fates,
+    createRequestId: () => `${node}~${randomUUID()}`,
+    readiness,
+    entryPoints: (callerZone) =>
+      resolveEntryPoints(
+        membership.alive(),
+        callerZone,
+        settings.membership.entryPointsKeptMs,
+        random,
+      ),
+    findFate,
+    track: (change) => {
+      inFlight += change;
+      metrics.inFlight.set(inFlight);
+    },
+  });
+
+  const operatorFront = createOperatorFront({
+    token: secrets.operatorToken,
+    metrics,
+    replica,
+    writer,
+    status,
+    vms: () => [...membership.vms()],
+    log,
+  });
+
+  function aliveNames(): string[] {
+    const names: string[] = [];
+    for (const state of membership.alive()) {
+      names.push(state.node);
+    }
+    return names;
+  }
+
+  function readiness(): Readiness {
+    if (refusing) return 'leaving';
+    return replica.isFresh() ? 'ready' : 'configuration-stale';
+  }
+
+  function status(): NodeStatus {
+    const summaries = held.summaries();
+    for (const shard of shards) {
+      const known = ownership.holderOf(shard.name);
+      if (held.find(shard.name) === undefined && known !== undefined) summaries.push(known.summary);
+    }
+    const validForMs = lease.validForMs();
+    return {
+      node: membership.own(),
+      nodes: membership.alive(),
+      shards: summaries,
+      lease: { held: validForMs > 0, validForMs },
+      configurationVersion: replica.current().version,
+      ready: readiness() === 'ready' && !leaving,
+      leaving,
+    };
+  }
+
+  function shardsOf(group: EngineGroup): Shard[] {
+    const snapshot = replica.current();
+    return shards.filter(({ vms }) => vms.some((vm) => isMember(snapshot, group, vm)));
+  }
+
+  function serversOf(group: EngineGroup): Vm[] {
+    const snapshot = replica.current();
+    const servers: Vm[] = [];
+    for (const vm of membership.vms()) {
+      if (vm.kind === 'entry' || !isMember(snapshot, group, vm)) continue;
+      if (explainNoNewWork(snapshot, vm) === undefined) servers.push(vm);
+    }
+    return servers;
+  }
+
+  function shardOf(vm: Vm): string {
+    const shard = shards.find(({ vms }) => vms.some(({ id }) => id === vm.id));
+    return shard?.name ?? vm.service;
+  }
+
+  function lastFree(server: string): number | undefined {
+    for (const shard of shards) {
+      const summary = ownership.holderOf(shard.name)?.summary;
+      const found = summary?.servers.find(({ id }) => id === server);
+      if (found !== undefined) return found.free;
+    }
+    return undefined;
+  }
+
+  function receiveNotice(peer: string, notice: Notice): void {
+    match(notice)
+      .with({ kind: 'heartbeat' }, (heartbeat) => {
+        membership.receive(peer, heartbeat);
+      })
+      .with({ kind: 'permit.release' }, (release) => {
+        held.find(release.shard)?.release(release);
+      })
+      .with({ kind: 'permit.cancel' }, ({ shard, requestId, attempt }) => {
+        held.find(shard)?.cancel(peer, requestId, attempt);
+      })
+      .with({ kind: 'permit.adopt' }, (adoption) => {
+        held.find(adoption.shard)?.adopt(adoption);
+      })
+      .with({ kind: 'configuration.push' }, ({ changes }) => {
+        replica.receive(changes);
+      })
+      .exhaustive();
+  }
+
+  async function receiveQuery(peer: string, query: Query): Promise<Answer> {
+    return match(query)
+      .with({ kind: 'permit.request' }, async (wish): Promise<Answer> => {
+        await replica.caughtUp(wish.configurationVersion);
+        const holder = held.find(wish.shard);
+        if (holder !== undefined) return holder.ask(peer, wish);
+        const failure = {
+          code: 'lease-lost' as const,
+          message: 'the shard is not held here',
+          outcome: 'not-run' as const,
+          step: 'permit.ask' as const,
+          peer: node,
+        };
+        return { kind: 'permit.refused', failure };
+      })
+      .with({ kind: 'configuration.fetch' }, ({ after }): Promise<Answer> => {
+        return Promise.resolve({ kind: 'configuration.changes', ...replica.changesAfter(after) });
+      })
+      .with({ kind: 'request.fate' }, ({ requestId }): Promise<Answer> => {
+        const fate = fates.find(requestId);
+        const found = fate === undefined ? {} : { fate };
+        return Promise.resolve({ kind: 'request.fate.answer', ...found });
+      })
+      .exhaustive();
+  }
+
+  async function fetchChanges(after: number): Promise<ChangeBatch | undefined> {
+    for (const peer of links.peers()) {
+      const answer = await links.query(
+        peer,
+        { kind: 'configuration.fetch', after },
+        FATE_TIMEOUT_MS,
+      );
+      if (answer.isOk() && answer.value.kind === 'configuration.changes') return answer.value;
+    }
+    return undefined;
+  }
+
+  async function findFate(requestId: string): Promise<Fate | undefined> {
+    const [peer = ''] = requestId.split('~');
+    const answer = await links.query(peer, { kind: 'request.fate', requestId }, FATE_TIMEOUT_MS);
+    if (answer.isErr() || answer.value.kind !== 'request.fate.answer') return undefined;
+    return answer.value.fate;
+  }
+
+  /** Tells holders which places are in use, so that lost messages and new holders do no harm. */
+  function tellPlaces(): void {
+    const byShard = inUse.byShard();
+    for (const { name } of shards) {
+      const permits = byShard.get(name) ?? [];
+      const notice = { kind: 'permit.adopt' as const, shard: name, node, incarnation, permits };
+      const local = held.find(name);
+      const holder = ownership.holderOf(name)?.node;
+      if (local !== undefined) local.adopt(notice);
+      else if (holder !== undefined) links.notify(holder, notice);
+    }
+    adoptTimer = clock.after(ADOPT_EVERY_MS, tellPlaces);
+  }
+
+  async function openFronts(): Promise<void> {
+    const { readTimeoutMs } = settings.requests;
+    const caller = await listen(callerFront, settings.listen.caller, readTimeoutMs);
+    const operator = await listen(operatorFront, settings.listen.operator, readTimeoutMs);
+    listeners.push(caller, operator);
+    addresses.caller = caller.address;
+    addresses.operator = operator.address;
+  }
+
+  async function waitForRequests(): Promise<void> {
+    const until = clock.now() + settings.shutdown.graceMs;
+    while (inFlight > 0) {
+      if (clock.now() >= until) {
+        log.write('graceExceeded', { inFlight });
+        return;
+      }
+      await wait(clock, DRAIN_POLL_MS);
+    }
+  }
+
+  return {
+    async start() {
+      await links.listen();
+      addresses.peer = links.address();
+      await openFronts();
+      lease.start();
+      await membership.start();
+      await replica.start();
+      await lapseWatch.start();
+      ownership.start();
+      tellPlaces();
+      log.write('nodeStarted', { zone, incarnation, ...addresses });
+      return addresses;
+    },
+    async stop() {
+      log.write('nodeStopping', { inFlight });
+      leaving = true;
+      membership.announce();
+      await wait(clock, settings.membership.entryPointsKeptMs);
+      refusing = true;
+      await waitForRequests();
+      await ownership.release();
+      await lease.release();
+      lapseWatch.stop();
+      replica.stop();
+      membership.announce();
+      membership.stop();
+      adoptTimer?.cancel();
+      for (const listener of listeners) {
+        await listener.close();
+      }
+      await links.close();
+      log.write('nodeStopped', {});
+    },
+  };
+}
--- /dev/null
+++ b/src/node/servers.ts
@@ -0,0 +1,70 @@
+/**
+ * HTTP listeners of the two fronts, with the limits that keep slow or oversized requests from
+ * holding a node.
+ */
+import { createServer, type Server } from 'node:http';
+import { getRequestListener } from '@hono/node-server';
+import type { Hono } from 'hono';
+
+const MAX_HEADER_BYTES = 16_384;
+const KEEP_ALIVE_MS = 30_000;
+/** How often node looks for requests that took too long to arrive. */
+const CHECK_EVERY_MS = 1_000;
+
+/** A front that listens. */
+export interface Listener {
+  /** `host:port`, with the port that was given for port 0. */
+  address: string;
+  /** Takes no new connection and resolves when the open ones have ended. */
+  close(): Promise<void>;
+}
+
+/**
+ * Starts to listen; rejects when the address is taken.
+ *
+ * @param app what answers
+ * @param address `host:port`
+ * @param readTimeoutMs how long a request may take to arrive
+ */
+export function listen(
+  app: Pick<Hono, 'fetch'>,
+  address: string,
+  readTimeoutMs: number,
+): Promise<Listener> {
+  const [host = '', port = ''] = address.split(':');
+  const answer = getRequestListener(app.fetch);
+  const server = createServer(
+    {
+      requestTimeout: readTimeoutMs,
+      headersTimeout: readTimeoutMs,
+      connectionsCheckingInterval: CHECK_EVERY_MS,
+      maxHeaderSize: MAX_HEADER_BYTES,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      noDelay: true,
+    },
+    (incoming, outgoing) => {
+      void answer(incoming, outgoing);
+    },
+  );
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(Number(port), host, () => {
+      resolve({ address: describeAddress(server, address), close: () => close(server) });
+    });
+  });
+}
+
+function describeAddress(server: Server, wanted: string): string {
+  const bound = server.address();
+  if (bound === null || typeof bound === 'string') return wanted;
+  return `${bound.address}:${bound.port}`;
+}
+
+function close(server: Server): Promise<void> {
+  return new Promise((resolve) => {
+    server.close(() => {
+      resolve();
+    });
+    server.closeIdleConnections();
+  });
+}
--- a/src/permits/shard-holder.ts
+++ b/src/permits/shard-holder.ts
@@ -109,7 +109,9 @@
   }
 
   function isUsable(server: Server): boolean {
-    return !server.busy && !server.leaving && !server.heldForOrder && !parts.isWithdrawn(server.vm);
+    if (server.incarnation === '' || server.silences >= MAX_SILENCES) return false;
+    if (server.busy || server.leaving || server.heldForOrder) return false;
+    return !parts.isWithdrawn(server.vm);
   }
 
   function canServe(server: Server, query: PermitQuery): boolean {
