--- a/src/cli/run.ts
+++ b/src/cli/run.ts
@@ -1,6 +1,7 @@
 /**
  * Runs one command line and gives its exit code.
  */
+import { stripVTControlCharacters } from 'node:util';
 import { defineCommand, renderUsage, type CommandDef } from 'citty';
 import type { Command } from './command.js';
 import { applyCommand } from './commands/apply.js';
@@ -64,13 +65,14 @@
 }
 
 async function renderHelp(command: Command): Promise<string> {
-  const usage = await command.renderUsage();
+  const usage = stripVTControlCharacters(await command.renderUsage());
   const examples = command.examples.map((example) => `  ${example}`).join('\n');
   return `${usage}\nEXAMPLES\n\n${examples}\n\n${exitCodeHelp}`;
 }
 
 async function showOverview(name: string, terminal: Terminal): Promise<ExitCode> {
-  const text = `${await renderOverview()}\n\n${exitCodeHelp}`;
+  const usage = stripVTControlCharacters(await renderOverview());
+  const text = `${usage}\n\n${exitCodeHelp}`;
   if (HELP_OPTIONS.includes(name) || name === 'help') {
     terminal.print(text);
     return exitCodes.ok;
