refactor(node): take clock, chance, network and platform from an environment

Cause: the fault matrix must run the node's own wiring, not a copy of it, under a fake clock. Ruled out: assembling the parts a second time in the tool; such a copy drifts from node.ts. Change: createNode takes a NodeEnvironment; the daemon's is the machine itself. No behaviour changes. Shown by: npm test.

--- a/src/node/index.ts
+++ b/src/node/index.ts
@@ -1,3 +1,4 @@
 /** One node and its process. */
+export * from './environment.js';
 export * from './main.js';
 export * from './node.js';
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,7 +1,6 @@
 /**
  * One node, made of its tasks. Every entry VM runs one; all are alike.
  */
-import { randomUUID } from 'node:crypto';
 import { match } from 'ts-pattern';
 import { createCallerFront, type Readiness } from '../caller/index.js';
 import { createClaims, createGatheredWriter } from '../claims/index.js';
@@ -15,11 +14,10 @@
 } from '../configuration/index.js';
 import { createLog, type Log } from '../events/index.js';
 import { createLapseWatch, createNodeLease } from '../lease/index.js';
-import { createLinks, type Answer, type Fate, type Notice, type Query } from '../links/index.js';
+import type { Answer, Fate, Notice, Query } from '../links/index.js';
 import { createMembership, resolveEntryPoints } from '../membership/index.js';
 import { createMetrics } from '../metrics/index.js';
 import { createOperatorFront, type NodeStatus } from '../operator/index.js';
-import { createHttpModelEngine, createHttpPlainService } from '../platform/http/index.js';
 import type { Vm } from '../platform/index.js';
 import {
   createBackends,
@@ -34,10 +32,10 @@
 } from '../router/index.js';
 import type { Settings } from '../settings/index.js';
 import { createOwnership, resolveShards, type Shard } from '../shards/index.js';
-import { createSystemClock, createSystemRandom, wait, type Timer } from '../task/index.js';
+import { wait, type Timer } from '../task/index.js';
+import { createSystemEnvironment, type NodeEnvironment } from './environment.js';
 import { createHeldShards } from './held-shards.js';
-import { createPlatform } from './platform.js';
-import { listen, type Listener } from './servers.js';
+import type { Listener } from './servers.js';
 
 const OWNERSHIP_EVERY_MS = 250;
 const ADOPT_EVERY_MS = 1_000;
@@ -71,18 +69,19 @@
  * @param settings the node's settings
  * @param secrets the keys it shares with its peers and operators
  * @param log where its events go
+ * @param environment time, chance, the network and the platform
  */
 export function createNode(
   settings: Settings,
   secrets: Secrets,
   log: Log = createLog(settings.node, settings.log.level),
+  environment: NodeEnvironment = createSystemEnvironment(),
 ): Node {
   const { node, zone } = settings;
-  const incarnation = randomUUID();
-  const clock = createSystemClock();
-  const random = createSystemRandom();
+  const { clock, random, createId } = environment;
+  const incarnation = createId();
   const metrics = createMetrics();
-  const platform = createPlatform(settings.platform, metrics);
+  const platform = environment.createPlatform(settings.platform, metrics);
   const addresses: NodeAddresses = { ...settings.listen };
   const listeners: Listener[] = [];
   let shards: Shard[] = [];
@@ -93,12 +92,9 @@
 
   const inUse = createPlacesInUse();
   const fates = createFates(clock, settings.requests.fateKeptMs);
-  const backends = createBackends({
-    createEngine: (id, address) => createHttpModelEngine({ id, address }),
-    createService: (id, address) => createHttpPlainService({ id, address }),
-  });
+  const backends = createBackends(environment);
 
-  const links = createLinks({
+  const links = environment.createLinks({
     node,
     key: secrets.peerKey,
     listen: settings.listen.peer,
@@ -176,7 +172,7 @@
     node,
     incarnation,
     peer: settings.listen.peer,
-    createId: randomUUID,
+    createId,
     acquired: () => undefined,
     lost: () => {
       ownership.loseAll();
@@ -225,7 +221,7 @@
     backends,
     replica,
     maxQueue: settings.requests.maxQueue,
-    createId: randomUUID,
+    createId,
     isLeaseValid: () => lease.isValid(),
   });
 
@@ -247,7 +243,7 @@
       node,
       random,
       inUse,
-      createId: randomUUID,
+      createId,
       serversOf,
       shardOf,
       lastFree,
@@ -276,8 +272,8 @@
     node,
     incarnation,
     maxInlineBytes: settings.claims.maxInlineBytes,
-    createId: randomUUID,
-    wallClock: () => Date.now(),
+    createId,
+    wallClock: environment.wallClock,
     isOver: async (claimer, claimerIncarnation) => {
       const row = await lapseWatch.read(claimer);
       if (row === undefined) return false;
@@ -296,7 +292,7 @@
     services,
     claims,
     fates,
-    createRequestId: () => `${node}~${randomUUID()}`,
+    createRequestId: () => `${node}~${createId()}`,
     readiness,
     entryPoints: (callerZone) =>
       resolveEntryPoints(
@@ -463,8 +459,12 @@
 
   async function openFronts(): Promise<void> {
     const { readTimeoutMs } = settings.requests;
-    const caller = await listen(callerFront, settings.listen.caller, readTimeoutMs);
-    const operator = await listen(operatorFront, settings.listen.operator, readTimeoutMs);
+    const caller = await environment.listen(callerFront, settings.listen.caller, readTimeoutMs);
+    const operator = await environment.listen(
+      operatorFront,
+      settings.listen.operator,
+      readTimeoutMs,
+    );
     listeners.push(caller, operator);
     addresses.caller = caller.address;
     addresses.operator = operator.address;
