feat(tools): start clusters of real processes from generated settings

Cause: demo, scenarios and bench all start stand-ins and nodes, and only the demo could. Change: tools/common has the process starter (signals by id, exit code, log lines), a pure layout that gives all settings on a port range, and a small cluster (start, status, operate, control, wait until ready). The demo uses the same starter. Ruled out: one process for all stand-ins, since the table must be paused alone and an availability zone's backend servers lost together.

--- /dev/null
+++ b/tools/common/index.ts
@@ -0,0 +1,4 @@
+/** What the tools share: processes, generated settings, and small clusters of them. */
+export * from './cluster.js';
+export * from './layout.js';
+export * from './processes.js';
--- a/tools/demo/main.ts
+++ b/tools/demo/main.ts
@@ -8,7 +8,7 @@
 import { request } from 'undici';
 import { readJson } from '../../src/settings/index.js';
 import { ask, type DemoOutcome } from './ask.js';
-import { startProcess, type Process } from './processes.js';
+import { startProcess, type Process } from '../common/processes.js';
 import { demoRequestsSchema, type DemoRequest } from './requests.js';
 
 const NODES = 3;
@@ -138,8 +138,8 @@
     say(`${nodes[index]?.name ?? 'a node'} ended with ${code}`);
     isClean = false;
   }
-  for (const { name, stop } of started) {
-    if (!name.startsWith('node-')) await stop();
+  for (const process of started) {
+    if (!process.name.startsWith('node-')) await process.stop();
   }
   return isClean;
 }
