--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -104,6 +104,27 @@
       fateKeptMs: z.number().positive().default(600_000),
     })
     .prefault({}),
+  /** Switches of the decisions on placement, each by itself, for comparisons. */
+  decisions: z
+    .strictObject({
+      /** Prefer the engine that has most of the prompt cached. */
+      affinity: z.boolean().default(true),
+      /** Share between teams by tokens and weight; otherwise by priority and deadline alone. */
+      fairness: z.boolean().default(true),
+      /** Refuse at once what cannot be on time. */
+      admission: z.boolean().default(true),
+      /** Bound the prompts being read on an engine and keep a share for short ones. */
+      shortReserve: z.boolean().default(true),
+      /** Give less, and then nothing, to servers that fail. */
+      ejection: z.boolean().default(true),
+      /** Read prompts on one engine and generate on another, where roles ask for it. */
+      handover: z.boolean().default(true),
+      /** Change engines' roles with the mix, in the groups that allow it. */
+      planner: z.boolean().default(true),
+      /** Cancel and resume work of low priority to make room for work of high priority. */
+      preemption: z.boolean().default(false),
+    })
+    .prefault({}),
   claims: z
     .strictObject({
       /** Time for which claims are gathered into one transaction. */
@@ -133,3 +154,6 @@
 
 /** The settings of one node. */
 export type Settings = z.infer<typeof settingsSchema>;
+
+/** Which mechanisms take part in the decisions on placement. */
+export type Decisions = Settings['decisions'];
