--- a/eslint.config.js
+++ b/eslint.config.js
@@ -6,7 +6,7 @@
   { ignores: ['dist/**', 'node_modules/**', 'out/**'] },
   js.configs.recommended,
   {
-    files: ['**/*.ts'],
+    files: ['**/*.ts', '**/*.cts'],
     extends: [...tseslint.configs.strictTypeChecked, ...tseslint.configs.stylisticTypeChecked],
     languageOptions: {
       parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname },
@@ -16,6 +16,13 @@
       '@typescript-eslint/consistent-type-imports': 'error',
     },
   },
+  {
+    files: ['**/*.cts'],
+    rules: {
+      // the only form of import that TypeScript takes in a CommonJS module
+      '@typescript-eslint/no-require-imports': ['error', { allowAsImport: true }],
+    },
+  },
   {
     files: ['test/**/*.ts'],
     rules: {
