feat(router): place requests by each node alone, to measure permits against

Cause: the decisions need baselines on the same work: least reported load, two random choices and round robin. Also: an engine that declined a request (503, provably nothing started) ended it without another attempt; it is now tried elsewhere, for every policy. Conclusion: the setting decisions.placement selects one; permits stay the default.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -21,14 +21,21 @@
 import type { Vm } from '../platform/index.js';
 import {
   createBackends,
+  createBaselinePlacement,
   createCompletionRunner,
   createDirectPlacement,
   createFates,
   createHolderPlacement,
+  createLoadBoard,
   createOutputEstimate,
   createPlacesInUse,
   createRetryBudget,
   createServiceCallRunner,
+  LeastReportedPick,
+  RoundRobinPick,
+  TwoChoicesPick,
+  type Placement,
+  type ServerPick,
 } from '../router/index.js';
 import type { Settings } from '../settings/index.js';
 import { createOwnership, resolveShards, type Shard } from '../shards/index.js';
@@ -39,6 +46,7 @@
 
 const OWNERSHIP_EVERY_MS = 250;
 const ADOPT_EVERY_MS = 1_000;
+const LOAD_EVERY_MS = 1_000;
 const FATE_TIMEOUT_MS = 1_000;
 const DRAIN_POLL_MS = 50;
 
@@ -225,7 +233,7 @@
     isLeaseValid: () => lease.isValid(),
   });
 
-  const placement = createHolderPlacement({
+  const permits = createHolderPlacement({
     node,
     clock,
     log,
@@ -250,6 +258,15 @@
     }),
   });
 
+  const board = createLoadBoard({
+    clock,
+    everyMs: LOAD_EVERY_MS,
+    backends,
+    servers: () => membership.vms().filter(({ kind }) => kind !== 'entry'),
+  });
+  const { placement: placementName } = settings.decisions;
+  const placement = placementName === 'permits' ? permits : createAlone(placementName);
+
   const budget = createRetryBudget(settings.requests.retryShare);
   const routing = { node, clock, log, metrics, placement, backends, budget };
   const { maxAttempts } = settings.requests;
@@ -318,6 +335,17 @@
     log,
   });
 
+  function createAlone(name: Exclude<typeof placementName, 'permits'>): Placement {
+    const pick = match(name)
+      .returnType<ServerPick>()
+      .with('least-reported', () => new LeastReportedPick(random))
+      .with('two-choices', () => new TwoChoicesPick(random))
+      .with('round-robin', () => new RoundRobinPick())
+      .exhaustive();
+    const createId = randomUUID;
+    return createBaselinePlacement({ node, pick, board, inUse, createId, serversOf, shardOf });
+  }
+
   function aliveNames(): string[] {
     const names: string[] = [];
     for (const state of membership.alive()) {
@@ -492,6 +520,7 @@
       await lapseWatch.start();
       ownership.start();
       tellPlaces();
+      if (placementName !== 'permits') board.start();
       log.write('nodeStarted', { zone, incarnation, ...addresses });
       return addresses;
     },
@@ -509,6 +538,7 @@
       membership.announce();
       membership.stop();
       adoptTimer?.cancel();
+      board.stop();
       for (const listener of listeners) {
         await listener.close();
       }
--- a/src/router/completion.ts
+++ b/src/router/completion.ts
@@ -357,6 +357,8 @@
 }
 
 function isWorthRetrying(failure: Failure): boolean {
+  // An engine that declined has started nothing, and another may have room.
+  if (failure.step === 'engine.connect' && failure.code !== 'cancelled') return true;
   return match(failure.code)
     .with(
       'backend-server-unreachable',
--- a/src/router/index.ts
+++ b/src/router/index.ts
@@ -1,5 +1,6 @@
 /** Running requests on backend servers: places, attempts, retries, fates. */
 export * from './backend.js';
+export * from './baselines/index.js';
 export * from './completion.js';
 export * from './direct-placement.js';
 export * from './fates.js';
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -123,6 +123,13 @@
       planner: z.boolean().default(true),
       /** Cancel and resume work of low priority to make room for work of high priority. */
       preemption: z.boolean().default(false),
+      /**
+       * How requests get their places: by permits of the shard's holder, or, for measurements only,
+       * by each node alone.
+       */
+      placement: z
+        .enum(['permits', 'least-reported', 'two-choices', 'round-robin'])
+        .default('permits'),
     })
     .prefault({}),
   claims: z
