--- a/tools/common/processes.ts
+++ b/tools/common/processes.ts
@@ -16,7 +16,9 @@
   /** Resolves with its exit code, or -1 after a signal, when it has ended. */
   ended: Promise<number>;
   /** Asks it to stop and waits until it has; returns its exit code. */
-  stop(): Promise<number>;
+  stop: () => Promise<number>;
+  /** Ends it at once, as a crash would, and waits until it is gone. */
+  kill: () => Promise<void>;
 }
 
 /** How a process is started. */
@@ -65,6 +67,10 @@
       if (isRunning()) child.kill('SIGTERM');
       return ended;
     },
+    async kill() {
+      if (isRunning()) child.kill('SIGKILL');
+      await ended;
+    },
   };
 }
 
