feat(links): dial a node on demand when it is asked or told something

Cause: a router asks the holder of a shard over an existing link. With more than maxPeers nodes there is no link to most holders, so every such request went round its holder. Ruled out: a link from each node to each holder at all times (nodes times shards links that beat). Change: Links.query and Links.notify dial the node that membership knows, settle at once when the dial fails, and close such a link after 30 s without use.

--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -30,6 +30,8 @@
   /** The other node's name; empty until it is authenticated. */
   peer(): string;
   isOpen(): boolean;
+  /** Whether a query of this end waits for its answer. */
+  isBusy(): boolean;
   /** When something last arrived, on the owner's clock. */
   lastHeardAt(): number;
   notify(notice: Notice): void;
@@ -75,6 +77,7 @@
   const link: Link = {
     peer: () => peer,
     isOpen: () => open && !ended,
+    isBusy: () => pending.size > 0,
     lastHeardAt: () => lastHeardAt,
     notify(notice) {
       if (link.isOpen()) transmit({ type: 'notice', notice }, notice.kind);
--- a/src/links/links.ts
+++ b/src/links/links.ts
@@ -7,12 +7,14 @@
 import { createRefusal, type Failure } from '../errors/index.js';
 import type { Log } from '../events/index.js';
 import type { Metrics } from '../metrics/index.js';
-import type { Clock } from '../task/index.js';
+import type { Clock, Timer } from '../task/index.js';
 import { createLink, type Link, type LinkEnd, type LinkOwner } from './link.js';
 import type { Answer, Notice, Query } from './messages.js';
 
 const MAX_FRAME_BYTES = 16 * 1024 * 1024;
 const DIAL_TIMEOUT_MS = 2_000;
+/** A link that was dialled for one message is closed after this long without another. */
+const IDLE_CLOSE_MS = 30_000;
 
 /** What the links need. */
 export interface LinksParts {
@@ -23,6 +25,8 @@
   clock: Clock;
   log: Log;
   metrics: Metrics;
+  /** Where a node without a link listens, as membership knows it. */
+  addressOf(peer: string): string | undefined;
   opened(peer: string): void;
   noticed(peer: string, notice: Notice): void;
   asked(peer: string, query: Query): Promise<Answer>;
@@ -40,8 +44,11 @@
   peers(): string[];
   /** When the peer was last heard of, on the node's clock. */
   lastHeardAt(peer: string): number | undefined;
+  /** Sends to a node; one without a link is dialled for it. */
   notify(peer: string, notice: Notice): void;
+  /** Sends to every node with a link up. */
   broadcast(notice: Notice): void;
+  /** Asks a node; one without a link is dialled for it. */
   query(peer: string, query: Query, timeoutMs: number): Promise<Result<Answer, Failure>>;
   /** Ends the link to a peer, so that it is dialled afresh. */
   drop(peer: string): void;
@@ -56,8 +63,12 @@
 export function createLinks(parts: LinksParts): Links {
   const { node, key, clock, log, metrics } = parts;
   const byPeer = new Map<string, Link>();
-  const dialled = new Map<string, Link | 'dialling'>();
+  const dialled = new Map<string, Link>();
   const all = new Set<Link>();
+  /** When links that were dialled for single messages were last used. */
+  const onDemand = new Map<string, number>();
+  const waiting = new Map<string, Set<(link: Link | undefined) => void>>();
+  let idleTimer: Timer | undefined;
   let server: WebSocketServer | undefined;
   let closed = false;
 
@@ -66,6 +77,7 @@
       const peer = link.peer();
       const known = byPeer.get(peer);
       byPeer.set(peer, link);
+      settleWaiting(peer, link);
       if (known?.isOpen() === true) return;
       log.write('peerLinked', { peer });
       metrics.peers.set(byPeer.size);
@@ -87,9 +99,85 @@
     },
   };
 
+  function settleWaiting(peer: string, link: Link | undefined): void {
+    const resolvers = waiting.get(peer) ?? new Set();
+    waiting.delete(peer);
+    for (const resolve of resolvers) {
+      resolve(link);
+    }
+  }
+
+  /** The link to a node, dialled when there is none; `undefined` when it cannot be had in time. */
+  function reach(peer: string): Promise<Link | undefined> {
+    const link = byPeer.get(peer);
+    if (link !== undefined) {
+      if (onDemand.has(peer)) onDemand.set(peer, clock.now());
+      return Promise.resolve(link);
+    }
+    const address = parts.addressOf(peer);
+    if (closed || address === undefined) return Promise.resolve(undefined);
+    return new Promise((resolve) => {
+      const resolvers = waiting.get(peer) ?? new Set();
+      resolvers.add(resolve);
+      if (resolvers.size > 1) return;
+      waiting.set(peer, resolvers);
+      onDemand.set(peer, clock.now());
+      startDial(address);
+      clock.after(DIAL_TIMEOUT_MS, () => {
+        if (waiting.get(peer) === resolvers) settleWaiting(peer, undefined);
+      });
+      scheduleIdleClose();
+    });
+  }
+
+  function scheduleIdleClose(): void {
+    if (idleTimer !== undefined || closed) return;
+    idleTimer = clock.after(IDLE_CLOSE_MS / 2, () => {
+      idleTimer = undefined;
+      closeIdle();
+      if (onDemand.size > 0) scheduleIdleClose();
+    });
+  }
+
+  function closeIdle(): void {
+    const before = clock.now() - IDLE_CLOSE_MS;
+    for (const [peer, usedAt] of onDemand) {
+      const link = byPeer.get(peer);
+      if (usedAt > before || link?.isBusy() === true) continue;
+      onDemand.delete(peer);
+      link?.close();
+    }
+  }
+
+  /** A link that membership wants is no longer closed when idle. */
+  function keep(address: string): void {
+    for (const peer of onDemand.keys()) {
+      if (parts.addressOf(peer) === address) onDemand.delete(peer);
+    }
+  }
+
+  function startDial(address: string): void {
+    if (closed || dialled.has(address)) return;
+    const socket = new WebSocket(`ws://${address}`, {
+      handshakeTimeout: DIAL_TIMEOUT_MS,
+      maxPayload: MAX_FRAME_BYTES,
+      perMessageDeflate: false,
+    });
+    dialled.set(address, adopt(socket, 'client'));
+  }
+
   function forgetDialled(link: Link): void {
     for (const [address, other] of dialled) {
-      if (other === link) dialled.delete(address);
+      if (other !== link) continue;
+      dialled.delete(address);
+      disappoint(address);
+    }
+  }
+
+  /** The dial failed; whoever waits for it need not wait for the time limit. */
+  function disappoint(address: string): void {
+    for (const peer of [...waiting.keys()]) {
+      if (parts.addressOf(peer) === address) settleWaiting(peer, undefined);
     }
   }
 
@@ -99,6 +187,7 @@
     const peer = link.peer();
     if (byPeer.get(peer) !== link) return;
     byPeer.delete(peer);
+    onDemand.delete(peer);
     const spare = findSpare(peer);
     if (spare !== undefined) {
       byPeer.set(peer, spare);
@@ -146,38 +235,31 @@
       return `${bound.address}:${bound.port}`;
     },
     dial(address) {
-      if (closed || dialled.has(address)) return;
-      dialled.set(address, 'dialling');
-      const socket = new WebSocket(`ws://${address}`, {
-        handshakeTimeout: DIAL_TIMEOUT_MS,
-        maxPayload: MAX_FRAME_BYTES,
-        perMessageDeflate: false,
-      });
-      const link = adopt(socket, 'client');
-      dialled.set(address, link);
+      keep(address);
+      startDial(address);
     },
     peers: () => [...byPeer.keys()],
     lastHeardAt: (peer) => byPeer.get(peer)?.lastHeardAt(),
     notify(peer, notice) {
-      byPeer.get(peer)?.notify(notice);
+      void reach(peer).then((link) => {
+        link?.notify(notice);
+      });
     },
     broadcast(notice) {
       for (const link of byPeer.values()) {
         link.notify(notice);
       }
     },
-    query(peer, query, timeoutMs) {
-      const link = byPeer.get(peer);
+    async query(peer, query, timeoutMs) {
+      const link = await reach(peer);
       if (link !== undefined) return link.query(query, timeoutMs);
-      return Promise.resolve(
-        Err(
-          createRefusal({
-            code: 'peer-unreachable',
-            message: 'there is no link to the node; it is dialled again',
-            step: 'link.call',
-            peer,
-          }),
-        ),
+      return Err(
+        createRefusal({
+          code: 'peer-unreachable',
+          message: 'there is no link to the node and none could be made in time',
+          step: 'link.call',
+          peer,
+        }),
       );
     },
     drop(peer) {
@@ -187,6 +269,10 @@
     },
     close() {
       closed = true;
+      idleTimer?.cancel();
+      for (const peer of [...waiting.keys()]) {
+        settleWaiting(peer, undefined);
+      }
       for (const link of all) {
         link.close();
       }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -42,6 +42,7 @@
 import { wait, type Timer } from '../task/index.js';
 import { createSystemEnvironment, type NodeEnvironment } from './environment.js';
 import { createHeldShards } from './held-shards.js';
+import { createPlacesReport } from './places-report.js';
 import type { Listener } from './servers.js';
 
 const OWNERSHIP_EVERY_MS = 250;
@@ -109,6 +110,7 @@
     clock,
     log,
     metrics,
+    addressOf: (peer) => membership.find(peer)?.peer,
     opened: () => {
       membership.announce();
     },
@@ -233,12 +235,13 @@
     isLeaseValid: () => lease.isValid(),
   });
 
+  const placesReport = createPlacesReport(links, clock);
   const permits = createHolderPlacement({
     node,
     clock,
     log,
     metrics,
-    links,
+    links: placesReport.links,
     inUse,
     configurationVersion: () => replica.current().version,
     shardsOf,
@@ -342,7 +345,6 @@
       .with('two-choices', () => new TwoChoicesPick(random))
       .with('round-robin', () => new RoundRobinPick())
       .exhaustive();
-    const createId = randomUUID;
     return createBaselinePlacement({ node, pick, board, inUse, createId, serversOf, shardOf });
   }
 
@@ -480,7 +482,9 @@
       const local = held.find(name);
       const holder = ownership.holderOf(name)?.node;
       if (local !== undefined) local.adopt(notice);
-      else if (holder !== undefined) links.notify(holder, notice);
+      else if (holder !== undefined && placesReport.isDue(name, permits.length)) {
+        links.notify(holder, notice);
+      }
     }
     adoptTimer = clock.after(ADOPT_EVERY_MS, tellPlaces);
   }
--- a/src/router/holder-placement.ts
+++ b/src/router/holder-placement.ts
@@ -24,7 +24,7 @@
   clock: Clock;
   log: Log;
   metrics: Metrics;
-  links: Links;
+  links: Pick<Links, 'query' | 'notify'>;
   inUse: PlacesInUse;
   configurationVersion(): number;
   /** Shards with servers of a group. */
