--- /dev/null
+++ b/src/orders/group-equipment.ts
@@ -0,0 +1,40 @@
+/**
+ * What the engine groups of the configuration ask of an engine: the model and adapters of every
+ * group that it belongs to. An engine that has them all is left alone, whatever else it holds, since
+ * unloading takes it away for seconds and gains its groups nothing.
+ */
+import type { EngineGroup } from '../configuration/index.js';
+import type { Equipment } from './rows.js';
+
+/**
+ * The state that an engine's groups want it in.
+ *
+ * @param groups the groups that it belongs to
+ * @param present what it is, or was last ordered to be
+ * @returns `undefined` when it lacks nothing; otherwise its present role, with the models and
+ *   adapters of its groups and no others
+ */
+export function resolveGroupEquipment(
+  groups: readonly EngineGroup[],
+  present: Equipment,
+): Equipment | undefined {
+  const models = new Set<string>();
+  const adapters = new Set<string>();
+  for (const group of groups) {
+    if (group.model !== undefined) models.add(group.model);
+    for (const adapter of group.adapters) adapters.add(adapter);
+  }
+  if (hasAll(present.models, models) && hasAll(present.adapters, adapters)) return undefined;
+  return {
+    role: present.role,
+    models: models.size === 0 ? present.models : [...models].sort(),
+    adapters: [...adapters].sort(),
+  };
+}
+
+function hasAll(present: readonly string[], wanted: ReadonlySet<string>): boolean {
+  for (const name of wanted) {
+    if (!present.includes(name)) return false;
+  }
+  return true;
+}
--- /dev/null
+++ b/src/orders/rows.ts
@@ -0,0 +1,94 @@
+/**
+ * The rows in which orders to engines are journalled, one row an engine. A row says which order was
+ * given last, under whose lease, and which earlier holders might still have a copy of an order on
+ * its way.
+ */
+import { z } from 'zod';
+import { leaseHolderSchema } from '../lease/index.js';
+import { orderSchema, type EngineState, type Order } from '../platform/index.js';
+
+/** The role, models and adapters of an engine. */
+export type Equipment = Order['wanted'];
+
+export const journalledOrderSchema = z.object({
+  id: z.string(),
+  fence: z.number().int().positive(),
+  wanted: orderSchema.shape.wanted,
+  /**
+   * The lease under which it may have been sent last; `null` once that holder provably sends
+   * nothing any more.
+   */
+  by: leaseHolderSchema.nullable(),
+  /** `outstanding` from before it is sent until the engine was seen to have carried it out. */
+  state: z.enum(['outstanding', 'settled']),
+  /** The incarnation of the engine that carried it out; `null` while it is outstanding. */
+  incarnation: z.string().nullable(),
+});
+
+/** The last order that was given to an engine. */
+export type JournalledOrder = z.infer<typeof journalledOrderSchema>;
+
+export const formerHolderSchema = z.object({
+  holder: leaseHolderSchema,
+  /** Fencing number of the last order that it may have sent. */
+  fence: z.number().int().positive(),
+});
+
+/** A holder that gave orders to the engine and is not yet known to be unable to. */
+export type FormerHolder = z.infer<typeof formerHolderSchema>;
+
+export const engineRowSchema = z.object({
+  /** The highest fencing number given to any order of this engine. */
+  fence: z.number().int().nonnegative(),
+  order: journalledOrderSchema.nullable(),
+  /** Holders before `order.by`. */
+  formers: z.array(formerHolderSchema),
+});
+
+/** The journal of one engine. */
+export type EngineRow = z.infer<typeof engineRowSchema>;
+
+/** The journal of an engine that was never given an order. */
+export const emptyEngineRow: EngineRow = { fence: 0, order: null, formers: [] };
+
+/**
+ * Key of an engine's row.
+ *
+ * @param engine id of the engine's VM
+ */
+export function engineRowKey(engine: string): string {
+  return `engines/${engine}`;
+}
+
+/**
+ * Whether two states of an engine are the same, whatever the order in which names are listed.
+ *
+ * @param one a role with models and adapters
+ * @param other another
+ */
+export function isSameEquipment(one: Equipment, other: Equipment): boolean {
+  return (
+    one.role === other.role &&
+    isSameSet(one.models, other.models) &&
+    isSameSet(one.adapters, other.adapters)
+  );
+}
+
+/**
+ * The part of an engine's state that orders change.
+ *
+ * @param state the engine's own word
+ */
+export function resolveEquipment(state: EngineState): Equipment {
+  return { role: state.role, models: state.models, adapters: state.adapters };
+}
+
+function isSameSet(one: readonly string[], other: readonly string[]): boolean {
+  const left = new Set(one);
+  const right = new Set(other);
+  if (left.size !== right.size) return false;
+  for (const name of left) {
+    if (!right.has(name)) return false;
+  }
+  return true;
+}
--- /dev/null
+++ b/src/orders/shard-orders.ts
@@ -0,0 +1,189 @@
+/**
+ * The orders of all engines of one held shard: what the planner and the engine groups want is given
+ * to the engines one at a time, or as many at once as a group allows.
+ */
+import { Err, type Result } from 'ts-results-es';
+import type { EngineGroup } from '../configuration/index.js';
+import { createRefusal, type Failure } from '../errors/index.js';
+import type { Log } from '../events/index.js';
+import type { Metrics } from '../metrics/index.js';
+import type { EngineState, ModelEngine, TableService, Vm, WeightStore } from '../platform/index.js';
+import type { HeldShard } from '../shards/index.js';
+import type { Clock } from '../task/index.js';
+import { createEngineOrders, type EngineOrders, type OrderTerms } from './engine-orders.js';
+import type { Formers } from './formers.js';
+import { resolveGroupEquipment } from './group-equipment.js';
+import { createIdleWait, type OrderTally } from './idle-wait.js';
+import { createOrderJournal } from './journal.js';
+import { createLoadPace } from './load-pace.js';
+import type { Equipment } from './rows.js';
+
+/** A new holder counts on its tally after this many periods in which routers tell their places. */
+const ADOPTION_PERIODS = 2;
+
+/** What the orders of a shard need. */
+export interface ShardOrdersParts {
+  node: string;
+  held: HeldShard;
+  table: TableService;
+  /** Loads are not paced when there is none. */
+  weightStore: WeightStore | undefined;
+  formers: Pick<Formers, 'isCleared' | 'duringSending'>;
+  tally: OrderTally;
+  clock: Clock;
+  log: Log;
+  metrics: Metrics;
+  terms: OrderTerms;
+  /** Time between two moments at which a router tells holders its places, in milliseconds. */
+  adoptEveryMs: number;
+  createId: () => string;
+  isLeaseValid: () => boolean;
+  engine(vm: Vm): ModelEngine;
+  /** The engine groups that a VM belongs to, by the configuration in force. */
+  groupsOf(vm: Vm): EngineGroup[];
+  /** The engine's word after it carried an order out. */
+  learned: (state: EngineState) => void;
+}
+
+/** The orders of one shard. */
+export interface ShardOrders {
+  /** Reads every engine's journal. */
+  start(): Promise<void>;
+  /** Takes in a fresh list of the shard's servers. */
+  setVms(vms: readonly Vm[]): void;
+  /** An engine answered a look at its state. */
+  learnEngine(state: EngineState): void;
+  /**
+   * Brings an engine into a state: drain, journal, send, settle. Settles when it took effect or was
+   * given up, and then says why.
+   */
+  change(server: string, wanted: Equipment): Promise<Result<void, Failure>>;
+  /** Engines of which a change is wanted or under way. */
+  changing(): string[];
+  /** Gives no further orders. */
+  stop(): void;
+}
+
+interface Ordered {
+  vm: Vm;
+  orders: EngineOrders;
+}
+
+/**
+ * Creates the orders of a held shard, without any engine yet.
+ *
+ * @param parts the shard and everything that orders depend on
+ */
+export function createShardOrders(parts: ShardOrdersParts): ShardOrders {
+  const { clock, held } = parts;
+  const journal = createOrderJournal(parts.table, held);
+  const tallyWholeAt = clock.now() + ADOPTION_PERIODS * parts.adoptEveryMs;
+  const ordered = new Map<string, Ordered>();
+  const reconciled = new Set<string>();
+
+  function add(vm: Vm): Ordered {
+    const engine = parts.engine(vm);
+    const added: Ordered = {
+      vm,
+      orders: createEngineOrders({
+        engine,
+        node: parts.node,
+        held,
+        journal,
+        formers: parts.formers,
+        idleWait: createIdleWait({ clock, engine, tally: parts.tally, tallyWholeAt }),
+        pace: createLoadPace(parts.weightStore),
+        clock,
+        log: parts.log,
+        metrics: parts.metrics,
+        terms: parts.terms,
+        createId: parts.createId,
+        checksFence: () => added.vm.checksFence,
+        isLeaseValid: parts.isLeaseValid,
+        wantedByGroups: (present) => wantedByGroups(added.vm, present),
+        learned: parts.learned,
+        rested: () => {
+          reconciled.delete(vm.id);
+        },
+      }),
+    };
+    ordered.set(vm.id, added);
+    return added;
+  }
+
+  function wantedByGroups(vm: Vm, present: Equipment): Equipment | undefined {
+    const groups = parts.groupsOf(vm);
+    const wanted = resolveGroupEquipment(groups, present);
+    if (wanted === undefined) return undefined;
+    if (!reconciled.has(vm.id) && reconciled.size >= resolveMaxAtOnce(groups)) return undefined;
+    reconciled.add(vm.id);
+    return wanted;
+  }
+
+  function remove(id: string, { orders }: Ordered): void {
+    orders.stop();
+    ordered.delete(id);
+    reconciled.delete(id);
+  }
+
+  return {
+    async start() {
+      const started: Promise<void>[] = [];
+      for (const { orders } of ordered.values()) {
+        started.push(orders.start());
+      }
+      await Promise.all(started);
+    },
+    setVms(vms) {
+      const listed = new Map<string, Vm>();
+      for (const vm of vms) {
+        listed.set(vm.id, vm);
+      }
+      for (const [id, known] of ordered) {
+        const vm = listed.get(id);
+        if (vm?.address === known.vm.address) known.vm = vm;
+        else remove(id, known);
+      }
+      for (const vm of listed.values()) {
+        if (!ordered.has(vm.id)) add(vm);
+      }
+    },
+    learnEngine(state) {
+      ordered.get(state.id)?.orders.notice(state);
+    },
+    change(server, wanted) {
+      const found = ordered.get(server);
+      if (found === undefined) return Promise.resolve(Err(refuseUnknown(server)));
+      return found.orders.change(wanted);
+    },
+    changing() {
+      const changing: string[] = [];
+      for (const [id, { orders }] of ordered) {
+        if (orders.isChanging()) changing.push(id);
+      }
+      return changing;
+    },
+    stop() {
+      for (const { orders } of ordered.values()) {
+        orders.stop();
+      }
+    },
+  };
+}
+
+function resolveMaxAtOnce(groups: readonly EngineGroup[]): number {
+  let maxAtOnce = 1;
+  for (const group of groups) {
+    maxAtOnce = Math.max(maxAtOnce, group.roles?.maxAtOnce ?? 1);
+  }
+  return maxAtOnce;
+}
+
+function refuseUnknown(server: string): Failure {
+  return createRefusal({
+    code: 'no-backend-server',
+    message: `the shard has no engine "${server}"`,
+    step: 'order.journal',
+    peer: server,
+  });
+}
--- a/src/platform/http/model-engine.ts
+++ b/src/platform/http/model-engine.ts
@@ -116,8 +116,9 @@
       const answer = await query(request, cacheEventsSchema, 'engine.connect');
       return answer.map((body) => body.events);
     },
-    async order(order) {
-      const asked = await channel.ask(createJsonPost('/v1/orders', order), { clock, timeoutMs });
+    async order(order, patienceMs = timeoutMs) {
+      const patience = { clock, timeoutMs: patienceMs };
+      const asked = await channel.ask(createJsonPost('/v1/orders', order), patience);
       if (asked.isOk()) return resolveOrderOutcome(peer, order, asked.value);
       const failure = describeLoss(peer, 'order.send', asked.error);
       return { kind: asked.error.sent ? 'unknown' : 'not-sent', failure };
--- a/src/platform/model-engine.ts
+++ b/src/platform/model-engine.ts
@@ -161,7 +161,8 @@
   cancel(requestId: string): Promise<Result<void, Failure>>;
   load(): Promise<Result<LoadReport, Failure>>;
   cacheEvents(after: number): Promise<Result<CacheEvent[], Failure>>;
-  order(order: Order): Promise<OrderOutcome>;
+  /** Gives an order; waits for its receipt no longer than `timeoutMs`, where given. */
+  order(order: Order, timeoutMs?: number): Promise<OrderOutcome>;
   state(): Promise<Result<EngineState, Failure>>;
   exportKv(requestId: string): Promise<Result<KvHandle, Failure>>;
   importKv(handle: KvHandle): Promise<Result<void, Failure>>;
