feat(caller): refuse what engines cannot be told, and answer unreadable requests in JSON

Options such as n, tools, stop or logprobs were silently dropped: an answer to a request with them was not the answer asked for. They are refused with their field now; temperature, top_p, seed, user and metadata are taken and not passed on. An adapter must be listed by a group that the team reaches. Half-sent requests, oversize headers and bytes that are no HTTP get 408, 431 and 400 in the shape of every refusal. A node without any configuration no longer says that a key is wrong. Work that throws no longer leaves its request in flight, which held up shutdown, and a stream that ended early says so.

--- a/src/caller/arrival.ts
+++ b/src/caller/arrival.ts
@@ -24,7 +24,7 @@
     const requestId = parts.createRequestId();
     context.header('x-request-id', requestId);
     const team = findTeam(parts, context);
-    if (team === undefined) return refuse(parts, context, unauthenticated(parts.node));
+    if (team === undefined) return refuse(parts, context, explainNoTeam(parts));
     context.set('arrival', { requestId, team, arrivedAt: parts.clock.now() });
     return next();
   };
@@ -54,6 +54,12 @@
   return parts.replica.current().teamsByKeyHash.get(hash);
 }
 
+/** Without a configuration no key is known, which says nothing of the key that was sent. */
+function explainNoTeam(parts: CallerParts): Failure {
+  const { node } = parts;
+  return parts.readiness() === 'configuration-stale' ? stale(node) : unauthenticated(node);
+}
+
 /**
  * Answers with a failure and counts it.
  *
--- a/src/caller/commands/call-service.ts
+++ b/src/caller/commands/call-service.ts
@@ -12,9 +12,9 @@
 import type { ServiceJob } from '../../router/index.js';
 import { refuse } from '../arrival.js';
 import type { CallerEnvironment } from '../environment.js';
-import { IDEMPOTENCY_HEADER, parseHeaders } from '../input.js';
+import { IDEMPOTENCY_HEADER, parseHeaders, readBytes } from '../input.js';
 import type { Arrival, CallerParts, KeyedRequest } from '../parts.js';
-import { createTracker } from '../tracker.js';
+import { createTracker, endWith } from '../tracker.js';
 
 const PREFIX = '/v1/services/';
 const REPLAYED_HEADER = 'x-reedtally-replayed';
@@ -43,11 +43,10 @@
     if (prepared.isErr()) return refuse(parts, context, prepared.error);
     const { job, keyed } = prepared.value;
     const tracker = createTracker(parts, job.requestId, job.team.name, job.requestClass.name);
-    const signal = context.req.raw.signal;
-    const ending =
-      keyed === undefined
-        ? await runOpen(parts, job, signal)
-        : await runKeyed(parts, job, keyed, signal);
+    const { signal } = context.req.raw;
+    const ending = await endWith(tracker, parts.node, () =>
+      keyed === undefined ? runOpen(parts, job, signal) : runKeyed(parts, job, keyed, signal),
+    );
     if (ending.result.isErr()) return refuse(parts, context, tracker.fail(ending.result.error));
     tracker.answer();
     return answer(context, ending.result.value, ending.isReplayed);
@@ -63,7 +62,9 @@
   const headers = parseHeaders(context, node);
   if (headers.isErr()) return headers;
   const { className, deadlineMs, idempotencyKey } = headers.value;
-  const call = await readCall(context, arrival.requestId);
+  const body = await readBytes(context, node);
+  if (body.isErr()) return body;
+  const call = createCall(context, arrival.requestId, body.value);
   const target = { service: context.req.param('service') ?? '' };
   const query = { team: arrival.team.name, class: className, target };
   const route = resolveRoute(parts.replica.current(), query, node);
@@ -78,12 +79,11 @@
   return Ok({ job, keyed: { team: team.name, key: idempotencyKey, requestId, bodyHash } });
 }
 
-async function readCall(context: Context, requestId: string): Promise<ServiceCall> {
+function createCall(context: Context, requestId: string, body: Uint8Array): ServiceCall {
   const url = new URL(context.req.url);
   const rest = url.pathname.slice(PREFIX.length);
   const slash = rest.indexOf('/');
   const path = `${slash < 0 ? '/' : rest.slice(slash)}${url.search}`;
-  const body = new Uint8Array(await context.req.arrayBuffer());
   const contentType = context.req.header('content-type');
   return {
     requestId,
--- a/src/caller/commands/complete.ts
+++ b/src/caller/commands/complete.ts
@@ -6,9 +6,9 @@
 import type { Context, Handler } from 'hono';
 import { stream } from 'hono/streaming';
 import type { StreamingApi } from 'hono/utils/stream';
-import { Ok, type Result } from 'ts-results-es';
-import { resolveRoute, type Route } from '../../configuration/index.js';
-import { createDoubt, type Failure } from '../../errors/index.js';
+import { Err, Ok, type Result } from 'ts-results-es';
+import { resolveRoute, type EngineGroup, type Route } from '../../configuration/index.js';
+import { createDoubt, createRefusal, type Failure } from '../../errors/index.js';
 import {
   countTokens,
   prefixHashes,
@@ -19,10 +19,17 @@
 import { createFailureBody } from '../answers.js';
 import { refuse } from '../arrival.js';
 import type { CallerEnvironment } from '../environment.js';
-import { parseHeaders, readJsonBody, type GenerationInput, type RequestHeaders } from '../input.js';
+import {
+  IDEMPOTENCY_HEADER,
+  malformed,
+  parseHeaders,
+  readJsonBody,
+  type GenerationInput,
+  type RequestHeaders,
+} from '../input.js';
 import { createUsage, type AnswerShape, type Generation } from '../openai.js';
 import type { Arrival, CallerParts } from '../parts.js';
-import { createTracker, type Tracker } from '../tracker.js';
+import { createInternalFailure, createTracker, endWith, type Tracker } from '../tracker.js';
 
 const MS_PER_SECOND = 1_000;
 
@@ -36,6 +43,15 @@
   generation: Generation;
 }
 
+/** A request whose first token has come. */
+interface Started extends Prepared {
+  shape: AnswerShape;
+  tracker: Tracker;
+  opening: EngineChunk;
+  /** What follows the first token. */
+  tokens: CompletionStream;
+}
+
 /**
  * Creates the handler of one kind of generation.
  *
@@ -76,7 +92,30 @@
   };
   const route = resolveRoute(parts.replica.current(), query, node);
   if (route.isErr()) return route;
-  return Ok(createPrepared(arrival, headers.value, input.value, route.value));
+  const groups = selectWithAdapter(route.value.groups, input.value.adapter);
+  if (groups.length === 0) return Err(unknownAdapter(node, input.value));
+  if (!route.value.requestClass.repeatable && headers.value.idempotencyKey !== undefined) {
+    return Err(malformed(node, IDEMPOTENCY_HEADER, 'generations are not kept under a key'));
+  }
+  return Ok(createPrepared(arrival, headers.value, input.value, { ...route.value, groups }));
+}
+
+function selectWithAdapter(
+  groups: readonly EngineGroup[],
+  adapter: string | undefined,
+): EngineGroup[] {
+  if (adapter === undefined) return [...groups];
+  return groups.filter(({ adapters }) => adapters.includes(adapter));
+}
+
+function unknownAdapter(node: string, { model, adapter }: GenerationInput): Failure {
+  return createRefusal({
+    code: 'unknown-model',
+    message: `no engine group that you reach serves "${model}" with the adapter "${adapter ?? ''}"`,
+    step: 'request.resolve',
+    peer: node,
+    field: 'model',
+  });
 }
 
 function createPrepared(
@@ -114,41 +153,30 @@
   shape: AnswerShape,
 ): Promise<Response> {
   const { job } = prepared;
+  const { node } = parts;
   const tracker = createTracker(parts, job.requestId, job.team.name, job.requestClass.name);
   const controller = new AbortController();
   context.req.raw.signal.addEventListener('abort', () => {
     controller.abort();
   });
   const tokens = parts.completions.run(job, controller.signal);
-  const first = await tokens.next();
-  if (first.done === true) return refuse(parts, context, tracker.fail(incomplete(parts.node)));
+  const first = await endWith(tracker, node, () => tokens.next());
+  if (first.done === true) return refuse(parts, context, tracker.fail(incomplete(node)));
   if (first.value.isErr()) return refuse(parts, context, tracker.fail(first.value.error));
-  if (!prepared.input.isStreamed) {
-    return answerWhole(parts, context, prepared, shape, first.value.value, tokens, tracker);
-  }
-  const opening = first.value.value;
-  context.header('content-type', 'text/event-stream');
-  context.header('cache-control', 'no-cache');
-  return stream(context, async (sink) => {
-    sink.onAbort(() => {
-      controller.abort();
-    });
-    await pump(sink, prepared, shape, opening, tokens, tracker);
-  });
+  const started = { ...prepared, shape, tracker, opening: first.value.value, tokens };
+  if (prepared.input.isStreamed) return answerStream(parts, context, started, controller);
+  return endWith(tracker, node, () => answerWhole(parts, context, started));
 }
 
 async function answerWhole(
   parts: CallerParts,
   context: Context,
-  prepared: Prepared,
-  shape: AnswerShape,
-  opening: EngineChunk,
-  tokens: CompletionStream,
-  tracker: Tracker,
+  started: Started,
 ): Promise<Response> {
+  const { opening, tracker } = started;
   const texts = [opening.text];
   let last = opening;
-  for await (const item of tokens) {
+  for await (const item of started.tokens) {
     if (item.isErr()) return refuse(parts, context, tracker.fail(item.error));
     last = item.value;
     texts.push(last.text);
@@ -157,34 +185,49 @@
     return refuse(parts, context, tracker.fail(incomplete(parts.node)));
   }
   tracker.answer();
-  return context.json(shape.whole(prepared.generation, texts.join(''), last));
+  return context.json(started.shape.whole(started.generation, texts.join(''), last));
 }
 
-async function pump(
-  sink: StreamingApi,
-  prepared: Prepared,
-  shape: AnswerShape,
-  opening: EngineChunk,
-  tokens: CompletionStream,
-  tracker: Tracker,
-): Promise<void> {
-  const { generation, input } = prepared;
-  let last = opening;
-  await send(sink, shape.chunk(generation, opening));
-  for await (const item of tokens) {
+function answerStream(
+  parts: CallerParts,
+  context: Context,
+  started: Started,
+  controller: AbortController,
+): Response {
+  context.header('content-type', 'text/event-stream');
+  context.header('cache-control', 'no-cache');
+  return stream(
+    context,
+    async (sink) => {
+      sink.onAbort(() => {
+        controller.abort();
+      });
+      await endWith(started.tracker, parts.node, () => pump(parts.node, sink, started));
+    },
+    async (error, sink) => {
+      parts.log.write('taskFailed', { task: 'caller front', error: String(error) });
+      await send(sink, createFailureBody(createInternalFailure(parts.node)));
+    },
+  );
+}
+
+async function pump(node: string, sink: StreamingApi, started: Started): Promise<void> {
+  const { generation, shape, tracker } = started;
+  let last = started.opening;
+  await send(sink, shape.chunk(generation, last));
+  for await (const item of started.tokens) {
     if (item.isErr()) {
-      tracker.fail(item.error);
-      await send(sink, createFailureBody(item.error));
+      await send(sink, createFailureBody(tracker.fail(item.error)));
       return;
     }
     last = item.value;
     await send(sink, shape.chunk(generation, last));
   }
   if (last.finishReason === null) {
-    tracker.fail(incomplete(generation.requestId));
+    await send(sink, createFailureBody(tracker.fail(incomplete(node))));
     return;
   }
-  if (input.includeUsage) await send(sink, shape.usage(generation, createUsage(last)));
+  if (started.input.includeUsage) await send(sink, shape.usage(generation, createUsage(last)));
   await sink.write('data: [DONE]\n\n');
   tracker.answer();
 }
--- a/src/caller/front.ts
+++ b/src/caller/front.ts
@@ -3,7 +3,7 @@
  */
 import { Hono } from 'hono';
 import { bodyLimit } from 'hono/body-limit';
-import { createDoubt, createRefusal } from '../errors/index.js';
+import { createRefusal } from '../errors/index.js';
 import { createArrival, createReadinessGate, refuse } from './arrival.js';
 import { createCallServiceHandler } from './commands/call-service.js';
 import { createCompleteHandler } from './commands/complete.js';
@@ -14,6 +14,7 @@
 import { createEntryPointsHandler } from './queries/entry-points.js';
 import { createModelsHandler } from './queries/models.js';
 import { createRequestHandler } from './queries/request.js';
+import { createInternalFailure } from './tracker.js';
 
 /**
  * Creates the application that answers callers.
@@ -52,7 +53,7 @@
   app.notFound((context) => refuse(parts, context, notFound(parts, context.req.path)));
   app.onError((error, context) => {
     parts.log.write('taskFailed', { task: 'caller front', error: String(error) });
-    return refuse(parts, context, internal(parts));
+    return refuse(parts, context, createInternalFailure(parts.node));
   });
   return app;
 }
@@ -76,12 +77,3 @@
     field: 'path',
   });
 }
-
-function internal(parts: CallerParts) {
-  return createDoubt({
-    code: 'internal',
-    message: 'the node failed; its log says more under event 1005',
-    step: 'answer.deliver',
-    peer: parts.node,
-  });
-}
--- a/src/caller/index.ts
+++ b/src/caller/index.ts
@@ -1,3 +1,4 @@
 /** The caller front. */
+export * from './answers.js';
 export * from './front.js';
 export * from './parts.js';
--- a/src/caller/input.ts
+++ b/src/caller/input.ts
@@ -18,6 +18,9 @@
 const DEFAULT_MAX_TOKENS = 256;
 const MAX_MAX_TOKENS = 32_768;
 const MAX_KEY_LENGTH = 255;
+const DEADLINE = /^-?\d{1,12}(\.\d{1,6})?$/;
+
+const UNSUPPORTED = 'is not supported; docs/API.md lists what is';
 
 const maxTokensSchema = z.number().int().positive().max(MAX_MAX_TOKENS);
 
@@ -26,20 +29,65 @@
   z.array(z.object({ type: z.literal('text'), text: z.string() })),
 ]);
 
+/** An option of which only the value without effect is taken. */
+function neutral<Value extends string | number | boolean>(value: Value) {
+  return z.literal(value, { error: `only ${String(value)} is supported` }).nullish();
+}
+
+/** Options that engines are not told of, taken so that usual clients work. */
+const ignoredFields = {
+  temperature: z.number().nullish(),
+  top_p: z.number().nullish(),
+  seed: z.number().int().nullish(),
+  user: z.string().nullish(),
+  metadata: z.record(z.string(), z.string()).nullish(),
+};
+
+/** Options that would change the answer, which engines cannot be told of. */
+const neutralFields = {
+  n: neutral(1),
+  presence_penalty: neutral(0),
+  frequency_penalty: neutral(0),
+  stop: z.null({ error: UNSUPPORTED }).optional(),
+  logit_bias: z.null({ error: UNSUPPORTED }).optional(),
+};
+
 const commonFields = {
   model: z.string().min(1),
   stream: z.boolean().nullish(),
-  stream_options: z.object({ include_usage: z.boolean().optional() }).nullish(),
+  stream_options: z
+    .strictObject({
+      include_usage: z.boolean().optional(),
+      include_obfuscation: neutral(false),
+    })
+    .nullish(),
   max_tokens: maxTokensSchema.nullish(),
+  ...ignoredFields,
+  ...neutralFields,
 };
 
-export const chatRequestSchema = z.object({
+const messageSchema = z.strictObject({
+  role: z.enum(['system', 'developer', 'user', 'assistant']),
+  content: contentSchema,
+  refusal: z.null({ error: UNSUPPORTED }).optional(),
+});
+
+export const chatRequestSchema = z.strictObject({
   ...commonFields,
-  messages: z.array(z.object({ role: z.string(), content: contentSchema })).min(1),
+  messages: z.array(messageSchema).min(1),
   max_completion_tokens: maxTokensSchema.nullish(),
+  logprobs: neutral(false),
+  response_format: z.strictObject({ type: neutral('text') }).nullish(),
 });
 
-export const textRequestSchema = z.object({ ...commonFields, prompt: z.string().min(1) });
+export const textRequestSchema = z.strictObject({
+  ...commonFields,
+  prompt: z.string().min(1),
+  best_of: neutral(1),
+  echo: neutral(false),
+  logprobs: z.null({ error: UNSUPPORTED }).optional(),
+  suffix: z.null({ error: UNSUPPORTED }).optional(),
+});
 
 /** A generation as both kinds of request ask for it. */
 export interface GenerationInput {
@@ -73,7 +121,7 @@
     lines.push(`${message.role}: ${textOf(message.content)}`);
   }
   const maxTokens = data.max_completion_tokens ?? data.max_tokens ?? DEFAULT_MAX_TOKENS;
-  return Ok(createInput(data, lines.join('\n'), maxTokens));
+  return createInput(data, lines.join('\n'), maxTokens, node);
 }
 
 /**
@@ -86,23 +134,27 @@
   const parsed = textRequestSchema.safeParse(body);
   if (!parsed.success) return Err(describeIssue(parsed.error, node));
   const { data } = parsed;
-  return Ok(createInput(data, data.prompt, data.max_tokens ?? DEFAULT_MAX_TOKENS));
+  return createInput(data, data.prompt, data.max_tokens ?? DEFAULT_MAX_TOKENS, node);
 }
 
 function createInput(
   data: Pick<z.infer<typeof textRequestSchema>, 'model' | 'stream' | 'stream_options'>,
   prompt: string,
   maxTokens: number,
-): GenerationInput {
-  const [model = '', adapter] = data.model.split(':');
-  return {
+  node: string,
+): Result<GenerationInput, Failure> {
+  const [model = '', adapter, ...rest] = data.model.split(':');
+  if (model === '' || adapter === '' || rest.length > 0) {
+    return Err(malformed(node, 'model', 'expected "model" or "model:adapter"'));
+  }
+  return Ok({
     model,
     adapter,
     prompt,
     maxTokens,
     isStreamed: data.stream === true,
     includeUsage: data.stream_options?.include_usage === true,
-  };
+  });
 }
 
 function textOf(content: z.infer<typeof contentSchema>): string {
@@ -123,7 +175,7 @@
 export function parseHeaders(context: Context, node: string): Result<RequestHeaders, Failure> {
   const deadline = context.req.header(DEADLINE_HEADER);
   const deadlineMs = deadline === undefined ? undefined : Number(deadline);
-  if (deadlineMs !== undefined && !Number.isFinite(deadlineMs)) {
+  if (deadline !== undefined && !DEADLINE.test(deadline)) {
     return Err(malformed(node, DEADLINE_HEADER, 'expected a number of milliseconds'));
   }
   if (deadlineMs !== undefined && deadlineMs <= 0) return Err(expired(node));
@@ -156,6 +208,23 @@
   }
 }
 
+/**
+ * Reads a body of any kind.
+ *
+ * @param context the request's context
+ * @param node this node, for failures
+ */
+export async function readBytes(
+  context: Context,
+  node: string,
+): Promise<Result<Uint8Array, Failure>> {
+  try {
+    return Ok(new Uint8Array(await context.req.arrayBuffer()));
+  } catch {
+    return Err(malformed(node, 'body', 'it ended before it was whole'));
+  }
+}
+
 /**
  * A refusal of a request that is wrong in one field.
  *
@@ -185,6 +254,10 @@
 
 function describeIssue(error: z.ZodError, node: string): Failure {
   const issue = error.issues[0];
-  const field = issue === undefined ? 'body' : issue.path.map(String).join('.') || 'body';
-  return malformed(node, field, issue?.message ?? 'is wrong');
+  if (issue === undefined) return malformed(node, 'body', 'is wrong');
+  const path = issue.path.map(String);
+  if (issue.code !== 'unrecognized_keys') {
+    return malformed(node, path.join('.') || 'body', issue.message);
+  }
+  return malformed(node, [...path, ...issue.keys.slice(0, 1)].join('.'), UNSUPPORTED);
 }
--- a/src/caller/tracker.ts
+++ b/src/caller/tracker.ts
@@ -2,7 +2,7 @@
  * Follows one request to its end: counts it in flight, remembers its fate and counts its outcome,
  * once.
  */
-import type { Failure } from '../errors/index.js';
+import { createDoubt, type Failure } from '../errors/index.js';
 import type { CallerParts } from './parts.js';
 
 /** Follows one request. */
@@ -50,3 +50,37 @@
     },
   };
 }
+
+/**
+ * Does the work of a request. Work that throws ends the request too, so that none stays in flight.
+ *
+ * @param tracker what follows the request
+ * @param node this node, for the failure
+ * @param work what is to be done
+ */
+export async function endWith<Value>(
+  tracker: Tracker,
+  node: string,
+  work: () => Promise<Value>,
+): Promise<Value> {
+  try {
+    return await work();
+  } catch (error) {
+    tracker.fail(createInternalFailure(node));
+    throw error;
+  }
+}
+
+/**
+ * The failure of a request whose handling threw.
+ *
+ * @param node this node
+ */
+export function createInternalFailure(node: string): Failure {
+  return createDoubt({
+    code: 'internal',
+    message: 'the node failed; its log says more under event 1005',
+    step: 'answer.deliver',
+    peer: node,
+  });
+}
--- a/src/errors/failure.ts
+++ b/src/errors/failure.ts
@@ -13,6 +13,8 @@
   // The request itself is wrong
   'malformed-request',
   'body-too-large',
+  'headers-too-large',
+  'request-timeout',
   'unauthenticated',
   'forbidden',
   'unknown-model',
--- a/src/node/environment.ts
+++ b/src/node/environment.ts
@@ -28,7 +28,12 @@
   createPlatform(settings: Settings['platform'], metrics: Metrics): Platform;
   createLinks(parts: LinksParts): Links;
   /** Starts to listen; rejects when the address is taken. */
-  listen(app: Pick<Hono, 'fetch'>, address: string, readTimeoutMs: number): Promise<Listener>;
+  listen(
+    app: Pick<Hono, 'fetch'>,
+    address: string,
+    readTimeoutMs: number,
+    node: string,
+  ): Promise<Listener>;
 }
 
 /** The machine itself. */
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -491,12 +491,9 @@
 
   async function openFronts(): Promise<void> {
     const { readTimeoutMs } = settings.requests;
-    const caller = await environment.listen(callerFront, settings.listen.caller, readTimeoutMs);
-    const operator = await environment.listen(
-      operatorFront,
-      settings.listen.operator,
-      readTimeoutMs,
-    );
+    const { caller: callerAddress, operator: operatorAddress } = settings.listen;
+    const caller = await environment.listen(callerFront, callerAddress, readTimeoutMs, node);
+    const operator = await environment.listen(operatorFront, operatorAddress, readTimeoutMs, node);
     listeners.push(caller, operator);
     addresses.caller = caller.address;
     addresses.operator = operator.address;
--- a/src/node/servers.ts
+++ b/src/node/servers.ts
@@ -5,7 +5,9 @@
 import { createServer, type Server } from 'node:http';
 import { getRequestListener } from '@hono/node-server';
 import type { Hono } from 'hono';
+import { refuseUnreadable } from './unreadable-request.js';
 
+/** Largest sum of a request's headers, in bytes. */
 const MAX_HEADER_BYTES = 16_384;
 const KEEP_ALIVE_MS = 30_000;
 /** How often node looks for requests that took too long to arrive. */
@@ -25,11 +27,13 @@
  * @param app what answers
  * @param address `host:port`
  * @param readTimeoutMs how long a request may take to arrive
+ * @param node name of this node, for refusals
  */
 export function listen(
   app: Pick<Hono, 'fetch'>,
   address: string,
   readTimeoutMs: number,
+  node: string,
 ): Promise<Listener> {
   const [host = '', port = ''] = address.split(':');
   const answer = getRequestListener(app.fetch);
@@ -46,6 +50,9 @@
       void answer(incoming, outgoing);
     },
   );
+  server.on('clientError', (error, socket) => {
+    refuseUnreadable(error, socket, node);
+  });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(Number(port), host, () => {
