feat(membership): know all nodes at a cost that goes by changes, not by their number

Cause: heartbeats carried full states and all own shards to each link, a node without a direct link counted as dead after 2 s (so more than maxPeers + 1 nodes did not work at all), each change of the configuration made every node relay every state, each node read the whole list of VMs every second, and routers heard of shards only from holders they had a link to. Ruled out: relaying all states or all summaries periodically (nodes times nodes on every node); fingers by position in the sorted list (each join moves everybody's links). Change: partners on a hash ring (successors and fingers, half of maxPeers chosen each way), small heartbeats to partners only, an outbox that passes each change over a link once, suspicion and refutation in place of silence, records of holders that pass on only take and release with fence, answers to permit requests that bring the summary where not all are partners, reading of the VM list shared between all nodes with differences fetched by digest, probes that rejoin parts of a network partition, links that neither end wants closed after 30 s.

--- a/src/lease/lapse-watch.ts
+++ b/src/lease/lapse-watch.ts
@@ -20,7 +20,7 @@
   terms: LeaseTerms;
   node: string;
   /** Names of the nodes that membership knows and hears of. */
-  aliveNodes(): string[];
+  aliveNodes(): readonly string[];
   /** Nodes that hold something this node would take over. */
   suspectedHolders(): string[];
   /** A node's lease is certainly over. */
--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -34,6 +34,8 @@
   isBusy(): boolean;
   /** When something last arrived, on the owner's clock. */
   lastHeardAt(): number;
+  /** When something last arrived or was sent, on the owner's clock. */
+  lastUsedAt(): number;
   notify(notice: Notice): void;
   query(query: Query, timeoutMs: number): Promise<Result<Answer, Failure>>;
   close(): void;
@@ -69,6 +71,7 @@
   let ended = false;
   let nextQueryId = 1;
   let lastHeardAt = clock.now();
+  let lastUsedAt = lastHeardAt;
 
   const handshakeTimer = clock.after(HANDSHAKE_TIMEOUT_MS, () => {
     if (!open) finish('unauthenticated');
@@ -79,6 +82,7 @@
     isOpen: () => open && !ended,
     isBusy: () => pending.size > 0,
     lastHeardAt: () => lastHeardAt,
+    lastUsedAt: () => Math.max(lastUsedAt, lastHeardAt),
     notify(notice) {
       if (link.isOpen()) transmit({ type: 'notice', notice }, notice.kind);
     },
@@ -96,6 +100,7 @@
 
   function transmit(frame: Frame, purpose: string): void {
     const bytes = encodeFrame(frame);
+    lastUsedAt = clock.now();
     socket.send(bytes);
     owner.transferred('sent', purpose, bytes.length);
   }
--- a/src/links/links.ts
+++ b/src/links/links.ts
@@ -13,7 +13,7 @@
 
 const MAX_FRAME_BYTES = 16 * 1024 * 1024;
 const DIAL_TIMEOUT_MS = 2_000;
-/** A link that was dialled for one message is closed after this long without another. */
+/** A link that membership does not want is closed after this long without a message. */
 const IDLE_CLOSE_MS = 30_000;
 
 /** What the links need. */
@@ -27,6 +27,8 @@
   metrics: Metrics;
   /** Where a node without a link listens, as membership knows it. */
   addressOf(peer: string): string | undefined;
+  /** Whether a link is wanted though nothing passes on it. */
+  isKept(peer: string): boolean;
   opened(peer: string): void;
   noticed(peer: string, notice: Notice): void;
   asked(peer: string, query: Query): Promise<Answer>;
@@ -48,6 +50,8 @@
   notify(peer: string, notice: Notice): void;
   /** Sends to every node with a link up. */
   broadcast(notice: Notice): void;
+  /** Sends on the link that is up, if there is one. */
+  send(peer: string, notice: Notice): void;
   /** Asks a node; one without a link is dialled for it. */
   query(peer: string, query: Query, timeoutMs: number): Promise<Result<Answer, Failure>>;
   /** Ends the link to a peer, so that it is dialled afresh. */
@@ -65,8 +69,6 @@
   const byPeer = new Map<string, Link>();
   const dialled = new Map<string, Link>();
   const all = new Set<Link>();
-  /** When links that were dialled for single messages were last used. */
-  const onDemand = new Map<string, number>();
   const waiting = new Map<string, Set<(link: Link | undefined) => void>>();
   let idleTimer: Timer | undefined;
   let server: WebSocketServer | undefined;
@@ -110,10 +112,7 @@
   /** The link to a node, dialled when there is none; `undefined` when it cannot be had in time. */
   function reach(peer: string): Promise<Link | undefined> {
     const link = byPeer.get(peer);
-    if (link !== undefined) {
-      if (onDemand.has(peer)) onDemand.set(peer, clock.now());
-      return Promise.resolve(link);
-    }
+    if (link !== undefined) return Promise.resolve(link);
     const address = parts.addressOf(peer);
     if (closed || address === undefined) return Promise.resolve(undefined);
     return new Promise((resolve) => {
@@ -121,39 +120,20 @@
       resolvers.add(resolve);
       if (resolvers.size > 1) return;
       waiting.set(peer, resolvers);
-      onDemand.set(peer, clock.now());
       startDial(address);
       clock.after(DIAL_TIMEOUT_MS, () => {
         if (waiting.get(peer) === resolvers) settleWaiting(peer, undefined);
       });
-      scheduleIdleClose();
-    });
-  }
-
-  function scheduleIdleClose(): void {
-    if (idleTimer !== undefined || closed) return;
-    idleTimer = clock.after(IDLE_CLOSE_MS / 2, () => {
-      idleTimer = undefined;
-      closeIdle();
-      if (onDemand.size > 0) scheduleIdleClose();
     });
   }
 
   function closeIdle(): void {
     const before = clock.now() - IDLE_CLOSE_MS;
-    for (const [peer, usedAt] of onDemand) {
-      const link = byPeer.get(peer);
-      if (usedAt > before || link?.isBusy() === true) continue;
-      onDemand.delete(peer);
-      link?.close();
-    }
-  }
-
-  /** A link that membership wants is no longer closed when idle. */
-  function keep(address: string): void {
-    for (const peer of onDemand.keys()) {
-      if (parts.addressOf(peer) === address) onDemand.delete(peer);
+    for (const [peer, link] of byPeer) {
+      if (parts.isKept(peer) || link.isBusy() || link.lastUsedAt() > before) continue;
+      link.close();
     }
+    idleTimer = clock.after(IDLE_CLOSE_MS / 2, closeIdle);
   }
 
   function startDial(address: string): void {
@@ -187,7 +167,6 @@
     const peer = link.peer();
     if (byPeer.get(peer) !== link) return;
     byPeer.delete(peer);
-    onDemand.delete(peer);
     const spare = findSpare(peer);
     if (spare !== undefined) {
       byPeer.set(peer, spare);
@@ -221,6 +200,7 @@
         });
         created.once('listening', () => {
           server = created;
+          idleTimer = clock.after(IDLE_CLOSE_MS / 2, closeIdle);
           resolve();
         });
         created.once('error', reject);
@@ -234,10 +214,7 @@
       if (bound === undefined || bound === null || typeof bound === 'string') return parts.listen;
       return `${bound.address}:${bound.port}`;
     },
-    dial(address) {
-      keep(address);
-      startDial(address);
-    },
+    dial: startDial,
     peers: () => [...byPeer.keys()],
     lastHeardAt: (peer) => byPeer.get(peer)?.lastHeardAt(),
     notify(peer, notice) {
@@ -245,6 +222,9 @@
         link?.notify(notice);
       });
     },
+    send(peer, notice) {
+      byPeer.get(peer)?.notify(notice);
+    },
     broadcast(notice) {
       for (const link of byPeer.values()) {
         link.notify(notice);
--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -5,7 +5,7 @@
 import { z } from 'zod';
 import { changeBatchSchema, changeSchema } from '../configuration/objects.js';
 import { failureSchema } from '../errors/index.js';
-import { roleSchema } from '../platform/index.js';
+import { roleSchema, vmSchema } from '../platform/index.js';
 
 export const nodeStateSchema = z.object({
   node: z.string(),
@@ -42,19 +42,57 @@
   sequence: z.number().int().nonnegative(),
   waiting: z.number().int().nonnegative(),
   servers: z.array(serverSummarySchema),
+  /** The holder's incarnation; another one of the same name does not hold the shard. */
+  incarnation: z.string().optional(),
+  /** True when the holder no longer holds the shard under this fence. */
+  released: z.boolean().optional(),
 });
 
 /** What the holder of a shard says of it. */
 export type ShardSummary = z.infer<typeof shardSummarySchema>;
 
+/** Sent to each partner every `membership.heartbeatEveryMs`; it is small because it is frequent. */
 export const heartbeatSchema = z.object({
   kind: z.literal('heartbeat'),
-  from: nodeStateSchema,
-  /** States of other nodes that changed since the last heartbeat on this link. */
-  others: z.array(nodeStateSchema),
+  incarnation: z.string(),
+  sequence: z.number().int().nonnegative(),
+  configurationVersion: z.number().int().nonnegative(),
+  inFlight: z.number().int().nonnegative(),
+  /** Whether the sender wants heartbeats from the receiver. */
+  chosen: z.boolean(),
+  /** The sender's own shards, while there are so few nodes that each is linked to each. */
   shards: z.array(shardSummarySchema),
 });
 
+/** A sign of life. */
+export type Heartbeat = z.infer<typeof heartbeatSchema>;
+
+export const suspicionSchema = z.object({
+  node: z.string(),
+  incarnation: z.string(),
+  /** The last sequence that was heard; a newer one refutes the suspicion. */
+  sequence: z.number().int().nonnegative(),
+});
+
+/** A node's word that another one is silent. */
+export type Suspicion = z.infer<typeof suspicionSchema>;
+
+/** What changed and is passed on from partner to partner, each item once. */
+export const newsSchema = z.object({
+  kind: z.literal('news'),
+  states: z.array(nodeStateSchema),
+  suspicions: z.array(suspicionSchema),
+  /** Nodes on which a configuration came into force. */
+  reached: z.array(z.object({ version: z.number().int(), nodes: z.array(z.string()) })),
+  /** Shards that were taken or given up. */
+  shards: z.array(shardSummarySchema),
+  /** Digest of the platform's list as the sender knows it. */
+  listDigest: z.string().optional(),
+});
+
+/** What changed since the last news on a link. */
+export type News = z.infer<typeof newsSchema>;
+
 export const permitQuerySchema = z.object({
   kind: z.literal('permit.request'),
   shard: z.string(),
@@ -102,10 +140,20 @@
 /** Leave to run one request on one backend server. */
 export type Permit = z.infer<typeof permitSchema>;
 
-export const permitAnswerSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('permit.granted'), permit: permitSchema }),
-  z.object({ kind: z.literal('permit.refused'), failure: failureSchema }),
-]);
+/** Where nodes are many, an answer brings the router news of the shard. */
+const summary = shardSummarySchema.optional();
+const grantedSchema = z.object({
+  kind: z.literal('permit.granted'),
+  permit: permitSchema,
+  summary,
+});
+const refusedSchema = z.object({
+  kind: z.literal('permit.refused'),
+  failure: failureSchema,
+  summary,
+});
+
+export const permitAnswerSchema = z.discriminatedUnion('kind', [grantedSchema, refusedSchema]);
 
 /** What the holder answers. */
 export type PermitAnswer = z.infer<typeof permitAnswerSchema>;
@@ -196,11 +244,31 @@
   fate: fateSchema.optional(),
 });
 
+export const vmsFetchSchema = z.object({
+  kind: z.literal('vms.fetch'),
+  /** Digest of the list that the asker has. */
+  digest: z.string(),
+});
+
+export const vmsAnswerSchema = z.object({
+  kind: z.literal('vms.difference'),
+  /** Digest of the list after the difference. */
+  digest: z.string(),
+  /** True when `put` is the whole list. */
+  whole: z.boolean(),
+  put: z.array(vmSchema),
+  removed: z.array(z.string()),
+});
+
+/** How one reading of the platform's list differs from an earlier one. */
+export type VmsDifference = z.infer<typeof vmsAnswerSchema>;
+
 export const doneSchema = z.object({ kind: z.literal('done') });
 
 /** Messages that want no answer. */
 export const noticeSchema = z.discriminatedUnion('kind', [
   heartbeatSchema,
+  newsSchema,
   permitReleaseSchema,
   permitCancelSchema,
   permitAdoptSchema,
@@ -215,16 +283,18 @@
   permitQuerySchema,
   changesFetchSchema,
   fateQuerySchema,
+  vmsFetchSchema,
 ]);
 
 /** A message that wants one answer. */
 export type Query = z.infer<typeof querySchema>;
 
 export const answerSchema = z.discriminatedUnion('kind', [
-  z.object({ kind: z.literal('permit.granted'), permit: permitSchema }),
-  z.object({ kind: z.literal('permit.refused'), failure: failureSchema }),
+  grantedSchema,
+  refusedSchema,
   changesAnswerSchema,
   fateAnswerSchema,
+  vmsAnswerSchema,
   doneSchema,
 ]);
 
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -1,28 +1,45 @@
 /**
- * The membership task: sends this node's heartbeats, learns of others from theirs and from the
- * platform's lagging list, and keeps links to a bounded set of peers.
+ * The membership task: exchanges heartbeats with a bounded set of partners, passes on what changed,
+ * and learns of other nodes from both and from the platform's lagging list. What a node sends goes
+ * by its number of partners and by the number of changes, never by the number of nodes.
  */
 import type { Log } from '../events/index.js';
-import type { Links, NodeState, Notice, ShardSummary } from '../links/index.js';
+import type {
+  Heartbeat,
+  Links,
+  News,
+  NodeState,
+  Notice,
+  ShardSummary,
+  Suspicion,
+  VmsDifference,
+} from '../links/index.js';
 import type { Vm, VmList } from '../platform/index.js';
 import type { Settings } from '../settings/index.js';
 import type { Clock, Timer } from '../task/index.js';
+import { createEmptyNews, createOutbox, type NewsItem } from './outbox.js';
+import { createPartners } from './partners.js';
 import { choosePeers } from './peers.js';
+import { createShardRecords } from './shard-records.js';
 import { createView, type View } from './view.js';
+import { createVmWatch } from './vm-watch.js';
 
-/** Silent nodes are forgotten after this many times the suspicion time. */
+/** Suspected nodes are forgotten after this many times the suspicion time. */
 const FORGET_FACTOR = 60;
-/** Hearsay takes this many heartbeats longer than a heartbeat of one's own. */
-const HEARSAY_HEARTBEATS = 4;
+/** News that arrives within this time is passed on together. */
+const GATHER_NEWS_MS = 20;
+const FETCH_TIMEOUT_MS = 2_000;
 
 /** What this node says of itself, but for the sequence that membership adds. */
 export type OwnState = Omit<NodeState, 'sequence'>;
 
 /** What membership needs. */
 export interface MembershipParts {
+  /** Name of this node. */
+  node: string;
   terms: Settings['membership'];
   seeds: readonly string[];
-  links: Links;
+  links: Pick<Links, 'peers' | 'dial' | 'drop' | 'send' | 'query'>;
   vmList: VmList;
   clock: Clock;
   log: Log;
@@ -30,7 +47,9 @@
   ownShards(): ShardSummary[];
   /** A peer's message carried this configuration version. */
   heardVersion(version: number): void;
+  /** Shards whose holder is alive and says that it holds them; told again with each heartbeat. */
   heardShards(shards: ShardSummary[]): void;
+  /** The platform's list changed. */
   listed(vms: readonly Vm[]): void;
 }
 
@@ -38,16 +57,30 @@
 export interface Membership {
   start(): Promise<void>;
   stop(): void;
-  receive(peer: string, heartbeat: Extract<Notice, { kind: 'heartbeat' }>): void;
-  /** Sends heartbeats now, because something changed that others should know at once. */
+  /** A link to a peer is up. */
+  opened(peer: string): void;
+  receive(peer: string, notice: Heartbeat | News): void;
+  /** A holder's word on its shard, that came with an answer. */
+  heardShard(summary: ShardSummary): void;
+  /** Tells partners now, because something changed that others should know at once. */
   announce(): void;
-  /** States of all nodes heard of lately, this one included. */
+  /** Sends to every partner. */
+  broadcast(notice: Notice): void;
+  /** Whether the link to a peer is to stay though nothing passes on it. */
+  isPartner(peer: string): boolean;
+  /** Whether every node is a partner of every other, so that each hears all at first hand. */
+  isMeshed(): boolean;
+  /** States of all nodes believed alive and not leaving, this one included. */
   alive(): NodeState[];
-  /** Whether the node was heard of lately. */
+  /** Their names; the same array until it changes. */
+  aliveNames(): readonly string[];
+  /** Whether the node is believed alive. */
   isAlive(node: string): boolean;
   find(node: string): NodeState | undefined;
-  /** The platform's list as last read. */
+  /** The platform's list as last read or heard. */
   vms(): readonly Vm[];
+  /** How the platform's list differs from an earlier one. */
+  vmsSince(digest: string): VmsDifference;
   own(): NodeState;
 }
 
@@ -57,143 +90,334 @@
  * @param parts the node's links, list and state
  */
 export function createMembership(parts: MembershipParts): Membership {
-  const { terms, links, clock, log } = parts;
+  const { node: self, terms, links, clock, log } = parts;
   const view: View = createView();
-  const hearsay = new Map<string, NodeState>();
-  let vms: readonly Vm[] = [];
+  const partners = createPartners();
+  const outbox = createOutbox(() => partners.names());
+  const records = createShardRecords();
   let sequence = 0;
+  let lastBeatAt = clock.now();
+  let probed = 0;
+  let toldState = '';
+  let toldShards = new Map<string, ShardSummary>();
+  let names: { of: readonly NodeState[]; leaving: boolean; list: string[] } | undefined;
   let beatTimer: Timer | undefined;
-  let listTimer: Timer | undefined;
+  let flushTimer: Timer | undefined;
   let stopped = false;
 
+  const vmWatch = createVmWatch({
+    vmList: parts.vmList,
+    clock,
+    log,
+    everyMs: terms.listEveryMs,
+    countNodes: () => view.alive().length + 1,
+    listed: (vms) => {
+      parts.listed(vms);
+    },
+    tell: (digest, from) => {
+      tell({ kind: 'list', digest }, from);
+    },
+    fetch: fetchVms,
+  });
+
+  async function fetchVms(peer: string, digest: string): Promise<VmsDifference | undefined> {
+    const answer = await links.query(peer, { kind: 'vms.fetch', digest }, FETCH_TIMEOUT_MS);
+    if (answer.isErr() || answer.value.kind !== 'vms.difference') return undefined;
+    return answer.value;
+  }
+
   function own(): NodeState {
     return { ...parts.ownState(), sequence };
   }
 
+  function ownShards(): ShardSummary[] {
+    const { incarnation } = parts.ownState();
+    return parts.ownShards().map((summary) => ({ ...summary, incarnation }));
+  }
+
+  function isMeshed(): boolean {
+    return view.alive().length <= terms.maxPeers;
+  }
+
+  function tell(item: NewsItem, from?: string): void {
+    outbox.add(item, from);
+    if (flushTimer !== undefined || stopped) return;
+    flushTimer = clock.after(GATHER_NEWS_MS, () => {
+      flushTimer = undefined;
+      flush();
+    });
+  }
+
+  function flush(): void {
+    for (const peer of partners.names()) {
+      const news = outbox.take(peer);
+      if (news !== undefined) links.send(peer, news);
+    }
+  }
+
   function announce(): void {
     sequence += 1;
-    const others = [...hearsay.values()];
-    hearsay.clear();
-    links.broadcast({ kind: 'heartbeat', from: own(), others, shards: parts.ownShards() });
+    tellOwnState();
+    tellOwnShards();
+    flush();
+    for (const peer of partners.names()) {
+      sendHeartbeat(peer);
+    }
+  }
+
+  function tellOwnState(): void {
+    const state = own();
+    const { incarnation, zone, caller, operator, peer, leaving } = state;
+    const told = JSON.stringify([incarnation, zone, caller, operator, peer, leaving]);
+    if (told === toldState) return;
+    toldState = told;
+    outbox.add({ kind: 'state', state });
+  }
+
+  /** Shards taken or given up since the last time are news for everybody. */
+  function tellOwnShards(): void {
+    const held = new Map<string, ShardSummary>();
+    for (const summary of ownShards()) {
+      held.set(summary.shard, summary);
+      if (records.learn(summary) === 'changed') outbox.add({ kind: 'shard', summary });
+    }
+    for (const [shard, former] of toldShards) {
+      if (held.get(shard)?.fence === former.fence) continue;
+      const summary = { ...former, servers: [], released: true };
+      if (records.learn(summary) === 'changed') outbox.add({ kind: 'shard', summary });
+    }
+    toldShards = held;
+  }
+
+  function sendHeartbeat(peer: string): void {
+    const { incarnation, configurationVersion, inFlight } = parts.ownState();
+    links.send(peer, {
+      kind: 'heartbeat',
+      incarnation,
+      sequence,
+      configurationVersion,
+      inFlight,
+      chosen: partners.isChosen(peer),
+      shards: isMeshed() ? ownShards() : [],
+    });
+    partners.told(peer);
+  }
+
+  /** Everything this node knows, for a partner that may have missed some of it. */
+  function greet(peer: string): void {
+    const news = createEmptyNews();
+    news.states.push(own(), ...view.alive());
+    news.shards.push(...records.all());
+    links.send(peer, { ...news, listDigest: vmWatch.digest() });
+    sendHeartbeat(peer);
   }
 
   function beat(): void {
     if (stopped) return;
+    const now = clock.now();
+    if (now - lastBeatAt > terms.suspectAfterMs) partners.forgive(now);
+    lastBeatAt = now;
+    suspectSilent();
+    choosePartners();
+    dialMissing();
     announce();
-    dropSilentPeers();
-    dialPeers();
-    view.forget(clock.now(), terms.suspectAfterMs * FORGET_FACTOR);
+    view.forget(now, terms.suspectAfterMs * FORGET_FACTOR);
+    parts.heardShards(listHeldShards());
     beatTimer = clock.after(terms.heartbeatEveryMs, beat);
   }
 
-  function dropSilentPeers(): void {
-    for (const peer of links.peers()) {
-      const heardAt = links.lastHeardAt(peer) ?? 0;
-      if (clock.now() - heardAt > terms.suspectAfterMs) links.drop(peer);
+  function suspectSilent(): void {
+    for (const node of partners.silent(clock.now(), terms.suspectAfterMs)) {
+      partners.remove(node);
+      links.drop(node);
+      const state = view.find(node)?.state;
+      if (state === undefined) continue;
+      const { incarnation, sequence: last } = state;
+      takeSuspicion({ node, incarnation, sequence: last });
     }
   }
 
-  function dialPeers(): void {
-    const self = own();
-    const addresses = new Set<string>();
-    for (const node of choosePeers(self, knownNodes(), terms.maxPeers)) {
-      addresses.add(node.peer);
+  function takeSuspicion(suspicion: Suspicion, from?: string): void {
+    if (!view.suspect(suspicion, clock.now())) return;
+    tell({ kind: 'suspicion', suspicion }, from);
+    if (!partners.has(suspicion.node)) links.drop(suspicion.node);
+  }
+
+  function choosePartners(): void {
+    const chosen = new Set<string>();
+    for (const { node } of choosePeers(self, view.alive(), terms.maxPeers)) {
+      chosen.add(node);
     }
-    for (const address of seedAddresses()) {
-      addresses.add(address);
+    partners.choose(chosen, clock.now());
+  }
+
+  function dialMissing(): void {
+    const linked = new Set(links.peers());
+    for (const peer of partners.names()) {
+      const state = view.find(peer)?.state;
+      if (state !== undefined && !linked.has(peer)) links.dial(state.peer);
     }
-    const linked = linkedAddresses();
-    for (const address of addresses) {
-      if (address !== self.peer && !linked.has(address)) links.dial(address);
+    for (const address of listProbes()) {
+      links.dial(address);
     }
   }
 
-  function linkedAddresses(): Set<string> {
-    const linked = new Set<string>();
-    for (const peer of links.peers()) {
-      const member = view.find(peer);
-      if (member !== undefined) linked.add(member.state.peer);
+  /**
+   * Addresses from seeds, the platform's list and suspected nodes that are not of a node believed
+   * alive: all of them while few nodes are known, else one after the other, so that the parts of
+   * a network partition find each other again.
+   */
+  function listProbes(): string[] {
+    const candidates = new Set(parts.seeds);
+    for (const vm of vmWatch.vms()) {
+      if (vm.kind === 'entry') candidates.add(vm.address);
+    }
+    for (const { state, suspectedAt } of view.members()) {
+      if (suspectedAt !== undefined) candidates.add(state.peer);
+      else candidates.delete(state.peer);
     }
-    return linked;
+    candidates.delete(parts.ownState().peer);
+    const addresses = [...candidates];
+    const missing = terms.maxPeers - view.alive().length;
+    if (missing > 0) return addresses.slice(0, missing);
+    probed += 1;
+    const next = addresses[probed % addresses.length];
+    return next === undefined ? [] : [next];
   }
 
-  /** Seeds and listed VMs matter until enough nodes are known by their own word. */
-  function seedAddresses(): string[] {
-    if (links.peers().length >= terms.maxPeers) return [];
-    const addresses = [...parts.seeds];
-    for (const vm of vms) {
-      if (addresses.length >= terms.maxPeers) break;
-      if (vm.kind === 'entry') addresses.push(vm.address);
-    }
-    return addresses;
+  function listHeldShards(): ShardSummary[] {
+    return records.all().filter(isHeld);
+  }
+
+  function isHeld(summary: ShardSummary): boolean {
+    if (summary.released === true || summary.holder === self) return false;
+    const holder = view.find(summary.holder);
+    if (holder === undefined || holder.suspectedAt !== undefined) return false;
+    return summary.incarnation === undefined || summary.incarnation === holder.state.incarnation;
   }
 
-  function knownNodes(): NodeState[] {
-    const nodes: NodeState[] = [];
-    for (const member of view.members()) {
-      nodes.push(member.state);
+  function heardShard(summary: ShardSummary, from?: string): void {
+    const learnt = records.learn(summary);
+    if (learnt === 'changed') tell({ kind: 'shard', summary }, from);
+    else if (from !== undefined) outbox.heard({ kind: 'shard', summary }, from);
+    if (learnt !== 'old' && isHeld(summary)) parts.heardShards([summary]);
+  }
+
+  function receiveHeartbeat(peer: string, heartbeat: Heartbeat): void {
+    const isNew = partners.heard(peer, heartbeat.chosen, clock.now());
+    const wasSuspected = view.beat(peer, heartbeat);
+    const state = view.find(peer)?.state;
+    if (wasSuspected && state !== undefined) tell({ kind: 'state', state }, peer);
+    if (isNew) greet(peer);
+    reach(peer, heartbeat.configurationVersion, peer);
+    parts.heardVersion(heartbeat.configurationVersion);
+    for (const summary of heartbeat.shards) {
+      heardShard(summary, peer);
     }
-    return nodes;
   }
 
-  async function readList(): Promise<void> {
-    const listed = await parts.vmList.list();
-    if (listed.isOk()) {
-      vms = listed.value;
-      parts.listed(vms);
-    } else {
-      log.write('vmListUnavailable', { failure: listed.error });
+  /** Versions in force go round with the next heartbeats, because there are many of them. */
+  function reach(node: string, version: number, from: string): void {
+    if (node === self) return;
+    const item: NewsItem = { kind: 'reached', node, version };
+    if (view.reach(node, version)) outbox.add(item, from);
+    else outbox.heard(item, from);
+  }
+
+  function receiveNews(peer: string, news: News): void {
+    for (const state of news.states) {
+      receiveState(state, peer);
     }
+    for (const suspicion of news.suspicions) {
+      receiveSuspicion(suspicion, peer);
+    }
+    for (const { version, nodes } of news.reached) {
+      for (const node of nodes) {
+        reach(node, version, peer);
+      }
+    }
+    for (const summary of news.shards) {
+      heardShard(summary, peer);
+    }
+    if (news.listDigest !== undefined) vmWatch.heard(peer, news.listDigest);
   }
 
-  function followList(): void {
-    if (stopped) return;
-    void readList().then(() => {
-      listTimer = clock.after(terms.listEveryMs, followList);
-    });
+  function receiveState(state: NodeState, peer: string): void {
+    if (state.node === self) return;
+    const isStranger =
+      state.node === peer && view.find(peer)?.state.incarnation !== state.incarnation;
+    if (view.learn(state)) tell({ kind: 'state', state }, peer);
+    else outbox.heard({ kind: 'state', state }, peer);
+    if (state.node === peer) parts.heardVersion(state.configurationVersion);
+    if (isStranger) greet(peer);
   }
 
-  function hearsayLimit(): number {
-    return terms.suspectAfterMs + HEARSAY_HEARTBEATS * terms.heartbeatEveryMs;
+  /** Whoever knows better says so; that is this node itself, or one that heard later. */
+  function receiveSuspicion(suspicion: Suspicion, peer: string): void {
+    const { node, incarnation } = suspicion;
+    if (node === self) {
+      if (incarnation !== parts.ownState().incarnation) return;
+      sequence = Math.max(sequence, suspicion.sequence) + 1;
+      tell({ kind: 'state', state: own() });
+      return;
+    }
+    const known = view.find(node);
+    const isRefuted =
+      known?.state.incarnation === incarnation && known.state.sequence > suspicion.sequence;
+    if (isRefuted && known.suspectedAt === undefined) tell({ kind: 'state', state: known.state });
+    else takeSuspicion(suspicion, peer);
+    outbox.heard({ kind: 'suspicion', suspicion }, peer);
   }
 
-  function isAlive(node: string): boolean {
-    if (node === own().node) return true;
-    const member = view.find(node);
-    return member !== undefined && clock.now() - member.heardAt <= hearsayLimit();
+  function aliveNames(): readonly string[] {
+    const of = view.alive();
+    const { leaving } = parts.ownState();
+    if (names?.of === of && names.leaving === leaving) return names.list;
+    const list = of.map(({ node }) => node);
+    if (!leaving) list.push(self);
+    names = { of, leaving, list };
+    return list;
   }
 
   return {
     async start() {
-      await readList();
+      await vmWatch.start();
+      lastBeatAt = clock.now();
       beat();
-      listTimer = clock.after(terms.listEveryMs, followList);
     },
     stop() {
       stopped = true;
+      vmWatch.stop();
       beatTimer?.cancel();
-      listTimer?.cancel();
+      flushTimer?.cancel();
     },
-    receive(peer, heartbeat) {
-      const now = clock.now();
-      if (heartbeat.from.node !== peer) return;
-      for (const state of [heartbeat.from, ...heartbeat.others]) {
-        if (state.node === own().node) continue;
-        if (view.learn(state, now)) hearsay.set(state.node, state);
-      }
-      parts.heardVersion(heartbeat.from.configurationVersion);
-      parts.heardShards(heartbeat.shards);
+    opened(peer) {
+      if (partners.has(peer) || !view.isAlive(peer)) greet(peer);
     },
+    receive(peer, notice) {
+      if (notice.kind === 'heartbeat') receiveHeartbeat(peer, notice);
+      else receiveNews(peer, notice);
+    },
+    heardShard,
     announce,
+    broadcast(notice) {
+      for (const peer of partners.names()) {
+        links.send(peer, notice);
+      }
+    },
+    isPartner: (peer) => partners.has(peer),
+    isMeshed,
     alive() {
-      const alive = view.alive(clock.now(), hearsayLimit());
-      const self = own();
-      if (!self.leaving) alive.push(self);
+      const alive = [...view.alive()];
+      const state = own();
+      if (!state.leaving) alive.push(state);
       return alive;
     },
-    isAlive,
+    aliveNames,
+    isAlive: (node) => node === self || view.isAlive(node),
     find: (node) => view.find(node)?.state,
-    vms: () => vms,
+    vms: () => vmWatch.vms(),
+    vmsSince: (digest) => vmWatch.differenceSince(digest),
     own,
   };
 }
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -14,10 +14,11 @@
 } from '../configuration/index.js';
 import { createLog, type Log } from '../events/index.js';
 import { createLapseWatch, createNodeLease } from '../lease/index.js';
-import type { Answer, Fate, Notice, Query } from '../links/index.js';
+import type { Answer, Fate, Notice, PermitAnswer, Query } from '../links/index.js';
 import { createMembership, resolveEntryPoints } from '../membership/index.js';
 import { createMetrics } from '../metrics/index.js';
 import { createOperatorFront, type NodeStatus } from '../operator/index.js';
+import type { ShardHolder } from '../permits/index.js';
 import type { Vm } from '../platform/index.js';
 import {
   createBackends,
@@ -111,8 +112,9 @@
     log,
     metrics,
     addressOf: (peer) => membership.find(peer)?.peer,
-    opened: () => {
-      membership.announce();
+    isKept: (peer) => membership.isPartner(peer),
+    opened: (peer) => {
+      membership.opened(peer);
     },
     noticed: receiveNotice,
     asked: receiveQuery,
@@ -127,7 +129,7 @@
     terms: settings.configuration,
     fetch: fetchChanges,
     push: (changes) => {
-      links.broadcast({ kind: 'configuration.push', changes });
+      membership.broadcast({ kind: 'configuration.push', changes });
     },
     onChange: () => {
       membership.announce();
@@ -144,6 +146,7 @@
   });
 
   const membership = createMembership({
+    node,
     terms: settings.membership,
     seeds: settings.peers,
     links,
@@ -195,7 +198,7 @@
     log,
     terms: settings.lease,
     node,
-    aliveNodes: () => aliveNames(),
+    aliveNodes: () => membership.aliveNames(),
     suspectedHolders: () => ownership.suspectedHolders(),
     lapsed: (row) => {
       if (!membership.isAlive(row.holder.node)) held.forgetNode(row.holder.node);
@@ -210,7 +213,7 @@
     everyMs: OWNERSHIP_EVERY_MS,
     freshMs: settings.membership.suspectAfterMs,
     shards: () => shards,
-    aliveNodes: () => aliveNames(),
+    aliveNodes: () => membership.aliveNames(),
     leaseHolder: () => lease.holder(),
     isLeaseValid: () => lease.isValid(),
     readNodeRow: (name) => lapseWatch.read(name),
@@ -235,7 +238,9 @@
     isLeaseValid: () => lease.isValid(),
   });
 
-  const placesReport = createPlacesReport(links, clock);
+  const placesReport = createPlacesReport(links, clock, (summary) => {
+    membership.heardShard(summary);
+  });
   const permits = createHolderPlacement({
     node,
     clock,
@@ -348,14 +353,6 @@
     return createBaselinePlacement({ node, pick, board, inUse, createId, serversOf, shardOf });
   }
 
-  function aliveNames(): string[] {
-    const names: string[] = [];
-    for (const state of membership.alive()) {
-      names.push(state.node);
-    }
-    return names;
-  }
-
   function readiness(): Readiness {
     if (refusing) return 'leaving';
     return replica.isFresh() ? 'ready' : 'configuration-stale';
@@ -410,8 +407,8 @@
 
   function receiveNotice(peer: string, notice: Notice): void {
     match(notice)
-      .with({ kind: 'heartbeat' }, (heartbeat) => {
-        membership.receive(peer, heartbeat);
+      .with({ kind: 'heartbeat' }, { kind: 'news' }, (word) => {
+        membership.receive(peer, word);
       })
       .with({ kind: 'permit.release' }, (release) => {
         held.find(release.shard)?.release(release);
@@ -433,7 +430,7 @@
       .with({ kind: 'permit.request' }, async (wish): Promise<Answer> => {
         await replica.caughtUp(wish.configurationVersion);
         const holder = held.find(wish.shard);
-        if (holder !== undefined) return holder.ask(peer, wish);
+        if (holder !== undefined) return addSummary(holder, await holder.ask(peer, wish));
         const failure = {
           code: 'lease-lost' as const,
           message: 'the shard is not held here',
@@ -451,9 +448,18 @@
         const found = fate === undefined ? {} : { fate };
         return Promise.resolve({ kind: 'request.fate.answer', ...found });
       })
+      .with({ kind: 'vms.fetch' }, ({ digest }): Promise<Answer> => {
+        return Promise.resolve(membership.vmsSince(digest));
+      })
       .exhaustive();
   }
 
+  /** Where routers do not hear from every holder, the answer to a request for a permit tells them. */
+  function addSummary(holder: ShardHolder, answer: PermitAnswer): PermitAnswer {
+    if (membership.isMeshed()) return answer;
+    return { ...answer, summary: { ...holder.summary(), incarnation } };
+  }
+
   async function fetchChanges(after: number): Promise<ChangeBatch | undefined> {
     for (const peer of links.peers()) {
       const answer = await links.query(
--- a/src/node/places-report.ts
+++ b/src/node/places-report.ts
@@ -2,7 +2,7 @@
  * Whom a router tells of its places in use. A holder hears from the routers that use it or asked it
  * lately, and from no others: telling every holder would cost nodes times shards messages a second.
  */
-import type { Links, Query } from '../links/index.js';
+import type { Links, Query, ShardSummary } from '../links/index.js';
 import type { Clock } from '../task/index.js';
 
 /** A lost grant or release shows within this time after the last permit was asked for. */
@@ -26,10 +26,12 @@
  *
  * @param links what permits are asked over
  * @param clock what "lately" goes by
+ * @param heard takes what an answer says of its shard
  */
 export function createPlacesReport(
   links: Pick<Links, 'query' | 'notify'>,
   clock: Clock,
+  heard: (summary: ShardSummary) => void,
 ): PlacesReport {
   const usedAt = new Map<string, number>();
 
@@ -46,6 +48,9 @@
         note(query);
         const answer = await links.query(peer, query, timeoutMs);
         note(query);
+        if (answer.isOk() && 'summary' in answer.value && answer.value.summary !== undefined) {
+          heard(answer.value.summary);
+        }
         return answer;
       },
     },
--- a/src/shards/ownership.ts
+++ b/src/shards/ownership.ts
@@ -34,7 +34,7 @@
   freshMs: number;
   shards(): Shard[];
   /** Names of the nodes that take new work. */
-  aliveNodes(): string[];
+  aliveNodes(): readonly string[];
   leaseHolder(): LeaseHolder | undefined;
   isLeaseValid(): boolean;
   readNodeRow(node: string): Promise<NodeRow | undefined>;
--- a/test/links/links.test.ts
+++ b/test/links/links.test.ts
@@ -26,6 +26,7 @@
   const notices: Notice[] = [];
   const queries: Query[] = [];
   const addresses = new Map<string, string>();
+  const kept = new Set<string>();
   const control = { answer: Promise.resolve<Answer>({ kind: 'done' }) };
   const links = createLinks({
     node,
@@ -35,6 +36,7 @@
     log: createSilentLog(),
     metrics: createMetrics(),
     addressOf: (peer) => addresses.get(peer),
+    isKept: (peer) => kept.has(peer),
     opened: () => undefined,
     noticed: (_peer, notice) => notices.push(notice),
     asked: (_peer, query) => {
@@ -42,7 +44,7 @@
       return control.answer;
     },
   });
-  return { links, notices, queries, addresses, control };
+  return { links, notices, queries, addresses, kept, control };
 }
 
 async function until(condition: () => boolean): Promise<void> {
@@ -164,12 +166,13 @@
     expect(node.links.peers()).to.deep.equal([]);
   });
 
-  it('keep a link that membership wants, though it was dialled on demand', async () => {
+  it('keep a link that membership wants, though nothing passes on it', async () => {
     const peer = await start('entry-1');
     const node = await start('entry-2');
     node.addresses.set('entry-1', peer.links.address());
+    node.kept.add('entry-1');
+    peer.kept.add('entry-2');
     await node.links.query('entry-1', fate, 1_000);
-    node.links.dial(peer.links.address());
     await time.advance(90_000);
     expect(node.links.peers()).to.deep.equal(['entry-1']);
   });
--- a/test/links/places-report.test.ts
+++ b/test/links/places-report.test.ts
@@ -11,7 +11,7 @@
       notify: () => undefined,
       query: () => Promise.resolve(Ok({ kind: 'done' as const })),
     };
-    const report = createPlacesReport(links, clock);
+    const report = createPlacesReport(links, clock, () => undefined);
     expect(report.isDue('manuals', 0)).to.equal(false);
     await report.links.query('entry-2', { kind: 'permit.request', shard: 'manuals' } as Query, 10);
     await advance(9_000);
