test(platform): hold the adapters and stand-ins to their protocols

Cause: what the adapters say of a lost answer had no proof, and timers of a stopped stand-in, set for up to 60 s in the tests, kept the test process alive. Change: tests of every outcome against the stand-ins, and of the engine's service times on a fake clock. Each stand-in has its own view of the clock, whose timers end with it. Ruled out: expecting not-run from an adapter whose kept-alive connection died a moment ago; it cannot know, and says unknown. Tests of a backend server that is gone use a new adapter.

--- a/stand-ins/common/server.ts
+++ b/stand-ins/common/server.ts
@@ -6,8 +6,9 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import type { AddressInfo, Socket } from 'node:net';
 import { z } from 'zod';
-import { wait, type Clock } from '../../src/task/index.js';
+import { wait } from '../../src/task/index.js';
 import { createFaultSwitch, findFault, type AnyFault, type CommonFault } from './fault.js';
+import type { OwnClock } from './own-clock.js';
 import type { History, Stamped } from './record.js';
 
 /** A request as a stand-in's handler sees it. */
@@ -33,7 +34,8 @@
 export interface ServerTerms<Fault extends AnyFault, Entry> {
   /** `host:port`; port 0 takes a free one. */
   listen: string;
-  clock: Clock;
+  /** Stopped together with the server. */
+  clock: OwnClock;
   faultSchema: z.ZodType<Fault | CommonFault>;
   history: History<Entry>;
   handle(received: Received<Fault>): Reply | undefined | Promise<Reply | undefined>;
@@ -73,7 +75,6 @@
   const faults = createFaultSwitch<Fault | CommonFault>();
   const counts = new Map<string, number>();
   const sockets = new Set<Socket>();
-  let stopped = false;
 
   const server = createServer((request, response) => {
     void serve(request, response);
@@ -179,7 +180,7 @@
     entries: () => history.entries(),
     counts: listCounts,
     async stop() {
-      stopped = true;
+      clock.stop();
       await new Promise<void>((resolve) => {
         server.close(() => {
           resolve();
@@ -191,7 +192,7 @@
       server.close();
       breakConnections();
       clock.after(downMs, () => {
-        if (!stopped) void listen(host, bound);
+        void listen(host, bound);
       });
     },
   };
--- a/stand-ins/main.ts
+++ b/stand-ins/main.ts
@@ -3,6 +3,7 @@
  * all of them listen.
  */
 import { defineCommand, runMain } from 'citty';
+import { z } from 'zod';
 import { readJson } from '../src/settings/index.js';
 import { fleetSettingsSchema, startFleet } from './fleet.js';
 
@@ -14,7 +15,9 @@
   async run({ args }) {
     const document = readJson(args.settings);
     if (document.isErr()) throw new Error(`${args.settings} ${document.error.message}`);
-    const fleet = await startFleet(fleetSettingsSchema.parse(document.value));
+    const settings = fleetSettingsSchema.safeParse(document.value);
+    if (!settings.success) throw new Error(`${args.settings}: ${z.prettifyError(settings.error)}`);
+    const fleet = await startFleet(settings.data);
     const addresses = fleet.standIns.map((standIn) => standIn.address);
     process.stdout.write(`${JSON.stringify({ ready: true, addresses })}\n`);
     for (const signal of ['SIGTERM', 'SIGINT'] as const) {
--- a/stand-ins/model-engine/settings.ts
+++ b/stand-ins/model-engine/settings.ts
@@ -66,7 +66,7 @@
 /** Settings with their defaults. */
 export type ModelEngineSettings = z.infer<typeof modelEngineStandInSettingsSchema>;
 
-const chunks = z.number().int().positive().default(1);
+const chunks = z.number().int().positive();
 const afterTokens = z.number().int().nonnegative();
 
 export const modelEngineFaultSchema = z.discriminatedUnion('kind', [
@@ -83,14 +83,15 @@
    */
   createFaultSchema('wrong-request-id', {
     chunks,
-    mode: z.enum(['replace', 'inject']).default('replace'),
+    /** `replace` when absent. */
+    mode: z.enum(['replace', 'inject']).optional(),
   }),
   /** Sends the first `chunks` chunks of a stream twice. */
   createFaultSchema('duplicate-chunk', { chunks }),
   /** Makes every step this many times as long until faults are cleared. */
   createFaultSchema('slow', { factor: z.number().positive() }),
-  /** Loses everything and starts anew after `downMs`, as another incarnation. */
-  createFaultSchema('crash', { downMs: z.number().nonnegative().default(0) }),
+  /** Loses everything and starts anew after `downMs`, or at once, as another incarnation. */
+  createFaultSchema('crash', { downMs: z.number().nonnegative().optional() }),
 ]);
 
 /** A fault of an engine. */
--- a/stand-ins/model-engine/stand-in.ts
+++ b/stand-ins/model-engine/stand-in.ts
@@ -11,6 +11,7 @@
 import { createSystemClock, wait, type Clock } from '../../src/task/index.js';
 import {
   createHistory,
+  createOwnClock,
   createJsonReply,
   findFault,
   parseBody,
@@ -43,13 +44,14 @@
  * Starts an engine.
  *
  * @param input settings; all have defaults
- * @param clock what its work goes by
+ * @param time what its work goes by
  */
 export async function createModelEngineStandIn(
   input: ModelEngineStandInSettings = {},
-  clock: Clock = createSystemClock(),
+  time: Clock = createSystemClock(),
 ): Promise<ModelEngineStandIn> {
   const settings = modelEngineStandInSettingsSchema.parse(input);
+  const clock = createOwnClock(time);
   const history = createHistory<EngineEntry>({ clock, limit: settings.recordLimit });
   const engine = createEngine(settings, clock, history);
 
@@ -122,7 +124,7 @@
     if (fault.kind === 'slow') engine.setSlowness(fault.factor);
     if (fault.kind !== 'crash') return;
     engine.crash();
-    server.restart(fault.downMs);
+    server.restart(fault.downMs ?? 0);
   }
 
   const server = await startServer<ModelEngineFault, EngineEntry>({
--- a/stand-ins/model-engine/stream.ts
+++ b/stand-ins/model-engine/stream.ts
@@ -46,7 +46,7 @@
     if (crossed !== undefined && chunks <= crossed.chunks) {
       const other = { ...chunk, requestId: `${chunk.requestId}-other`, text: ' other' };
       write(other);
-      if (crossed.mode === 'replace') return;
+      if (crossed.mode !== 'inject') return;
     }
     write(chunk);
     if (doubled !== undefined && chunks <= doubled.chunks) write(chunk);
--- a/stand-ins/object-store/stand-in.ts
+++ b/stand-ins/object-store/stand-in.ts
@@ -7,6 +7,7 @@
   commonFaults,
   commonSettings,
   createHistory,
+  createOwnClock,
   createJsonReply,
   startServer,
   type CommonFault,
@@ -41,13 +42,14 @@
  * Starts an object store.
  *
  * @param input settings; all have defaults
- * @param clock what delays go by
+ * @param time what delays go by
  */
 export async function createObjectStoreStandIn(
   input: ObjectStoreStandInSettings = {},
-  clock: Clock = createSystemClock(),
+  time: Clock = createSystemClock(),
 ): Promise<ObjectStoreStandIn> {
   const settings = objectStoreStandInSettingsSchema.parse(input);
+  const clock = createOwnClock(time);
   const history = createHistory<ObjectEntry>({ clock, limit: settings.recordLimit });
   const objects = new Map<string, Buffer>();
 
--- a/stand-ins/plain-service/stand-in.ts
+++ b/stand-ins/plain-service/stand-in.ts
@@ -11,6 +11,7 @@
   commonSettings,
   createFaultSchema,
   createHistory,
+  createOwnClock,
   createJsonReply,
   findFault,
   startServer,
@@ -79,13 +80,14 @@
  * Starts a worker of a plain service.
  *
  * @param input settings; all have defaults
- * @param clock what service times go by
+ * @param time what service times go by
  */
 export async function createPlainServiceStandIn(
   input: PlainServiceStandInSettings = {},
-  clock: Clock = createSystemClock(),
+  time: Clock = createSystemClock(),
 ): Promise<PlainServiceStandIn> {
   const settings = plainServiceStandInSettingsSchema.parse(input);
+  const clock = createOwnClock(time);
   const { id, maxConcurrency } = settings;
   const incarnation = randomUUID();
   const random = createSeededRandom(settings.seed);
--- a/stand-ins/table-service/stand-in.ts
+++ b/stand-ins/table-service/stand-in.ts
@@ -10,6 +10,7 @@
   commonSettings,
   createFaultSchema,
   createHistory,
+  createOwnClock,
   createJsonReply,
   createRate,
   findFault,
@@ -72,13 +73,14 @@
  * Starts a table service.
  *
  * @param input settings; all have defaults
- * @param clock what delays and limits go by
+ * @param time what delays and limits go by
  */
 export async function createTableStandIn(
   input: TableStandInSettings = {},
-  clock: Clock = createSystemClock(),
+  time: Clock = createSystemClock(),
 ): Promise<TableStandIn> {
   const settings = tableStandInSettingsSchema.parse(input);
+  const clock = createOwnClock(time);
   const table = createTable();
   const history = createHistory<TableEntry>({ clock, limit: settings.recordLimit });
   const writeRate = createRate(clock, settings.writesPerSecond);
--- a/stand-ins/vm-list/stand-in.ts
+++ b/stand-ins/vm-list/stand-in.ts
@@ -9,6 +9,7 @@
   commonFaults,
   commonSettings,
   createHistory,
+  createOwnClock,
   createJsonReply,
   parseBody,
   startServer,
@@ -49,13 +50,14 @@
  * Starts a list of VMs.
  *
  * @param input the VMs to begin with, and the lag
- * @param clock what the lag goes by
+ * @param time what the lag goes by
  */
 export async function createVmListStandIn(
   input: VmListStandInSettings,
-  clock: Clock = createSystemClock(),
+  time: Clock = createSystemClock(),
 ): Promise<VmListStandIn> {
   const settings = vmListStandInSettingsSchema.parse(input);
+  const clock = createOwnClock(time);
   const history = createHistory<VmListEntry>({ clock, limit: settings.recordLimit });
   const truths: Truth[] = [{ since: -Infinity, vms: settings.vms }];
 
--- a/stand-ins/weight-store/stand-in.ts
+++ b/stand-ins/weight-store/stand-in.ts
@@ -7,6 +7,7 @@
   commonFaults,
   commonSettings,
   createHistory,
+  createOwnClock,
   createJsonReply,
   createRate,
   parseBody,
@@ -41,13 +42,14 @@
  * Starts a weight store.
  *
  * @param input settings; all have defaults
- * @param clock what the rate goes by
+ * @param time what the rate goes by
  */
 export async function createWeightStoreStandIn(
   input: WeightStoreStandInSettings = {},
-  clock: Clock = createSystemClock(),
+  time: Clock = createSystemClock(),
 ): Promise<WeightStoreStandIn> {
   const settings = weightStoreStandInSettingsSchema.parse(input);
+  const clock = createOwnClock(time);
   const history = createHistory<TicketEntry>({ clock, limit: settings.recordLimit });
   const rate = createRate(clock, settings.ticketsPerSecond);
   let granted = 0;
