feat(node): give orders to the engines of held shards

Cause: the order machinery had no place in a node.

Ruled out: granting permits at once after a takeover (work could go to an engine that an earlier holder's order may still reach, and be cut by it).

Change: a shard opens once its engines' journals were read, at the latest after 1 s; group wants and weight-store tickets reach the engines; a graceful shutdown ends its sendings before it gives its shards back; the lease names the peer address that was really bound.

--- a/src/node/held-shards.ts
+++ b/src/node/held-shards.ts
@@ -5,6 +5,7 @@
 import { explainNoNewWork, isMember, type ConfigurationReplica } from '../configuration/index.js';
 import type { ShardSummary } from '../links/index.js';
 import type { Metrics } from '../metrics/index.js';
+import type { ShardOrders } from '../orders/index.js';
 import { AffinityChoice, createShardHolder, type ShardHolder } from '../permits/index.js';
 import type { Vm } from '../platform/index.js';
 import type { Backends } from '../router/index.js';
@@ -16,9 +17,12 @@
   type ServerWatchOwner,
   type Shard,
 } from '../shards/index.js';
-import type { Clock } from '../task/index.js';
+import { wait, type Clock } from '../task/index.js';
+import type { OrdersFactory } from './orders.js';
 
 const WATCH_EVERY_MS = 500;
+/** Permits are granted after this time even if the order journal could not be read. */
+const MAX_JOURNAL_READ_MS = 1_000;
 
 /** What holding shards needs. */
 export interface HeldShardsParts {
@@ -30,21 +34,33 @@
   maxQueue: number;
   createId: () => string;
   isLeaseValid: () => boolean;
+  createOrders: OrdersFactory;
+  /** A shard's permits can be asked for from now on. */
+  opened: (shard: string) => void;
 }
 
 /** The shards held here. */
 export interface HeldShards {
+  /**
+   * Begins to hold a shard. Its permits can be asked for once its engines' order journals were read,
+   * so that no work goes to an engine which an earlier holder's order may still reach.
+   */
   begin(held: HeldShard, shard: Shard): void;
   end(name: string): void;
   /** Takes in a fresh list of servers. */
   update(shards: readonly Shard[]): void;
   find(name: string): ShardHolder | undefined;
+  /** The orders to the engines of a shard held here; `undefined` for a plain service's. */
+  orders(name: string): ShardOrders | undefined;
+  /** Gives no further orders, before the shards are given back. */
+  stopOrders(): void;
   summaries(): ShardSummary[];
   forgetNode(node: string): void;
 }
 
 interface Holding {
   holder: ShardHolder;
+  orders: ShardOrders | undefined;
   kind: Shard['kind'];
   watches: Map<string, ServerWatch>;
 }
@@ -56,6 +72,7 @@
  */
 export function createHeldShards(parts: HeldShardsParts): HeldShards {
   const holdings = new Map<string, Holding>();
+  const opening = new Map<string, Holding>();
 
   function createHolder(held: HeldShard, kind: Shard['kind']): ShardHolder {
     return createShardHolder({
@@ -80,6 +97,7 @@
 
   function updateHolding(holding: Holding, vms: readonly Vm[]): void {
     holding.holder.setVms(vms);
+    holding.orders?.setVms(vms);
     const listed = new Set<string>();
     for (const vm of vms) {
       const key = `${vm.id}@${vm.address}`;
@@ -94,7 +112,7 @@
   }
 
   function startWatch(holding: Holding, vm: Vm): ServerWatch {
-    const owner = createWatchOwner(holding.holder);
+    const owner = createWatchOwner(holding);
     const watchParts = { clock: parts.clock, everyMs: WATCH_EVERY_MS, owner };
     if (holding.kind === 'model-engine') {
       return watchEngine(parts.backends.engine(vm.id, vm.address), watchParts);
@@ -102,17 +120,32 @@
     return watchService(parts.backends.service(vm.id, vm.address), watchParts);
   }
 
+  async function open(name: string, holding: Holding): Promise<void> {
+    const { orders } = holding;
+    if (orders !== undefined) {
+      await Promise.race([orders.start(), wait(parts.clock, MAX_JOURNAL_READ_MS)]);
+    }
+    if (opening.get(name) !== holding) return;
+    opening.delete(name);
+    holdings.set(name, holding);
+    parts.opened(name);
+  }
+
   return {
     begin(held, shard) {
       const holder = createHolder(held, shard.kind);
-      const holding: Holding = { holder, kind: shard.kind, watches: new Map() };
-      holdings.set(held.name, holding);
+      const orders = shard.kind === 'model-engine' ? parts.createOrders(held, holder) : undefined;
+      const holding: Holding = { holder, orders, kind: shard.kind, watches: new Map() };
+      opening.set(held.name, holding);
       updateHolding(holding, shard.vms);
+      void open(held.name, holding);
     },
     end(name) {
-      const holding = holdings.get(name);
+      const holding = holdings.get(name) ?? opening.get(name);
       if (holding === undefined) return;
       holdings.delete(name);
+      opening.delete(name);
+      holding.orders?.stop();
       holding.holder.stop();
       for (const watch of holding.watches.values()) {
         watch.stop();
@@ -120,11 +153,17 @@
     },
     update(shards) {
       for (const shard of shards) {
-        const holding = holdings.get(shard.name);
+        const holding = holdings.get(shard.name) ?? opening.get(shard.name);
         if (holding !== undefined) updateHolding(holding, shard.vms);
       }
     },
     find: (name) => holdings.get(name)?.holder,
+    orders: (name) => holdings.get(name)?.orders,
+    stopOrders() {
+      for (const { orders } of [...holdings.values(), ...opening.values()]) {
+        orders?.stop();
+      }
+    },
     summaries() {
       const summaries: ShardSummary[] = [];
       for (const { holder } of holdings.values()) {
@@ -140,10 +179,11 @@
   };
 }
 
-function createWatchOwner(holder: ShardHolder): ServerWatchOwner {
+function createWatchOwner({ holder, orders }: Holding): ServerWatchOwner {
   return {
     engineState(state) {
       holder.learnEngine(state);
+      orders?.learnEngine(state);
     },
     serviceState(state) {
       holder.learnService(state);
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -18,6 +18,7 @@
 import { createMembership, resolveEntryPoints } from '../membership/index.js';
 import { createMetrics } from '../metrics/index.js';
 import { createOperatorFront, type NodeStatus } from '../operator/index.js';
+import { createFormers } from '../orders/index.js';
 import type { ShardHolder } from '../permits/index.js';
 import type { Vm } from '../platform/index.js';
 import {
@@ -43,6 +44,7 @@
 import { wait, type Timer } from '../task/index.js';
 import { createSystemEnvironment, type NodeEnvironment } from './environment.js';
 import { createHeldShards } from './held-shards.js';
+import { createOrdersFactory } from './orders.js';
 import { createPlacesReport } from './places-report.js';
 import type { Listener } from './servers.js';
 
@@ -174,6 +176,7 @@
     listed: (vms) => {
       shards = resolveShards(vms, settings.shards);
       held.update(shards);
+      formers.learnList(vms);
     },
   });
 
@@ -184,7 +187,10 @@
     terms: settings.lease,
     node,
     incarnation,
-    peer: settings.listen.peer,
+    // The address that was really bound: that no other process can listen there is relied on.
+    get peer() {
+      return addresses.peer;
+    },
     createId,
     acquired: () => undefined,
     lost: () => {
@@ -217,16 +223,24 @@
     leaseHolder: () => lease.holder(),
     isLeaseValid: () => lease.isValid(),
     readNodeRow: (name) => lapseWatch.read(name),
-    taken: (taken) => {
+    taken: (taken, former) => {
+      if (former?.released === true) formers.learnRelease(former.holder);
       const shard = shards.find(({ name }) => name === taken.name);
       if (shard !== undefined) held.begin(taken, shard);
-      membership.announce();
     },
     lost: (lost) => {
       held.end(lost.name);
     },
   });
 
+  const formers = createFormers({
+    clock,
+    incarnation,
+    listLagMs: settings.orders.listLagMs,
+    readNodeRow: (name) => lapseWatch.read(name),
+    ordersSettled: (engine) => replica.current().vms.get(engine)?.ordersSettled ?? 0,
+  });
+
   const held = createHeldShards({
     node,
     clock,
@@ -236,6 +250,24 @@
     maxQueue: settings.requests.maxQueue,
     createId,
     isLeaseValid: () => lease.isValid(),
+    createOrders: createOrdersFactory({
+      node,
+      clock,
+      log,
+      metrics,
+      backends,
+      replica,
+      table: platform.table('orders'),
+      weightStore: platform.weightStore,
+      formers,
+      settings,
+      adoptEveryMs: ADOPT_EVERY_MS,
+      createId,
+      isLeaseValid: () => lease.isValid(),
+    }),
+    opened: () => {
+      membership.announce();
+    },
   });
 
   const placesReport = createPlacesReport(links, clock, (summary) => {
@@ -538,6 +570,8 @@
       await wait(clock, settings.membership.entryPointsKeptMs);
       refusing = true;
       await waitForRequests();
+      held.stopOrders();
+      await formers.sendingsEnded();
       await ownership.release();
       await lease.release();
       lapseWatch.stop();
--- a/src/node/platform.ts
+++ b/src/node/platform.ts
@@ -4,8 +4,9 @@
   createHttpObjectStore,
   createHttpTableService,
   createHttpVmList,
+  createHttpWeightStore,
 } from '../platform/http/index.js';
-import type { ObjectStore, TableService, VmList } from '../platform/index.js';
+import type { ObjectStore, TableService, VmList, WeightStore } from '../platform/index.js';
 import type { Settings } from '../settings/index.js';
 
 const CALL_TIMEOUT_MS = 1_000;
@@ -19,6 +20,8 @@
   table(purpose: TablePurpose): TableService;
   objectStore: ObjectStore;
   vmList: VmList;
+  /** `undefined` when the settings name none. */
+  weightStore?: WeightStore | undefined;
 }
 
 /**
@@ -42,5 +45,9 @@
       timeoutMs: CALL_TIMEOUT_MS,
     }),
     vmList: createHttpVmList({ baseUrl: settings.vmList, timeoutMs: CALL_TIMEOUT_MS }),
+    weightStore:
+      settings.weightStore === undefined
+        ? undefined
+        : createHttpWeightStore({ baseUrl: settings.weightStore, timeoutMs: CALL_TIMEOUT_MS }),
   };
 }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -88,6 +88,16 @@
       maxServers: z.number().int().positive().default(16),
     })
     .prefault({}),
+  orders: z
+    .strictObject({
+      /** An engine is kept free of new work this long at most before its change is given up. */
+      drainMs: z.number().positive().default(60_000),
+      /** How long after a change was given up it is tried again. */
+      tryAgainMs: z.number().positive().default(30_000),
+      /** How old the platform's list of VMs may be when it is read. */
+      listLagMs: z.number().positive().default(30_000),
+    })
+    .prefault({}),
   requests: z
     .strictObject({
       /** Largest body taken, in bytes. */
