fix(lease): release surely, renew in time, and free what a deleted row held

Cause: tests with lost and slow table answers found three faults. A release whose write was lost was not tried again, so that others waited for the lease to lapse; a renewal that was lost after a second was followed a whole period later, and the lease lapsed; a node whose row was deleted kept its shards from everyone for ever.

Ruled out: a shorter patience for lease calls (a table slower than it would end every lease).

Change: a release is tried three times; renewals keep their period whatever a call took; an absent row is watched like one that stands unchanged, and lapses; the watch looks again when a row is due, not a period later.

--- a/src/lease/lapse-watch.ts
+++ b/src/lease/lapse-watch.ts
@@ -12,6 +12,9 @@
 const WATCHED_ON_RING = 2;
 const MAX_ROWS_AT_START = 1_000;
 
+/** The revision that stands for a row which is not there. */
+const ABSENT = 0;
+
 /** What the watch needs. */
 export interface LapseWatchParts {
   table: TableService;
@@ -68,17 +71,28 @@
 
   async function watch(node: string): Promise<void> {
     const read = await table.get(nodeRowKey(node));
-    if (read.isErr() || read.value === undefined) return;
-    const row = parseNodeRow(read.value.value);
+    if (read.isErr()) return;
+    const row = read.value === undefined ? createEmptyRow(node) : parseNodeRow(read.value.value);
     if (row === undefined) return;
     if (row.state !== 'held') {
       settle(node, row);
       return;
     }
     const now = clock.now();
-    const observation = observeRevision(observations.get(node), read.value.revision, now);
+    const revision = read.value?.revision ?? ABSENT;
+    const observation = observeRevision(observations.get(node), revision, now);
     observations.set(node, observation);
-    if (isLapsed(observation, now, terms)) await declareLapsed(node, row, observation.revision);
+    if (isLapsed(observation, now, terms)) await declareLapsed(node, row, revision);
+  }
+
+  /** The next look is due when a row watched now would have stood unchanged for long enough. */
+  function nextLookInMs(): number {
+    let delayMs = terms.renewEveryMs;
+    for (const { firstSeenAt } of observations.values()) {
+      const dueInMs = firstSeenAt + terms.takerMs - clock.now();
+      if (dueInMs > 0) delayMs = Math.min(delayMs, dueInMs);
+    }
+    return delayMs;
   }
 
   async function declareLapsed(node: string, row: NodeRow, revision: number): Promise<void> {
@@ -103,7 +117,7 @@
 
   function step(): void {
     void round().then(() => {
-      if (!stopped) timer = clock.after(terms.renewEveryMs, step);
+      if (!stopped) timer = clock.after(nextLookInMs(), step);
     });
   }
 
@@ -127,6 +141,18 @@
   };
 }
 
+/**
+ * Stands for the row of a node that has none, because someone deleted it. Nobody can renew it, so it
+ * lapses like any other, and what the node held becomes free.
+ */
+function createEmptyRow(node: string): NodeRow {
+  return {
+    holder: { node, incarnation: '', leaseId: '', peer: '' },
+    state: 'held',
+    counter: 0,
+  };
+}
+
 /**
  * The next names after one on the ring of names.
  *
--- a/src/lease/node-lease.ts
+++ b/src/lease/node-lease.ts
@@ -44,6 +44,9 @@
   holder(): LeaseHolder | undefined;
 }
 
+/** A release is tried so often; after that others wait until the lease lapses. */
+const RELEASE_ATTEMPTS = 3;
+
 type Phase = 'joining' | 'held' | 'released';
 
 /**
@@ -73,10 +76,12 @@
     timer = clock.after(delayMs, step);
   }
 
+  /** Calls that took long are followed sooner, so that one lost answer costs no lease. */
   function step(): void {
+    const startedAt = clock.now();
     writing = advance();
     void writing.then(() => {
-      schedule(terms.renewEveryMs);
+      schedule(Math.max(0, startedAt + terms.renewEveryMs - clock.now()));
     });
   }
 
@@ -167,7 +172,7 @@
     const row = read.value;
     const found = row === undefined ? undefined : parseNodeRow(row.value);
     if (row !== undefined && found !== undefined && isOwn(found, value)) {
-      if (found.counter === value.counter) return row.revision;
+      if (found.counter === value.counter && found.state === value.state) return row.revision;
       revision = row.revision;
       return undefined;
     }
@@ -176,7 +181,8 @@
   }
 
   function isOwn(found: NodeRow, value: NodeRow): boolean {
-    return found.state === 'held' && found.holder.leaseId === value.holder.leaseId;
+    const isKept = found.state === 'held' || found.state === value.state;
+    return isKept && found.holder.leaseId === value.holder.leaseId;
   }
 
   function lose(): void {
@@ -203,7 +209,11 @@
       phase = 'released';
       validUntil = 0;
       if (!wasHeld || former === undefined) return;
-      await write(revision, { holder: former, state: 'released', counter: counter + 1 });
+      for (let attempt = 0; attempt < RELEASE_ATTEMPTS; attempt++) {
+        counter += 1;
+        const written = await write(revision, { holder: former, state: 'released', counter });
+        if (written !== undefined) return;
+      }
     },
     isValid,
     validForMs: () => (isValid() ? validUntil - clock.now() : 0),
--- a/src/shards/ownership.ts
+++ b/src/shards/ownership.ts
@@ -129,7 +129,10 @@
     const own = parts.leaseHolder();
     if (former.holder.leaseId === own?.leaseId) return true;
     const nodeRow = await parts.readNodeRow(former.holder.node);
-    if (nodeRow === undefined) return false;
+    if (nodeRow === undefined) {
+      suspected.set(shard, former.holder.node);
+      return false;
+    }
     const isOver = nodeRow.state !== 'held' || nodeRow.holder.leaseId !== former.holder.leaseId;
     if (isOver) suspected.delete(shard);
     else suspected.set(shard, former.holder.node);
