--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -94,7 +94,12 @@
   const incarnation = createId();
   const metrics = createMetrics();
   const platform = environment.createPlatform(settings.platform, metrics);
-  const addresses: NodeAddresses = { ...settings.listen };
+  const { advertise } = settings;
+  const addresses: NodeAddresses = {
+    caller: advertise.caller ?? settings.listen.caller,
+    operator: advertise.operator ?? settings.listen.operator,
+    peer: advertise.peer ?? settings.listen.peer,
+  };
   const listeners: Listener[] = [];
   let shards: Shard[] = [];
   let leaving = false;
@@ -189,7 +194,7 @@
     incarnation,
     // The address that was really bound: that no other process can listen there is relied on.
     get peer() {
-      return addresses.peer;
+      return links.address();
     },
     createId,
     acquired: () => undefined,
@@ -533,8 +538,8 @@
     const caller = await environment.listen(callerFront, callerAddress, readTimeoutMs, node);
     const operator = await environment.listen(operatorFront, operatorAddress, readTimeoutMs, node);
     listeners.push(caller, operator);
-    addresses.caller = caller.address;
-    addresses.operator = operator.address;
+    addresses.caller = advertise.caller ?? caller.address;
+    addresses.operator = advertise.operator ?? operator.address;
   }
 
   async function waitForRequests(): Promise<void> {
@@ -551,7 +556,7 @@
   return {
     async start() {
       await links.listen();
-      addresses.peer = links.address();
+      addresses.peer = advertise.peer ?? links.address();
       await openFronts();
       lease.start();
       await membership.start();
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -31,6 +31,14 @@
     /** Other nodes. */
     peer: addressSchema,
   }),
+  /** Addresses that others are told, where they are not those listened on: translated by a network. */
+  advertise: z
+    .strictObject({
+      caller: addressSchema.optional(),
+      operator: addressSchema.optional(),
+      peer: addressSchema.optional(),
+    })
+    .prefault({}),
   /** Peer addresses of other nodes to begin with; others are learnt from the platform and them. */
   peers: z.array(addressSchema).default([]),
   platform: z.strictObject({
--- a/tools/common/cluster.ts
+++ b/tools/common/cluster.ts
@@ -27,8 +27,8 @@
 
 /** Keys of the tools' clusters; a real deployment makes its own and keeps them secret. */
 export const clusterEnvironment = {
-  REEDTALLY_PEER_KEY: 'tools-peer-key',
-  REEDTALLY_OPERATOR_TOKEN: 'tools-operator-token',
+  REEDTALLY_PEER_KEY: 'key-of-peers-for-tools-only',
+  REEDTALLY_OPERATOR_TOKEN: 'token-of-operators-for-tools',
 };
 
 /** A running cluster. */
