--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -112,6 +112,10 @@
   deadlineInMs: z.number(),
   promptTokens: z.number().int().nonnegative(),
   expectedOutputTokens: z.number().int().nonnegative(),
+  /** Most output tokens that may still come. */
+  maxOutputTokens: z.number().int().nonnegative().optional(),
+  /** Longest time between two tokens, in milliseconds. */
+  betweenTokensMs: z.number().positive().optional(),
   /** Hashes of ever longer prefixes of the prompt, the shortest first. */
   prefixes: z.array(z.string()),
   model: z.string().optional(),
@@ -135,6 +139,8 @@
   waitedMs: z.number(),
   /** Where the prompt is to be read first, when it is not on `server`. */
   prefill: z.object({ server: z.string(), address: z.string() }).optional(),
+  /** The priority for the engine; lower is sooner. */
+  enginePriority: z.number().int().optional(),
 });
 
 /** Leave to run one request on one backend server. */
@@ -180,6 +186,20 @@
 /** A router's word that a permit is no longer in use. */
 export type PermitRelease = z.infer<typeof permitReleaseSchema>;
 
+export const permitProgressSchema = z.object({
+  kind: z.literal('permit.progress'),
+  shard: z.string(),
+  permitId: z.string(),
+  server: z.string(),
+  /** Time from the call to the first token, in milliseconds. */
+  firstTokenMs: z.number().nonnegative(),
+  /** The part of it until the prompt had been read elsewhere, where it was. */
+  prefillMs: z.number().nonnegative().optional(),
+});
+
+/** A router's word that the first token came. */
+export type PermitProgress = z.infer<typeof permitProgressSchema>;
+
 /** Takes back a wish that is still waiting; a permit already granted is released instead. */
 export const permitCancelSchema = z.object({
   kind: z.literal('permit.cancel'),
@@ -203,6 +223,7 @@
       class: z.string(),
       promptTokens: z.number().int(),
       expectedOutputTokens: z.number().int(),
+      weight: z.number().positive().optional(),
     }),
   ),
 });
@@ -270,6 +291,7 @@
   heartbeatSchema,
   newsSchema,
   permitReleaseSchema,
+  permitProgressSchema,
   permitCancelSchema,
   permitAdoptSchema,
   changesPushSchema,
--- a/src/node/held-shards.ts
+++ b/src/node/held-shards.ts
@@ -6,7 +6,7 @@
 import type { ShardSummary } from '../links/index.js';
 import type { Metrics } from '../metrics/index.js';
 import type { ShardOrders } from '../orders/index.js';
-import { AffinityChoice, createShardHolder, type ShardHolder } from '../permits/index.js';
+import { createShardHolder, type ShardHolder } from '../permits/index.js';
 import type { Vm } from '../platform/index.js';
 import type { Backends } from '../router/index.js';
 import {
@@ -17,6 +17,7 @@
   type ServerWatchOwner,
   type Shard,
 } from '../shards/index.js';
+import type { Decisions } from '../settings/index.js';
 import { wait, type Clock } from '../task/index.js';
 import type { OrdersFactory } from './orders.js';
 
@@ -32,6 +33,7 @@
   backends: Backends;
   replica: Pick<ConfigurationReplica, 'current'>;
   maxQueue: number;
+  decisions: Decisions;
   createId: () => string;
   isLeaseValid: () => boolean;
   createOrders: OrdersFactory;
@@ -82,7 +84,7 @@
       kind,
       clock: parts.clock,
       metrics: parts.metrics,
-      choice: new AffinityChoice(),
+      decisions: parts.decisions,
       maxQueue: parts.maxQueue,
       createId: parts.createId,
       isLeaseValid: parts.isLeaseValid,
@@ -191,6 +193,9 @@
     load(server, report) {
       holder.learnLoad(server, report);
     },
+    cacheEvents(server, events) {
+      holder.learnCacheEvents(server, events);
+    },
     silent(server) {
       holder.learnSilence(server);
     },
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -19,7 +19,7 @@
 import { createMetrics } from '../metrics/index.js';
 import { createOperatorFront, type NodeStatus } from '../operator/index.js';
 import { createFormers } from '../orders/index.js';
-import type { ShardHolder } from '../permits/index.js';
+import { createOutputEstimate, type ShardHolder } from '../permits/index.js';
 import type { Vm } from '../platform/index.js';
 import {
   createBackends,
@@ -29,7 +29,6 @@
   createFates,
   createHolderPlacement,
   createLoadBoard,
-  createOutputEstimate,
   createPlacesInUse,
   createRetryBudget,
   createServiceCallRunner,
@@ -253,6 +252,7 @@
     backends,
     replica,
     maxQueue: settings.requests.maxQueue,
+    decisions: settings.decisions,
     createId,
     isLeaseValid: () => lease.isValid(),
     createOrders: createOrdersFactory({
@@ -450,6 +450,9 @@
       .with({ kind: 'permit.release' }, (release) => {
         held.find(release.shard)?.release(release);
       })
+      .with({ kind: 'permit.progress' }, (progress) => {
+        held.find(progress.shard)?.progress(progress);
+      })
       .with({ kind: 'permit.cancel' }, ({ shard, requestId, attempt }) => {
         held.find(shard)?.cancel(peer, requestId, attempt);
       })
--- a/src/permits/choice.ts
+++ b/src/permits/choice.ts
@@ -1,48 +1,127 @@
 /**
- * Which server a request gets, once it is its turn. A pure decision over the tallies.
+ * Which server a request gets, once it is its turn. A pure decision over the tallies and the
+ * learned rates: the server where the request, and what it slows down, takes the least time. Where
+ * engines have roles, the prompt may be read on one engine and the answer generated on another.
  */
 import type { PermitQuery } from '../links/index.js';
-import { freeSlots, type Server } from './server.js';
-
-/** Chooses among servers that have room. */
-export interface ServerChoice {
-  choose(query: PermitQuery, candidates: readonly Server[]): Server | undefined;
-}
-
-/** Tokens in one block of the prefix hashes. */
-const BLOCK_TOKENS = 64;
-/** Prompt tokens that one more running request is worth in the comparison of two servers. */
-const TOKENS_PER_RUNNING = 96;
-
-/** Prefers the server that has most of the prompt cached, weighed against how busy it is. */
-export class AffinityChoice implements ServerChoice {
-  choose(query: PermitQuery, candidates: readonly Server[]): Server | undefined {
-    let best: Server | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
-    for (const server of candidates) {
-      const cost = this.#cost(query, server);
-      if (cost >= bestCost) continue;
-      best = server;
-      bestCost = cost;
-    }
-    return best;
+import type { LineFit } from './line-fit.js';
+import { hasRoom, type RoomTerms } from './room.js';
+import { tokensAhead, tokensUncached, type Guest, type Server } from './server.js';
+
+/** Says how much of a prompt a server still has to read. */
+export interface CacheView {
+  tokensToRead(server: Server, query: PermitQuery): number;
+}
+
+/** Counts the part of the prompt that a server has cached as read. */
+export class IndexedCache implements CacheView {
+  tokensToRead(server: Server, query: PermitQuery): number {
+    return tokensUncached(server, query);
+  }
+}
+
+/** Takes no cache into account: the whole prompt counts on every server. */
+export class NoCache implements CacheView {
+  tokensToRead(_server: Server, query: PermitQuery): number {
+    return query.promptTokens;
   }
+}
+
+/** Where a request goes. */
+export interface Chosen {
+  server: Server;
+  /** The server that reads the prompt, when it is another. */
+  prefill: Server | undefined;
+}
+
+/** What a choice is made from. */
+export interface ChoiceInput {
+  guest: Guest;
+  /** Servers that can serve the request, with room or without. */
+  candidates: readonly Server[];
+  cache: CacheView;
+  /** Whether prompts may be read on one engine and answers generated on another. */
+  handover: boolean;
+  /** Time that a handover takes, in milliseconds, over the tokens handed over. */
+  handoverMs: LineFit;
+  now: number;
+  terms: RoomTerms;
+}
+
+interface Offer extends Chosen {
+  costMs: number;
+}
 
-  /** Prompt tokens still to be read here, with the server's load in the same unit. */
-  #cost(query: PermitQuery, server: Server): number {
-    const cached = server.prefixes.countCached(query.prefixes) * BLOCK_TOKENS;
-    const toRead = Math.max(0, query.promptTokens - cached);
-    return toRead + server.permits.size * TOKENS_PER_RUNNING;
+/**
+ * Chooses among the servers with room.
+ *
+ * @param input the request, the servers and what is known of them
+ */
+export function chooseServer(input: ChoiceInput): Chosen | undefined {
+  const direct = findDirect(input);
+  const split = input.handover ? findSplit(input) : undefined;
+  if (direct === undefined) return split;
+  return split !== undefined && split.costMs < direct.costMs ? split : direct;
+}
+
+function findDirect(input: ChoiceInput): Offer | undefined {
+  let best: Offer | undefined;
+  for (const server of listWithRoom(input)) {
+    if (server.role !== 'mixed') continue;
+    const costMs = (readMs(server, input) + writeMs(server, input)) * doubtOf(server);
+    if (best === undefined || costMs < best.costMs) best = { server, prefill: undefined, costMs };
   }
+  return best;
 }
 
-/** Prefers the server with most free places and looks at nothing else. */
-export class LeastPermitsChoice implements ServerChoice {
-  choose(_query: PermitQuery, candidates: readonly Server[]): Server | undefined {
-    let best: Server | undefined;
-    for (const server of candidates) {
-      if (best === undefined || freeSlots(server) > freeSlots(best)) best = server;
+/** The best engine to read on and the best one to generate on, when one of them has a role. */
+function findSplit(input: ChoiceInput): Offer | undefined {
+  const { guest, handoverMs, now } = input;
+  let reader: Server | undefined;
+  let writer: Server | undefined;
+  let leastReadMs = Number.POSITIVE_INFINITY;
+  let leastWriteMs = Number.POSITIVE_INFINITY;
+  for (const server of listWithRoom(input)) {
+    const read = readMs(server, input) * doubtOf(server);
+    const write = writeMs(server, input) * doubtOf(server);
+    if (server.role === 'prefill' && read < leastReadMs) {
+      reader = server;
+      leastReadMs = read;
     }
-    return best;
+    if (server.role !== 'prefill' && write < leastWriteMs) {
+      writer = server;
+      leastWriteMs = write;
+    }
+  }
+  if (reader === undefined || writer === undefined) return undefined;
+  const handedMs = handoverMs.valueAt(guest.query.promptTokens, now);
+  return { server: writer, prefill: reader, costMs: leastReadMs + handedMs + leastWriteMs };
+}
+
+function listWithRoom({ candidates, guest, now, terms }: ChoiceInput): Server[] {
+  const withRoom: Server[] = [];
+  for (const server of candidates) {
+    if (hasRoom(server, guest, now, terms)) withRoom.push(server);
   }
+  return withRoom;
+}
+
+function readMs(server: Server, { guest, cache, now }: ChoiceInput): number {
+  const toRead = cache.tokensToRead(server, guest.query);
+  return server.rates.firstTokenMs(tokensAhead(server, guest.isLong) + toRead, now);
+}
+
+/** Time of the answer's tokens, with what they add to every other answer on the server. */
+function writeMs(server: Server, { guest, now }: ChoiceInput): number {
+  const { rates, permits, slots } = server;
+  const batch = permits.size;
+  const alongsideMs = rates.stepMs(batch + 1, now);
+  const slowdownMs = (alongsideMs - rates.stepMs(batch, now)) * batch;
+  // Idle workers of a plain service are told apart by their load alone.
+  const loadMs = (rates.callMs(now) * batch) / Math.max(1, slots);
+  return guest.query.expectedOutputTokens * (alongsideMs + slowdownMs) + loadMs;
+}
+
+function doubtOf(server: Server): number {
+  return 1 + server.health.doubt();
 }
--- /dev/null
+++ b/src/permits/feedback.ts
@@ -0,0 +1,134 @@
+/**
+ * What the holder learns when a first token came and when a permit ended: the server's rates, its
+ * health, and how much of a prompt its cache really held.
+ */
+import type { PermitProgress, PermitRelease } from '../links/index.js';
+import { PREFIX_BLOCK_TOKENS } from '../platform/index.js';
+import type { LineFit } from './line-fit.js';
+import type { Verdict } from './server-health.js';
+import type { GrantedPermit, Server } from './server.js';
+
+/** A first token is slow when it took this many times as long as expected, and longer than `SLOW_MS`. */
+const SLOW_FACTOR = 4;
+const SLOW_MS = 1_000;
+
+/**
+ * Takes in that a permit's first token came.
+ *
+ * @param server the server that read the prompt
+ * @param permit the permit
+ * @param firstTokenMs time from the call to the first token
+ * @param now the time on the holder's clock
+ */
+export function learnFirstToken(
+  server: Server,
+  permit: GrantedPermit,
+  firstTokenMs: number,
+  now: number,
+): void {
+  const { reading } = permit;
+  if (reading === undefined) return;
+  server.rates.observeFirstToken(reading.tokensAhead, firstTokenMs, now);
+  if (!reading.isOverdue && isSlow(firstTokenMs, reading.expectedMs))
+    server.health.note('bad', now);
+  permit.reading = undefined;
+  server.readers.delete(permit.permitId);
+}
+
+/**
+ * Counts permits whose first token should have come long ago against their server, once each.
+ *
+ * @param server the server to look at
+ * @param now the time on the holder's clock
+ */
+export function learnOverdue(server: Server, now: number): void {
+  for (const { reading, grantedAt } of server.readers.values()) {
+    if (reading === undefined || reading.isOverdue) continue;
+    if (!isSlow(now - grantedAt, reading.expectedMs)) continue;
+    reading.isOverdue = true;
+    server.health.note('bad', now);
+  }
+}
+
+/**
+ * Takes in how long a handover took beyond the reading of the prompt.
+ *
+ * @param handoverMs the line to teach
+ * @param permit the permit
+ * @param progress the router's word on its first token
+ * @param now the time on the holder's clock
+ */
+export function learnHandover(
+  handoverMs: LineFit,
+  permit: GrantedPermit,
+  progress: PermitProgress,
+  now: number,
+): void {
+  if (progress.prefillMs === undefined) return;
+  const ms = progress.firstTokenMs - progress.prefillMs;
+  handoverMs.observe({ x: permit.promptTokens, y: ms }, now);
+}
+
+/**
+ * Takes in the end of a permit that was counted until now.
+ *
+ * @param server its server
+ * @param permit the permit
+ * @param release the router's word on its end
+ * @param now the time on the holder's clock
+ */
+export function learnRelease(
+  server: Server,
+  permit: GrantedPermit,
+  release: PermitRelease,
+  now: number,
+): void {
+  const { firstTokenMs } = release;
+  if (firstTokenMs !== undefined) learnFirstToken(server, permit, firstTokenMs, now);
+  const verdict = resolveVerdict(release.result);
+  if (verdict !== undefined) server.health.note(verdict, now);
+  if (release.result !== 'answered') return;
+  if (server.vm.kind === 'plain-service') {
+    server.rates.observeCall(release.totalMs, now);
+    return;
+  }
+  learnStep(server, permit, release, now);
+  if (permit.prefillServer === undefined) learnCache(server, permit, release);
+}
+
+/**
+ * Tokens of work that a permit really was.
+ *
+ * @param release the router's word on its end
+ */
+export function resolveServedTokens(release: PermitRelease): number {
+  if (release.result === 'refused') return 0;
+  return release.promptTokens - release.cachedTokens + release.outputTokens;
+}
+
+function learnStep(
+  server: Server,
+  permit: GrantedPermit,
+  release: PermitRelease,
+  now: number,
+): void {
+  if (release.firstTokenMs === undefined || release.outputTokens < 2) return;
+  const ms = (release.totalMs - release.firstTokenMs) / (release.outputTokens - 1);
+  const batch = (permit.batch + server.permits.size + 1) / 2;
+  server.rates.observeStep(batch, ms, now);
+}
+
+function learnCache(server: Server, permit: GrantedPermit, release: PermitRelease): void {
+  const expected = Math.floor(permit.expectedCachedTokens / PREFIX_BLOCK_TOKENS);
+  const found = Math.floor(release.cachedTokens / PREFIX_BLOCK_TOKENS);
+  server.prefixes.correct(expected, found);
+}
+
+function resolveVerdict(result: PermitRelease['result']): Verdict | undefined {
+  if (result === 'cancelled') return undefined;
+  return result === 'answered' ? 'good' : 'bad';
+}
+
+function isSlow(ms: number, expectedMs: number): boolean {
+  return ms > Math.max(SLOW_MS, expectedMs * SLOW_FACTOR);
+}
--- a/src/permits/index.ts
+++ b/src/permits/index.ts
@@ -1,6 +1,17 @@
 /** Permits: the exact tally of each shard's servers and the queue before them. */
+export * from './admission.js';
+export * from './capacity.js';
 export * from './choice.js';
+export * from './eligibility.js';
+export * from './engine-priority.js';
+export * from './fair-share.js';
+export * from './line-fit.js';
+export * from './output-estimate.js';
 export * from './prefix-index.js';
 export * from './queue.js';
+export * from './room.js';
+export * from './server-health.js';
+export * from './server-rates.js';
 export * from './server.js';
 export * from './shard-holder.js';
+export * from './team-queue.js';
--- a/src/permits/server.ts
+++ b/src/permits/server.ts
@@ -2,8 +2,31 @@
  * The exact tally of one backend server: the permits out, the tokens they may occupy, and what is
  * known of the server itself. Only the shard's holder has one.
  */
-import type { EngineState, Role, ServiceState, Vm } from '../platform/index.js';
+import type { PermitQuery } from '../links/index.js';
+import {
+  PREFIX_BLOCK_TOKENS,
+  type EngineState,
+  type Role,
+  type ServiceState,
+  type Vm,
+} from '../platform/index.js';
 import { createPrefixIndex, type PrefixIndex } from './prefix-index.js';
+import { createServerHealth, type ServerHealth } from './server-health.js';
+import { createServerRates, type ServerRates } from './server-rates.js';
+
+/** A permit's way to its first token. */
+export interface Reading {
+  /** Prompt tokens that were not expected in the cache. */
+  tokens: number;
+  /** Prompt tokens to be read on the server until this one's first token. */
+  tokensAhead: number;
+  /** How long the first token was expected to take, in milliseconds. */
+  expectedMs: number;
+  /** When the first token is late, on the holder's clock. */
+  firstTokenBy: number;
+  /** Whether it was counted against the server as slow. */
+  isOverdue: boolean;
+}
 
 /** A permit as the holder remembers it. */
 export interface GrantedPermit {
@@ -14,10 +37,28 @@
   server: string;
   team: string;
   class: string;
+  /** The team's weight, where it is known. */
+  weight: number;
   promptTokens: number;
   outputTokens: number;
+  /** Whether its prompt counted as long. */
+  isLong: boolean;
+  /** Longest time between two tokens, in milliseconds. */
+  betweenTokensMs: number;
+  /** Tokens charged to the team when it was granted. */
+  charged: number;
+  /** Prompt tokens that were expected in the cache. */
+  expectedCachedTokens: number;
+  /** Whether the answer's length is that of a whole answer. */
+  isFirstAttempt: boolean;
+  /** Requests on the server when it was granted, itself included. */
+  batch: number;
+  /** The server that reads its prompt, when it is another. */
+  prefillServer: string | undefined;
   /** When it was granted or adopted, on the holder's clock. */
   grantedAt: number;
+  /** Absent once the first token came, and for a permit granted by an earlier holder. */
+  reading: Reading | undefined;
 }
 
 /** What is known of a server and what was granted on it. */
@@ -48,7 +89,11 @@
   permits: Map<string, GrantedPermit>;
   /** Tokens that the permits out may come to occupy. */
   reservedTokens: number;
+  /** The permits whose first token has not come, by id. */
+  readers: Map<string, GrantedPermit>;
   prefixes: PrefixIndex;
+  rates: ServerRates;
+  health: ServerHealth;
 }
 
 /** Assumed until the server was first asked. */
@@ -78,7 +123,10 @@
     reportedAt: 0,
     permits: new Map(),
     reservedTokens: 0,
+    readers: new Map(),
     prefixes: createPrefixIndex(),
+    rates: createServerRates(),
+    health: createServerHealth(),
   };
 }
 
@@ -89,9 +137,13 @@
  * @param state the engine's own word
  */
 export function learnEngine(server: Server, state: EngineState): void {
-  if (server.incarnation !== state.incarnation) server.prefixes.clear();
+  if (server.incarnation !== state.incarnation) {
+    server.prefixes.clear();
+    server.health.restart();
+  }
   server.incarnation = state.incarnation;
   server.silences = 0;
+  server.rates.setNominal(state);
   server.slots = state.maxBatch;
   server.kvTokens = state.kvTokensTotal;
   server.prefillTokensPerSecond = state.prefillTokensPerSecond;
@@ -110,6 +162,7 @@
  * @param state the worker's own word
  */
 export function learnService(server: Server, state: ServiceState): void {
+  if (server.incarnation !== state.incarnation) server.health.restart();
   server.incarnation = state.incarnation;
   server.silences = 0;
   server.slots = state.maxConcurrency;
@@ -125,6 +178,7 @@
 export function addPermit(server: Server, permit: GrantedPermit): void {
   if (server.permits.has(permit.permitId)) return;
   server.permits.set(permit.permitId, permit);
+  if (permit.reading !== undefined) server.readers.set(permit.permitId, permit);
   server.reservedTokens += permit.promptTokens + permit.outputTokens;
 }
 
@@ -138,6 +192,7 @@
   const permit = server.permits.get(permitId);
   if (permit === undefined) return undefined;
   server.permits.delete(permitId);
+  server.readers.delete(permitId);
   server.reservedTokens -= permit.promptTokens + permit.outputTokens;
   return permit;
 }
@@ -150,3 +205,51 @@
 export function freeSlots(server: Server): number {
   return server.slots - server.permits.size;
 }
+
+/** A request that looks for a place. */
+export interface Guest {
+  query: PermitQuery;
+  /** Whether its prompt counts as long. */
+  isLong: boolean;
+}
+
+/**
+ * Prompt tokens on the server that are read before those of a new request. Engines honour
+ * priorities and short prompts are given the better one, so long prompts do not count for a short
+ * one.
+ *
+ * @param server the tally to read
+ * @param isLong whether the new request's prompt counts as long
+ */
+export function tokensAhead(server: Server, isLong: boolean): number {
+  let tokens = 0;
+  for (const reader of server.readers.values()) {
+    if (reader.isLong && !isLong) continue;
+    tokens += reader.reading?.tokens ?? 0;
+  }
+  return tokens;
+}
+
+/**
+ * Requests with long prompts on the server.
+ *
+ * @param server the tally to read
+ */
+export function countLong(server: Server): number {
+  let count = 0;
+  for (const { isLong } of server.permits.values()) {
+    if (isLong) count += 1;
+  }
+  return count;
+}
+
+/**
+ * Prompt tokens of a request that the server would have to read.
+ *
+ * @param server the tally to read
+ * @param query the request
+ */
+export function tokensUncached(server: Server, query: PermitQuery): number {
+  const cached = server.prefixes.countCached(query.prefixes) * PREFIX_BLOCK_TOKENS;
+  return Math.max(0, query.promptTokens - cached);
+}
--- a/src/permits/shard-holder.ts
+++ b/src/permits/shard-holder.ts
@@ -1,20 +1,39 @@
 /**
  * The task that grants permits for the servers of one shard. It alone places requests there, so its
  * tally is exact; a router that was granted a permit speaks to the server itself.
+ *
+ * How old what it goes by may be:
+ * - permits out: exact, but for messages under way; a lost one is mended by the next adoption
+ *   (a second), after a grace of two;
+ * - a server's state: half a second; a server that missed two answers gets nothing;
+ * - load reports: used for nothing but the count of requests that are still there before an order;
+ * - learned rates: halve every ten seconds without work, towards the engine's own word;
+ * - cached prefixes: those granted here, less what late events take away; a gap in the events is
+ *   made good by what answers say of cached tokens.
  */
-import { createRefusal, type FailureCode, type Step } from '../errors/index.js';
 import type {
   PermitAdoption,
   PermitAnswer,
+  PermitProgress,
   PermitQuery,
   PermitRelease,
   ShardSummary,
 } from '../links/index.js';
 import type { Metrics } from '../metrics/index.js';
-import type { EngineState, LoadReport, ServiceState, Vm } from '../platform/index.js';
+import type { CacheEvent, EngineState, LoadReport, ServiceState, Vm } from '../platform/index.js';
+import type { Decisions } from '../settings/index.js';
 import type { Clock, Timer } from '../task/index.js';
-import type { ServerChoice } from './choice.js';
-import { createFairQueue, type Waiting } from './queue.js';
+import type { Forecast } from './admission.js';
+import type { Chosen } from './choice.js';
+import { isUsable, type Membership } from './eligibility.js';
+import { createFairShare, FAIR_BAND_TOKENS } from './fair-share.js';
+import { learnFirstToken, learnHandover, learnOverdue, learnRelease } from './feedback.js';
+import { resolveServedTokens } from './feedback.js';
+import { createAdopted, createGrant, resolvePermitId, resolvePrefillId } from './granting.js';
+import { createLineFit } from './line-fit.js';
+import { createOutputEstimate } from './output-estimate.js';
+import { createFairQueue, type Lane, type Waiting } from './queue.js';
+import { createPermitRefusal, type RefusalReason } from './refusals.js';
 import {
   addPermit,
   createServer,
@@ -23,32 +42,38 @@
   learnService,
   removePermit,
   type GrantedPermit,
+  type Guest,
   type Server,
 } from './server.js';
+import { createShardDecisions, findLeastUrgent, resolveLastFirst } from './shard-decisions.js';
+import { createWaitRecord } from './wait-record.js';
 
-const EXPIRE_EVERY_MS = 50;
-/** A server that did not answer so often in a row gets no new work until it does. */
-const MAX_SILENCES = 2;
-const MS_PER_SECOND = 1_000;
+const TICK_EVERY_MS = 50;
+const RETRY_AFTER_MS = 1_000;
+const LEAST_RETRY_AFTER_MS = 100;
+const MOST_RETRY_AFTER_MS = 30_000;
+/** A permit younger than this may still be on its way to its router. */
+const ADOPTION_GRACE_MS = 2_000;
+/** Handover times assumed until one was seen, in milliseconds over tokens. */
+const HANDOVER_ANCHORS = [
+  { x: 0, y: 5 },
+  { x: 4_096, y: 25 },
+];
 
 /** What a shard holder needs. */
-export interface ShardHolderParts {
+export interface ShardHolderParts extends Membership {
   shard: string;
   node: string;
   fence: number;
   kind: 'model-engine' | 'plain-service';
   clock: Clock;
   metrics: Metrics;
-  choice: ServerChoice;
+  decisions: Decisions;
   /** Most requests that may wait. */
   maxQueue: number;
   createId(): string;
   /** Whether this node's lease is valid; requests that may not be repeated need it. */
   isLeaseValid(): boolean;
-  /** Whether a server belongs to a group, by the configuration in force. */
-  isMember(group: string, vm: Vm): boolean;
-  /** Whether operators or the platform's list took a server out of use. */
-  isWithdrawn(vm: Vm): boolean;
 }
 
 /** How much still runs on a server. */
@@ -62,6 +87,7 @@
 /** The holder of one shard. */
 export interface ShardHolder {
   ask(node: string, query: PermitQuery): Promise<PermitAnswer>;
+  progress(progress: PermitProgress): void;
   release(release: PermitRelease): void;
   cancel(node: string, requestId: string, attempt: number): void;
   adopt(adoption: PermitAdoption): void;
@@ -71,6 +97,7 @@
   learnEngine(state: EngineState): void;
   learnService(state: ServiceState): void;
   learnLoad(server: string, report: LoadReport): void;
+  learnCacheEvents(server: string, events: readonly CacheEvent[]): void;
   /** A server did not answer. */
   learnSilence(server: string): void;
   /** Keeps a server free of new work, for an order. */
@@ -88,199 +115,220 @@
  * @param parts the shard's identity and what the decisions depend on
  */
 export function createShardHolder(parts: ShardHolderParts): ShardHolder {
-  const { shard, node, fence, clock, metrics } = parts;
+  const { shard, node, fence, clock, metrics, decisions: switches } = parts;
   const servers = new Map<string, Server>();
-  const queue = createFairQueue();
+  const share = createFairShare();
+  const queue = createFairQueue({ share, isFair: switches.fairness });
+  const waits = createWaitRecord();
+  const lengths = createOutputEstimate();
+  const handoverMs = createLineFit(HANDOVER_ANCHORS);
+  const decisions = createShardDecisions({
+    decisions: switches,
+    membership: parts,
+    servers,
+    queue,
+    share,
+    waits,
+    handoverMs,
+  });
   let sequence = 0;
   let stopped = false;
-  let expiry: Timer | undefined;
+  let tick: Timer | undefined;
+  let usable = 0;
 
-  function refuse(
-    code: FailureCode,
-    step: Step,
-    message: string,
-    retryAfterMs?: number,
-  ): PermitAnswer {
-    const detail = { code, message, step, peer: node };
-    const failure = createRefusal(
-      retryAfterMs === undefined ? detail : { ...detail, retryAfterMs },
-    );
-    return { kind: 'permit.refused', failure };
-  }
-
-  function isUsable(server: Server): boolean {
-    if (server.incarnation === '' || server.silences >= MAX_SILENCES) return false;
-    if (server.busy || server.leaving || server.heldForOrder) return false;
-    return !parts.isWithdrawn(server.vm);
+  function ask(asker: string, query: PermitQuery): Promise<PermitAnswer> {
+    if (stopped) return Promise.resolve(refuse('lost'));
+    if (!query.repeatable && !parts.isLeaseValid()) {
+      return Promise.resolve(refuse('no-claims', RETRY_AFTER_MS));
+    }
+    const wish = withLearnedLength(query);
+    const candidates = decisions.candidates(wish);
+    if (candidates.length === 0) return Promise.resolve(refuse('no-server', RETRY_AFTER_MS));
+    const now = clock.now();
+    const guest = { query: wish, isLong: decisions.isLong(wish, candidates, now) };
+    const forecast = decisions.forecast(guest, candidates, now);
+    const refusal = refuseLate(guest, forecast) ?? refuseFull(wish.team);
+    if (refusal !== undefined) return Promise.resolve(refusal);
+    return new Promise((resolve) => {
+      queue.add(createWaiting(asker, guest, forecast, now, resolve));
+      dispatch();
+    });
   }
 
-  function canServe(server: Server, query: PermitQuery): boolean {
-    if (!isUsable(server) || query.avoid.includes(server.vm.id)) return false;
-    if (!parts.isMember(query.group, server.vm)) return false;
-    if (parts.kind === 'plain-service') return true;
-    if (query.model !== undefined && !server.models.has(query.model)) return false;
-    if (query.adapter !== undefined && !server.adapters.has(query.adapter)) return false;
-    return server.role === 'mixed';
+  function withLearnedLength(query: PermitQuery): PermitQuery {
+    if (parts.kind === 'plain-service' || query.attempt > 1) return query;
+    const expected = lengths.expect(query, query.expectedOutputTokens);
+    const most = query.maxOutputTokens ?? expected;
+    return { ...query, expectedOutputTokens: Math.max(1, Math.min(expected, most)) };
   }
 
-  function hasRoom(server: Server, query: PermitQuery): boolean {
-    if (freeSlots(server) <= 0) return false;
-    const tokens = query.promptTokens + query.expectedOutputTokens;
-    // A request larger than the whole cache still runs when it is alone.
-    return server.permits.size === 0 || server.reservedTokens + tokens <= server.kvTokens;
+  function createWaiting(
+    asker: string,
+    guest: Guest,
+    forecast: Forecast,
+    now: number,
+    answer: (answer: PermitAnswer) => void,
+  ): Waiting {
+    const { query, isLong } = guest;
+    const firstTokenBy = now + query.firstTokenInMs;
+    const readMs = switches.admission ? forecast.readMs : 0;
+    return {
+      query,
+      node: asker,
+      since: now,
+      firstTokenBy,
+      startBy: Math.max(now, firstTokenBy - readMs),
+      isLong,
+      expectedWaitMs: forecast.waitMs,
+      answer,
+    };
   }
 
-  function findCandidates(query: PermitQuery): Server[] {
-    const candidates: Server[] = [];
-    for (const server of servers.values()) {
-      if (canServe(server, query)) candidates.push(server);
-    }
-    return candidates;
+  function refuse(reason: RefusalReason, retryAfterMs?: number): PermitAnswer {
+    if (retryAfterMs === undefined) return createPermitRefusal(node, reason);
+    const bounded = Math.max(LEAST_RETRY_AFTER_MS, Math.min(MOST_RETRY_AFTER_MS, retryAfterMs));
+    return createPermitRefusal(node, reason, bounded);
   }
 
-  function ask(asker: string, query: PermitQuery): Promise<PermitAnswer> {
-    const refusal = refuseAtOnce(query);
-    if (refusal !== undefined) return Promise.resolve(refusal);
-    return new Promise((resolve) => {
-      const now = clock.now();
-      queue.add({
-        query,
-        node: asker,
-        since: now,
-        firstTokenBy: now + query.firstTokenInMs,
-        answer: resolve,
-      });
-      dispatch();
-    });
+  function refuseLate({ query }: Guest, forecast: Forecast): PermitAnswer | undefined {
+    if (!switches.admission) return undefined;
+    const lateMs = resolveLateMs(query, forecast);
+    if (lateMs <= 0) return undefined;
+    if (lateMs > forecast.waitMs) return refuse('never-in-time', RETRY_AFTER_MS);
+    return refuse('too-late', lateMs);
   }
 
-  function refuseAtOnce(query: PermitQuery): PermitAnswer | undefined {
-    if (stopped) return refuse('lease-lost', 'permit.ask', 'the shard is held elsewhere now');
-    if (!query.repeatable && !parts.isLeaseValid()) {
-      return refuse(
-        'claims-unavailable',
-        'permit.ask',
-        'the lease on the shard cannot be renewed; requests that may not be repeated wait',
-        MS_PER_SECOND,
-      );
-    }
-    const candidates = findCandidates(query);
-    if (candidates.length === 0) {
-      return refuse(
-        'no-backend-server',
-        'permit.ask',
-        'no backend server of the group can take the request now',
-        MS_PER_SECOND,
-      );
-    }
-    if (queue.size() >= parts.maxQueue) {
-      return refuse('queue-full', 'permit.ask', 'too many requests wait', MS_PER_SECOND);
-    }
-    const waitMs = estimateWaitMs(query, candidates);
-    if (waitMs <= query.firstTokenInMs) return undefined;
-    return refuse(
-      'cannot-be-on-time',
-      'permit.ask',
-      'the requests ahead take longer than this one may wait',
-      waitMs - query.firstTokenInMs,
-    );
+  /** A full queue makes room at the cost of the team that has most waiting for its weight. */
+  function refuseFull(team: string): PermitAnswer | undefined {
+    if (queue.size() < parts.maxQueue) return undefined;
+    const longest = decisions.longestQueue();
+    if (longest === undefined || longest.team === team) return refuse('queue-full', waits.turnMs());
+    const last = findLeastUrgent(longest);
+    if (last !== undefined) giveUp(last, 'queue-full', waits.turnMs());
+    return undefined;
   }
 
-  /** Work ahead of the request, spread over the slots that could take it. */
-  function estimateWaitMs(query: PermitQuery, candidates: readonly Server[]): number {
-    let slots = 0;
-    let free = 0;
-    for (const server of candidates) {
-      slots += server.slots;
-      free += freeSlots(server);
-    }
-    let aheadMs = 0;
-    let ahead = 0;
-    for (const waiting of queue.ordered()) {
-      if (waiting.query.priority > query.priority) break;
-      ahead += 1;
-      aheadMs += serviceMs(waiting.query, candidates[0]);
+  function giveUp(waiting: Waiting, reason: RefusalReason, retryAfterMs?: number): void {
+    if (!queue.remove(waiting)) return;
+    const waitedMs = clock.now() - waiting.since;
+    if (reason === 'not-in-time') {
+      waits.observeWait(waiting.isLong, waiting.expectedWaitMs, waitedMs);
     }
-    if (ahead < free) return 0;
-    return aheadMs / Math.max(1, slots);
-  }
-
-  function serviceMs(query: PermitQuery, server: Server | undefined): number {
-    if (server === undefined) return 0;
-    const readSeconds = query.promptTokens / server.prefillTokensPerSecond;
-    const writeSeconds = query.expectedOutputTokens / server.decodeTokensPerSecond;
-    return (readSeconds + writeSeconds) * MS_PER_SECOND;
+    waiting.answer(refuse(reason, retryAfterMs));
   }
 
+  /** Grants as long as the first in turn of any lane finds room. */
   function dispatch(): void {
     if (stopped) return;
-    for (const waiting of queue.ordered()) {
-      const withRoom: Server[] = [];
-      for (const server of findCandidates(waiting.query)) {
-        if (hasRoom(server, waiting.query)) withRoom.push(server);
-      }
-      const chosen = parts.choice.choose(waiting.query, withRoom);
-      if (chosen !== undefined) grant(waiting, chosen);
+    const blocked = new Set<Lane>();
+    for (;;) {
+      const head = queue.first(blocked);
+      if (head === undefined) break;
+      const { waiting, lane } = head;
+      const chosen = decisions.choose(waiting, clock.now());
+      if (chosen === undefined) blocked.add(lane);
+      else grant(waiting, chosen);
     }
     updateMetrics();
-    scheduleExpiry();
+    scheduleTick();
   }
 
-  function grant(waiting: Waiting, server: Server): void {
+  function grant(waiting: Waiting, chosen: Chosen): void {
     const { query } = waiting;
+    const { team, weight } = query;
     const now = clock.now();
-    const permitId = parts.createId();
+    const isBeyondShare = switches.fairness && share.lead(team) > FAIR_BAND_TOKENS;
+    const terms = { permitId: parts.createId(), shard, fence, now, isBeyondShare };
+    const { permit, granted, prefill } = createGrant(waiting, chosen, terms);
+    waits.observeWait(waiting.isLong, waiting.expectedWaitMs, permit.waitedMs);
+    queue.charge({ team, weight, tokens: granted.charged });
     queue.remove(waiting);
-    queue.charge(query.team, query.weight, query.promptTokens + query.expectedOutputTokens);
-    server.prefixes.add(query.prefixes);
-    addPermit(server, {
-      permitId,
-      requestId: query.requestId,
-      node: waiting.node,
-      server: server.vm.id,
-      team: query.team,
-      class: query.class,
-      promptTokens: query.promptTokens,
-      outputTokens: query.expectedOutputTokens,
-      grantedAt: now,
-    });
-    const permit = {
-      permitId,
-      shard,
-      fence,
-      server: server.vm.id,
-      address: server.vm.address,
-      waitedMs: now - waiting.since,
-    };
+    addPermit(chosen.server, granted);
+    const reader = chosen.prefill ?? chosen.server;
+    if (prefill !== undefined) addPermit(reader, prefill);
+    reader.prefixes.add(query.prefixes);
     waiting.answer({ kind: 'permit.granted', permit });
   }
 
-  function scheduleExpiry(): void {
-    if (expiry !== undefined || queue.size() === 0) return;
-    expiry = clock.after(EXPIRE_EVERY_MS, () => {
-      expiry = undefined;
-      expire();
-      scheduleExpiry();
+  function scheduleTick(): void {
+    if (tick !== undefined || stopped || !isActive()) return;
+    tick = clock.after(TICK_EVERY_MS, () => {
+      tick = undefined;
+      step();
     });
   }
 
-  /** Whoever can no longer be on time hears so at once. */
-  function expire(): void {
+  function isActive(): boolean {
+    if (queue.size() > 0) return true;
+    for (const { readers } of servers.values()) {
+      if (readers.size > 0) return true;
+    }
+    return false;
+  }
+
+  function step(): void {
     const now = clock.now();
-    for (const waiting of queue.ordered()) {
-      const isHopeless = findCandidates(waiting.query).length === 0;
-      if (now < waiting.firstTokenBy && !isHopeless) continue;
-      queue.remove(waiting);
-      waiting.answer(
-        refuse(
-          isHopeless ? 'no-backend-server' : 'cannot-be-on-time',
-          'permit.wait',
-          'no place became free in time',
-          MS_PER_SECOND,
-        ),
-      );
+    for (const server of servers.values()) learnOverdue(server, now);
+    giveUpOverdue(now);
+    giveUpHopeless();
+    const usableNow = countUsable();
+    if (usableNow < usable) giveUpLate(now);
+    usable = usableNow;
+    dispatch();
+  }
+
+  /** Whoever can no longer be on time hears so at once. */
+  function giveUpOverdue(now: number): void {
+    for (;;) {
+      const waiting = queue.overdue(now);
+      if (waiting === undefined) return;
+      giveUp(waiting, 'not-in-time', Math.max(RETRY_AFTER_MS, waiting.expectedWaitMs));
     }
-    updateMetrics();
+  }
+
+  function giveUpHopeless(): void {
+    for (const { teams } of [...queue.lanes()]) {
+      for (const team of [...teams.values()]) {
+        const first = team.heap.peek();
+        if (first === undefined || decisions.candidates(first.query).length > 0) break;
+        for (const waiting of [...team.heap.items()]) giveUp(waiting, 'no-server', RETRY_AFTER_MS);
+      }
+    }
+  }
+
+  function countUsable(): number {
+    let count = 0;
+    for (const server of servers.values()) {
+      if (isUsable(server, parts)) count += 1;
+    }
+    return count;
+  }
+
+  /** After servers were lost, the least urgent requests of each team give way until the rest fits. */
+  function giveUpLate(now: number): void {
+    if (!switches.admission) return;
+    for (const { teams } of [...queue.lanes()]) {
+      for (const team of [...teams.values()]) {
+        for (const waiting of resolveLastFirst(team)) {
+          const lateMs = resolveWaitingLateMs(waiting, now);
+          if (lateMs <= 0) break;
+          giveUp(waiting, 'too-late', lateMs);
+        }
+      }
+    }
+  }
+
+  function resolveWaitingLateMs(waiting: Waiting, now: number): number {
+    const candidates = decisions.candidates(waiting.query);
+    const passedMs = now - waiting.since;
+    const { firstTokenInMs, deadlineInMs } = waiting.query;
+    const query = {
+      ...waiting.query,
+      firstTokenInMs: firstTokenInMs - passedMs,
+      deadlineInMs: deadlineInMs - passedMs,
+    };
+    const guest = { query, isLong: waiting.isLong };
+    return resolveLateMs(query, decisions.forecast(guest, candidates, now));
   }
 
   function updateMetrics(): void {
@@ -293,45 +341,65 @@
     metrics.permitsWaiting.set({ shard }, queue.size());
   }
 
-  function giveBack(server: Server, permitId: string): GrantedPermit | undefined {
-    const permit = removePermit(server, permitId);
-    if (permit !== undefined) dispatch();
-    return permit;
+  function endPrefill(permit: GrantedPermit, prefillMs: number | undefined): void {
+    const reader = servers.get(permit.prefillServer ?? '');
+    const reading = reader?.permits.get(resolvePrefillId(permit.permitId));
+    if (reader === undefined || reading === undefined) return;
+    if (prefillMs !== undefined) learnFirstToken(reader, reading, prefillMs, clock.now());
+    removePermit(reader, reading.permitId);
+  }
+
+  /** Permits of a node that it no longer uses, granted long enough ago for it to have heard. */
+  function dropUnused(user: string, inUse: ReadonlySet<string>): void {
+    const heardBefore = clock.now() - ADOPTION_GRACE_MS;
+    for (const server of servers.values()) {
+      for (const permit of [...server.permits.values()]) {
+        if (permit.node !== user || inUse.has(resolvePermitId(permit.permitId))) continue;
+        if (permit.grantedAt <= heardBefore) removePermit(server, permit.permitId);
+      }
+    }
+    dispatch();
   }
 
   return {
     ask,
+    progress(progress) {
+      const server = servers.get(progress.server);
+      const permit = server?.permits.get(progress.permitId);
+      if (server === undefined || permit === undefined) return;
+      const now = clock.now();
+      learnFirstToken(server, permit, progress.firstTokenMs, now);
+      learnHandover(handoverMs, permit, progress, now);
+      endPrefill(permit, progress.prefillMs);
+      dispatch();
+    },
     release(release) {
       const server = servers.get(release.server);
-      if (server === undefined) return;
-      const permit = giveBack(server, release.permitId);
-      if (permit === undefined) return;
-      const actual = release.promptTokens - release.cachedTokens + release.outputTokens;
-      queue.charge(permit.team, 1, actual - permit.promptTokens - permit.outputTokens);
+      const permit = server?.permits.get(release.permitId);
+      if (server === undefined || permit === undefined) return;
+      const now = clock.now();
+      const { team, weight, charged } = permit;
+      learnRelease(server, permit, release, now);
+      if (release.result === 'answered' && permit.isFirstAttempt) {
+        lengths.observe(permit, release.outputTokens);
+      }
+      waits.observeEnd(now);
+      endPrefill(permit, undefined);
+      removePermit(server, permit.permitId);
+      queue.charge({ team, weight, tokens: resolveServedTokens(release) - charged });
+      dispatch();
     },
     cancel(asker, requestId, attempt) {
-      const waiting = queue.find(asker, requestId, attempt);
-      if (waiting === undefined) return;
-      queue.remove(waiting);
-      waiting.answer(refuse('cancelled', 'permit.wait', 'the request was withdrawn'));
+      const waiting = queue.find({ node: asker, requestId, attempt });
+      if (waiting !== undefined) giveUp(waiting, 'withdrawn');
     },
     adopt(adoption) {
       const inUse = new Set<string>();
-      for (const permit of adoption.permits) {
-        inUse.add(permit.permitId);
-        const server = servers.get(permit.server);
+      for (const adopted of adoption.permits) {
+        inUse.add(adopted.permitId);
+        const server = servers.get(adopted.server);
         if (server === undefined) continue;
-        addPermit(server, {
-          permitId: permit.permitId,
-          requestId: permit.requestId,
-          node: adoption.node,
-          server: permit.server,
-          team: permit.team,
-          class: permit.class,
-          promptTokens: permit.promptTokens,
-          outputTokens: permit.expectedOutputTokens,
-          grantedAt: clock.now(),
-        });
+        addPermit(server, createAdopted(adopted, adoption.node, server, clock.now()));
       }
       dropUnused(adoption.node, inUse);
     },
@@ -369,6 +437,14 @@
       server.reportedRunning = report.running + report.waiting;
       server.reportedAt = clock.now() - report.ageMs;
     },
+    learnCacheEvents(id, events) {
+      const server = servers.get(id);
+      if (server === undefined) return;
+      for (const { kind, prefixes } of events) {
+        if (kind === 'removed') server.prefixes.remove(prefixes);
+        if (kind === 'cleared') server.prefixes.clear();
+      }
+    },
     learnSilence(id) {
       const server = servers.get(id);
       if (server !== undefined) server.silences += 1;
@@ -392,33 +468,22 @@
     summary() {
       const summaries = [];
       for (const server of servers.values()) {
-        const free = isUsable(server) ? Math.max(0, freeSlots(server)) : 0;
+        const free = isUsable(server, parts) ? Math.max(0, freeSlots(server)) : 0;
         summaries.push({ id: server.vm.id, free, role: server.role });
       }
       return { shard, holder: node, fence, sequence, waiting: queue.size(), servers: summaries };
     },
     stop() {
       stopped = true;
-      expiry?.cancel();
-      for (const waiting of queue.ordered()) {
-        queue.remove(waiting);
-        waiting.answer(refuse('lease-lost', 'permit.wait', 'the shard is held elsewhere now'));
-      }
+      tick?.cancel();
+      for (const waiting of [...queue.waiting()]) giveUp(waiting, 'lost');
     },
   };
-
-  /** Permits of a node that it no longer uses, granted long enough ago for it to have heard. */
-  function dropUnused(user: string, inUse: ReadonlySet<string>): void {
-    const heardBefore = clock.now() - ADOPTION_GRACE_MS;
-    for (const server of servers.values()) {
-      for (const permit of [...server.permits.values()]) {
-        if (permit.node !== user || inUse.has(permit.permitId)) continue;
-        if (permit.grantedAt <= heardBefore) removePermit(server, permit.permitId);
-      }
-    }
-    dispatch();
-  }
 }
 
-/** A permit younger than this may still be on its way to its router. */
-const ADOPTION_GRACE_MS = 2_000;
+/** How much later than allowed a request would be, in milliseconds; not above 0 when it is not. */
+function resolveLateMs(query: PermitQuery, { waitMs, readMs, writeMs }: Forecast): number {
+  const firstTokenMs = waitMs + readMs;
+  const endMs = firstTokenMs + writeMs;
+  return Math.max(firstTokenMs - query.firstTokenInMs, endMs - query.deadlineInMs);
+}
--- a/src/router/completion.ts
+++ b/src/router/completion.ts
@@ -9,10 +9,12 @@
 import { createDoubt, createRefusal, type Failure } from '../errors/index.js';
 import type { Log } from '../events/index.js';
 import type { Metrics } from '../metrics/index.js';
-import type { EngineChunk, EngineRequest } from '../platform/index.js';
+import { resolveEnginePriority } from '../permits/engine-priority.js';
+import type { EngineChunk, EngineRequest, EngineStream } from '../platform/index.js';
 import type { Clock } from '../task/index.js';
 import type { Backends } from './backend.js';
-import type { OutputEstimate } from './output-estimate.js';
+import { handOver } from './handover.js';
+import type { OutputEstimate } from '../permits/output-estimate.js';
 import type { Place, PlaceEnd, Placement, PlaceWish } from './placement.js';
 import type { RetryBudget } from './retry-budget.js';
 
@@ -112,11 +114,11 @@
     if (placed.isErr()) return placed.error;
     const place = placed.value;
     const startedAt = clock.now();
-    const use = createUse();
+    const use = createUse(startedAt);
     try {
       return yield* stream(job, progress, place, signal, use);
     } finally {
-      if (use.result !== 'answered') progress.avoid.push(place.server);
+      if (use.result !== 'answered') progress.avoid.push(use.failedServer ?? place.server);
       placement.release(wish, place, endOf(job, use, startedAt, clock.now()));
     }
   }
@@ -128,18 +130,19 @@
     signal: AbortSignal,
     use: PlaceUse,
   ): AsyncGenerator<Result<EngineChunk, Failure>, Failure | undefined, void> {
-    const engine = backends.engine(place.server, place.address);
     const watchdog = createWatchdog(clock, stallLimit(job), signal);
+    const request = createRequest(job, progress, place);
     try {
-      for await (const item of engine.generate(createRequest(job, progress), watchdog.signal)) {
+      for await (const item of open(request, place, watchdog.signal, use)) {
         watchdog.touch();
         if (item.isErr()) {
-          use.result = item.error.outcome === 'not-run' ? 'refused' : 'cut';
+          use.result = resolveResult(item.error, signal);
           return describeEnd(item.error, watchdog, signal, place);
         }
         const chunk = item.value;
         if (!isNext(job, progress, chunk, place)) continue;
         if (chunk.index > progress.delivered) break;
+        if (use.firstTokenAt === undefined) noteFirstToken(place, use);
         noteToken(job, progress, chunk, use);
         yield Ok(chunk);
         if (chunk.finishReason !== null) return undefined;
@@ -151,6 +154,46 @@
     }
   }
 
+  /** Starts the stream, after the prompt was read elsewhere where the place says so. */
+  async function* open(
+    request: EngineRequest,
+    place: Place,
+    signal: AbortSignal,
+    use: PlaceUse,
+  ): EngineStream {
+    const engine = backends.engine(place.server, place.address);
+    if (place.prefill === undefined) {
+      yield* engine.generate(request, signal);
+      return;
+    }
+    const { server, address } = place.prefill;
+    const handover = { from: backends.engine(server, address), to: engine, request };
+    const handed = await handOver(handover, signal, {
+      read() {
+        use.readAt = clock.now();
+      },
+    });
+    if (handed.isOk()) {
+      yield* engine.generate({ ...request, kvHandle: handed.value }, signal);
+      return;
+    }
+    // The engine that generates may read the prompt itself, unless its role forbids it.
+    metrics.retries.inc({ reason: 'handover-failed' });
+    use.failedServer = server;
+    use.readAt = undefined;
+    for await (const item of engine.generate(request, signal)) {
+      if (item.isOk() || item.error.outcome === 'unknown') yield item;
+      else yield Err(handoverFailed(handed.error, server));
+    }
+  }
+
+  function noteFirstToken(place: Place, use: PlaceUse): void {
+    const firstTokenMs = clock.now() - use.startedAt;
+    const made = { firstTokenMs };
+    if (use.readAt === undefined) placement.progress?.(place, made);
+    else placement.progress?.(place, { ...made, prefillMs: use.readAt - use.startedAt });
+  }
+
   /** Whether a chunk is of this answer and not one that was delivered already. */
   function isNext(
     job: CompletionJob,
@@ -206,6 +249,8 @@
       deadlineAt: job.deadlineAt,
       promptTokens: job.promptTokens + progress.delivered,
       expectedOutputTokens: Math.max(1, Math.min(job.maxTokens, expected) - progress.delivered),
+      maxOutputTokens: Math.max(1, job.maxTokens - progress.delivered),
+      betweenTokensMs: requestClass.betweenTokensMs,
       prefixes: job.prefixes,
       model: job.model,
       adapter: job.adapter,
@@ -214,7 +259,9 @@
     };
   }
 
-  function createRequest(job: CompletionJob, progress: Progress): EngineRequest {
+  function createRequest(job: CompletionJob, progress: Progress, place: Place): EngineRequest {
+    const { priority } = job.requestClass;
+    const urgency = { priority, isBeyondShare: false, isLong: false };
     return {
       requestId: job.requestId,
       model: job.model,
@@ -222,7 +269,7 @@
       prompt: job.prompt,
       maxTokens: job.maxTokens,
       stream: true,
-      priority: job.requestClass.priority,
+      priority: place.enginePriority ?? resolveEnginePriority(urgency),
       resumeFrom: progress.delivered,
       prefillOnly: false,
     };
@@ -251,13 +298,40 @@
 /** What is known of the use of a place when it ends. */
 interface PlaceUse {
   result: PlaceEnd['result'];
+  startedAt: number;
+  /** When the prompt had been read on another engine. */
+  readAt: number | undefined;
+  /** The server to blame, when it is not the place's own. */
+  failedServer: string | undefined;
   firstTokenAt: number | undefined;
   outputTokens: number;
   cachedTokens: number;
 }
 
-function createUse(): PlaceUse {
-  return { result: 'cancelled', firstTokenAt: undefined, outputTokens: 0, cachedTokens: 0 };
+function createUse(startedAt: number): PlaceUse {
+  return {
+    result: 'cancelled',
+    startedAt,
+    readAt: undefined,
+    failedServer: undefined,
+    firstTokenAt: undefined,
+    outputTokens: 0,
+    cachedTokens: 0,
+  };
+}
+
+function resolveResult(failure: Failure, outer: AbortSignal): PlaceEnd['result'] {
+  if (outer.aborted) return 'cancelled';
+  return failure.outcome === 'not-run' ? 'refused' : 'cut';
+}
+
+function handoverFailed(failure: Failure, server: string): Failure {
+  return createRefusal({
+    code: 'backend-server-failed',
+    message: `the prompt could not be handed over: ${failure.message}`,
+    step: 'engine.handover',
+    peer: server,
+  });
 }
 
 function endOf(job: CompletionJob, use: PlaceUse, startedAt: number, endedAt: number): PlaceEnd {
--- a/src/router/holder-placement.ts
+++ b/src/router/holder-placement.ts
@@ -6,13 +6,13 @@
 import type { EngineGroup } from '../configuration/objects.js';
 import { createRefusal, type Failure } from '../errors/index.js';
 import type { Log } from '../events/index.js';
-import type { Answer, Links, PermitQuery, PermitRelease } from '../links/index.js';
+import type { Answer, Links, PermitProgress, PermitQuery, PermitRelease } from '../links/index.js';
 import type { Metrics } from '../metrics/index.js';
 import type { ShardHolder } from '../permits/index.js';
 import type { KnownHolder, Shard } from '../shards/index.js';
 import type { Clock } from '../task/index.js';
 import type { PlacesInUse } from './in-use.js';
-import type { Place, PlaceEnd, Placement, PlaceWish } from './placement.js';
+import type { Place, PlaceEnd, Placement, PlaceProgress, PlaceWish } from './placement.js';
 
 /** A holder that has not answered this long after the first token was due will not. */
 const ANSWER_SLACK_MS = 500;
@@ -127,6 +127,8 @@
       deadlineInMs: wish.deadlineAt - now,
       promptTokens: wish.promptTokens,
       expectedOutputTokens: wish.expectedOutputTokens,
+      maxOutputTokens: wish.maxOutputTokens,
+      betweenTokensMs: wish.betweenTokensMs,
       prefixes: [...wish.prefixes],
       ...(wish.model === undefined ? {} : { model: wish.model }),
       ...(wish.adapter === undefined ? {} : { adapter: wish.adapter }),
@@ -167,6 +169,7 @@
           class: wish.class,
           promptTokens: wish.promptTokens,
           expectedOutputTokens: wish.expectedOutputTokens,
+          weight: wish.weight,
         });
         metrics.permitWait.observe({ class: wish.class }, permit.waitedMs / 1_000);
         return Ok(permit);
@@ -187,6 +190,18 @@
     return parts.fallback.place(wish, signal);
   }
 
+  function progress(used: Place, made: PlaceProgress): void {
+    const { shard, permitId, server } = used;
+    const notice: PermitProgress = { kind: 'permit.progress', shard, permitId, server, ...made };
+    const local = parts.localHolder(shard);
+    if (local !== undefined) {
+      local.progress(notice);
+      return;
+    }
+    const holder = parts.remoteHolder(shard)?.node;
+    if (holder !== undefined) links.notify(holder, notice);
+  }
+
   function release(wish: PlaceWish, used: Place, end: PlaceEnd): void {
     inUse.remove(used.permitId);
     const notice: PermitRelease = {
@@ -208,7 +223,7 @@
     if (holder !== undefined) links.notify(holder, notice);
   }
 
-  return { place, release };
+  return { place, progress, release };
 }
 
 function refuseWithoutShard(node: string): Failure {
--- a/src/router/index.ts
+++ b/src/router/index.ts
@@ -6,7 +6,6 @@
 export * from './fates.js';
 export * from './holder-placement.js';
 export * from './in-use.js';
-export * from './output-estimate.js';
 export * from './placement.js';
 export * from './retry-budget.js';
 export * from './service-call.js';
--- a/src/router/placement.ts
+++ b/src/router/placement.ts
@@ -5,7 +5,7 @@
 import type { Result } from 'ts-results-es';
 import type { EngineGroup } from '../configuration/objects.js';
 import type { Failure } from '../errors/index.js';
-import type { PermitRelease } from '../links/index.js';
+import type { Permit, PermitProgress, PermitRelease } from '../links/index.js';
 
 /** What an attempt needs of a place. */
 export interface PlaceWish {
@@ -22,6 +22,10 @@
   deadlineAt: number;
   promptTokens: number;
   expectedOutputTokens: number;
+  /** Most output tokens that may still come. */
+  maxOutputTokens: number;
+  /** Longest time between two tokens, in milliseconds. */
+  betweenTokensMs: number;
   prefixes: readonly string[];
   model: string | undefined;
   adapter: string | undefined;
@@ -37,8 +41,15 @@
   server: string;
   address: string;
   waitedMs: number;
+  /** The engine that is to read the prompt, when it is another. */
+  prefill?: Permit['prefill'];
+  /** The priority for the engine, where the holder gave one; lower is sooner. */
+  enginePriority?: number | undefined;
 }
 
+/** How soon the first token came. */
+export type PlaceProgress = Pick<PermitProgress, 'firstTokenMs' | 'prefillMs'>;
+
 /** How the use of a place ended. */
 export type PlaceEnd = Pick<
   PermitRelease,
@@ -49,5 +60,7 @@
 export interface Placement {
   /** Waits for a place; the failure of one that cannot be had is always `not-run`. */
   place(wish: PlaceWish, signal: AbortSignal): Promise<Result<Place, Failure>>;
+  /** Tells whoever keeps a tally that the first token came; absent where nobody keeps one. */
+  progress?(place: Place, progress: PlaceProgress): void;
   release(wish: PlaceWish, place: Place, end: PlaceEnd): void;
 }
--- a/src/router/service-call.ts
+++ b/src/router/service-call.ts
@@ -145,6 +145,8 @@
     deadlineAt: job.deadlineAt,
     promptTokens: 0,
     expectedOutputTokens: 1,
+    maxOutputTokens: 1,
+    betweenTokensMs: requestClass.betweenTokensMs,
     prefixes: [],
     model: undefined,
     adapter: undefined,
--- a/src/shards/server-watch.ts
+++ b/src/shards/server-watch.ts
@@ -4,6 +4,7 @@
  */
 import type { Failure } from '../errors/index.js';
 import type {
+  CacheEvent,
   EngineState,
   LoadReport,
   ModelEngine,
@@ -18,6 +19,8 @@
   engineState(state: EngineState): void;
   serviceState(state: ServiceState): void;
   load(server: string, report: LoadReport): void;
+  /** Changes of the engine's prefix cache, late and with gaps. */
+  cacheEvents(server: string, events: readonly CacheEvent[]): void;
   /** The server did not answer. */
   silent(server: string, failure: Failure): void;
 }
@@ -41,9 +44,12 @@
  * @param parts the clock and who is told
  */
 export function watchEngine(engine: ModelEngine, parts: ServerWatchParts): ServerWatch {
+  const events = createCacheReader(engine, parts.owner);
   return watch(engine, parts, async () => {
     const state = await engine.state();
-    if (state.isOk()) parts.owner.engineState(state.value);
+    if (state.isErr()) return state;
+    parts.owner.engineState(state.value);
+    await events.read(state.value.incarnation);
     return state;
   });
 }
@@ -62,6 +68,26 @@
   });
 }
 
+interface CacheReader {
+  read(incarnation: string): Promise<void>;
+}
+
+/** Reads on where it stopped; another incarnation numbers its events anew. */
+function createCacheReader(engine: ModelEngine, owner: ServerWatchOwner): CacheReader {
+  let after = 0;
+  let known = '';
+  return {
+    async read(incarnation) {
+      if (incarnation !== known) after = 0;
+      known = incarnation;
+      const events = await engine.cacheEvents(after);
+      if (events.isErr()) return;
+      after = events.value.at(-1)?.sequence ?? after;
+      owner.cacheEvents(engine.id, events.value);
+    },
+  };
+}
+
 function watch(
   server: ModelEngine | PlainService,
   parts: ServerWatchParts,
--- /dev/null
+++ b/test/permits/drive.ts
@@ -0,0 +1,203 @@
+/**
+ * A shard holder and engines in one process on a fake clock, for tests of the decisions: requests
+ * go through the holder to stand-in engines, and what became of each is kept.
+ */
+import { createMetrics } from '../../src/metrics/index.js';
+import type { PermitQuery, PermitRelease } from '../../src/links/index.js';
+import { createShardHolder, type ShardHolder } from '../../src/permits/index.js';
+import { countTokens, prefixHashes } from '../../src/platform/index.js';
+import { settingsSchema, type Decisions } from '../../src/settings/index.js';
+import { createHistory } from '../../stand-ins/common/index.js';
+import { createEngine, type Engine } from '../../stand-ins/model-engine/engine.js';
+import {
+  modelEngineStandInSettingsSchema,
+  type ModelEngineStandInSettings,
+} from '../../stand-ins/model-engine/settings.js';
+import { createVm } from '../fixtures/configuration.js';
+import { createFakeClock } from '../fixtures/fake-clock.js';
+
+/** What became of a request. Times are milliseconds from its arrival. */
+export interface Outcome {
+  team: string;
+  class: string;
+  refusal?: string;
+  retryAfterMs?: number;
+  server?: string;
+  grantedMs?: number;
+  firstTokenMs?: number;
+  endMs?: number;
+  cachedTokens?: number;
+}
+
+/** What a test says of a request. */
+export interface Wanted extends Partial<PermitQuery> {
+  prompt?: string;
+  /** Tokens of the answer. */
+  tokens?: number;
+}
+
+/** Every mechanism as it is set by default. */
+export const defaultDecisions: Decisions = settingsSchema.shape.decisions.parse({});
+
+/** What a drive is made of. */
+export interface DriveSetting {
+  engines: ModelEngineStandInSettings[];
+  decisions?: Partial<Decisions>;
+  maxQueue?: number;
+}
+
+/** Starts a holder with its engines, known to it and idle. */
+export function createDrive({ engines: settings, decisions = {}, maxQueue = 2_000 }: DriveSetting) {
+  const { clock, advance } = createFakeClock();
+  const engines = new Map<string, Engine>();
+  const outcomes: Outcome[] = [];
+  let ids = 0;
+  const holder: ShardHolder = createShardHolder({
+    shard: 'manuals',
+    node: 'entry-1',
+    fence: 1,
+    kind: 'model-engine',
+    clock,
+    metrics: createMetrics(),
+    decisions: { ...defaultDecisions, ...decisions },
+    maxQueue,
+    createId: () => `permit-${(ids += 1)}`,
+    isLeaseValid: () => true,
+    isMember: () => true,
+    isWithdrawn: () => false,
+  });
+  for (const setting of settings) {
+    const full = modelEngineStandInSettingsSchema.parse({ listen: '127.0.0.1:0', ...setting });
+    engines.set(full.id, createEngine(full, clock, createHistory({ clock, limit: 1_000 })));
+  }
+  holder.setVms([...engines.keys()].map((id) => createVm({ id })));
+  look();
+
+  /** The holder hears from each engine. */
+  function look(): void {
+    for (const engine of engines.values()) holder.learnEngine(engine.state());
+  }
+
+  function createQuery(wanted: Wanted): PermitQuery {
+    const { tokens = 8, ...given } = wanted;
+    const prompt = resolvePrompt(wanted);
+    const promptTokens = countTokens(prompt);
+    ids += 1;
+    return {
+      kind: 'permit.request',
+      shard: 'manuals',
+      requestId: `request-${ids}`,
+      attempt: 1,
+      configurationVersion: 1,
+      group: 'manuals',
+      team: 'kumasi',
+      class: 'question',
+      weight: 1,
+      priority: 2,
+      firstTokenInMs: 2_000,
+      deadlineInMs: 60_000,
+      promptTokens,
+      expectedOutputTokens: tokens,
+      maxOutputTokens: tokens,
+      betweenTokensMs: 250,
+      prefixes: prefixHashes(prompt, 'model'),
+      model: 'model',
+      repeatable: true,
+      avoid: [],
+      ...given,
+    };
+  }
+
+  /** Sends a request; its outcome fills as it goes on. */
+  function send(wanted: Wanted = {}): Outcome {
+    const query = createQuery(wanted);
+    const outcome: Outcome = { team: query.team, class: query.class };
+    outcomes.push(outcome);
+    void run(query, wanted, outcome, clock.now());
+    return outcome;
+  }
+
+  async function run(
+    query: PermitQuery,
+    wanted: Wanted,
+    outcome: Outcome,
+    arrivedAt: number,
+  ): Promise<void> {
+    const answer = await holder.ask('entry-1', query);
+    if (answer.kind === 'permit.refused') {
+      outcome.refusal = answer.failure.code;
+      outcome.retryAfterMs = answer.failure.retryAfterMs ?? 0;
+      return;
+    }
+    const { permit } = answer;
+    const calledAt = clock.now();
+    outcome.server = permit.server;
+    outcome.grantedMs = calledAt - arrivedAt;
+    let firstTokenMs: number | undefined;
+    let outputTokens = 0;
+    let cachedTokens = 0;
+    const { shard, permitId, server } = permit;
+
+    function release(result: PermitRelease['result']): void {
+      const { requestId, team, promptTokens } = query;
+      outcome.cachedTokens = cachedTokens;
+      holder.release({
+        kind: 'permit.release',
+        shard,
+        permitId,
+        requestId,
+        server,
+        team,
+        class: query.class,
+        result,
+        promptTokens,
+        cachedTokens,
+        outputTokens,
+        ...(firstTokenMs === undefined ? {} : { firstTokenMs }),
+        totalMs: clock.now() - calledAt,
+      });
+    }
+
+    const request = {
+      requestId: query.requestId,
+      model: 'model',
+      prompt: resolvePrompt(wanted),
+      maxTokens: query.maxOutputTokens ?? 1,
+      stream: true as const,
+      priority: permit.enginePriority ?? 0,
+      resumeFrom: 0,
+      prefillOnly: false,
+    };
+    const taken = engines.get(server)?.submit(request, {
+      onChunk(chunk) {
+        outputTokens += 1;
+        cachedTokens = chunk.usage?.cachedTokens ?? cachedTokens;
+        if (firstTokenMs !== undefined) return;
+        firstTokenMs = clock.now() - calledAt;
+        outcome.firstTokenMs = clock.now() - arrivedAt;
+        holder.progress({ kind: 'permit.progress', shard, permitId, server, firstTokenMs });
+      },
+      onEnd(ending) {
+        if (ending === 'finished') outcome.endMs = clock.now() - arrivedAt;
+        release(ending === 'finished' ? 'answered' : 'cut');
+      },
+    });
+    if (taken?.isOk() === true) return;
+    outcome.refusal = 'refused-by-engine';
+    release('refused');
+  }
+
+  return { clock, advance, holder, engines, outcomes, look, send };
+}
+
+/** The stand-in answers with as many tokens as its prompt's mark says. */
+function resolvePrompt({ prompt = 'why', tokens = 8 }: Wanted): string {
+  return `${prompt} [[answer:${tokens}]]`;
+}
+
+/** A prompt of so many tokens that shares nothing with those of another seed. */
+export function createPrompt(tokens: number, seed: number | string): string {
+  const words: string[] = [];
+  for (let index = 0; index < tokens; index += 1) words.push(`${seed}w${index}`);
+  return words.join(' ');
+}
