feat(limits): hold the limits of teams over all nodes by drawn allowances

Cause: a team's requests a second, concurrency and tokens a minute were configured and not enforced. Ruled out: enforcement by each shard's holder, which sees its own shard exactly but has to share the limit with the holders of every other shard of the team's models; a write to the table per request.

--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -231,6 +231,37 @@
 /** A router's permits in use. */
 export type PermitAdoption = z.infer<typeof permitAdoptSchema>;
 
+export const limitDrawSchema = z.object({
+  kind: z.literal('limits.draw'),
+  team: z.string(),
+  /** Requests and tokens without which the allowance is of no use. */
+  leastRequests: z.number().nonnegative(),
+  leastTokens: z.number().nonnegative(),
+  /** Requests and tokens wanted. */
+  requests: z.number().nonnegative(),
+  tokens: z.number().nonnegative(),
+  /** Requests in flight that the node wants to be allowed, in all. */
+  places: z.number().int().nonnegative(),
+  /** Requests in flight at the node. */
+  inUse: z.number().int().nonnegative(),
+});
+
+/** A node's wish for part of a team's limits, to the team's home. */
+export type LimitDraw = z.infer<typeof limitDrawSchema>;
+
+export const limitAllowanceSchema = z.object({
+  kind: z.literal('limits.allowance'),
+  requests: z.number().nonnegative(),
+  tokens: z.number().nonnegative(),
+  /** Requests in flight that the node is allowed, in all. */
+  places: z.number().int().nonnegative(),
+  /** When to ask again for requests and tokens, in milliseconds; 0 when they were given. */
+  retryAfterMs: z.number().nonnegative(),
+});
+
+/** Part of a team's limits, for one node to use. */
+export type LimitAllowance = z.infer<typeof limitAllowanceSchema>;
+
 export const changesPushSchema = z.object({
   kind: z.literal('configuration.push'),
   changes: z.array(changeSchema),
@@ -303,6 +334,7 @@
 /** Messages that want one answer. */
 export const querySchema = z.discriminatedUnion('kind', [
   permitQuerySchema,
+  limitDrawSchema,
   changesFetchSchema,
   fateQuerySchema,
   vmsFetchSchema,
@@ -314,6 +346,7 @@
 export const answerSchema = z.discriminatedUnion('kind', [
   grantedSchema,
   refusedSchema,
+  limitAllowanceSchema,
   changesAnswerSchema,
   fateAnswerSchema,
   vmsAnswerSchema,
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -14,7 +14,21 @@
 } from '../configuration/index.js';
 import { createLog, type Log } from '../events/index.js';
 import { createLapseWatch, createNodeLease } from '../lease/index.js';
-import type { Answer, Fate, Notice, PermitAnswer, Query } from '../links/index.js';
+import {
+  createLimitHome,
+  createAllowances,
+  limitCompletions,
+  limitServiceCalls,
+} from '../limits/index.js';
+import type {
+  Answer,
+  Fate,
+  LimitAllowance,
+  LimitDraw,
+  Notice,
+  PermitAnswer,
+  Query,
+} from '../links/index.js';
 import { createMembership, resolveEntryPoints } from '../membership/index.js';
 import { createMetrics } from '../metrics/index.js';
 import { createOperatorFront, type NodeStatus } from '../operator/index.js';
@@ -39,7 +53,7 @@
   type ServerPick,
 } from '../router/index.js';
 import type { Settings } from '../settings/index.js';
-import { createOwnership, resolveShards, type Shard } from '../shards/index.js';
+import { createOwnership, rankNodes, resolveShards, type Shard } from '../shards/index.js';
 import { wait, type Timer } from '../task/index.js';
 import { createSystemEnvironment, type NodeEnvironment } from './environment.js';
 import { createHeldShards } from './held-shards.js';
@@ -51,6 +65,7 @@
 const ADOPT_EVERY_MS = 1_000;
 const LOAD_EVERY_MS = 1_000;
 const FATE_TIMEOUT_MS = 1_000;
+const LIMITS_TIMEOUT_MS = 250;
 const DRAIN_POLL_MS = 50;
 
 /** Secrets of a node, as read from where the settings say. */
@@ -312,12 +327,25 @@
   const { placement: placementName } = settings.decisions;
   const placement = placementName === 'permits' ? permits : createAlone(placementName);
 
+  const limitHome = createLimitHome({
+    clock,
+    limitsOf: (team) => replica.current().teams.get(team)?.limits,
+  });
+  const allowances = createAllowances({
+    node,
+    clock,
+    draw: drawLimits,
+    aliveCount: () => membership.aliveNames().length,
+  });
+
   const budget = createRetryBudget(settings.requests.retryShare);
   const routing = { node, clock, log, metrics, placement, backends, budget };
   const { maxAttempts } = settings.requests;
   const estimate = createOutputEstimate();
-  const completions = createCompletionRunner({ ...routing, maxAttempts, estimate });
-  const services = createServiceCallRunner({ ...routing, maxAttempts });
+  const runner = createCompletionRunner({ ...routing, maxAttempts, estimate });
+  const completions = limitCompletions(runner, allowances);
+  const callRunner = createServiceCallRunner({ ...routing, maxAttempts });
+  const services = limitServiceCalls(callRunner, allowances);
 
   const claims = createClaims({
     table: platform.table('claims'),
@@ -480,6 +508,9 @@
         };
         return { kind: 'permit.refused', failure };
       })
+      .with({ kind: 'limits.draw' }, (draw): Promise<Answer> => {
+        return Promise.resolve(limitHome.draw(peer, draw));
+      })
       .with({ kind: 'configuration.fetch' }, ({ after }): Promise<Answer> => {
         return Promise.resolve({ kind: 'configuration.changes', ...replica.changesAfter(after) });
       })
@@ -500,6 +531,14 @@
     return { ...answer, summary: { ...holder.summary(), incarnation } };
   }
 
+  async function drawLimits(draw: LimitDraw): Promise<LimitAllowance | undefined> {
+    const [home = node] = rankNodes(draw.team, membership.aliveNames());
+    if (home === node) return limitHome.draw(node, draw);
+    const answer = await links.query(home, draw, LIMITS_TIMEOUT_MS);
+    if (answer.isErr() || answer.value.kind !== 'limits.allowance') return undefined;
+    return answer.value;
+  }
+
   async function fetchChanges(after: number): Promise<ChangeBatch | undefined> {
     for (const peer of links.peers()) {
       const answer = await links.query(
@@ -588,6 +627,7 @@
       membership.stop();
       adoptTimer?.cancel();
       board.stop();
+      allowances.stop();
       for (const listener of listeners) {
         await listener.close();
       }
--- /dev/null
+++ b/test/limits/allowances.test.ts
@@ -0,0 +1,160 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import type { Team } from '../../src/configuration/index.js';
+import {
+  ALLOWANCE_LIFE_MS,
+  createAllowances,
+  createLimitHome,
+  RENEW_EVERY_MS,
+  REQUEST_BURST_MS,
+  type LimitHome,
+  type LimitTicket,
+} from '../../src/limits/index.js';
+import { teamSchema } from '../../src/configuration/objects.js';
+import { createSeededRandom } from '../../src/task/index.js';
+import { createFakeClock } from '../fixtures/fake-clock.js';
+
+function createTeam(limits: Team['limits']): Team {
+  return teamSchema.parse({ kind: 'team', name: 'kumasi', limits });
+}
+
+/** Some nodes and the home of one team; `home` is replaced to lose it. */
+function createNodes(team: Team, count: number) {
+  const { clock, advance, runUntil } = createFakeClock();
+  const openHome = () => createLimitHome({ clock, limitsOf: () => team.limits });
+  const control: { home: LimitHome | undefined; draws: number } = { home: openHome(), draws: 0 };
+  const nodes = Array.from({ length: count }, (_, index) =>
+    createAllowances({
+      node: `entry-${index}`,
+      clock,
+      aliveCount: () => count,
+      draw(draw) {
+        control.draws += 1;
+        return Promise.resolve(control.home?.draw(`entry-${index}`, draw));
+      },
+    }),
+  );
+  return { clock, advance, runUntil, nodes, control, openHome };
+}
+
+describe('limits of teams over all nodes', () => {
+  it('hold requests a second within the stated bound, over nodes and over any window', async () => {
+    const input = fc.record({
+      seed: fc.integer(),
+      rate: fc.integer({ min: 5, max: 100 }),
+      nodes: fc.integer({ min: 1, max: 9 }),
+      offered: fc.integer({ min: 1, max: 4 }),
+    });
+    await fc.assert(
+      fc.asyncProperty(input, async ({ seed, rate, nodes: count, offered }) => {
+        const team = createTeam({ requestsPerSecond: rate });
+        const { clock, advance, nodes, control } = createNodes(team, count);
+        const random = createSeededRandom(seed);
+        const passed: number[] = [];
+        let refused = 0;
+        const gapMs = 1_000 / (rate * offered);
+        while (clock.now() < 3_000) {
+          const entered = await nodes[Math.floor(random.next() * count)]?.enter(team, 0);
+          if (entered?.isOk() === true) passed.push(clock.now());
+          else refused += 1;
+          await advance(gapMs);
+        }
+        const windowMs = 1_000;
+        const burst = (rate * REQUEST_BURST_MS) / 1_000;
+        const bound = (rate * (windowMs + ALLOWANCE_LIFE_MS)) / 1_000 + burst;
+        for (const from of passed) {
+          const inside = passed.filter((at) => at >= from && at < from + windowMs).length;
+          expect(inside).to.be.at.most(bound);
+        }
+        expect(passed.length).to.be.at.most(rate * 3 + burst + 1);
+        if (offered === 1) expect(passed.length).to.be.at.least(rate * 3 * 0.8);
+        expect(control.draws).to.be.at.most(passed.length + refused + count * 4);
+      }),
+      { numRuns: 25 },
+    );
+  });
+
+  it('refuse with the time to come back, without asking the home for each', async () => {
+    const team = createTeam({ requestsPerSecond: 2 });
+    const { nodes, control } = createNodes(team, 1);
+    const codes: (string | undefined)[] = [];
+    for (let index = 0; index < 50; index += 1) {
+      const entered = await nodes[0]?.enter(team, 0);
+      codes.push(entered?.isErr() === true ? entered.error.code : undefined);
+      if (entered?.isErr() === true) expect(entered.error.retryAfterMs).to.be.within(50, 500);
+    }
+    expect(codes.filter((code) => code === undefined).length).to.equal(2);
+    expect(codes.at(-1)).to.equal('rate-limited');
+    expect(control.draws).to.be.at.most(4);
+  });
+
+  it('never let more run at once than allowed, and use what ended', async () => {
+    const steps = fc.array(fc.record({ node: fc.nat(2), enters: fc.boolean(), ms: fc.nat(700) }), {
+      minLength: 20,
+      maxLength: 120,
+    });
+    await fc.assert(
+      fc.asyncProperty(steps, async (taken) => {
+        const team = createTeam({ concurrency: 5 });
+        const { advance, nodes } = createNodes(team, 3);
+        const running: LimitTicket[] = [];
+        for (const { node, enters, ms } of taken) {
+          if (!enters) running.shift()?.end(0);
+          const entered = enters ? await nodes[node]?.enter(team, 0) : undefined;
+          if (entered?.isOk() === true) running.push(entered.value);
+          if (entered?.isErr() === true) expect(entered.error.code).to.equal('concurrency-limited');
+          expect(running.length).to.be.at.most(5);
+          await advance(ms);
+        }
+        for (const ticket of running) ticket.end(0);
+        await advance(2 * RENEW_EVERY_MS);
+        expect((await nodes[0]?.enter(team, 0))?.isOk()).to.equal(true);
+      }),
+      { numRuns: 25 },
+    );
+  });
+
+  it('charge tokens as expected and then as they were', async () => {
+    const team = createTeam({ tokensPerMinute: 6_000 });
+    const { advance, nodes } = createNodes(team, 1);
+    const first = await nodes[0]?.enter(team, 100);
+    if (first?.isOk() !== true) throw new Error('refused');
+    first.value.end(1_100);
+    const second = await nodes[0]?.enter(team, 100);
+    expect(second?.isErr()).to.equal(true);
+    if (second?.isErr() === true) expect(second.error.retryAfterMs).to.be.within(500, 3_000);
+    await advance(2_500);
+    expect((await nodes[0]?.enter(team, 100))?.isOk()).to.equal(true);
+  });
+
+  it('go on with a new home within one more burst', async () => {
+    const team = createTeam({ requestsPerSecond: 10 });
+    const { clock, advance, nodes, control, openHome } = createNodes(team, 3);
+    let passed = 0;
+    while (clock.now() < 4_000) {
+      if (clock.now() === 2_000) control.home = openHome();
+      for (const node of nodes) passed += (await node.enter(team, 0)).isOk() ? 1 : 0;
+      await advance(20);
+    }
+    expect(passed).to.be.within(40, 10 * 4 + 2 * 10 + 3);
+  });
+
+  it('hold each node to its share while the home cannot be reached', async () => {
+    const team = createTeam({ requestsPerSecond: 30 });
+    const { clock, advance, nodes, control } = createNodes(team, 3);
+    control.home = undefined;
+    let passed = 0;
+    while (clock.now() < 2_000) {
+      for (const node of nodes) passed += (await node.enter(team, 0)).isOk() ? 1 : 0;
+      await advance(20);
+    }
+    expect(passed).to.be.within(54, 30 * 2 + 30 + 3);
+  });
+
+  it('cost nothing for a team without any', async () => {
+    const team = createTeam({});
+    const { nodes, control } = createNodes(team, 1);
+    expect((await nodes[0]?.enter(team, 1e9))?.isOk()).to.equal(true);
+    expect(control.draws).to.equal(0);
+  });
+});
