fix(orders): prove a VM gone by a fresh read of the list

Cause: the list is told only when it changes now, so the time since a VM was last listed was taken from the last change, and a VM could pass for gone at once.

Ruled out: counting from the change alone (a list told by a peer may be older).

Change: a VM counts as listed until the list changed, and when the lag has passed since then the platform is asked again; only its answer proves the VM gone.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -256,6 +256,7 @@
     clock,
     incarnation,
     listLagMs: settings.orders.listLagMs,
+    vmList: platform.vmList,
     readNodeRow: (name) => lapseWatch.read(name),
     ordersSettled: (engine) => replica.current().vms.get(engine)?.ordersSettled ?? 0,
   });
--- a/src/orders/formers.ts
+++ b/src/orders/formers.ts
@@ -6,7 +6,7 @@
  * - it gave the shard or its lease back, which it does only after its sendings have ended;
  * - a newer process under its name holds a lease from the same peer address, where only one process
  *   can listen, so the older one has ended;
- * - its VM was listed and is gone from a list read at least the list's lag after that;
+ * - its VM was listed, and a list read at least the list's lag after that has it no more;
  * - an operator said so, up to a fencing number.
  *
  * Bytes that such a process sent before it ended may still lie in the engine's own buffers. They
@@ -14,7 +14,7 @@
  * before it gives another, so the copy changes nothing; a restart of the engine discards them.
  */
 import type { LeaseHolder, NodeRow } from '../lease/index.js';
-import type { Vm } from '../platform/index.js';
+import type { Vm, VmList } from '../platform/index.js';
 import type { Clock } from '../task/index.js';
 import type { EngineRow, FormerHolder } from './rows.js';
 
@@ -29,6 +29,7 @@
   incarnation: string;
   /** How old the platform's list may be when it is read, in milliseconds. */
   listLagMs: number;
+  vmList: VmList;
   /** The lease row of a node; `undefined` when it cannot be read or is absent. */
   readNodeRow(node: string): Promise<NodeRow | undefined>;
   /** Up to which fencing number an operator settled an engine's orders; 0 when never. */
@@ -37,7 +38,7 @@
 
 /** Knows which former holders can send nothing any more. */
 export interface Formers {
-  /** Takes in a fresh list of VMs, read from the platform just now. */
+  /** The platform's list changed; until now it was as last told. */
   learnList(vms: readonly Vm[]): void;
   /** A holder gave a shard back. */
   learnRelease(holder: LeaseHolder): void;
@@ -60,7 +61,6 @@
   const released = new Set<string>();
   const lastListed = new Map<string, number>();
   let listedNow = new Set<string>();
-  let listReadAt = 0;
 
   function isSending(engine: string): boolean {
     for (const sending of sendings.values()) {
@@ -69,10 +69,12 @@
     return false;
   }
 
-  function isVmGone(peer: string): boolean {
+  async function isVmGone(peer: string): Promise<boolean> {
     const seenAt = lastListed.get(peer);
     if (seenAt === undefined || listedNow.has(peer)) return false;
-    return listReadAt - seenAt >= parts.listLagMs;
+    if (clock.now() - seenAt < parts.listLagMs) return false;
+    const read = await parts.vmList.list();
+    return read.isOk() && !listEntryAddresses(read.value).has(peer);
   }
 
   function forgetOldVms(now: number): void {
@@ -83,14 +85,13 @@
 
   return {
     learnList(vms) {
-      listReadAt = clock.now();
-      listedNow = new Set();
-      for (const vm of vms) {
-        if (vm.kind !== 'entry') continue;
-        listedNow.add(vm.address);
-        lastListed.set(vm.address, listReadAt);
+      const now = clock.now();
+      const listed = listEntryAddresses(vms);
+      for (const address of [...listedNow, ...listed]) {
+        lastListed.set(address, now);
       }
-      forgetOldVms(listReadAt);
+      listedNow = listed;
+      forgetOldVms(now);
     },
     learnRelease(holder) {
       released.add(holder.leaseId);
@@ -110,13 +111,22 @@
     async isCleared(engine, { holder, fence }) {
       if (parts.ordersSettled(engine) >= fence) return true;
       if (holder.incarnation === parts.incarnation) return !isSending(engine);
-      if (released.has(holder.leaseId) || isVmGone(holder.peer)) return true;
+      if (released.has(holder.leaseId)) return true;
       const row = await parts.readNodeRow(holder.node);
-      return row !== undefined && provesEnd(row, holder);
+      if (row !== undefined && provesEnd(row, holder)) return true;
+      return isVmGone(holder.peer);
     },
   };
 }
 
+function listEntryAddresses(vms: readonly Vm[]): Set<string> {
+  const addresses = new Set<string>();
+  for (const vm of vms) {
+    if (vm.kind === 'entry') addresses.add(vm.address);
+  }
+  return addresses;
+}
+
 /**
  * Whether a node's row proves that a former holder under its name sends nothing any more.
  *
--- a/test/orders/orders.test.ts
+++ b/test/orders/orders.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { Err, Ok } from 'ts-results-es';
 import { createRefusal } from '../../src/errors/index.js';
-import { createObject } from '../fixtures/configuration.js';
+import { createObject, createVm } from '../fixtures/configuration.js';
 import {
   createOrderBench,
   createWanted,
@@ -258,16 +258,19 @@
       bench.word.fence = 1;
       return Promise.resolve();
     },
-    'a VM that is gone from the list': async (bench: Bench) => {
-      const vm = { id: 'vm-a', address: bench.a.holder.peer, kind: 'entry' as const };
-      const listed = { ...vm, zone: 'z', service: 's', state: 'live' as const, labels: {} };
-      bench.b.formers.learnList([{ ...listed, checksFence: false }]);
-      await bench.advance(29_000);
-      bench.b.formers.learnList([]);
-      const former = { holder: bench.a.holder, fence: 1 };
-      expect(await bench.b.formers.isCleared('engine-1', former)).to.equal(false);
-      await bench.advance(2_000);
-      bench.b.formers.learnList([]);
+    'a VM that is gone from a list read after its lag': async (bench: Bench) => {
+      const { a, b, advance, platform } = bench;
+      const former = { holder: a.holder, fence: 1 };
+      const listed = [createVm({ id: 'vm-a', kind: 'entry', address: a.holder.peer })];
+      b.formers.learnList(listed);
+      await advance(60_000);
+      b.formers.learnList([]);
+      await advance(29_000);
+      expect(await b.formers.isCleared('engine-1', former)).to.equal(false);
+      await advance(2_000);
+      platform.vms = listed;
+      expect(await b.formers.isCleared('engine-1', former)).to.equal(false);
+      platform.vms = [];
     },
   };
 
