--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -24,6 +24,11 @@
   taskFailed: { id: 1005, level: 'error', text: 'a task could not handle a message' },
   settingsWrong: { id: 1006, level: 'error', text: 'settings are wrong' },
   graceExceeded: { id: 1007, level: 'warn', text: 'stopped before every request had ended' },
+  tableUnreachable: {
+    id: 1008,
+    level: 'error',
+    text: 'no configuration at start: neither table service nor peer answered; no work is taken',
+  },
   leaseJoined: { id: 2001, level: 'info', text: 'node lease acquired' },
   leaseRenewalFailed: { id: 2002, level: 'warn', text: 'node lease could not be renewed' },
   leaseLapsed: { id: 2003, level: 'warn', text: 'own node lease ran out' },
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -579,12 +579,28 @@
     const { readTimeoutMs } = settings.requests;
     const { caller: callerAddress, operator: operatorAddress } = settings.listen;
     const caller = await environment.listen(callerFront, callerAddress, readTimeoutMs, node);
+    listeners.push(caller);
     const operator = await environment.listen(operatorFront, operatorAddress, readTimeoutMs, node);
-    listeners.push(caller, operator);
+    listeners.push(operator);
     addresses.caller = advertise.caller ?? caller.address;
     addresses.operator = advertise.operator ?? operator.address;
   }
 
+  /** An empty table is no fault: a first configuration may still be applied. */
+  function reportTable(): void {
+    if (replica.isFresh()) return;
+    const { tableService } = settings.platform;
+    const advice = 'check that it runs and that platform.tableService is its address; trying on';
+    log.write('tableUnreachable', { tableService, advice });
+  }
+
+  async function closeListeners(): Promise<void> {
+    for (const listener of listeners) {
+      await listener.close();
+    }
+    await links.close();
+  }
+
   async function waitForRequests(): Promise<void> {
     const until = clock.now() + settings.shutdown.graceMs;
     while (inFlight > 0) {
@@ -598,12 +614,19 @@
 
   return {
     async start() {
-      await links.listen();
-      addresses.peer = advertise.peer ?? links.address();
-      await openFronts();
+      try {
+        await links.listen();
+        addresses.peer = advertise.peer ?? links.address();
+        await openFronts();
+      } catch (error) {
+        // A listener left open would keep the process alive.
+        await closeListeners();
+        throw error;
+      }
       lease.start();
       await membership.start();
       await replica.start();
+      reportTable();
       await lapseWatch.start();
       ownership.start();
       tellPlaces();
@@ -629,10 +652,7 @@
       adoptTimer?.cancel();
       board.stop();
       allowances.stop();
-      for (const listener of listeners) {
-        await listener.close();
-      }
-      await links.close();
+      await closeListeners();
       log.write('nodeStopped', {});
     },
   };
