feat(planner): plan the roles of engines by demand, gain and the cost of a change

Cause: groups could state roles and nothing planned them. Ruled out: following the mix at once (kept as EagerPlanner for comparison), which under a swing faster than the horizon changes a role at every look; and planning from load reports, which lag. Change: holders measure demand by class over a horizon, refused requests included; a plan compares every split of prefill, decode and mixed engines by what it serves, and is carried out step by step only when the gain over the horizon is worth the time away and the operator's cost of a change, with a margin, and never more than maxAtOnce together. Where mixed engines lose nothing by doing both, the plan is no change at all.

--- a/src/permits/shard-holder.ts
+++ b/src/permits/shard-holder.ts
@@ -20,6 +20,7 @@
   ShardSummary,
 } from '../links/index.js';
 import type { Metrics } from '../metrics/index.js';
+import { createDemandMeter, type ClassDemand } from '../planner/demand.js';
 import type { CacheEvent, EngineState, LoadReport, ServiceState, Vm } from '../platform/index.js';
 import type { Decisions } from '../settings/index.js';
 import type { Clock, Timer } from '../task/index.js';
@@ -27,8 +28,13 @@
 import type { Chosen } from './choice.js';
 import { isUsable, type Membership } from './eligibility.js';
 import { createFairShare, FAIR_BAND_TOKENS } from './fair-share.js';
-import { learnFirstToken, learnHandover, learnOverdue, learnRelease } from './feedback.js';
-import { resolveServedTokens } from './feedback.js';
+import {
+  learnFirstToken,
+  learnHandover,
+  learnOverdue,
+  learnRelease,
+  resolveServedTokens,
+} from './feedback.js';
 import { createAdopted, createGrant, resolvePermitId, resolvePrefillId } from './granting.js';
 import { createLineFit } from './line-fit.js';
 import { createOutputEstimate } from './output-estimate.js';
@@ -41,6 +47,7 @@
   learnEngine,
   learnService,
   removePermit,
+  tokensUncached,
   type GrantedPermit,
   type Guest,
   type Server,
@@ -104,6 +111,8 @@
   holdForOrder(server: string, held: boolean): void;
   occupancy(server: string): Occupancy | undefined;
   servers(): Server[];
+  /** Mean demand for a group over the last `horizonMs`, by class; refused requests included. */
+  demand(group: string, horizonMs: number): ClassDemand[];
   summary(): ShardSummary;
   /** Refuses everyone who waits; the shard is no longer held here. */
   stop(): void;
@@ -121,6 +130,7 @@
   const queue = createFairQueue({ share, isFair: switches.fairness });
   const waits = createWaitRecord();
   const lengths = createOutputEstimate();
+  const demand = createDemandMeter(clock.now());
   const handoverMs = createLineFit(HANDOVER_ANCHORS);
   const decisions = createShardDecisions({
     decisions: switches,
@@ -146,6 +156,7 @@
     if (candidates.length === 0) return Promise.resolve(refuse('no-server', RETRY_AFTER_MS));
     const now = clock.now();
     const guest = { query: wish, isLong: decisions.isLong(wish, candidates, now) };
+    if (wish.attempt === 1) noteDemand(wish, candidates, now);
     const forecast = decisions.forecast(guest, candidates, now);
     const refusal = refuseLate(guest, forecast) ?? refuseFull(wish.team);
     if (refusal !== undefined) return Promise.resolve(refusal);
@@ -155,6 +166,15 @@
     });
   }
 
+  function noteDemand(query: PermitQuery, candidates: readonly Server[], now: number): void {
+    let promptTokens = query.promptTokens;
+    for (const server of candidates) {
+      promptTokens = Math.min(promptTokens, tokensUncached(server, query));
+    }
+    const { group, class: name, expectedOutputTokens: outputTokens } = query;
+    demand.add({ group, class: name, promptTokens, outputTokens }, now);
+  }
+
   function withLearnedLength(query: PermitQuery): PermitQuery {
     if (parts.kind === 'plain-service' || query.attempt > 1) return query;
     const expected = lengths.expect(query, query.expectedOutputTokens);
@@ -465,6 +485,7 @@
       };
     },
     servers: () => [...servers.values()],
+    demand: (group, horizonMs) => demand.read(group, horizonMs, clock.now()),
     summary() {
       const summaries = [];
       for (const server of servers.values()) {
--- /dev/null
+++ b/src/planner/index.ts
@@ -0,0 +1,5 @@
+/** The planner: which engine has which role, by demand and the cost of a change. */
+export * from './demand.js';
+export * from './plan.js';
+export * from './planners.js';
+export * from './role-planning.js';
