feat(node): plan the roles of the engines of held shards

The planner runs beside the orders of each held shard whose groups name roles; decisions.planner switches it off, decisions.eagerPlanner follows the mix at once for measurements.

--- a/src/node/held-shards.ts
+++ b/src/node/held-shards.ts
@@ -7,6 +7,7 @@
 import type { Metrics } from '../metrics/index.js';
 import type { ShardOrders } from '../orders/index.js';
 import { createShardHolder, type ShardHolder } from '../permits/index.js';
+import type { RolePlanning } from '../planner/index.js';
 import type { Vm } from '../platform/index.js';
 import type { Backends } from '../router/index.js';
 import {
@@ -20,6 +21,7 @@
 import type { Decisions } from '../settings/index.js';
 import { wait, type Clock } from '../task/index.js';
 import type { OrdersFactory } from './orders.js';
+import { createShardPlanning } from './planning.js';
 
 const WATCH_EVERY_MS = 500;
 /** Permits are granted after this time even if the order journal could not be read. */
@@ -63,6 +65,7 @@
 interface Holding {
   holder: ShardHolder;
   orders: ShardOrders | undefined;
+  planning: RolePlanning | undefined;
   kind: Shard['kind'];
   watches: Map<string, ServerWatch>;
 }
@@ -130,6 +133,7 @@
     if (opening.get(name) !== holding) return;
     opening.delete(name);
     holdings.set(name, holding);
+    holding.planning?.start();
     parts.opened(name);
   }
 
@@ -137,7 +141,9 @@
     begin(held, shard) {
       const holder = createHolder(held, shard.kind);
       const orders = shard.kind === 'model-engine' ? parts.createOrders(held, holder) : undefined;
-      const holding: Holding = { holder, orders, kind: shard.kind, watches: new Map() };
+      const planning = orders && createShardPlanning(parts, holder, orders);
+      const { kind } = shard;
+      const holding: Holding = { holder, orders, planning, kind, watches: new Map() };
       opening.set(held.name, holding);
       updateHolding(holding, shard.vms);
       void open(held.name, holding);
@@ -147,6 +153,7 @@
       if (holding === undefined) return;
       holdings.delete(name);
       opening.delete(name);
+      holding.planning?.stop();
       holding.orders?.stop();
       holding.holder.stop();
       for (const watch of holding.watches.values()) {
@@ -162,7 +169,8 @@
     find: (name) => holdings.get(name)?.holder,
     orders: (name) => holdings.get(name)?.orders,
     stopOrders() {
-      for (const { orders } of [...holdings.values(), ...opening.values()]) {
+      for (const { orders, planning } of [...holdings.values(), ...opening.values()]) {
+        planning?.stop();
         orders?.stop();
       }
     },
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -139,6 +139,8 @@
       handover: z.boolean().default(true),
       /** Change engines' roles with the mix, in the groups that allow it. */
       planner: z.boolean().default(true),
+      /** For measurements only: follow the mix at once, whatever a change costs. */
+      eagerPlanner: z.boolean().default(false),
       /** Cancel and resume work of low priority to make room for work of high priority. */
       preemption: z.boolean().default(false),
       /**
