--- a/tools/bench/capacity.ts
+++ b/tools/bench/capacity.ts
@@ -16,13 +16,13 @@
  * @param className the kind of request
  */
 export function requestCost(experiment: Experiment, className: ClassName): number {
-  const { workload, times } = experiment;
+  const { deployment, workload, times } = experiment;
   const { stepBaseMs, perSequenceMs, maxBatch, prefillTokensPerSecond } = times.model;
   const readMs = MS_PER_SECOND / prefillTokensPerSecond;
   const writeMs = stepBaseMs / maxBatch + perSequenceMs;
   if (className === 'verdict') {
-    const { extracts, verdict, capacity } = workload;
-    const unread = 1 - capacity.cachedExtractShare;
+    const { extracts, verdict } = workload;
+    const unread = 1 - deployment.cachedExtractShare;
     const read = meanLength(extracts.words) * unread + meanLength(verdict.questionWords);
     return read * readMs + meanLength(verdict.outputTokens) * writeMs;
   }
--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -2,27 +2,33 @@
  * `npm run bench`: offers the same work to each policy on real processes and prints them side by
  * side. `--quick` compares reedtally with least reported load in under a minute.
  */
-import { mkdirSync, writeFileSync } from 'node:fs';
 import { defineCommand, runMain } from 'citty';
-import { faultNames, type FaultName } from './faults.js';
-import { findPolicies, type Policy } from './policies.js';
+import { reckonCachedShare } from './cached-share.js';
+import { describeFindings } from './findings.js';
+import { faultNames } from './faults.js';
+import { measureAddedLatency } from './added-latency.js';
+import { createPlans, FAULT_AT } from './plans.js';
+import { writeReport } from './report.js';
 import { runPlan, type RunPlan } from './run.js';
 import { loadExperiment } from './settings.js';
 import { summarize, type RunSummary } from './summary.js';
-import { formatRatio, formatTable } from './table.js';
+import { formatTable } from './table.js';
 
-const PORTS_PER_DEPLOYMENT = 100;
 const QUICK_SECONDS = 24;
 const FULL_SECONDS = 60;
-const FOLDER = 'out/bench';
+const FULL_PARALLEL = 1;
+/** Time over which `--capacity` reckons. */
+const CAPACITY_SECONDS = 300;
 
 const args = {
   quick: { type: 'boolean', description: 'Reedtally and least reported load, in under 60 s' },
+  latency: { type: 'boolean', description: 'What reedtally adds to calling an engine directly' },
+  capacity: { type: 'boolean', description: 'Reckon how much of the prompts can be cached' },
   policies: { type: 'string', description: 'Names with commas; all, baselines or ablations' },
   deployment: { type: 'string', default: 'tema', description: 'tema or association' },
-  seed: { type: 'string', default: '1', description: 'Seed of the requests' },
+  seed: { type: 'string', default: '1', description: 'Seeds of the requests' },
   seconds: { type: 'string', description: 'How long requests are sent' },
-  load: { type: 'string', default: '0.9', description: "Share of the fleet's capacity" },
+  load: { type: 'string', default: '0.9', description: "Shares of the fleet's capacity" },
   large: {
     type: 'string',
     default: '1',
@@ -30,8 +36,8 @@
   },
   fault: { type: 'string', default: 'none', description: faultNames.join(', ') },
   parallel: { type: 'string', description: 'Deployments that run side by side' },
-  'warm-up': { type: 'string', default: '4', description: 'Seconds left out at the beginning' },
-  'change-cost': { type: 'string', description: "Weight of role changes, for the deployment's" },
+  'warm-up': { type: 'string', default: '6', description: 'Seconds left out at the beginning' },
+  'change-cost': { type: 'string', description: "Weights of role changes, for the deployment's" },
   'base-port': { type: 'string', default: '30000', description: 'First port' },
   name: { type: 'string', default: 'bench', description: 'Name of the report in out/bench' },
 } as const;
@@ -40,12 +46,6 @@
   process.stdout.write(`${text}\n`);
 }
 
-function parseFault(name: string): FaultName {
-  const found = faultNames.find((known) => known === name);
-  if (found === undefined) throw new Error(`no fault "${name}"; known: ${faultNames.join(', ')}`);
-  return found;
-}
-
 /** Runs plans, some of them side by side. */
 async function runAll(
   plans: readonly RunPlan[],
@@ -69,41 +69,42 @@
   args,
   async run({ args: given }) {
     const isQuick = given.quick === true;
+    const basePort = Number(given['base-port']);
     const experiment = loadExperiment(given.deployment);
+    if (given.latency === true) {
+      say(await measureAddedLatency(given.deployment, experiment, basePort));
+      return;
+    }
+    if (given.capacity === true) {
+      const offer = { seed: 1, seconds: CAPACITY_SECONDS, load: 1, largeFactor: 1 };
+      const share = reckonCachedShare(experiment, offer);
+      say(`verdicts' prompt tokens that can be found cached: ${share.toFixed(3)}`);
+      return;
+    }
     const seconds = Number(given.seconds ?? (isQuick ? QUICK_SECONDS : FULL_SECONDS));
-    const policies = findPolicies(given.policies ?? (isQuick ? 'least-reported,reedtally' : 'all'));
-    const parallel = Number(given.parallel ?? (isQuick ? policies.length : 1));
-    const offer = {
-      seed: Number(given.seed),
-      seconds,
-      load: Number(given.load),
-      largeFactor: Number(given.large),
-    };
-    const createPlan = (policy: Policy, index: number): RunPlan => ({
-      name: policy.name,
+    const policies = given.policies ?? (isQuick ? 'least-reported,reedtally' : 'all');
+    const parallel = Number(given.parallel ?? (isQuick ? 2 : FULL_PARALLEL));
+    const plans = createPlans({
+      policies,
       deployment: given.deployment,
-      experiment,
-      policy,
-      offer,
-      fault: parseFault(given.fault),
-      faultAtSeconds: seconds / 2,
-      changeCost: Number(given['change-cost'] ?? experiment.deployment.changeCost),
-      basePort: Number(given['base-port']) + (index % parallel) * PORTS_PER_DEPLOYMENT,
-      generators: 1,
+      seeds: given.seed,
+      loads: given.load,
+      largeFactors: given.large,
+      faults: given.fault,
+      changeCosts: given['change-cost'],
+      seconds,
+      basePort,
+      parallel,
     });
-    const summaries = await runAll(policies.map(createPlan), parallel, Number(given['warm-up']));
-    say('');
-    say(formatTable(summaries));
-    say('');
-    const ratio = formatRatio(summaries, 'reedtally', 'least-reported');
-    if (ratio !== undefined) say(ratio);
-    mkdirSync(FOLDER, { recursive: true });
-    const file = `${FOLDER}/${given.name}.json`;
-    writeFileSync(
-      file,
-      JSON.stringify({ offer, deployment: given.deployment, summaries }, null, 1),
-    );
-    say(`written: ${file}`);
+    const summaries = await runAll(plans, parallel, Number(given['warm-up']));
+    const findings = describeFindings(summaries, seconds * FAULT_AT);
+    const text = [formatTable(summaries), '', ...findings].join('\n');
+    say(`\n${text}`);
+    const { workload, times } = experiment;
+    const notes = [times.source, workload.note];
+    const call = `npm run bench -- ${process.argv.slice(2).join(' ')}`;
+    const files = await writeReport(given.name, { command: call, notes, summaries, text });
+    say(`written: ${files.join(', ')}`);
   },
 });
 
--- a/tools/bench/settings.ts
+++ b/tools/bench/settings.ts
@@ -64,10 +64,6 @@
     outputTokens: lengthSchema,
     maxTokens: z.number().int().positive(),
   }),
-  capacity: z.strictObject({
-    /** Share of an extract's tokens that good placement finds cached, for reckoning capacity. */
-    cachedExtractShare: z.number().min(0).max(1),
-  }),
 });
 
 /** The work that is offered. */
@@ -105,6 +101,8 @@
     workedAnswer: classTimesSchema,
     serviceCall: classTimesSchema,
   }),
+  /** Share of an extract's tokens that good placement finds cached; `--capacity` reckons it. */
+  cachedExtractShare: z.number().min(0).max(1),
   /** The operator's weight between goodput and role changes. */
   changeCost: z.number().nonnegative(),
 });
--- a/tools/bench/summary.ts
+++ b/tools/bench/summary.ts
@@ -30,6 +30,9 @@
   policy: string;
   seed: number;
   fault: string;
+  load: number;
+  largeFactor: number;
+  changeCost: number;
   all: GroupSummary;
   byClass: Record<ClassName, GroupSummary>;
   large: GroupSummary;
@@ -74,6 +77,9 @@
     policy: plan.policy.name,
     seed: plan.offer.seed,
     fault: plan.fault,
+    load: plan.offer.load,
+    largeFactor: plan.offer.largeFactor,
+    changeCost: plan.changeCost,
     all,
     byClass: {
       verdict: summarizeGroup(ofClass('verdict')),
--- a/tools/bench/table.ts
+++ b/tools/bench/table.ts
@@ -89,22 +89,3 @@
   }
   return lines;
 }
-
-/**
- * The ratio of the goodput of two policies, as a line.
- *
- * @param summaries all runs
- * @param over the policy above the line
- * @param under the policy below it
- */
-export function formatRatio(
-  summaries: readonly RunSummary[],
-  over: string,
-  under: string,
-): string | undefined {
-  const upper = summaries.find(({ policy }) => policy === over);
-  const lower = summaries.find(({ policy }) => policy === under);
-  if (upper === undefined || lower === undefined || lower.goodput === 0) return undefined;
-  const ratio = upper.goodput / lower.goodput;
-  return `goodput of ${over} / ${under}: ${ratio.toFixed(2)}`;
-}
