refactor(router): name the baselines' picks in one place

Cause: the node wired each baseline by itself. Change: resolvePick creates the pick that the settings name, and the node asks for it. No change of behaviour.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -46,11 +46,7 @@
   createPlacesInUse,
   createRetryBudget,
   createServiceCallRunner,
-  LeastReportedPick,
-  RoundRobinPick,
-  TwoChoicesPick,
-  type Placement,
-  type ServerPick,
+  resolvePick,
 } from '../router/index.js';
 import type { Settings } from '../settings/index.js';
 import { createOwnership, rankNodes, resolveShards, type Shard } from '../shards/index.js';
@@ -325,8 +321,11 @@
     backends,
     servers: () => membership.vms().filter(({ kind }) => kind !== 'entry'),
   });
-  const { placement: placementName } = settings.decisions;
-  const placement = placementName === 'permits' ? permits : createAlone(placementName);
+  const pick = resolvePick(settings.decisions.placement, random);
+  const placement =
+    pick === undefined
+      ? permits
+      : createBaselinePlacement({ node, pick, board, inUse, createId, serversOf, shardOf });
 
   const limitHome = createLimitHome({
     clock,
@@ -409,16 +408,6 @@
     log,
   });
 
-  function createAlone(name: Exclude<typeof placementName, 'permits'>): Placement {
-    const pick = match(name)
-      .returnType<ServerPick>()
-      .with('least-reported', () => new LeastReportedPick(random))
-      .with('two-choices', () => new TwoChoicesPick(random))
-      .with('round-robin', () => new RoundRobinPick())
-      .exhaustive();
-    return createBaselinePlacement({ node, pick, board, inUse, createId, serversOf, shardOf });
-  }
-
   function readiness(): Readiness {
     if (refusing) return 'leaving';
     return replica.isFresh() ? 'ready' : 'configuration-stale';
@@ -630,7 +619,7 @@
       await lapseWatch.start();
       ownership.start();
       tellPlaces();
-      if (placementName !== 'permits') board.start();
+      if (pick !== undefined) board.start();
       log.write('nodeStarted', { zone, incarnation, ...addresses });
       return addresses;
     },
--- a/src/router/baselines/server-picks.ts
+++ b/src/router/baselines/server-picks.ts
@@ -2,7 +2,9 @@
  * The usual ways in which a router picks a server by itself. Pure decisions: loads and the random
  * source are passed in.
  */
+import { match } from 'ts-pattern';
 import type { Vm } from '../../platform/index.js';
+import type { Settings } from '../../settings/index.js';
 import type { RandomSource } from '../../task/index.js';
 
 /** Tells how many requests a server is thought to have. */
@@ -68,3 +70,23 @@
     return servers[Math.floor(this.#random.next() * servers.length)];
   }
 }
+
+/**
+ * Creates the pick that the settings name.
+ *
+ * @param placement as `decisions.placement` gives it
+ * @param random the source that picks by chance use
+ * @returns `undefined` where holders place the requests
+ */
+export function resolvePick(
+  placement: Settings['decisions']['placement'],
+  random: RandomSource,
+): ServerPick | undefined {
+  return match(placement)
+    .returnType<ServerPick | undefined>()
+    .with('permits', () => undefined)
+    .with('least-reported', () => new LeastReportedPick(random))
+    .with('two-choices', () => new TwoChoicesPick(random))
+    .with('round-robin', () => new RoundRobinPick())
+    .exhaustive();
+}
