feat(bench): eager planner, preemption on, and slower swings

Cause: the role-change curve needs phases longer than a role change of 4 s, and baselines that know no roles must not have a planner that changes them.

--- a/test/bench/summary.test.ts
+++ b/test/bench/summary.test.ts
@@ -35,6 +35,7 @@
     faults: fault,
     changeCosts: undefined,
     seconds: SECONDS,
+    phaseSeconds: undefined,
     basePort: 0,
     parallel: 1,
   });
--- a/tools/bench/generator.ts
+++ b/tools/bench/generator.ts
@@ -14,6 +14,7 @@
 /** What a generator is told to do. */
 export interface GeneratorJob {
   deployment: string;
+  phaseSeconds: number | undefined;
   offer: Offer;
   /** Which of how many generators it is. */
   index: number;
@@ -110,7 +111,7 @@
  * @param job what to send, where and when
  */
 export async function generate(job: GeneratorJob): Promise<GeneratorReport> {
-  const experiment = loadExperiment(job.deployment);
+  const experiment = loadExperiment(job.deployment, job.phaseSeconds);
   const texts = createTexts(experiment, job.offer.seed);
   const own: Arrival[] = [];
   for (const arrival of createArrivals(experiment, job.offer)) {
--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -38,6 +38,7 @@
   parallel: { type: 'string', description: 'Deployments that run side by side' },
   'warm-up': { type: 'string', default: '6', description: 'Seconds left out at the beginning' },
   'change-cost': { type: 'string', description: "Weights of role changes, for the deployment's" },
+  'phase-seconds': { type: 'string', description: "Length of a phase, for the workload's" },
   'base-port': { type: 'string', default: '30000', description: 'First port' },
   name: { type: 'string', default: 'bench', description: 'Name of the report in out/bench' },
 } as const;
@@ -46,6 +47,10 @@
   process.stdout.write(`${text}\n`);
 }
 
+function parseOptional(text: string | undefined): number | undefined {
+  return text === undefined ? undefined : Number(text);
+}
+
 /** Runs plans, some of them side by side. */
 async function runAll(
   plans: readonly RunPlan[],
@@ -93,6 +98,7 @@
       faults: given.fault,
       changeCosts: given['change-cost'],
       seconds,
+      phaseSeconds: parseOptional(given['phase-seconds']),
       basePort,
       parallel,
     });
--- a/tools/bench/plans.ts
+++ b/tools/bench/plans.ts
@@ -17,6 +17,8 @@
   /** The deployment's own when absent. */
   changeCosts: string | undefined;
   seconds: number;
+  /** Length of a phase, in place of the workload's own. */
+  phaseSeconds: number | undefined;
   basePort: number;
   /** How many runs go side by side, each with ports of its own. */
   parallel: number;
@@ -41,7 +43,7 @@
  * @param wish what was asked for
  */
 export function createPlans(wish: Wish): RunPlan[] {
-  const experiment = loadExperiment(wish.deployment);
+  const experiment = loadExperiment(wish.deployment, wish.phaseSeconds);
   const variations = listVariations(wish, experiment.deployment.changeCost);
   const plans: RunPlan[] = [];
   for (const variation of variations) {
@@ -50,6 +52,7 @@
       plans.push({
         name: nameRun(policy, variation, variations),
         deployment: wish.deployment,
+        phaseSeconds: wish.phaseSeconds,
         experiment,
         policy,
         offer: { seed, load, largeFactor, seconds: wish.seconds },
--- a/tools/bench/policies.ts
+++ b/tools/bench/policies.ts
@@ -11,7 +11,7 @@
   decisions: Decisions;
 }
 
-/** Mechanisms that are switched off one at a time. */
+/** Mechanisms that are switched off one at a time; the others are off unless asked for. */
 const MECHANISMS = [
   'affinity',
   'fairness',
@@ -20,17 +20,27 @@
   'ejection',
   'handover',
   'planner',
-  'preemption',
 ];
 
 export const baselines: readonly Policy[] = [
-  { name: 'round-robin', decisions: { placement: 'round-robin' } },
-  { name: 'least-reported', decisions: { placement: 'least-reported' } },
-  { name: 'two-choices', decisions: { placement: 'two-choices' } },
+  createBaseline('round-robin'),
+  createBaseline('least-reported'),
+  createBaseline('two-choices'),
+];
+
+/** Mechanisms that are off by default, each switched on. */
+const additions: readonly Policy[] = [
+  { name: 'with-preemption', decisions: { preemption: true } },
+  { name: 'eager-planner', decisions: { eagerPlanner: true } },
 ];
 
 export const reedtally: Policy = { name: 'reedtally', decisions: { placement: 'permits' } };
 
+/** A node that places alone knows nothing of roles, so its engines keep theirs. */
+function createBaseline(placement: string): Policy {
+  return { name: placement, decisions: { placement, planner: false } };
+}
+
 /** Reedtally without each of its mechanisms in turn. */
 export function listAblations(): Policy[] {
   const ablations: Policy[] = [];
@@ -46,7 +56,7 @@
  * @param names as given on the command line, separated by commas
  */
 export function findPolicies(names: string): Policy[] {
-  const every = [...baselines, reedtally, ...listAblations()];
+  const every = [...baselines, reedtally, ...listAblations(), ...additions];
   const found: Policy[] = [];
   for (const name of names.split(',')) {
     if (name === 'all') found.push(...every);
--- a/tools/bench/run.ts
+++ b/tools/bench/run.ts
@@ -17,6 +17,7 @@
 export interface RunPlan {
   name: string;
   deployment: string;
+  phaseSeconds: number | undefined;
   experiment: Experiment;
   policy: Policy;
   offer: Offer;
@@ -106,6 +107,7 @@
 ): GeneratorJob {
   return {
     deployment: plan.deployment,
+    phaseSeconds: plan.phaseSeconds,
     offer: plan.offer,
     index,
     count: plan.generators,
--- a/tools/bench/settings.ts
+++ b/tools/bench/settings.ts
@@ -121,11 +121,13 @@
  * Reads the settings of an experiment; throws when a file is wrong.
  *
  * @param deployment `tema` or `association`
+ * @param phaseSeconds length of a phase of the mix, in place of the workload's own
  */
-export function loadExperiment(deployment: string): Experiment {
+export function loadExperiment(deployment: string, phaseSeconds?: number): Experiment {
+  const workload = workloadSchema.parse(readJson('bench/workload.json').unwrap());
   return {
     deployment: deploymentSchema.parse(readJson(`bench/${deployment}.json`).unwrap()),
-    workload: workloadSchema.parse(readJson('bench/workload.json').unwrap()),
+    workload: { ...workload, phaseSeconds: phaseSeconds ?? workload.phaseSeconds },
     times: standInTimesSchema.parse(readJson('bench/service-times.json').unwrap()),
   };
 }
