feat(node): keep which servers and shards belong to a group

Ruled out: an index by label, which selectors with NotIn and Exists do not fit. Change: answers are kept until the configuration or the list of servers changes.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -7,10 +7,7 @@
 import {
   createConfigurationReplica,
   createConfigurationWriter,
-  explainNoNewWork,
-  isMember,
   type ChangeBatch,
-  type EngineGroup,
 } from '../configuration/index.js';
 import { createLog, type Log } from '../events/index.js';
 import { createLapseWatch, createNodeLease } from '../lease/index.js';
@@ -52,6 +49,7 @@
 import { createOwnership, rankNodes, resolveShards, type Shard } from '../shards/index.js';
 import { wait, type Timer } from '../task/index.js';
 import { createSystemEnvironment, type NodeEnvironment } from './environment.js';
+import { createGroupServers } from './group-servers.js';
 import { createHeldShards } from './held-shards.js';
 import { createOrdersFactory } from './orders.js';
 import { createPlacesReport } from './places-report.js';
@@ -287,6 +285,10 @@
     },
   });
 
+  const groupServers = createGroupServers({
+    snapshot: () => replica.current(),
+    shards: () => shards,
+  });
   const placesReport = createPlacesReport(links, clock, (summary) => {
     membership.heardShard(summary);
   });
@@ -298,7 +300,7 @@
     links: placesReport.links,
     inUse,
     configurationVersion: () => replica.current().version,
-    shardsOf,
+    shardsOf: (group) => groupServers.shardsOf(group),
     localHolder: (shard) => held.find(shard),
     remoteHolder: (shard) => {
       const known = ownership.holderOf(shard);
@@ -309,7 +311,7 @@
       random,
       inUse,
       createId,
-      serversOf,
+      serversOf: (group) => groupServers.serversOf(group),
       shardOf,
       lastFree,
     }),
@@ -325,7 +327,15 @@
   const placement =
     pick === undefined
       ? permits
-      : createBaselinePlacement({ node, pick, board, inUse, createId, serversOf, shardOf });
+      : createBaselinePlacement({
+          node,
+          pick,
+          board,
+          inUse,
+          createId,
+          serversOf: (group) => groupServers.serversOf(group),
+          shardOf,
+        });
 
   const limitHome = createLimitHome({
     clock,
@@ -431,33 +441,14 @@
     };
   }
 
-  function shardsOf(group: EngineGroup): Shard[] {
-    const snapshot = replica.current();
-    return shards.filter(({ vms }) => vms.some((vm) => isMember(snapshot, group, vm)));
-  }
-
-  function serversOf(group: EngineGroup): Vm[] {
-    const snapshot = replica.current();
-    const servers: Vm[] = [];
-    for (const vm of membership.vms()) {
-      if (vm.kind === 'entry' || !isMember(snapshot, group, vm)) continue;
-      if (explainNoNewWork(snapshot, vm) === undefined) servers.push(vm);
-    }
-    return servers;
-  }
-
   function shardOf(vm: Vm): string {
-    const shard = shards.find(({ vms }) => vms.some(({ id }) => id === vm.id));
-    return shard?.name ?? vm.service;
+    return groupServers.shardOf(vm.id) ?? vm.service;
   }
 
   function lastFree(server: string): number | undefined {
-    for (const shard of shards) {
-      const summary = ownership.holderOf(shard.name)?.summary;
-      const found = summary?.servers.find(({ id }) => id === server);
-      if (found !== undefined) return found.free;
-    }
-    return undefined;
+    const shard = groupServers.shardOf(server);
+    const summary = shard === undefined ? undefined : ownership.holderOf(shard)?.summary;
+    return summary?.servers.find(({ id }) => id === server)?.free;
   }
 
   function receiveNotice(peer: string, notice: Notice): void {
