fix(shards): hear within 3 s that a server leaves, on slow servers too

Cause: a test with servers that answer after 900 ms showed two faults. The state was read again only after the cache events and the load, so work still went to a server 4.0 s after its own word. A fleet whose last server went off the list kept that server for good.

Ruled out: a shorter patience for reads (slow servers would pass for silent).

Change: the state is read at its own pace; the other reads follow on their own. A shard that is no longer listed has no servers.

--- a/src/node/held-shards.ts
+++ b/src/node/held-shards.ts
@@ -161,9 +161,13 @@
       }
     },
     update(shards) {
-      for (const shard of shards) {
-        const holding = holdings.get(shard.name) ?? opening.get(shard.name);
-        if (holding !== undefined) updateHolding(holding, shard.vms);
+      const listed = new Map<string, readonly Vm[]>();
+      for (const { name, vms } of shards) {
+        listed.set(name, vms);
+      }
+      for (const [name, holding] of [...holdings, ...opening]) {
+        // A shard that is no longer listed has no servers left.
+        updateHolding(holding, listed.get(name) ?? []);
       }
     },
     find: (name) => holdings.get(name)?.holder,
--- a/src/shards/server-watch.ts
+++ b/src/shards/server-watch.ts
@@ -1,6 +1,7 @@
 /**
  * The task by which the holder of a shard keeps itself informed of each server: its own word on its
- * state, and its load report, which lags.
+ * state, and its load report, which lags. The state is read at a pace of its own, whatever the other
+ * reads take: that a server leaves is heard within twice the time a call may take and one period.
  */
 import type { Failure } from '../errors/index.js';
 import type {
@@ -45,12 +46,16 @@
  */
 export function watchEngine(engine: ModelEngine, parts: ServerWatchParts): ServerWatch {
   const events = createCacheReader(engine, parts.owner);
-  return watch(engine, parts, async () => {
-    const state = await engine.state();
-    if (state.isErr()) return state;
-    parts.owner.engineState(state.value);
-    await events.read(state.value.incarnation);
-    return state;
+  let incarnation = '';
+  return watch(engine, parts, {
+    async readState() {
+      const state = await engine.state();
+      if (state.isErr()) return state;
+      incarnation = state.value.incarnation;
+      parts.owner.engineState(state.value);
+      return state;
+    },
+    readMore: () => events.read(incarnation),
   });
 }
 
@@ -61,10 +66,13 @@
  * @param parts the clock and who is told
  */
 export function watchService(service: PlainService, parts: ServerWatchParts): ServerWatch {
-  return watch(service, parts, async () => {
-    const state = await service.state();
-    if (state.isOk()) parts.owner.serviceState(state.value);
-    return state;
+  return watch(service, parts, {
+    async readState() {
+      const state = await service.state();
+      if (state.isOk()) parts.owner.serviceState(state.value);
+      return state;
+    },
+    readMore: () => Promise.resolve(),
   });
 }
 
@@ -88,28 +96,43 @@
   };
 }
 
+/** What is read of a server. */
+interface Reads {
+  /** Its own word, passed on to the owner. */
+  readState(): Promise<Result<unknown, Failure>>;
+  /** What there is besides state and load. */
+  readMore(): Promise<void>;
+}
+
 function watch(
   server: ModelEngine | PlainService,
   parts: ServerWatchParts,
-  readState: () => Promise<Result<unknown, Failure>>,
+  reads: Reads,
 ): ServerWatch {
   const { clock, everyMs, owner } = parts;
   let timer: Timer | undefined;
+  let isReading = false;
   let stopped = false;
 
-  async function round(): Promise<void> {
-    const state = await readState();
-    if (state.isErr()) {
-      owner.silent(server.id, state.error);
-      return;
-    }
+  async function readState(): Promise<void> {
+    const state = await reads.readState();
+    if (state.isErr()) owner.silent(server.id, state.error);
+    else if (!isReading && !stopped) void readRest();
+  }
+
+  async function readRest(): Promise<void> {
+    isReading = true;
+    await reads.readMore();
     const load = await server.load();
+    isReading = false;
     if (load.isOk()) owner.load(server.id, load.value);
   }
 
   function step(): void {
-    void round().then(() => {
-      if (!stopped) timer = clock.after(everyMs, step);
+    const startedAt = clock.now();
+    void readState().then(() => {
+      if (stopped) return;
+      timer = clock.after(Math.max(0, startedAt + everyMs - clock.now()), step);
     });
   }
 
