--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -19,46 +19,56 @@
 export type Secret = z.infer<typeof secretSchema>;
 
 export const settingsSchema = z.strictObject({
-  /** Name of this node, equal to its VM's id in the platform's list. */
-  node: z.string().min(1),
-  /** Availability zone of this VM. */
-  zone: z.string().min(1),
+  node: z
+    .string()
+    .min(1)
+    .describe("Name of this node, equal to its VM's id in the platform's list."),
+  zone: z.string().min(1).describe('Availability zone of this VM.'),
   listen: z.strictObject({
-    /** Callers' HTTP. */
-    caller: addressSchema,
-    /** Operators' HTTP, with metrics and health. */
-    operator: addressSchema,
-    /** Other nodes. */
-    peer: addressSchema,
+    caller: addressSchema.describe("Callers' HTTP."),
+    operator: addressSchema.describe("Operators' HTTP, with metrics and health."),
+    peer: addressSchema.describe('Other nodes.'),
   }),
   /** Addresses that others are told, where they are not those listened on: translated by a network. */
   advertise: z
     .strictObject({
-      caller: addressSchema.optional(),
-      operator: addressSchema.optional(),
-      peer: addressSchema.optional(),
+      caller: addressSchema.optional().describe('Address that callers are told.'),
+      operator: addressSchema.optional().describe('Address that operators are told.'),
+      peer: addressSchema.optional().describe('Address that other nodes are told.'),
     })
     .prefault({}),
-  /** Peer addresses of other nodes to begin with; others are learnt from the platform and them. */
-  peers: z.array(addressSchema).default([]),
+  peers: z
+    .array(addressSchema)
+    .default([])
+    .describe(
+      'Peer addresses of other nodes to begin with; others are learnt from the platform and them.',
+    ),
   platform: z.strictObject({
-    tableService: z.url(),
-    objectStore: z.url(),
-    vmList: z.url(),
-    weightStore: z.url().optional(),
+    tableService: z.url().describe('Origin of the transactional table service.'),
+    objectStore: z.url().describe('Origin of the object store.'),
+    vmList: z.url().describe('Origin of the list of live and leaving VMs.'),
+    weightStore: z
+      .url()
+      .optional()
+      .describe('Origin of the weight store; loads are not paced without it.'),
   }),
   secrets: z.strictObject({
-    peerKey: secretSchema,
-    operatorToken: secretSchema,
+    peerKey: secretSchema.describe('Key that all nodes share and prove to each other.'),
+    operatorToken: secretSchema.describe('Token that operators send.'),
   }),
   lease: z
     .strictObject({
-      /** Time between two renewals. */
-      renewEveryMs: z.number().positive().default(750),
-      /** A holder counts its lease this long from before it sent the renewal. */
-      holderMs: z.number().positive().default(2_500),
-      /** A successor waits this long from when it first saw the row unchanged. */
-      takerMs: z.number().positive().default(3_500),
+      renewEveryMs: z.number().positive().default(750).describe('Time between two renewals.'),
+      holderMs: z
+        .number()
+        .positive()
+        .default(2_500)
+        .describe('A holder counts its lease this long from before it sent the renewal.'),
+      takerMs: z
+        .number()
+        .positive()
+        .default(3_500)
+        .describe('A successor waits this long from when it first saw the row unchanged.'),
     })
     .prefault({})
     .refine((lease) => lease.holderMs < lease.takerMs, {
@@ -71,110 +81,206 @@
     }),
   membership: z
     .strictObject({
-      heartbeatEveryMs: z.number().positive().default(250),
-      /** A peer that was not heard of for this long is suspected. */
-      suspectAfterMs: z.number().positive().default(1_000),
-      /** Time between two reads of the platform's list. */
-      listEveryMs: z.number().positive().default(1_000),
-      /** How long callers keep an answer of `/v1/entry-points`. */
-      entryPointsKeptMs: z.number().positive().default(2_000),
-      /** How many peers a node keeps links to. */
-      maxPeers: z.number().int().positive().default(16),
+      heartbeatEveryMs: z
+        .number()
+        .positive()
+        .default(250)
+        .describe('Time between two heartbeats on a link.'),
+      suspectAfterMs: z
+        .number()
+        .positive()
+        .default(1_000)
+        .describe('A peer that was not heard of for this long is suspected.'),
+      listEveryMs: z
+        .number()
+        .positive()
+        .default(1_000)
+        .describe("Time between two reads of the platform's list."),
+      entryPointsKeptMs: z
+        .number()
+        .positive()
+        .default(2_000)
+        .describe('How long callers keep an answer of `/v1/entry-points`.'),
+      maxPeers: z
+        .number()
+        .int()
+        .positive()
+        .default(16)
+        .describe('How many peers a node keeps links to.'),
     })
     .prefault({}),
   configuration: z
     .strictObject({
-      /** Time between two reads of the log's head. */
-      followEveryMs: z.number().positive().default(1_000),
-      /** Without word from table or peer for this long, no new work is taken. */
-      staleAfterMs: z.number().positive().default(600_000),
+      followEveryMs: z
+        .number()
+        .positive()
+        .default(1_000)
+        .describe("Time between two reads of the log's head."),
+      staleAfterMs: z
+        .number()
+        .positive()
+        .default(600_000)
+        .describe('Without word from table or peer for this long, no new work is taken.'),
     })
     .prefault({}),
   shards: z
     .strictObject({
-      /** Most backend servers in one shard. */
-      maxServers: z.number().int().positive().default(16),
+      maxServers: z
+        .number()
+        .int()
+        .positive()
+        .default(16)
+        .describe('Most backend servers in one shard.'),
     })
     .prefault({}),
   orders: z
     .strictObject({
-      /** An engine is kept free of new work this long at most before its change is given up. */
-      drainMs: z.number().positive().default(60_000),
-      /** How long after a change was given up it is tried again. */
-      tryAgainMs: z.number().positive().default(30_000),
-      /** How old the platform's list of VMs may be when it is read. */
-      listLagMs: z.number().positive().default(30_000),
+      drainMs: z
+        .number()
+        .positive()
+        .default(60_000)
+        .describe(
+          'An engine is kept free of new work this long at most before its change is given up.',
+        ),
+      tryAgainMs: z
+        .number()
+        .positive()
+        .default(30_000)
+        .describe('How long after a change was given up it is tried again.'),
+      listLagMs: z
+        .number()
+        .positive()
+        .default(30_000)
+        .describe("How old the platform's list of VMs may be when it is read."),
     })
     .prefault({}),
   requests: z
     .strictObject({
-      /** Largest body taken, in bytes. */
-      maxBodyBytes: z.number().int().positive().default(2_000_000),
-      /** A request's headers and body must have arrived within this time. */
-      readTimeoutMs: z.number().positive().default(10_000),
-      /** Most requests that wait for one shard. */
-      maxQueue: z.number().int().positive().default(2_000),
-      /** Retries as a share of requests. */
-      retryShare: z.number().min(0).max(1).default(0.1),
-      /** Most attempts for one request. */
-      maxAttempts: z.number().int().positive().default(4),
-      /** How long the fate of a finished request is remembered. */
-      fateKeptMs: z.number().positive().default(600_000),
+      maxBodyBytes: z
+        .number()
+        .int()
+        .positive()
+        .default(2_000_000)
+        .describe('Largest body taken, in bytes.'),
+      readTimeoutMs: z
+        .number()
+        .positive()
+        .default(10_000)
+        .describe("A request's headers and body must have arrived within this time."),
+      maxQueue: z
+        .number()
+        .int()
+        .positive()
+        .default(2_000)
+        .describe('Most requests that wait for one shard.'),
+      retryShare: z.number().min(0).max(1).default(0.1).describe('Retries as a share of requests.'),
+      maxAttempts: z
+        .number()
+        .int()
+        .positive()
+        .default(4)
+        .describe('Most attempts for one request.'),
+      fateKeptMs: z
+        .number()
+        .positive()
+        .default(600_000)
+        .describe('How long the fate of a finished request is remembered.'),
     })
     .prefault({}),
   /** Switches of the decisions on placement, each by itself, for comparisons. */
   decisions: z
     .strictObject({
-      /** Prefer the engine that has most of the prompt cached. */
-      affinity: z.boolean().default(true),
-      /** Share between teams by tokens and weight; otherwise by priority and deadline alone. */
-      fairness: z.boolean().default(true),
-      /** Refuse at once what cannot be on time. */
-      admission: z.boolean().default(true),
-      /** Bound the prompts being read on an engine and keep a share for short ones. */
-      shortReserve: z.boolean().default(true),
-      /** Give less, and then nothing, to servers that fail. */
-      ejection: z.boolean().default(true),
-      /** Read prompts on one engine and generate on another, where roles ask for it. */
-      handover: z.boolean().default(true),
-      /** Change engines' roles with the mix, in the groups that allow it. */
-      planner: z.boolean().default(true),
-      /** For measurements only: follow the mix at once, whatever a change costs. */
-      eagerPlanner: z.boolean().default(false),
-      /** Cancel and resume work of low priority to make room for work of high priority. */
-      preemption: z.boolean().default(false),
-      /**
-       * How requests get their places: by permits of the shard's holder, or, for measurements only,
-       * by each node alone.
-       */
+      affinity: z
+        .boolean()
+        .default(true)
+        .describe('Prefer the engine that has most of the prompt cached.'),
+      fairness: z
+        .boolean()
+        .default(true)
+        .describe(
+          'Share between teams by tokens and weight; otherwise by priority and deadline alone.',
+        ),
+      admission: z.boolean().default(true).describe('Refuse at once what cannot be on time.'),
+      shortReserve: z
+        .boolean()
+        .default(true)
+        .describe('Bound the prompts being read on an engine and keep a share for short ones.'),
+      ejection: z
+        .boolean()
+        .default(true)
+        .describe('Give less, and then nothing, to servers that fail.'),
+      handover: z
+        .boolean()
+        .default(true)
+        .describe('Read prompts on one engine and generate on another, where roles ask for it.'),
+      planner: z
+        .boolean()
+        .default(true)
+        .describe("Change engines' roles with the mix, in the groups that allow it."),
+      eagerPlanner: z
+        .boolean()
+        .default(false)
+        .describe('For measurements only: follow the mix at once, whatever a change costs.'),
+      preemption: z
+        .boolean()
+        .default(false)
+        .describe('Cancel and resume work of low priority to make room for work of high priority.'),
       placement: z
         .enum(['permits', 'least-reported', 'two-choices', 'round-robin'])
-        .default('permits'),
+        .default('permits')
+        .describe(
+          "How requests get their places: by permits of the shard's holder, or, for measurements only, by each node alone.",
+        ),
     })
     .prefault({}),
   claims: z
     .strictObject({
-      /** Time for which claims are gathered into one transaction. */
-      gatherMs: z.number().nonnegative().default(2),
-      /** Most claims in one transaction. */
-      maxPerTransaction: z.number().int().positive().default(64),
-      /** Answers up to this size are stored in the table, larger ones in the object store. */
-      maxInlineBytes: z.number().int().positive().default(8_192),
-      /** How long an answer stays known under its key. */
-      retentionMs: z.number().positive().default(86_400_000),
-      /** Claims removed a second by this node, at most. */
-      sweepPerSecond: z.number().positive().default(20),
+      gatherMs: z
+        .number()
+        .nonnegative()
+        .default(2)
+        .describe('Time for which claims are gathered into one transaction.'),
+      maxPerTransaction: z
+        .number()
+        .int()
+        .positive()
+        .default(64)
+        .describe('Most claims in one transaction.'),
+      maxInlineBytes: z
+        .number()
+        .int()
+        .positive()
+        .default(8_192)
+        .describe(
+          'Answers up to this size are stored in the table, larger ones in the object store.',
+        ),
+      retentionMs: z
+        .number()
+        .positive()
+        .default(86_400_000)
+        .describe('How long an answer stays known under its key.'),
+      sweepPerSecond: z
+        .number()
+        .positive()
+        .default(20)
+        .describe('Claims removed a second by this node, at most.'),
     })
     .prefault({}),
   shutdown: z
     .strictObject({
-      /** How long in-flight requests may take before the process gives up waiting. */
-      graceMs: z.number().positive().default(120_000),
+      graceMs: z
+        .number()
+        .positive()
+        .default(120_000)
+        .describe('How long in-flight requests may take before the process gives up waiting.'),
     })
     .prefault({}),
   log: z
     .strictObject({
-      level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
+      level: z
+        .enum(['debug', 'info', 'warn', 'error'])
+        .default('info')
+        .describe('Least serious level of events that is written.'),
     })
     .prefault({}),
 });
