feat(configuration): read what a newer version wrote, and pass it on whole

Stored objects were read by the strict schemas for operators' input, so one field added by a newer version made the row unreadable: an older node was stuck at its version, and a pushed change closed its links. Reading is tolerant now: unknown fields are kept and passed on, so that an older node does not take them away from newer ones; what is known is checked as before, and input stays strict. Failures with codes or steps that a newer version added no longer make a frame malformed.

--- a/src/configuration/objects.ts
+++ b/src/configuration/objects.ts
@@ -3,6 +3,7 @@
  * inferred from the schemas; a key that is not listed here is an error.
  */
 import { z } from 'zod';
+import { tolerate } from './tolerance.js';
 import { labelsSchema } from '../platform/index.js';
 
 const NAME_PATTERN = /^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$/;
@@ -160,6 +161,9 @@
   vmLabelsSchema,
 ]);
 
+/** The same as read from the table, a peer or a node, which may be of a newer version. */
+export const readObjectSchema = tolerate(storedObjectSchema);
+
 /** An object as it is stored. */
 export type StoredObject = z.infer<typeof storedObjectSchema>;
 
@@ -169,7 +173,7 @@
   kind: z.enum(['team', 'class', 'group', 'binding', 'vm']),
   name: z.string(),
   /** The object from now on; `null` when it was removed. */
-  object: storedObjectSchema.nullable(),
+  object: readObjectSchema.nullable(),
   /** Who made the change, for the log. */
   author: z.string(),
   /** Identifies the attempt, so that a lost answer can be settled by reading back. */
--- a/src/errors/failure.ts
+++ b/src/errors/failure.ts
@@ -60,7 +60,8 @@
 export type FailureCode = z.infer<typeof failureCodeSchema>;
 
 export const failureSchema = z.object({
-  code: failureCodeSchema,
+  /** A code that a newer version added is read as `internal`. */
+  code: failureCodeSchema.catch('internal'),
   /** What happened and what the reader can do next. */
   message: z.string(),
   /**
@@ -68,7 +69,8 @@
    * by the system.
    */
   outcome: z.enum(['not-run', 'unknown']),
-  step: stepSchema,
+  /** A step that a newer version added is read as `link.call`. */
+  step: stepSchema.catch('link.call'),
   /** The process, VM or store that was being spoken to; this node's own name when local. */
   peer: z.string(),
   /** How long to wait before asking again, in milliseconds, where waiting helps. */
--- a/src/operator/status.ts
+++ b/src/operator/status.ts
@@ -3,7 +3,12 @@
  * the same schemas.
  */
 import { z } from 'zod';
-import { changeSchema, findingSchema, storedObjectSchema } from '../configuration/index.js';
+import {
+  changeSchema,
+  findingSchema,
+  readObjectSchema,
+  storedObjectSchema,
+} from '../configuration/index.js';
 import { nodeStateSchema, shardSummarySchema } from '../links/messages.js';
 
 export const nodeStatusSchema = z.object({
@@ -71,7 +76,7 @@
   /** The version of its last change. */
   version: z.number().int().positive(),
   author: z.string(),
-  object: storedObjectSchema,
+  object: readObjectSchema,
 });
 
 /** An object with its version. */
