--- a/src/errors/explanations.ts
+++ b/src/errors/explanations.ts
@@ -111,8 +111,8 @@
     remedy: ASK_LATER,
   },
   'in-progress': {
-    meaning: 'A call under the same idempotency key is running.',
-    outcome: 'not-run',
+    meaning: 'A call under the same idempotency key is running; this one was not sent.',
+    outcome: 'either',
     remedy: 'Ask again with the same key in a moment, to get its answer.',
   },
   'no-backend-server': {
