--- a/tools/bench/added-latency.ts
+++ b/tools/bench/added-latency.ts
@@ -23,6 +23,8 @@
 interface Times {
   direct: Histogram;
   viaNode: Histogram;
+  /** An exchange with a node that does nothing: what one hop costs on this machine now. */
+  empty: Histogram;
 }
 
 /**
@@ -49,7 +51,11 @@
 }
 
 async function measure(experiment: Experiment, running: RunningDeployment): Promise<Times> {
-  const times = { direct: createHistogram(), viaNode: createHistogram() };
+  const times = {
+    direct: createHistogram(),
+    viaNode: createHistogram(),
+    empty: createHistogram(),
+  };
   const dispatcher = new Agent({ pipelining: 1 });
   const { model } = experiment.deployment;
   await warmUp(model, running, dispatcher);
@@ -60,10 +66,13 @@
     const engineBody = { requestId: randomUUID(), model, prompt, maxTokens: 1, stream: true };
     const directUs = await time(engine, engineBody, dispatcher);
     await sleep(REST_MS);
+    const emptyUs = await timeEmpty(node, dispatcher);
+    await sleep(REST_MS);
     const nodeBody = { model, prompt: createPrompt(), max_tokens: 1, stream: true };
     const viaNodeUs = await time(node, nodeBody, dispatcher);
     await sleep(REST_MS);
     times.direct.recordValue(directUs);
+    times.empty.recordValue(emptyUs);
     times.viaNode.recordValue(viaNodeUs);
   }
   await dispatcher.close();
@@ -118,14 +127,23 @@
   return Math.round(((firstAt ?? performance.now()) - startedAt) * MICROS_PER_MS);
 }
 
-function describe({ direct, viaNode }: Times): string {
+/** @returns microseconds of an exchange in which the node has nothing to do */
+async function timeEmpty(node: string, dispatcher: Agent): Promise<number> {
+  const startedAt = performance.now();
+  const answer = await request(`http://${node}/v1/entry-points`, { dispatcher });
+  await answer.body.dump();
+  return Math.round((performance.now() - startedAt) * MICROS_PER_MS);
+}
+
+function describe({ direct, viaNode, empty }: Times): string {
   const lines = [`first token of ${PAIRS} short requests each, one at a time, in ms`];
   for (const percentile of [50, 95, 99]) {
     const directMs = direct.getValueAtPercentile(percentile) / MICROS_PER_MS;
     const nodeMs = viaNode.getValueAtPercentile(percentile) / MICROS_PER_MS;
     const added = nodeMs - directMs;
+    const emptyMs = empty.getValueAtPercentile(percentile) / MICROS_PER_MS;
     lines.push(
-      `p${percentile}: engine directly ${directMs.toFixed(2)}, through a node ${nodeMs.toFixed(2)}, added ${added.toFixed(2)}`,
+      `p${percentile}: engine directly ${directMs.toFixed(2)}, through a node ${nodeMs.toFixed(2)}, added ${added.toFixed(2)}; an empty exchange with a node ${emptyMs.toFixed(2)}`,
     );
   }
   return lines.join('\n');
--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -2,6 +2,7 @@
  * `npm run bench`: offers the same work to each policy on real processes and prints them side by
  * side. `--quick` compares reedtally with least reported load in under a minute.
  */
+import { availableParallelism, loadavg } from 'node:os';
 import { defineCommand, runMain } from 'citty';
 import { reckonCachedShare } from './cached-share.js';
 import { describeFindings } from './findings.js';
@@ -51,6 +52,12 @@
   return text === undefined ? undefined : Number(text);
 }
 
+/** How busy the machine is, with whatever else runs on it. */
+function describeMachine(): string {
+  const [lastMinute = 0] = loadavg();
+  return `load average ${lastMinute.toFixed(1)} on ${availableParallelism()} cores`;
+}
+
 /** Runs plans, some of them side by side. */
 async function runAll(
   plans: readonly RunPlan[],
@@ -102,9 +109,11 @@
       basePort,
       parallel,
     });
+    const before = describeMachine();
     const summaries = await runAll(plans, parallel, Number(given['warm-up']));
     const findings = describeFindings(summaries, seconds * FAULT_AT);
-    const text = [formatTable(summaries), '', ...findings].join('\n');
+    const machine = `machine: ${before} before, ${describeMachine()} after`;
+    const text = [formatTable(summaries), '', ...findings, machine].join('\n');
     say(`\n${text}`);
     const { workload, times } = experiment;
     const notes = [times.source, workload.note];
