fix(node): end a graceful shutdown while an operator watches; more scenarios

Cause: scenario 'A planned stop is a graceful shutdown' with an open /v1/watch never ended: the operator listener waited for a stream that has no end, so that the node outlived its shutdown. Ruled out: ending watch streams by a signal into the front (the listener must be bounded anyway, as a reader that stops reading holds it too). Change: listeners close with a grace; operators' connections are broken after 1 s, callers' only after shutdown.graceMs; connections that become idle meanwhile are closed.

--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -61,6 +61,8 @@
 const FATE_TIMEOUT_MS = 1_000;
 const LIMITS_TIMEOUT_MS = 250;
 const DRAIN_POLL_MS = 50;
+/** Operators may watch a node for ever; its shutdown ends that. */
+const OPERATOR_GRACE_MS = 1_000;
 
 /** Secrets of a node, as read from where the settings say. */
 export interface Secrets {
@@ -575,9 +577,9 @@
   }
 
   async function closeListeners(): Promise<void> {
-    for (const listener of listeners) {
-      await listener.close();
-    }
+    const [caller, operator] = listeners;
+    await caller?.close(settings.shutdown.graceMs);
+    await operator?.close(OPERATOR_GRACE_MS);
     await links.close();
   }
 
--- a/src/node/servers.ts
+++ b/src/node/servers.ts
@@ -12,13 +12,18 @@
 const KEEP_ALIVE_MS = 30_000;
 /** How often node looks for requests that took too long to arrive. */
 const CHECK_EVERY_MS = 1_000;
+const IDLE_CHECK_MS = 50;
 
 /** A front that listens. */
 export interface Listener {
   /** `host:port`, with the port that was given for port 0. */
   address: string;
-  /** Takes no new connection and resolves when the open ones have ended. */
-  close(): Promise<void>;
+  /**
+   * Takes no new connection and resolves when the open ones have ended.
+   *
+   * @param graceMs how long those that carry an answer may go on; the rest is broken then
+   */
+  close(graceMs: number): Promise<void>;
 }
 
 /**
@@ -56,7 +61,10 @@
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(Number(port), host, () => {
-      resolve({ address: describeAddress(server, address), close: () => close(server) });
+      resolve({
+        address: describeAddress(server, address),
+        close: (graceMs) => close(server, graceMs),
+      });
     });
   });
 }
@@ -67,9 +75,18 @@
   return `${bound.address}:${bound.port}`;
 }
 
-function close(server: Server): Promise<void> {
+function close(server: Server, graceMs: number): Promise<void> {
   return new Promise((resolve) => {
+    // Connections become idle one by one, as their last answer ends.
+    const idle = setInterval(() => {
+      server.closeIdleConnections();
+    }, IDLE_CHECK_MS);
+    const limit = setTimeout(() => {
+      server.closeAllConnections();
+    }, graceMs);
     server.close(() => {
+      clearInterval(idle);
+      clearTimeout(limit);
       resolve();
     });
     server.closeIdleConnections();
--- /dev/null
+++ b/test/node/servers.test.ts
@@ -0,0 +1,60 @@
+import { once } from 'node:events';
+import { get } from 'node:http';
+import { expect } from 'chai';
+import { Hono } from 'hono';
+import { stream } from 'hono/streaming';
+import { listen } from '../../src/node/servers.js';
+
+const READ_TIMEOUT_MS = 1_000;
+
+function createApp(endsAfter: Promise<void>): Hono {
+  const app = new Hono();
+  app.get('/', (context) =>
+    stream(context, async (sink) => {
+      await sink.write('begun');
+      await endsAfter;
+      await sink.write(', ended');
+    }),
+  );
+  return app;
+}
+
+async function read(address: string, onBegun: () => void): Promise<string> {
+  const [response] = (await once(get(`http://${address}/`), 'response')) as [AsyncIterable<Buffer>];
+  let text = '';
+  for await (const piece of response) {
+    text += piece.toString();
+    onBegun();
+  }
+  return text;
+}
+
+describe('a listener that closes', () => {
+  it('lets an answer end, and closes the connection that was kept for more', async () => {
+    let end = (): void => undefined;
+    const ended = new Promise<void>((resolve) => (end = resolve));
+    const listener = await listen(createApp(ended), '127.0.0.1:0', READ_TIMEOUT_MS, 'entry-1');
+    let closed: Promise<void> | undefined;
+    const text = await read(listener.address, () => {
+      closed ??= listener.close(READ_TIMEOUT_MS * 10);
+      end();
+    });
+    await closed;
+    expect(text).to.equal('begun, ended');
+  });
+
+  it('breaks an answer that never ends when its grace is over', async () => {
+    const never = new Promise<void>(() => undefined);
+    const listener = await listen(createApp(never), '127.0.0.1:0', READ_TIMEOUT_MS, 'entry-1');
+    let closed: Promise<void> | undefined;
+    const reading = read(listener.address, () => {
+      closed ??= listener.close(0);
+    });
+    const failed = await reading.then(
+      () => false,
+      () => true,
+    );
+    await closed;
+    expect(failed).to.equal(true);
+  });
+});
--- a/tools/scenarios/actions.ts
+++ b/tools/scenarios/actions.ts
@@ -4,11 +4,13 @@
 import { match } from 'ts-pattern';
 import { listNodes, resolvePlatform, waitUntil, zoneOf, type Process } from '../common/index.js';
 import { askEverywhere, askEverywhereAgain, askOtherBody } from './keyed-calls.js';
-import { competeForLabel, labelVm, loadAdapter, operate } from './operators.js';
+import { competeForLabel, labelVm, loadAdapter, operate, watchEveryNode } from './operators.js';
 import { noteLeaving, type Stage } from './stage.js';
 import type { Action, CutSide, EngineMischief, NodeReference } from './steps.js';
 
 const READY_TIMEOUT_MS = 20_000;
+/** No request of a scenario takes longer than this after a node was asked to stop. */
+const STOP_TIMEOUT_MS = 40_000;
 const LATE_MS = 400;
 const BREAK_AFTER_TOKENS = 5;
 const CROSSED_CHUNKS = 3;
@@ -79,7 +81,8 @@
     })
     .with({ kind: 'load-adapter' }, ({ adapter }) => loadAdapter(stage, adapter))
     .with({ kind: 'crash-engine' }, ({ engine, ms }) => {
-      return setFault(stage, engine, { kind: 'crash', downMs: ms });
+      // The crash breaks the connection that asks for it too.
+      return setFault(stage, engine, { kind: 'crash', downMs: ms }).catch(() => undefined);
     })
     .with({ kind: 'engine-answers' }, ({ engine, how, count }) => {
       return setFault(stage, engine, createMischief(how, count));
@@ -97,6 +100,7 @@
       noteLeaving(stage, server, stage.cluster.plan.vmListLagMs);
     })
     .with({ kind: 'lose-zone' }, ({ zone }) => loseZone(stage, zone))
+    .with({ kind: 'watch' }, () => watchEveryNode(stage))
     .with({ kind: 'same-key' }, () => askEverywhere(stage))
     .with({ kind: 'same-key-again' }, () => askEverywhereAgain(stage))
     .with({ kind: 'other-body' }, () => askOtherBody(stage))
@@ -152,7 +156,8 @@
 }
 
 async function stopNode(stage: Stage, node: Process): Promise<void> {
-  const code = await node.stop();
+  const late = sleep(STOP_TIMEOUT_MS).then(() => 'late' as const);
+  const code = await Promise.race([node.stop(), late]);
   if (code !== 0) stage.found.push(`${node.name} ended with ${code}`);
 }
 
--- a/tools/scenarios/callers.ts
+++ b/tools/scenarios/callers.ts
@@ -1,8 +1,9 @@
 /**
  * Callers that behave as documented: they ask `/v1/entry-points`, keep the answer for as long as it
  * says, take the next address when one does not connect, and ask again after a refusal that says
- * "not run" when the time to come back is over. A call that may not be repeated is asked again only
- * under its own idempotency key.
+ * "not run" when the time to come back is over. A request that may be repeated is asked again, at
+ * another address, also when it may have run; one that may not, only under its own idempotency key
+ * while it is said to be in progress, or after its connection broke.
  */
 import { request, type Agent } from 'undici';
 import { z } from 'zod';
@@ -62,13 +63,13 @@
       const attempt = await sendOnce(agent, known.get(address) ?? address, address, asked);
       attempts.push(attempt);
       const leftMs = startedAt + asked.deadlineMs - performance.now();
-      const waitMs = resolveNextWait(attempt, attempts.length);
+      const waitMs = resolveNextWait(asked, attempt, attempts.length);
       if (waitMs === undefined || waitMs > leftMs) {
         const endedAt = performance.now();
         return { kind, label, path, attempts, end: attempt.end, startedAt, endedAt };
       }
-      if (attempt.end === 'unconnected' || attempt.end === 'broken') failed.add(address);
-      else failed.clear();
+      if (attempt.end === 'not-run') failed.clear();
+      else failed.add(address);
       if (failed.size >= addresses.length) {
         failed.clear();
         keptUntil = 0;
@@ -81,7 +82,7 @@
 }
 
 /** How long a caller waits before it asks again; `undefined` when the answer is final. */
-function resolveNextWait(attempt: Attempt, sendings: number): number | undefined {
+function resolveNextWait(asked: Asked, attempt: Attempt, sendings: number): number | undefined {
   if (sendings >= MAX_SENDINGS) return undefined;
   switch (attempt.end) {
     case 'unconnected':
@@ -91,6 +92,7 @@
     case 'not-run':
       return attempt.retryAfterMs > 0 ? Math.max(MIN_WAIT_MS, attempt.retryAfterMs) : undefined;
     case 'unknown':
+      if (asked.kind !== 'billed-call') return Math.max(MIN_WAIT_MS, attempt.retryAfterMs);
       // Asking again under the key gives the stored answer of a call that is still running.
       return attempt.detail.startsWith('in-progress') ? attempt.retryAfterMs : undefined;
     default:
--- a/tools/scenarios/language.ts
+++ b/tools/scenarios/language.ts
@@ -117,6 +117,7 @@
     blank.then(after('and', label)),
     (server, first, second) => ({ kind: 'two-operators', server, first, second }),
   ),
+  words('an operator watches every node').result({ kind: 'watch' }),
   after('load adapter', name)
     .skip(blank.then(words('on the engines')))
     .map((adapter) => ({ kind: 'load-adapter', adapter })),
--- a/tools/scenarios/network.ts
+++ b/tools/scenarios/network.ts
@@ -42,7 +42,11 @@
 /** Starts the relays of all nodes of a plan. */
 export async function createNetwork(plan: ClusterPlan): Promise<Network> {
   const nodes = new Map<string, NodeRelays>();
-  for (const node of listNodes(plan)) nodes.set(node, await createNodeRelays(plan, node));
+  const peers = new Map<string, Relay>();
+  for (const node of listNodes(plan)) {
+    peers.set(node, await createRelay(resolveAddresses(plan, node).peer));
+  }
+  for (const [node, own] of peers) nodes.set(node, await createNodeRelays(plan, own, peers));
 
   function find(node: string): NodeRelays {
     const relays = nodes.get(node);
@@ -84,15 +88,20 @@
   };
 }
 
-async function createNodeRelays(plan: ClusterPlan, node: string): Promise<NodeRelays> {
+async function createNodeRelays(
+  plan: ClusterPlan,
+  own: Relay,
+  peers: ReadonlyMap<string, Relay>,
+): Promise<NodeRelays> {
   const platform = resolvePlatform(plan);
   const servers = new Map<string, Relay>();
   for (const id of [...listEngines(plan), ...listServices(plan)]) {
     servers.set(id, await createRelay(resolveServerAddress(plan, id)));
   }
-  const view = await createListView(platform.vmList, (vm) => servers.get(vm)?.address);
+  const view = await createListView(platform.vmList, (vm) => {
+    return (servers.get(vm) ?? peers.get(vm))?.address;
+  });
   const table = await createRelay(new URL(platform.tableService).host);
   const list = await createRelay(new URL(view.origin).host);
-  const peers = await createRelay(resolveAddresses(plan, node).peer);
-  return { table, list, peers, servers, view };
+  return { table, list, peers: own, servers, view };
 }
--- a/tools/scenarios/operators.ts
+++ b/tools/scenarios/operators.ts
@@ -55,6 +55,15 @@
   await operate(stage, `/v1/labels/vm/${server}`, { set: { [label.key]: label.value } });
 }
 
+/** An operator leaves `reedtally watch` open at every node; it ends when the node does. */
+export function watchEveryNode(stage: Stage): Promise<void> {
+  const { cluster } = stage;
+  for (const node of cluster.running()) {
+    void cluster.operate(node, 'GET', '/v1/watch').catch(() => undefined);
+  }
+  return Promise.resolve();
+}
+
 /** Makes the engines of the example's group load one more adapter. */
 export async function loadAdapter(stage: Stage, adapter: string): Promise<void> {
   for (const object of stage.objects.values()) {
--- a/tools/scenarios/steps.ts
+++ b/tools/scenarios/steps.ts
@@ -43,6 +43,7 @@
   | { kind: 'server-says-leave'; server: string }
   | { kind: 'list-says-leave'; server: string }
   | { kind: 'lose-zone'; zone: string }
+  | { kind: 'watch' }
   | { kind: 'same-key' }
   | { kind: 'same-key-again' }
   | { kind: 'other-body' };
