--- a/src/caller/commands/call-service.ts
+++ b/src/caller/commands/call-service.ts
@@ -7,9 +7,10 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import type { ClaimAnswer } from '../../claims/index.js';
 import { resolveRoute } from '../../configuration/index.js';
-import { createRefusal, type Failure } from '../../errors/index.js';
+import { createDoubt, createRefusal, type Failure } from '../../errors/index.js';
 import type { ServiceAnswer, ServiceCall } from '../../platform/index.js';
 import type { ServiceJob } from '../../router/index.js';
+import type { Timer } from '../../task/index.js';
 import { refuse } from '../arrival.js';
 import type { CallerEnvironment } from '../environment.js';
 import { IDEMPOTENCY_HEADER, parseHeaders, readBytes } from '../input.js';
@@ -18,6 +19,7 @@
 
 const PREFIX = '/v1/services/';
 const REPLAYED_HEADER = 'x-reedtally-replayed';
+const RETRY_AFTER_MS = 1_000;
 
 /** A call that was read and may run. */
 interface Prepared {
@@ -113,6 +115,8 @@
   keyed: KeyedRequest,
   signal: AbortSignal,
 ): Promise<Ending> {
+  const joined = parts.claims.join(keyed);
+  if (joined !== undefined) return waitForOther(parts, job, joined);
   const asked: { claim?: ClaimAnswer } = {};
   const result = await parts.services.run(job, signal, async () => {
     asked.claim = await parts.claims.claim(keyed);
@@ -124,6 +128,25 @@
   return { result, isReplayed: false };
 }
 
+/** A call under the same key runs at this node: its answer is this one's too, until the deadline. */
+async function waitForOther(
+  parts: CallerParts,
+  job: ServiceJob,
+  joined: Promise<ClaimAnswer>,
+): Promise<Ending> {
+  let timer: Timer | undefined;
+  const late = new Promise<undefined>((resolve) => {
+    timer = parts.clock.after(job.deadlineAt - parts.clock.now(), () => {
+      resolve(undefined);
+    });
+  });
+  const answer = await Promise.race([joined, late]);
+  timer?.cancel();
+  if (answer?.kind === 'answered') return { result: Ok(answer.answer), isReplayed: true };
+  const failure = answer?.kind === 'refused' ? answer.failure : stillRunning(parts.node);
+  return { result: Err(failure), isReplayed: true };
+}
+
 function reasonNotToSend(parts: CallerParts, claim: ClaimAnswer): Failure | undefined {
   if (claim.kind === 'claimed') return undefined;
   return claim.kind === 'refused' ? claim.failure : alreadyAnswered(parts.node);
@@ -159,6 +182,16 @@
   });
 }
 
+function stillRunning(node: string): Failure {
+  return createDoubt({
+    code: 'in-progress',
+    message: 'a request with this key is running; ask again with the same key for its answer',
+    step: 'claim.settle',
+    peer: node,
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+}
+
 function alreadyAnswered(node: string): Failure {
   return createRefusal({
     code: 'in-progress',
--- a/src/caller/parts.ts
+++ b/src/caller/parts.ts
@@ -22,7 +22,7 @@
   replica: Pick<ConfigurationReplica, 'current'>;
   completions: CompletionRunner;
   services: ServiceCallRunner;
-  claims: Pick<Claims, 'claim' | 'settle' | 'look'>;
+  claims: Pick<Claims, 'claim' | 'settle' | 'look' | 'join'>;
   fates: Fates;
   createRequestId(): string;
   readiness(): Readiness;
--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -12,7 +12,7 @@
 import type { Log } from '../events/index.js';
 import type { Metrics } from '../metrics/index.js';
 import type { ObjectStore, Row, ServiceAnswer, TableService } from '../platform/index.js';
-import type { Clock } from '../task/index.js';
+import { wait, type Clock } from '../task/index.js';
 import type { GatheredWriter } from './gathered-writer.js';
 import {
   claimRowKey,
@@ -24,6 +24,7 @@
 
 const RETRY_AFTER_MS = 1_000;
 const SETTLE_AGAIN_MS = 1_000;
+const STOP_POLL_MS = 20;
 
 /** A request that may not be repeated. */
 export interface ClaimRequest extends ClaimKey {
@@ -67,8 +68,22 @@
   claim(request: ClaimRequest): Promise<ClaimAnswer>;
   /** The outcome under a key, without claiming it; `undefined` when there is none to give. */
   look(request: ClaimRequest): Promise<ClaimAnswer | undefined>;
+  /**
+   * The outcome of a call under the same key that this node has claimed and not settled; `undefined`
+   * when there is none. Settles when the other call does.
+   */
+  join(request: ClaimRequest): Promise<ClaimAnswer> | undefined;
   /** Stores what became of a claimed request. Goes on in the background while the table is away. */
   settle(claim: Claim, outcome: Result<ServiceAnswer, Failure>): Promise<void>;
+  /** Waits for what goes on in the background, `graceMs` at most, and ends what is left of it. */
+  stop(graceMs: number): Promise<void>;
+}
+
+/** A call that this node has claimed and not settled. */
+interface Running {
+  bodyHash: string;
+  ended: Promise<ClaimAnswer>;
+  end(answer: ClaimAnswer): void;
 }
 
 /**
@@ -78,6 +93,9 @@
  */
 export function createClaims(parts: ClaimsParts): Claims {
   const { table, objectStore, writer, clock, log, metrics, node } = parts;
+  const running = new Map<string, Running>();
+  const background = new Set<Promise<void>>();
+  let stopped = false;
 
   async function claim(request: ClaimRequest): Promise<ClaimAnswer> {
     return insert(request, 0);
@@ -98,7 +116,7 @@
     metrics.claims.inc({ outcome: outcome.kind });
     return match(outcome)
       .with({ kind: 'committed' }, (committed): ClaimAnswer => {
-        return { kind: 'claimed', claim: { rowKey, revision: committed.revision, row } };
+        return begin({ rowKey, revision: committed.revision, row });
       })
       .with({ kind: 'unavailable' }, () => refuse(unavailable(node)))
       .with({ kind: 'conflict' }, () => readExisting(request))
@@ -106,6 +124,28 @@
       .exhaustive();
   }
 
+  function begin(held: Claim): ClaimAnswer {
+    let end: Running['end'] = () => undefined;
+    const ended = new Promise<ClaimAnswer>((resolve) => {
+      end = resolve;
+    });
+    running.set(held.rowKey, { bodyHash: held.row.bodyHash, ended, end });
+    return { kind: 'claimed', claim: held };
+  }
+
+  function finish(held: Claim, outcome: Result<ServiceAnswer, Failure>): void {
+    const ended = running.get(held.rowKey);
+    running.delete(held.rowKey);
+    ended?.end(
+      outcome.isOk() ? { kind: 'answered', answer: outcome.value } : refuse(outcome.error),
+    );
+  }
+
+  function keepUp(work: Promise<void>): void {
+    background.add(work);
+    void work.finally(() => background.delete(work));
+  }
+
   /** The answer to the claim was lost: the row says whether it is ours. */
   async function readBack(request: ClaimRequest, sent: Claim): Promise<ClaimAnswer> {
     log.write('claimUncertain', { requestId: request.requestId });
@@ -113,7 +153,7 @@
     if (read.isErr()) return abandon(sent);
     const found = read.value === undefined ? undefined : parseClaimRow(read.value.value);
     if (read.value !== undefined && found?.attempt === sent.row.attempt) {
-      return { kind: 'claimed', claim: { ...sent, revision: read.value.revision } };
+      return begin({ ...sent, revision: read.value.revision });
     }
     if (read.value !== undefined && read.value.revision !== sent.revision) {
       return resolveExisting(request, read.value);
@@ -123,32 +163,32 @@
 
   /** Nothing was sent and nothing will be; the row is moved on so that a late write changes nothing. */
   function abandon(sent: Claim): ClaimAnswer {
-    void fence(sent);
+    keepUp(fence(sent));
     return refuse(unavailable(node));
   }
 
   async function fence(sent: Claim): Promise<void> {
     const tombstone: ClaimRow = { ...sent.row, attempt: parts.createId(), state: 'not-run' };
-    for (;;) {
-      const read = await table.get(sent.rowKey);
-      if (read.isOk()) {
-        const found = read.value === undefined ? undefined : parseClaimRow(read.value.value);
-        const revision = read.value?.revision ?? 0;
-        const hasLanded = found?.attempt === sent.row.attempt;
-        if (!hasLanded && revision !== sent.revision) return;
-        const write = { key: sent.rowKey, revision, value: tombstone };
-        const outcome = await writer.write(write);
-        if (outcome.kind === 'committed') {
-          log.write('claimFenced', { requestId: sent.row.requestId });
-          return;
-        }
-      }
-      await new Promise<void>((resolve) => {
-        clock.after(SETTLE_AGAIN_MS, resolve);
-      });
+    while (!stopped) {
+      if (await tryFence(sent, tombstone)) return;
+      await wait(clock, SETTLE_AGAIN_MS);
     }
   }
 
+  /** @returns whether the claim can no longer land, or was overtaken by another. */
+  async function tryFence(sent: Claim, tombstone: ClaimRow): Promise<boolean> {
+    const read = await table.get(sent.rowKey);
+    if (read.isErr()) return false;
+    const found = read.value === undefined ? undefined : parseClaimRow(read.value.value);
+    const revision = read.value?.revision ?? 0;
+    const hasLanded = found?.attempt === sent.row.attempt;
+    if (!hasLanded && revision !== sent.revision) return true;
+    const outcome = await writer.write({ key: sent.rowKey, revision, value: tombstone });
+    if (outcome.kind !== 'committed') return false;
+    log.write('claimFenced', { requestId: sent.row.requestId });
+    return true;
+  }
+
   async function readExisting(request: ClaimRequest): Promise<ClaimAnswer> {
     const read = await table.get(claimRowKey(request));
     if (read.isErr()) return refuse(unavailable(node));
@@ -198,16 +238,29 @@
   }
 
   async function settle(held: Claim, outcome: Result<ServiceAnswer, Failure>): Promise<void> {
-    const row = await describeOutcome(held, outcome);
-    if (await writeOutcome(held, row)) return;
-    log.write('claimSettleFailed', { requestId: held.row.requestId });
-    void keepSettling(held, row);
+    let row: ClaimRow | undefined;
+    const store = async () => {
+      row ??= await describeOutcome(held, outcome);
+      return row !== undefined && (await writeOutcome(held, row));
+    };
+    if (!(await store())) {
+      log.write('claimSettleFailed', { requestId: held.row.requestId });
+      keepUp(keepStoring(store));
+    }
+    finish(held, outcome);
+  }
+
+  async function keepStoring(store: () => Promise<boolean>): Promise<void> {
+    do {
+      await wait(clock, SETTLE_AGAIN_MS);
+    } while (!stopped && !(await store()));
   }
 
+  /** @returns the row to write; `undefined` while the body of the answer cannot be stored. */
   async function describeOutcome(
     held: Claim,
     outcome: Result<ServiceAnswer, Failure>,
-  ): Promise<ClaimRow> {
+  ): Promise<ClaimRow | undefined> {
     const base = { ...held.row, writtenAt: parts.wallClock() };
     if (outcome.isErr()) return { ...base, state: outcome.error.outcome, failure: outcome.error };
     const { status, contentType, body } = outcome.value;
@@ -218,16 +271,7 @@
     }
     answer.objectKey = `claims/${held.row.attempt}`;
     const put = await objectStore.put(answer.objectKey, body);
-    if (put.isOk()) return { ...base, state: 'answered', answer };
-    return { ...base, state: 'unknown', failure: uncertain(node) };
-  }
-
-  async function keepSettling(held: Claim, row: ClaimRow): Promise<void> {
-    do {
-      await new Promise<void>((resolve) => {
-        clock.after(SETTLE_AGAIN_MS, resolve);
-      });
-    } while (!(await writeOutcome(held, row)));
+    return put.isOk() ? { ...base, state: 'answered', answer } : undefined;
   }
 
   /** @returns whether the outcome is stored, or can never be. */
@@ -241,6 +285,8 @@
     const found = read.value === undefined ? undefined : parseClaimRow(read.value.value);
     if (read.value === undefined || found?.attempt !== held.row.attempt) return true;
     if (found.state === row.state) return true;
+    // Whoever was told that it may have run must not see it run later, so this is not taken back.
+    if (found.state === 'unknown' && row.state === 'not-run') return true;
     // Somebody declared the claim unknown meanwhile; what this node knows is better.
     held.revision = read.value.revision;
     return false;
@@ -255,7 +301,18 @@
       if (found === undefined || found.state === 'not-run') return undefined;
       return resolveExisting(request, read.value);
     },
+    join(request) {
+      const other = running.get(claimRowKey(request));
+      if (other === undefined) return undefined;
+      if (other.bodyHash !== request.bodyHash) return Promise.resolve(refuse(reused(node)));
+      return other.ended;
+    },
     settle,
+    async stop(graceMs) {
+      const until = clock.now() + graceMs;
+      while (background.size > 0 && clock.now() < until) await wait(clock, STOP_POLL_MS);
+      stopped = true;
+    },
   };
 }
 
--- a/src/claims/gathered-writer.ts
+++ b/src/claims/gathered-writer.ts
@@ -78,6 +78,11 @@
       if (conflicts.includes(entry.write.key)) entry.settle({ kind: 'conflict' });
       else others.push(entry);
     }
+    if (others.length === batch.length) {
+      // The conflict names none of them: sending the same again would never end.
+      for (const entry of batch) entry.settle({ kind: 'conflict' });
+      return;
+    }
     if (others.length > 0) await send(others);
   }
 
--- a/src/claims/index.ts
+++ b/src/claims/index.ts
@@ -2,3 +2,4 @@
 export * from './claims.js';
 export * from './gathered-writer.js';
 export * from './rows.js';
+export * from './sweep.js';
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -3,7 +3,7 @@
  */
 import { match } from 'ts-pattern';
 import { createCallerFront, type Readiness } from '../caller/index.js';
-import { createClaims, createGatheredWriter } from '../claims/index.js';
+import { createClaims, createClaimSweep, createGatheredWriter } from '../claims/index.js';
 import {
   createConfigurationReplica,
   createConfigurationWriter,
@@ -65,6 +65,8 @@
 const DRAIN_POLL_MS = 50;
 /** Operators may watch a node for ever; its shutdown ends that. */
 const OPERATOR_GRACE_MS = 1_000;
+/** How long a stop waits for outcomes that could not be stored at once. */
+const CLAIMS_GRACE_MS = 10_000;
 
 /** Secrets of a node, as read from where the settings say. */
 export interface Secrets {
@@ -387,6 +389,18 @@
     },
   });
 
+  const claimSweep = createClaimSweep({
+    table: platform.table('claims'),
+    objectStore: platform.objectStore,
+    clock,
+    metrics,
+    node,
+    retentionMs: settings.claims.retentionMs,
+    sweepPerSecond: settings.claims.sweepPerSecond,
+    aliveNodes: () => membership.aliveNames(),
+    wallClock: environment.wallClock,
+  });
+
   const callerFront = createCallerFront({
     node,
     clock,
@@ -614,6 +628,7 @@
       await replica.start();
       reportTable();
       await lapseWatch.start();
+      claimSweep.start();
       ownership.start();
       tellPlaces();
       if (pick !== undefined) board.start();
@@ -627,6 +642,9 @@
       await wait(clock, settings.membership.entryPointsKeptMs);
       refusing = true;
       await waitForRequests();
+      claimSweep.stop();
+      // Before the lease is given back: then others take unsettled claims for unknown.
+      await claims.stop(CLAIMS_GRACE_MS);
       held.stopOrders();
       await formers.sendingsEnded();
       await ownership.release();
