feat(node): encrypt the fronts and the links, where settings give certificates

The peer key authenticates the handshake of a link and nothing after it. tls.caller, tls.operator and tls.peer name PEM files; without them all stays as it was. Client certificates between nodes were ruled out: the key already proves the dialling end inside of the encrypted link.

--- a/src/links/links.ts
+++ b/src/links/links.ts
@@ -2,11 +2,13 @@
  * The task that owns all links of a node: it listens for peers, dials those that membership names,
  * and hands what arrives to its owner.
  */
+import { createServer, type Server } from 'node:https';
 import { Err, type Result } from 'ts-results-es';
 import { WebSocket, WebSocketServer } from 'ws';
 import { createRefusal, type Failure } from '../errors/index.js';
 import type { Log } from '../events/index.js';
 import type { Metrics } from '../metrics/index.js';
+import type { Certificate } from '../settings/index.js';
 import type { Clock, Timer } from '../task/index.js';
 import { createLink, type Link, type LinkEnd, type LinkOwner } from './link.js';
 import type { Answer, Notice, Query } from './messages.js';
@@ -22,6 +24,8 @@
   key: string;
   /** `host:port` to listen on. */
   listen: string;
+  /** Encrypts all links, where every node does. */
+  certificate?: Certificate | undefined;
   clock: Clock;
   log: Log;
   metrics: Metrics;
@@ -65,13 +69,14 @@
  * @param parts the node's name and key and what listens to the links
  */
 export function createLinks(parts: LinksParts): Links {
-  const { node, key, clock, log, metrics } = parts;
+  const { node, key, clock, log, metrics, certificate } = parts;
   const byPeer = new Map<string, Link>();
   const dialled = new Map<string, Link>();
   const all = new Set<Link>();
   const waiting = new Map<string, Set<(link: Link | undefined) => void>>();
   let idleTimer: Timer | undefined;
   let server: WebSocketServer | undefined;
+  let tlsServer: Server | undefined;
   let closed = false;
 
   const owner: LinkOwner = {
@@ -138,10 +143,12 @@
 
   function startDial(address: string): void {
     if (closed || dialled.has(address)) return;
-    const socket = new WebSocket(`ws://${address}`, {
+    const scheme = certificate === undefined ? 'ws' : 'wss';
+    const socket = new WebSocket(`${scheme}://${address}`, {
       handshakeTimeout: DIAL_TIMEOUT_MS,
       maxPayload: MAX_FRAME_BYTES,
       perMessageDeflate: false,
+      ...(certificate?.authority === undefined ? {} : { ca: certificate.authority }),
     });
     dialled.set(address, adopt(socket, 'client'));
   }
@@ -189,13 +196,20 @@
     return link;
   }
 
+  /** The options by which the server of links listens, with or without encryption. */
+  function bindTo(host: string, port: number): { host: string; port: number } | { server: Server } {
+    if (certificate === undefined) return { host, port };
+    tlsServer = createServer({ cert: certificate.certificate, key: certificate.key });
+    tlsServer.listen(port, host);
+    return { server: tlsServer };
+  }
+
   return {
     listen() {
       const [host = '', port = ''] = parts.listen.split(':');
       return new Promise((resolve, reject) => {
         const created = new WebSocketServer({
-          host,
-          port: Number(port),
+          ...bindTo(host, Number(port)),
           maxPayload: MAX_FRAME_BYTES,
         });
         created.once('listening', () => {
@@ -262,8 +276,14 @@
           return;
         }
         server.close(() => {
-          resolve();
+          if (tlsServer === undefined) resolve();
+          else {
+            tlsServer.close(() => {
+              resolve();
+            });
+          }
         });
+        tlsServer?.closeAllConnections();
       });
     },
   };
--- a/src/node/environment.ts
+++ b/src/node/environment.ts
@@ -8,7 +8,7 @@
 import type { Metrics } from '../metrics/index.js';
 import { createHttpModelEngine, createHttpPlainService } from '../platform/http/index.js';
 import type { BackendFactories } from '../router/index.js';
-import type { Settings } from '../settings/index.js';
+import type { Certificate, Settings } from '../settings/index.js';
 import {
   createSystemClock,
   createSystemRandom,
@@ -33,6 +33,7 @@
     address: string,
     readTimeoutMs: number,
     node: string,
+    certificate?: Certificate,
   ): Promise<Listener>;
 }
 
--- a/src/node/main.ts
+++ b/src/node/main.ts
@@ -2,8 +2,14 @@
  * The node process: reads settings, runs a node, and stops it gracefully on SIGTERM or SIGINT.
  */
 import { createLog, type Log } from '../events/index.js';
-import { loadSecret, loadSettings, type Mistake, type Settings } from '../settings/index.js';
-import { createNode, type Secrets } from './node.js';
+import {
+  loadCertificate,
+  loadSecret,
+  loadSettings,
+  type Mistake,
+  type Settings,
+} from '../settings/index.js';
+import { createNode, type Certificates, type Secrets } from './node.js';
 
 /** Exit code when the settings are wrong. */
 const WRONG_SETTINGS = 2;
@@ -38,14 +44,27 @@
   const peerKey = loadSecret('peerKey', settings.secrets.peerKey);
   const operatorToken = loadSecret('operatorToken', settings.secrets.operatorToken);
   const mistakes: Mistake[] = [];
+  const certificates = loadCertificates(settings, mistakes);
   if (peerKey.isErr()) mistakes.push(peerKey.error);
   if (operatorToken.isErr()) mistakes.push(operatorToken.error);
-  if (peerKey.isOk() && operatorToken.isOk()) {
-    return { peerKey: peerKey.value, operatorToken: operatorToken.value };
+  if (peerKey.isOk() && operatorToken.isOk() && mistakes.length === 0) {
+    return { peerKey: peerKey.value, operatorToken: operatorToken.value, certificates };
   }
   return mistakes;
 }
 
+function loadCertificates(settings: Settings, mistakes: Mistake[]): Certificates {
+  const certificates: Certificates = {};
+  for (const use of ['caller', 'operator', 'peer'] as const) {
+    const files = settings.tls[use];
+    if (files === undefined) continue;
+    const loaded = loadCertificate(use, files);
+    if (loaded.isErr()) mistakes.push(loaded.error);
+    else certificates[use] = loaded.value;
+  }
+  return certificates;
+}
+
 function reportMistakes(log: Log, mistakes: readonly Mistake[]): number {
   for (const mistake of mistakes) {
     log.write('settingsWrong', { ...mistake });
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -47,7 +47,7 @@
   createServiceCallRunner,
   resolvePick,
 } from '../router/index.js';
-import type { Settings } from '../settings/index.js';
+import type { Certificate, Settings } from '../settings/index.js';
 import { createOwnership, rankNodes, resolveShards, type Shard } from '../shards/index.js';
 import { wait, type Timer } from '../task/index.js';
 import { createSystemEnvironment, type NodeEnvironment } from './environment.js';
@@ -72,8 +72,13 @@
 export interface Secrets {
   peerKey: string;
   operatorToken: string;
+  /** What encrypts the fronts and the links; plain where absent. */
+  certificates?: Certificates;
 }
 
+/** Certificates of a node, by what they are for. */
+export type Certificates = Partial<Record<keyof Settings['tls'], Certificate>>;
+
 /** Addresses that a node listens on. */
 export interface NodeAddresses {
   caller: string;
@@ -129,6 +134,7 @@
     node,
     key: secrets.peerKey,
     listen: settings.listen.peer,
+    certificate: secrets.certificates?.peer,
     clock,
     log,
     metrics,
@@ -578,9 +584,22 @@
   async function openFronts(): Promise<void> {
     const { readTimeoutMs } = settings.requests;
     const { caller: callerAddress, operator: operatorAddress } = settings.listen;
-    const caller = await environment.listen(callerFront, callerAddress, readTimeoutMs, node);
+    const { certificates = {} } = secrets;
+    const caller = await environment.listen(
+      callerFront,
+      callerAddress,
+      readTimeoutMs,
+      node,
+      certificates.caller,
+    );
     listeners.push(caller);
-    const operator = await environment.listen(operatorFront, operatorAddress, readTimeoutMs, node);
+    const operator = await environment.listen(
+      operatorFront,
+      operatorAddress,
+      readTimeoutMs,
+      node,
+      certificates.operator,
+    );
     listeners.push(operator);
     addresses.caller = advertise.caller ?? caller.address;
     addresses.operator = advertise.operator ?? operator.address;
--- a/src/node/servers.ts
+++ b/src/node/servers.ts
@@ -2,9 +2,11 @@
  * HTTP listeners of the two fronts, with the limits that keep slow or oversized requests from
  * holding a node.
  */
-import { createServer, type Server } from 'node:http';
+import { createServer, type RequestListener, type Server } from 'node:http';
+import { createServer as createTlsServer } from 'node:https';
 import { getRequestListener } from '@hono/node-server';
 import type { Hono } from 'hono';
+import type { Certificate } from '../settings/index.js';
 import { refuseUnreadable } from './unreadable-request.js';
 
 /** Largest sum of a request's headers, in bytes. */
@@ -33,28 +35,35 @@
  * @param address `host:port`
  * @param readTimeoutMs how long a request may take to arrive
  * @param node name of this node, for refusals
+ * @param certificate encrypts the front; plain HTTP when absent
  */
 export function listen(
   app: Pick<Hono, 'fetch'>,
   address: string,
   readTimeoutMs: number,
   node: string,
+  certificate?: Certificate,
 ): Promise<Listener> {
   const [host = '', port = ''] = address.split(':');
   const answer = getRequestListener(app.fetch);
-  const server = createServer(
-    {
-      requestTimeout: readTimeoutMs,
-      headersTimeout: readTimeoutMs,
-      connectionsCheckingInterval: CHECK_EVERY_MS,
-      maxHeaderSize: MAX_HEADER_BYTES,
-      keepAliveTimeout: KEEP_ALIVE_MS,
-      noDelay: true,
-    },
-    (incoming, outgoing) => {
-      void answer(incoming, outgoing);
-    },
-  );
+  const limits = {
+    requestTimeout: readTimeoutMs,
+    headersTimeout: readTimeoutMs,
+    connectionsCheckingInterval: CHECK_EVERY_MS,
+    maxHeaderSize: MAX_HEADER_BYTES,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    noDelay: true,
+  };
+  const receive: RequestListener = (incoming, outgoing) => {
+    void answer(incoming, outgoing);
+  };
+  const server =
+    certificate === undefined
+      ? createServer(limits, receive)
+      : createTlsServer(
+          { ...limits, cert: certificate.certificate, key: certificate.key },
+          receive,
+        );
   server.on('clientError', (error, socket) => {
     refuseUnreadable(error, socket, node);
   });
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -5,7 +5,7 @@
 import { readFileSync } from 'node:fs';
 import { Err, Ok, type Result } from 'ts-results-es';
 import type { z } from 'zod';
-import { settingsSchema, type Secret, type Settings } from './schema.js';
+import { settingsSchema, type CertificateFiles, type Secret, type Settings } from './schema.js';
 
 /** A mistake in a file that a person wrote. */
 export interface Mistake {
@@ -63,6 +63,37 @@
   return mistakes;
 }
 
+/** A certificate and its key, in PEM. */
+export interface Certificate {
+  certificate: string;
+  key: string;
+  /** The authorities that others' certificates are checked by; the usual ones when absent. */
+  authority: string | undefined;
+}
+
+/**
+ * Reads a certificate.
+ *
+ * @param name whose it is, as `peer`, for the message
+ * @param files where it is
+ */
+export function loadCertificate(
+  name: string,
+  files: CertificateFiles,
+): Result<Certificate, Mistake> {
+  const { authorityFile } = files;
+  try {
+    return Ok({
+      certificate: readFileSync(files.certificateFile, 'utf8'),
+      key: readFileSync(files.keyFile, 'utf8'),
+      authority: authorityFile === undefined ? undefined : readFileSync(authorityFile, 'utf8'),
+    });
+  } catch (error) {
+    const message = `cannot be read: ${String(error)}; check the paths and their permissions`;
+    return Err({ file: files.certificateFile, field: `tls.${name}`, message });
+  }
+}
+
 /**
  * Reads a secret from where the settings say it is.
  *
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -18,6 +18,20 @@
 /** Where a secret comes from. */
 export type Secret = z.infer<typeof secretSchema>;
 
+export const certificateFilesSchema = z.strictObject({
+  certificateFile: z.string().describe('PEM file with the certificate and those that signed it.'),
+  keyFile: z.string().describe('PEM file with its private key.'),
+  authorityFile: z
+    .string()
+    .optional()
+    .describe(
+      'PEM file with the authorities that certificates are checked by; else the usual ones.',
+    ),
+});
+
+/** Where a certificate and its key are. */
+export type CertificateFiles = z.infer<typeof certificateFilesSchema>;
+
 export const settingsSchema = z.strictObject({
   node: z
     .string()
@@ -56,6 +70,14 @@
     peerKey: secretSchema.describe('Key that all nodes share and prove to each other.'),
     operatorToken: secretSchema.describe('Token that operators send.'),
   }),
+  tls: z
+    .strictObject({
+      caller: certificateFilesSchema.optional(),
+      operator: certificateFilesSchema.optional(),
+      /** On every node or on none; the certificate names the IP number that others dial. */
+      peer: certificateFilesSchema.optional(),
+    })
+    .prefault({}),
   lease: z
     .strictObject({
       renewEveryMs: z.number().positive().default(750).describe('Time between two renewals.'),
--- a/tools/docs/pages.ts
+++ b/tools/docs/pages.ts
@@ -83,20 +83,22 @@
     'Addresses are an IP number and a port. Secrets never stand in the file itself: give',
     '`{ "file": path }` or `{ "environment": variable }`, with at least 16 characters behind it.',
     '',
-    ...renderTable(['Key', 'Type', 'Default', 'Meaning'], listSettings(schema, '')),
+    ...renderTable(['Key', 'Type', 'Default', 'Meaning'], listSettings(schema, '', true)),
   ]);
 }
 
-function listSettings(schema: SchemaNode, path: string): string[][] {
+function listSettings(schema: SchemaNode, path: string, isGiven: boolean): string[][] {
   const rows: string[][] = [];
   for (const [key, node] of Object.entries(schema.properties ?? {})) {
     const at = `${path}${key}`;
+    const isRequired = schema.required?.includes(key) === true;
     if (node.properties !== undefined) {
-      rows.push(...listSettings(node, `${at}.`));
+      rows.push(...listSettings(node, `${at}.`, isRequired));
       continue;
     }
-    const isRequired = schema.required?.includes(key) === true;
-    rows.push([`\`${at}\``, describeType(node), describeDefault(node, isRequired), describe(node)]);
+    const need = isGiven ? 'required' : `required in \`${path.slice(0, -1)}\``;
+    const absent = isRequired ? need : 'none';
+    rows.push([`\`${at}\``, describeType(node), describeDefault(node, absent), describe(node)]);
   }
   return rows;
 }
@@ -111,9 +113,8 @@
   return node.format ?? node.type ?? '';
 }
 
-function describeDefault(node: SchemaNode, isRequired: boolean): string {
-  if (node.default !== undefined) return `\`${JSON.stringify(node.default)}\``;
-  return isRequired ? 'required' : 'none';
+function describeDefault(node: SchemaNode, absent: string): string {
+  return node.default === undefined ? absent : `\`${JSON.stringify(node.default)}\``;
 }
 
 async function renderMetrics(): Promise<string> {
