fix(orders): change an engine once for its planner and its groups

Cause: a planner's change was limited by the number of engines that groups may change at once and then lacked the groups' adapters, so the engine was changed twice; and the planner's changes did not count against that number.

Ruled out: counting outstanding orders of engines that do not answer (a lost engine would hold up all others).

Change: a planner's change is completed by what the groups want; group changes wait while others are under way.

--- a/src/orders/engine-orders.ts
+++ b/src/orders/engine-orders.ts
@@ -55,6 +55,8 @@
   checksFence(): boolean;
   /** Whether the lease under which the shard is held may be relied on. */
   isLeaseValid(): boolean;
+  /** A wanted state with what the engine's groups want besides, so that it is changed once. */
+  completeByGroups(wanted: Equipment): Equipment;
   /** What the engine's groups want of it; `undefined` when it lacks nothing or has to wait. */
   wantedByGroups(present: Equipment): Equipment | undefined;
   /** The engine's word after it carried an order out, for the tally. */
@@ -134,6 +136,10 @@
     return sight?.step.kind === 'none' && !hasAim();
   }
 
+  function isOutstanding(): boolean {
+    return entry?.row.order?.state === 'outstanding';
+  }
+
   function hasAim(): boolean {
     return aim !== undefined;
   }
@@ -149,8 +155,7 @@
 
   /** Work is let in, unless an order that was sent may be about to reach the engine. */
   function restWithoutLease(): Progress {
-    const isOutstanding = entry?.row.order?.state === 'outstanding';
-    if (!isOutstanding || idleWait.heldForMs() >= terms.drainMs) idleWait.end();
+    if (!isOutstanding() || idleWait.heldForMs() >= terms.drainMs) idleWait.end();
     return 'rest';
   }
 
@@ -183,8 +188,8 @@
     row: EngineRow,
     state: EngineState,
   ): Equipment | undefined {
-    const present = seenAim?.wanted ?? row.order?.wanted ?? resolveEquipment(state);
-    return parts.wantedByGroups(present) ?? seenAim?.wanted;
+    if (seenAim !== undefined) return parts.completeByGroups(seenAim.wanted);
+    return parts.wantedByGroups(row.order?.wanted ?? resolveEquipment(state));
   }
 
   async function read(): Promise<JournalEntry | undefined> {
@@ -387,8 +392,8 @@
 
   return {
     async start() {
-      const found = await read();
-      if (!stopped && found?.row.order?.state === 'outstanding') idleWait.begin();
+      await read();
+      if (!stopped && isOutstanding()) idleWait.begin();
     },
     notice: kick,
     change(wanted) {
@@ -405,8 +410,7 @@
         kick();
       });
     },
-    isChanging: () =>
-      aim !== undefined || idleWait.isHeld() || entry?.row.order?.state === 'outstanding',
+    isChanging: () => hasAim() || idleWait.isHeld() || (running && isOutstanding()),
     stop,
   };
 }
--- a/src/orders/shard-orders.ts
+++ b/src/orders/shard-orders.ts
@@ -100,6 +100,9 @@
         createId: parts.createId,
         checksFence: () => added.vm.checksFence,
         isLeaseValid: parts.isLeaseValid,
+        completeByGroups: (wanted) => {
+          return resolveGroupEquipment(parts.groupsOf(added.vm), wanted) ?? wanted;
+        },
         wantedByGroups: (present) => wantedByGroups(added.vm, present),
         learned: parts.learned,
         rested: () => {
@@ -115,11 +118,20 @@
     const groups = parts.groupsOf(vm);
     const wanted = resolveGroupEquipment(groups, present);
     if (wanted === undefined) return undefined;
-    if (!reconciled.has(vm.id) && reconciled.size >= resolveMaxAtOnce(groups)) return undefined;
+    if (!reconciled.has(vm.id) && countChanging() >= resolveMaxAtOnce(groups)) return undefined;
     reconciled.add(vm.id);
     return wanted;
   }
 
+  /** Engines changed for their groups or for the planner. */
+  function countChanging(): number {
+    const changing = new Set(reconciled);
+    for (const [id, { orders }] of ordered) {
+      if (orders.isChanging()) changing.add(id);
+    }
+    return changing.size;
+  }
+
   function remove(id: string, { orders }: Ordered): void {
     orders.stop();
     ordered.delete(id);
--- a/test/orders/orders.test.ts
+++ b/test/orders/orders.test.ts
@@ -122,6 +122,17 @@
     expect(engine.control.taken()).to.deep.equal(['prefill:']);
   });
 
+  it('changes an engine once for its planner and its groups', async () => {
+    const groups = [
+      createObject({ kind: 'group', name: 'g', model: 'm', adapters: ['x'], selector: {} }),
+    ].filter((object) => object.kind === 'group');
+    const { hold, engine, advance, runUntil } = createOrderBench(true);
+    const { orders } = await hold('a', { groups });
+    (await runUntil(orders.change('engine-1', prefill))).unwrap();
+    await advance(10_000);
+    expect(engine.control.taken()).to.deep.equal(['prefill:x']);
+  });
+
   it('loads what a group lacks, one ticket of the weight store for each load', async () => {
     const groups = [
       createObject({ kind: 'group', name: 'g', model: 'm', adapters: ['x', 'y'], selector: {} }),
