perf(orders): look for proofs about former holders only where they matter

Cause: an engine that ignores numbers and whose former holder is not proved gone cost a table read every half second, whether or not a change was wanted.

Ruled out: keeping a refuted proof for a fixed time (a wanted change would wait).

Change: the proof is looked for when a change depends on it, and once a minute otherwise, to write it down while it can still be had.

Figures: in 600 s with nothing wanted, at most 10 reads (a test); before, two a second by the code.

--- a/src/orders/engine-orders.ts
+++ b/src/orders/engine-orders.ts
@@ -20,12 +20,14 @@
 import type { IdleWait } from './idle-wait.js';
 import type { JournalEntry, OrderJournal } from './journal.js';
 import { listLoads, type LoadPace } from './load-pace.js';
-import { resolveNextStep, type NextStep } from './next-step.js';
+import { resolveNextStep, type EngineView, type NextStep } from './next-step.js';
 import { resolveEquipment, type EngineRow, type Equipment, type JournalledOrder } from './rows.js';
 
 const LOOK_EVERY_MS = 250;
 const WITHHELD_AGAIN_MS = 5_000;
 const JOURNAL_AGAIN_MS = 2_000;
+/** How often a proof is looked for that is needed for nothing yet. */
+const PROOF_EVERY_MS = 60_000;
 
 /** Limits of giving orders, in milliseconds. */
 export interface OrderTerms {
@@ -109,6 +111,7 @@
   let running = false;
   let stopped = false;
   let notBefore = 0;
+  let proofDueAt = 0;
   let withheldFence: number | undefined;
 
   function kick(hint?: EngineState): void {
@@ -171,18 +174,33 @@
     if (known === undefined) return undefined;
     const seenAim = aim;
     const { row } = known;
-    const checksFence = parts.checksFence();
-    const step = resolveNextStep({
+    const step = await choose({
       row,
       state,
       own,
-      checksFence,
-      othersCleared: checksFence || (await areOthersCleared(formers, engine.id, row, own)),
+      checksFence: parts.checksFence(),
+      othersCleared: listOthers(row, own).length === 0,
       desired: resolveDesired(seenAim, row, state),
     });
     return { entry: known, state, aim: seenAim, step };
   }
 
+  /** Proofs cost reads of the table, so they are looked for only where they change the step. */
+  async function choose(view: EngineView): Promise<NextStep> {
+    const step = resolveNextStep(view);
+    if (view.checksFence || view.othersCleared || !isProofDue(step)) return step;
+    const othersCleared = await areOthersCleared(formers, engine.id, view.row, own);
+    return othersCleared ? resolveNextStep({ ...view, othersCleared }) : step;
+  }
+
+  function isProofDue(step: NextStep): boolean {
+    if (step.kind === 'withhold') return true;
+    if (step.kind === 'resend') return step.order.state === 'settled';
+    if (step.kind !== 'none' || clock.now() < proofDueAt) return false;
+    proofDueAt = clock.now() + PROOF_EVERY_MS;
+    return true;
+  }
+
   function resolveDesired(
     seenAim: Aim | undefined,
     row: EngineRow,
--- a/test/orders/orders.test.ts
+++ b/test/orders/orders.test.ts
@@ -299,6 +299,14 @@
     });
   }
 
+  it('reads little of the table while it waits for a proof that nothing needs yet', async () => {
+    const { advance, control } = await setUpProof();
+    await advance(10_000);
+    const before = control.reads;
+    await advance(600_000);
+    expect(control.reads - before).to.be.within(1, 10);
+  });
+
   it('takes neither a lapsed lease nor an address that many can listen at for a proof', async () => {
     const bench = await setUpProof('0.0.0.0:7000');
     const { a, b, runUntil, writeNode, advance } = bench;
