--- a/tools/bench/summary.ts
+++ b/tools/bench/summary.ts
@@ -39,6 +39,8 @@
   small: GroupSummary;
   /** Short questions of small teams. */
   smallShort: GroupSummary;
+  /** Verdicts of small teams. */
+  smallVerdicts: GroupSummary;
   /** Good answers a second. */
   goodput: number;
   /** How requests ended other than well, by result and reason. */
@@ -89,6 +91,7 @@
     large: summarizeGroup(counted.filter(({ isLarge }) => isLarge)),
     small: summarizeGroup(small),
     smallShort: summarizeGroup(small.filter((outcome) => outcome.class === 'worked-answer')),
+    smallVerdicts: summarizeGroup(small.filter((outcome) => outcome.class === 'verdict')),
     goodput: all.good / (plan.offer.seconds - warmUpSeconds),
     ends: countEnds(counted),
     retries: record.retries,
