fix(bench): crash an engine without being cut off oneself

Cause: the crash breaks the connection of the command that causes it; the bench took that for an error, ended, and left its processes behind. Change: a crash is judged by the engine no longer answering; a fault that could not be caused makes its run invalid instead of ending the bench.

--- a/tools/bench/faults.ts
+++ b/tools/bench/faults.ts
@@ -27,9 +27,7 @@
 export async function causeFault(fault: FaultName, running: RunningDeployment): Promise<void> {
   await match(fault)
     .with('none', () => Promise.resolve())
-    .with('engine-lost', () =>
-      setFault(running.engines[0] ?? '', { kind: 'crash', downMs: ENGINE_DOWN_MS }),
-    )
+    .with('engine-lost', () => crashEngine(running.engines[0] ?? ''))
     .with('node-killed', () => killHolder(running))
     .with('table-outage', () => setFault(running.table, { kind: 'unavailable' }))
     .exhaustive();
@@ -44,6 +42,14 @@
   if (answer.statusCode >= 300) throw new Error(`fault not set: status ${answer.statusCode}`);
 }
 
+/** A crash breaks every connection to the engine, that of the command too. */
+async function crashEngine(address: string): Promise<void> {
+  const fault = { kind: 'crash', downMs: ENGINE_DOWN_MS };
+  await setFault(address, fault).catch(() => undefined);
+  const answered = await request(`http://${address}/v1/state`).catch(() => undefined);
+  if (answered !== undefined) throw new Error(`the engine at ${address} did not crash`);
+}
+
 /** Kills the node that holds the engines' shard, the worst one to lose. */
 async function killHolder(running: RunningDeployment): Promise<void> {
   const holder = await findHolder(running);
--- a/tools/bench/run.ts
+++ b/tools/bench/run.ts
@@ -74,9 +74,12 @@
   for (let index = 0; index < plan.generators; index++) {
     reporting.push(startGenerator(createJob(plan, running, index, startAt)));
   }
+  const failures: string[] = [];
   const fault = setTimeout(
     () => {
-      void causeFault(plan.fault, running);
+      causeFault(plan.fault, running).catch((error: unknown) => {
+        failures.push(`the fault could not be caused: ${String(error)}`);
+      });
     },
     LEAD_MS + plan.faultAtSeconds * MS_PER_SECOND,
   );
@@ -95,7 +98,7 @@
     roleChanges: await countRoleChanges(running),
     generators,
     standIns,
-    invalid: findInvalid(outcomes, generators, standIns),
+    invalid: [...failures, ...findInvalid(outcomes, generators, standIns)],
   };
 }
 
