--- a/tools/bench/deployment.ts
+++ b/tools/bench/deployment.ts
@@ -89,6 +89,7 @@
   const nodes = await startNodes(start, started);
   const first = nodes[0];
   if (first === undefined) throw new Error('a deployment needs a node');
+  await waitForNodes(first.operator, deployment.nodes);
   await applyConfiguration(start, first.operator);
   await waitForShards(first.operator, deployment.engines.count + deployment.workers.count);
   return {
@@ -319,10 +320,31 @@
   throw new Error('no holder took the backend servers in time; see the log of the nodes');
 }
 
+/** Waits until a node knows all nodes, so that a change is in force only when all have it. */
+async function waitForNodes(operator: string, nodes: number): Promise<void> {
+  const until = performance.now() + READY_TIMEOUT_MS;
+  while (performance.now() < until) {
+    const status = await readStatus(operator);
+    if (status.nodes.length >= nodes) return;
+    await new Promise((resolve) => setTimeout(resolve, READY_POLL_MS));
+  }
+  throw new Error('the nodes did not find each other in time; see their log');
+}
+
 async function readShards(operator: string): Promise<ShardStatus[]> {
+  const { shards } = await readStatus(operator);
+  return shards;
+}
+
+/** What a node says of itself, as far as it is read here. */
+interface StatusAnswer {
+  nodes: unknown[];
+  shards: ShardStatus[];
+}
+
+async function readStatus(operator: string): Promise<StatusAnswer> {
   const answer = await request(`http://${operator}/v1/status`, {
     headers: { authorization: `Bearer ${environment.REEDTALLY_OPERATOR_TOKEN}` },
   });
-  const status = (await answer.body.json()) as { shards: ShardStatus[] };
-  return status.shards;
+  return (await answer.body.json()) as StatusAnswer;
 }
--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -58,6 +58,12 @@
   return `load average ${lastMinute.toFixed(1)} on ${availableParallelism()} cores`;
 }
 
+/** A run that failed is said and the others go on; the command then fails as a whole. */
+function reportFailure(name: string, reason: unknown): void {
+  process.exitCode = 1;
+  say(`${name}: RUN FAILED: ${String(reason)}`);
+}
+
 /** Runs plans, some of them side by side. */
 async function runAll(
   plans: readonly RunPlan[],
@@ -68,9 +74,10 @@
   for (let first = 0; first < plans.length; first += parallel) {
     const together = plans.slice(first, first + parallel);
     say(`running ${together.map(({ name }) => name).join(', ')}`);
-    const records = await Promise.all(together.map(runPlan));
-    for (const record of records) {
-      summaries.push(summarize(record, warmUp));
+    const settled = await Promise.allSettled(together.map(runPlan));
+    for (const [index, result] of settled.entries()) {
+      if (result.status === 'fulfilled') summaries.push(summarize(result.value, warmUp));
+      else reportFailure(together[index]?.name ?? '', result.reason);
     }
   }
   return summaries;
