feat(permits): wait for the engine that has the prompt cached

Cause: with a queue, whoever came first in turn took whichever engine had room, so prompts with the same beginning were read on every engine in turn and pushed each other out of the caches; and a small team's question was refused for work that it would have passed by, or waited for a place while a large team's answers held all of them. Change: a request is assigned to the engine where it costs least, counting what its reading pushes out but at its home by rendezvous hashing; short ones take the first place anywhere; an engine with nothing to do takes over from the longest queue; prompt and output work are not added up, since each rate was learned beside the other; lanes that a request passes by do not count against it; teams beyond their share leave a quarter of the places to the others; an idle team keeps a bounded credit.

--- a/src/permits/admission.ts
+++ b/src/permits/admission.ts
@@ -22,13 +22,20 @@
   writeMs: number;
 }
 
+/** A lane, as far as it waits for the servers of a forecast. */
+export interface LanePart {
+  lane: Lane;
+  /** From 0 to 1. */
+  part: number;
+}
+
 /** What a forecast is made from. */
 export interface ForecastInput {
   guest: Guest;
   /** The servers that can serve the request, with room or without. */
   candidates: readonly Server[];
   /** The lanes of requests for the same servers. */
-  lanes: readonly Lane[];
+  lanes: readonly LanePart[];
   share: FairShare;
   isFair: boolean;
   /** Factor by which waits turned out longer than foretold. */
@@ -48,8 +55,10 @@
   const { guest, candidates, now } = input;
   const readMs = resolveReadMs(guest, candidates, now);
   const writeMs = resolveWriteMs(input);
-  const ahead = resolveAhead(input);
-  if (ahead.requests === 0 && hasAnyRoom(input)) return { waitMs: 0, readMs, writeMs };
+  // What stands in other lanes found no room, or it would not stand there.
+  const before = resolveAhead(input, isOwnLane);
+  if (before.requests === 0 && hasAnyRoom(input)) return { waitMs: 0, readMs, writeMs };
+  const ahead = resolveAhead(input, isCompeting);
   const work = resolveWorkMs(candidates, ahead, now, input.terms);
   return { waitMs: work * input.correction + input.turnMs, readMs, writeMs };
 }
@@ -88,22 +97,36 @@
   return false;
 }
 
-/** Work whose turn comes before the request's. */
-function resolveAhead(input: ForecastInput): Backlog {
-  const { guest, lanes, share } = input;
+/** Whether a request would stand in a lane. */
+function isOwnLane(guest: Guest, lane: Lane): boolean {
+  return lane.isLong === guest.isLong && lane.isBeyondShare === guest.isBeyondShare;
+}
+
+/** Short prompts pass long ones by. */
+function isCompeting(guest: Guest, lane: Lane): boolean {
+  return guest.isLong || !lane.isLong;
+}
+
+/** Work whose turn comes before the request's, in the lanes that count. */
+function resolveAhead(
+  input: ForecastInput,
+  counts: (guest: Guest, lane: Lane) => boolean,
+): Backlog {
+  const { guest, share } = input;
   const { query } = guest;
-  const own = createBacklog();
-  for (const { teams } of lanes) {
-    const queue = teams.get(query.team);
-    if (queue !== undefined) addBacklog(own, queue.backlog(query.priority));
+  const lanes = input.lanes.filter(({ lane }) => counts(guest, lane));
+  const ahead = createBacklog();
+  for (const { lane, part } of lanes) {
+    const queue = lane.teams.get(query.team);
+    if (queue !== undefined) addBacklog(ahead, queue.backlog(query.priority), part);
   }
-  const ahead = { ...own };
-  const finish = share.served(query.team) + (tokensOf(own) + tokensOfQuery(query)) / query.weight;
-  for (const { teams } of lanes) {
-    for (const queue of teams.values()) {
+  const finish = share.served(query.team) + (tokensOf(ahead) + tokensOfQuery(query)) / query.weight;
+  for (const { lane, part } of lanes) {
+    for (const queue of lane.teams.values()) {
       if (queue.team === query.team) continue;
-      if (input.isFair) addBacklog(ahead, queue.backlog(), shareBefore(queue, share, finish));
-      else addBacklog(ahead, queue.backlog(query.priority));
+      const before = input.isFair ? shareBefore(queue, share, finish) : 1;
+      const others = input.isFair ? queue.backlog() : queue.backlog(query.priority);
+      addBacklog(ahead, others, before * part);
     }
   }
   return ahead;
--- a/src/permits/capacity.ts
+++ b/src/permits/capacity.ts
@@ -54,5 +54,6 @@
   const batch = resolveUsualBatch(server, now, terms);
   const readMs = work.promptTokens / Math.max(Number.MIN_VALUE, rates.tokensReadIn(1, now));
   const writeMs = (work.outputTokens * rates.stepMs(batch, now)) / batch;
-  return readMs + writeMs;
+  // Both rates were learned while the other work went on beside, so the longer one is the time.
+  return Math.max(readMs, writeMs);
 }
--- a/src/permits/choice.ts
+++ b/src/permits/choice.ts
@@ -65,10 +65,12 @@
 }
 
 function findDirect(input: ChoiceInput): Offer | undefined {
+  const { guest, now } = input;
   let best: Offer | undefined;
   for (const server of listWithRoom(input)) {
     if (server.role !== 'mixed') continue;
-    const costMs = (readMs(server, input) + writeMs(server, input)) * doubtOf(server);
+    const costMs =
+      (readMs(server, input) + resolveSharedWriteMs(server, guest, now)) * doubtOf(server);
     if (best === undefined || costMs < best.costMs) best = { server, prefill: undefined, costMs };
   }
   return best;
@@ -83,7 +85,7 @@
   let leastWriteMs = Number.POSITIVE_INFINITY;
   for (const server of listWithRoom(input)) {
     const read = readMs(server, input) * doubtOf(server);
-    const write = writeMs(server, input) * doubtOf(server);
+    const write = resolveSharedWriteMs(server, guest, now) * doubtOf(server);
     if (server.role === 'prefill' && read < leastReadMs) {
       reader = server;
       leastReadMs = read;
@@ -111,8 +113,14 @@
   return server.rates.firstTokenMs(tokensAhead(server, guest.isLong) + toRead, now);
 }
 
-/** Time of the answer's tokens, with what they add to every other answer on the server. */
-function writeMs(server: Server, { guest, now }: ChoiceInput): number {
+/**
+ * Time of an answer's tokens on a server, with what they add to every other answer there.
+ *
+ * @param server the server
+ * @param guest the request
+ * @param now the time on the holder's clock
+ */
+export function resolveSharedWriteMs(server: Server, guest: Guest, now: number): number {
   const { rates, permits, slots } = server;
   const batch = permits.size;
   const alongsideMs = rates.stepMs(batch + 1, now);
@@ -122,6 +130,11 @@
   return guest.query.expectedOutputTokens * (alongsideMs + slowdownMs) + loadMs;
 }
 
-function doubtOf(server: Server): number {
+/**
+ * Factor by which a server's times count for more, for what speaks against it.
+ *
+ * @param server the server
+ */
+export function doubtOf(server: Server): number {
   return 1 + server.health.doubt();
 }
--- a/src/permits/fair-share.ts
+++ b/src/permits/fair-share.ts
@@ -1,7 +1,7 @@
 /**
  * What each team was served, in tokens over its weight, on one scale for all teams of a shard
- * (start-time fair queueing). A team that was idle starts where the least served waiting team
- * stands, so idleness earns no claim on the future.
+ * (start-time fair queueing). A team that was idle starts a bounded credit behind the least served
+ * waiting team: enough for a burst of its own, too little to hold anybody up.
  *
  * Between teams that differ by less than one band, priority decides; beyond it the less served team
  * goes first whatever the priority. So no team's traffic, however urgent it is said to be, takes
@@ -32,6 +32,8 @@
 
 /** Tokens over weight by which teams may differ before priority no longer counts. */
 export const FAIR_BAND_TOKENS = 8_192;
+/** Tokens over weight by which a team that was idle may be behind the least served that waits. */
+export const IDLE_CREDIT_TOKENS = 8_192;
 /** Accounts beyond which those that hold nothing are dropped. */
 const MAX_ACCOUNTS = 10_000;
 
@@ -41,13 +43,14 @@
   let floor = 0;
 
   function served(team: string): number {
-    return Math.max(floor, accounts.get(team) ?? floor);
+    const least = floor - IDLE_CREDIT_TOKENS;
+    return Math.max(least, accounts.get(team) ?? least);
   }
 
   function prune(): void {
     if (accounts.size <= MAX_ACCOUNTS) return;
     for (const [team, account] of accounts) {
-      if (account <= floor) accounts.delete(team);
+      if (account <= floor - IDLE_CREDIT_TOKENS) accounts.delete(team);
     }
   }
 
@@ -57,7 +60,7 @@
       prune();
     },
     charge({ team, weight, tokens }) {
-      accounts.set(team, (accounts.get(team) ?? floor) + tokens / weight);
+      accounts.set(team, served(team) + tokens / weight);
     },
     advance(least) {
       floor = Math.max(floor, least);
--- a/src/permits/feedback.ts
+++ b/src/permits/feedback.ts
@@ -1,9 +1,8 @@
 /**
- * What the holder learns when a first token came and when a permit ended: the server's rates, its
- * health, and how much of a prompt its cache really held.
+ * What the holder learns when a first token came and when a permit ended: the server's rates and its
+ * health.
  */
 import type { PermitProgress, PermitRelease } from '../links/index.js';
-import { PREFIX_BLOCK_TOKENS } from '../platform/index.js';
 import type { LineFit } from './line-fit.js';
 import type { Verdict } from './server-health.js';
 import type { GrantedPermit, Server } from './server.js';
@@ -93,7 +92,6 @@
     return;
   }
   learnStep(server, permit, release, now);
-  if (permit.prefillServer === undefined) learnCache(server, permit, release);
 }
 
 /**
@@ -118,12 +116,6 @@
   server.rates.observeStep(batch, ms, now);
 }
 
-function learnCache(server: Server, permit: GrantedPermit, release: PermitRelease): void {
-  const expected = Math.floor(permit.expectedCachedTokens / PREFIX_BLOCK_TOKENS);
-  const found = Math.floor(release.cachedTokens / PREFIX_BLOCK_TOKENS);
-  server.prefixes.correct(expected, found);
-}
-
 function resolveVerdict(result: PermitRelease['result']): Verdict | undefined {
   if (result === 'cancelled') return undefined;
   return result === 'answered' ? 'good' : 'bad';
--- a/src/permits/index.ts
+++ b/src/permits/index.ts
@@ -9,6 +9,7 @@
 export * from './output-estimate.js';
 export * from './prefix-index.js';
 export * from './queue.js';
+export * from './recent-use.js';
 export * from './room.js';
 export * from './server-health.js';
 export * from './server-rates.js';
--- a/src/permits/queue.ts
+++ b/src/permits/queue.ts
@@ -1,7 +1,8 @@
 /**
- * The requests that wait for a shard, in lanes: a lane holds those that any of the same servers
- * could take, so that one which finds no room holds up only its like. Short and long prompts have
- * lanes of their own for the same reason. Within a lane teams take turns by their fair share, and
+ * The requests that wait for a shard, in lanes: a lane holds those that wait for the same server, or
+ * that any of the same servers could take, so that one which finds no room holds up only its like.
+ * Short and long prompts, and teams within and beyond their share, have lanes of their own for the
+ * same reason. Within a lane teams take turns by their fair share, and
  * within a team the most urgent goes first. Every change costs the logarithm of the number waiting.
  */
 import type { PermitAnswer, PermitQuery } from '../links/index.js';
@@ -22,8 +23,14 @@
   startBy: number;
   /** Whether its prompt counts as long. */
   isLong: boolean;
+  /** Whether its team had more than its share when it came. */
+  isBeyondShare: boolean;
   /** How long it was expected to wait, in milliseconds. */
   expectedWaitMs: number;
+  /** Prompt tokens that will probably have to be read. */
+  toRead: number;
+  /** The server whose turn it waits for; absent when it takes the first that has room. */
+  server: string | undefined;
   answer(answer: PermitAnswer): void;
 }
 
@@ -39,6 +46,10 @@
   readonly name: string;
   /** What lanes of short and long prompts for the same servers have in common. */
   readonly target: string;
+  /** The server whose turn is waited for; absent when any will do. */
+  readonly server: string | undefined;
+  readonly isLong: boolean;
+  readonly isBeyondShare: boolean;
   readonly teams: ReadonlyMap<string, TeamQueue>;
 }
 
@@ -124,7 +135,16 @@
     const name = nameLane(waiting);
     const known = lanes.get(name);
     if (known !== undefined) return known;
-    const opened = { name, target, teams: new Map(), turns: createOrderedHeap(isBefore) };
+    const { server, isLong, isBeyondShare } = waiting;
+    const opened: OpenLane = {
+      name,
+      target,
+      server,
+      isLong,
+      isBeyondShare,
+      teams: new Map<string, TeamQueue>(),
+      turns: createOrderedHeap(isBefore),
+    };
     lanes.set(name, opened);
     return opened;
   }
@@ -218,7 +238,8 @@
 }
 
 function nameLane(waiting: Waiting): string {
-  return `${waiting.isLong ? 'long' : 'short'}${resolveTarget(waiting.query)}`;
+  const { isLong, isBeyondShare, server = '', query } = waiting;
+  return JSON.stringify([isLong, isBeyondShare, server, resolveTarget(query)]);
 }
 
 function resolveWish({ node, query }: Waiting): WishName {
--- a/src/permits/room.ts
+++ b/src/permits/room.ts
@@ -8,6 +8,8 @@
 
 /** Which bounds hold. */
 export interface RoomTerms {
+  /** Keep places for teams within their share. */
+  fairness: boolean;
   /** Bound the prompts being read and keep a share for short ones. */
   shortReserve: boolean;
   /** Give less to servers that fail. */
@@ -20,6 +22,8 @@
 export const READ_WINDOW_MS = 250;
 /** Share of places that long prompts leave to short ones. */
 const SHORT_SHARE = 0.25;
+/** Share of places that teams beyond their share leave to the others. */
+const KEPT_SHARE = 0.25;
 /** A step may take this share of the longest time between tokens, for its length varies. */
 const STEP_HEADROOM = 0.85;
 /** Places that are always used, however slow tokens come. */
@@ -37,7 +41,7 @@
  */
 export function hasRoom(server: Server, guest: Guest, now: number, terms: RoomTerms): boolean {
   const limit = resolveLimit(server, now, terms);
-  if (server.permits.size >= limit) return false;
+  if (server.permits.size >= limit - keptPlaces(limit, guest, terms)) return false;
   if (!hasKvRoom(server, guest.query)) return false;
   if (server.permits.size === 0) return true;
   if (!keepsPace(server, guest.query, limit, now)) return false;
@@ -57,6 +61,12 @@
   return server.health.limit(server.slots, now);
 }
 
+/** Places that a team beyond its share leaves free, so that others need not wait for its answers. */
+function keptPlaces(limit: number, guest: Guest, terms: RoomTerms): number {
+  if (!terms.fairness || !guest.isBeyondShare) return 0;
+  return Math.floor(limit * KEPT_SHARE);
+}
+
 /** A request larger than the whole cache still runs when it is alone. */
 function hasKvRoom(server: Server, { promptTokens, expectedOutputTokens }: PermitQuery): boolean {
   if (server.permits.size === 0) return true;
--- a/src/permits/server.ts
+++ b/src/permits/server.ts
@@ -47,8 +47,6 @@
   betweenTokensMs: number;
   /** Tokens charged to the team when it was granted. */
   charged: number;
-  /** Prompt tokens that were expected in the cache. */
-  expectedCachedTokens: number;
   /** Whether the answer's length is that of a whole answer. */
   isFirstAttempt: boolean;
   /** Requests on the server when it was granted, itself included. */
@@ -92,6 +90,8 @@
   /** The permits whose first token has not come, by id. */
   readers: Map<string, GrantedPermit>;
   prefixes: PrefixIndex;
+  /** Prefixes of the prompts that wait for this server, which it will have cached. */
+  plannedPrefixes: PrefixIndex;
   rates: ServerRates;
   health: ServerHealth;
 }
@@ -125,6 +125,7 @@
     reservedTokens: 0,
     readers: new Map(),
     prefixes: createPrefixIndex(),
+    plannedPrefixes: createPrefixIndex(),
     rates: createServerRates(),
     health: createServerHealth(),
   };
@@ -139,6 +140,7 @@
 export function learnEngine(server: Server, state: EngineState): void {
   if (server.incarnation !== state.incarnation) {
     server.prefixes.clear();
+    server.plannedPrefixes.clear();
     server.health.restart();
   }
   server.incarnation = state.incarnation;
@@ -211,6 +213,8 @@
   query: PermitQuery;
   /** Whether its prompt counts as long. */
   isLong: boolean;
+  /** Whether its team had more than its share lately. */
+  isBeyondShare: boolean;
 }
 
 /**
@@ -253,3 +257,15 @@
   const cached = server.prefixes.countCached(query.prefixes) * PREFIX_BLOCK_TOKENS;
   return Math.max(0, query.promptTokens - cached);
 }
+
+/**
+ * Prompt tokens of a request that the server would have to read after what waits for it.
+ *
+ * @param server the tally to read
+ * @param query the request
+ */
+export function tokensUnplanned(server: Server, query: PermitQuery): number {
+  const planned = server.plannedPrefixes.countCached(query.prefixes);
+  const cached = Math.max(planned, server.prefixes.countCached(query.prefixes));
+  return Math.max(0, query.promptTokens - cached * PREFIX_BLOCK_TOKENS);
+}
--- a/src/permits/shard-holder.ts
+++ b/src/permits/shard-holder.ts
@@ -27,7 +27,7 @@
 import type { Forecast } from './admission.js';
 import type { Chosen } from './choice.js';
 import { isUsable, type Membership } from './eligibility.js';
-import { createFairShare, FAIR_BAND_TOKENS } from './fair-share.js';
+import { createFairShare, type TeamCharge } from './fair-share.js';
 import {
   learnFirstToken,
   learnHandover,
@@ -39,6 +39,7 @@
 import { createLineFit } from './line-fit.js';
 import { createOutputEstimate } from './output-estimate.js';
 import { createFairQueue, type Lane, type Waiting } from './queue.js';
+import { createRecentUse } from './recent-use.js';
 import { createPermitRefusal, type RefusalReason } from './refusals.js';
 import {
   addPermit,
@@ -52,7 +53,12 @@
   type Guest,
   type Server,
 } from './server.js';
-import { createShardDecisions, findLeastUrgent, resolveLastFirst } from './shard-decisions.js';
+import {
+  createShardDecisions,
+  findLeastUrgent,
+  resolveLastFirst,
+  type Assignment,
+} from './shard-decisions.js';
 import { createWaitRecord } from './wait-record.js';
 
 const TICK_EVERY_MS = 50;
@@ -128,6 +134,7 @@
   const servers = new Map<string, Server>();
   const share = createFairShare();
   const queue = createFairQueue({ share, isFair: switches.fairness });
+  const recent = createRecentUse();
   const waits = createWaitRecord();
   const lengths = createOutputEstimate();
   const demand = createDemandMeter(clock.now());
@@ -155,17 +162,28 @@
     const candidates = decisions.candidates(wish);
     if (candidates.length === 0) return Promise.resolve(refuse('no-server', RETRY_AFTER_MS));
     const now = clock.now();
-    const guest = { query: wish, isLong: decisions.isLong(wish, candidates, now) };
+    const guest = createGuest(wish, candidates, now);
     if (wish.attempt === 1) noteDemand(wish, candidates, now);
-    const forecast = decisions.forecast(guest, candidates, now);
-    const refusal = refuseLate(guest, forecast) ?? refuseFull(wish.team);
+    const assignment = decisions.assign(guest, candidates, now);
+    const refusal = refuseLate(guest, assignment.forecast) ?? refuseFull(wish.team);
     if (refusal !== undefined) return Promise.resolve(refusal);
     return new Promise((resolve) => {
-      queue.add(createWaiting(asker, guest, forecast, now, resolve));
+      enqueue(createWaiting(asker, guest, assignment, now, resolve), assignment.server);
       dispatch();
     });
   }
 
+  function createGuest(query: PermitQuery, candidates: readonly Server[], now: number): Guest {
+    const isLong = decisions.isLong(query, candidates, now);
+    const isBeyondShare = switches.fairness && recent.isBeyondShare(query.team, now);
+    return { query, isLong, isBeyondShare };
+  }
+
+  function charge(charged: TeamCharge): void {
+    queue.charge(charged);
+    recent.add(charged, clock.now());
+  }
+
   function noteDemand(query: PermitQuery, candidates: readonly Server[], now: number): void {
     let promptTokens = query.promptTokens;
     for (const server of candidates) {
@@ -185,11 +203,11 @@
   function createWaiting(
     asker: string,
     guest: Guest,
-    forecast: Forecast,
+    { server, toRead, forecast }: Assignment,
     now: number,
     answer: (answer: PermitAnswer) => void,
   ): Waiting {
-    const { query, isLong } = guest;
+    const { query, isLong, isBeyondShare } = guest;
     const firstTokenBy = now + query.firstTokenInMs;
     const readMs = switches.admission ? forecast.readMs : 0;
     return {
@@ -199,11 +217,29 @@
       firstTokenBy,
       startBy: Math.max(now, firstTokenBy - readMs),
       isLong,
+      isBeyondShare,
       expectedWaitMs: forecast.waitMs,
+      toRead,
+      server: server?.vm.id,
       answer,
     };
   }
 
+  function enqueue(waiting: Waiting, server: Server | undefined): void {
+    server?.plannedPrefixes.add(waiting.query.prefixes);
+    queue.add(waiting);
+  }
+
+  /** The server that a request waited for no longer takes it. */
+  function reassign(waiting: Waiting): void {
+    queue.remove(waiting);
+    const candidates = decisions.candidates(waiting.query);
+    const { server, toRead } = decisions.assign(waiting, candidates, clock.now());
+    waiting.server = server?.vm.id;
+    waiting.toRead = toRead;
+    enqueue(waiting, server);
+  }
+
   function refuse(reason: RefusalReason, retryAfterMs?: number): PermitAnswer {
     if (retryAfterMs === undefined) return createPermitRefusal(node, reason);
     const bounded = Math.max(LEAST_RETRY_AFTER_MS, Math.min(MOST_RETRY_AFTER_MS, retryAfterMs));
@@ -245,23 +281,35 @@
       const head = queue.first(blocked);
       if (head === undefined) break;
       const { waiting, lane } = head;
-      const chosen = decisions.choose(waiting, clock.now());
-      if (chosen === undefined) blocked.add(lane);
-      else grant(waiting, chosen);
+      const now = clock.now();
+      const chosen = decisions.place(waiting, now);
+      if (chosen !== undefined) grant(waiting, chosen);
+      else if (decisions.isServed(waiting, now)) blocked.add(lane);
+      else reassign(waiting);
     }
+    takeOver();
     updateMetrics();
     scheduleTick();
   }
 
+  /** Servers with nothing to do take from the queues of others what gains by it. */
+  function takeOver(): void {
+    for (;;) {
+      const taken = decisions.takeOver(clock.now());
+      if (taken === undefined) return;
+      grant(taken.waiting, taken.chosen);
+    }
+  }
+
   function grant(waiting: Waiting, chosen: Chosen): void {
     const { query } = waiting;
     const { team, weight } = query;
     const now = clock.now();
-    const isBeyondShare = switches.fairness && share.lead(team) > FAIR_BAND_TOKENS;
+    const { isBeyondShare } = waiting;
     const terms = { permitId: parts.createId(), shard, fence, now, isBeyondShare };
     const { permit, granted, prefill } = createGrant(waiting, chosen, terms);
     waits.observeWait(waiting.isLong, waiting.expectedWaitMs, permit.waitedMs);
-    queue.charge({ team, weight, tokens: granted.charged });
+    charge({ team, weight, tokens: granted.charged });
     queue.remove(waiting);
     addPermit(chosen.server, granted);
     const reader = chosen.prefill ?? chosen.server;
@@ -339,7 +387,6 @@
   }
 
   function resolveWaitingLateMs(waiting: Waiting, now: number): number {
-    const candidates = decisions.candidates(waiting.query);
     const passedMs = now - waiting.since;
     const { firstTokenInMs, deadlineInMs } = waiting.query;
     const query = {
@@ -347,8 +394,7 @@
       firstTokenInMs: firstTokenInMs - passedMs,
       deadlineInMs: deadlineInMs - passedMs,
     };
-    const guest = { query, isLong: waiting.isLong };
-    return resolveLateMs(query, decisions.forecast(guest, candidates, now));
+    return resolveLateMs(query, decisions.forecast(waiting, now));
   }
 
   function updateMetrics(): void {
@@ -406,7 +452,7 @@
       waits.observeEnd(now);
       endPrefill(permit, undefined);
       removePermit(server, permit.permitId);
-      queue.charge({ team, weight, tokens: resolveServedTokens(release) - charged });
+      charge({ team, weight, tokens: resolveServedTokens(release) - charged });
       dispatch();
     },
     cancel(asker, requestId, attempt) {
@@ -461,8 +507,10 @@
       const server = servers.get(id);
       if (server === undefined) return;
       for (const { kind, prefixes } of events) {
-        if (kind === 'removed') server.prefixes.remove(prefixes);
-        if (kind === 'cleared') server.prefixes.clear();
+        for (const index of [server.prefixes, server.plannedPrefixes]) {
+          if (kind === 'removed') index.remove(prefixes);
+          if (kind === 'cleared') index.clear();
+        }
       }
     },
     learnSilence(id) {
--- a/src/permits/team-queue.ts
+++ b/src/permits/team-queue.ts
@@ -35,10 +35,10 @@
   const heap = createOrderedHeap(isSooner);
   const backlogs = new Map<number, Backlog>();
 
-  function count({ query }: Waiting, sign: 1 | -1): void {
+  function count({ query, toRead }: Waiting, sign: 1 | -1): void {
     const backlog = backlogs.get(query.priority) ?? createBacklog();
     backlog.requests += sign;
-    backlog.promptTokens += sign * query.promptTokens;
+    backlog.promptTokens += sign * toRead;
     backlog.outputTokens += sign * query.expectedOutputTokens;
     if (backlog.requests > 0) backlogs.set(query.priority, backlog);
     else backlogs.delete(query.priority);
--- a/src/planner/role-planning.ts
+++ b/src/planner/role-planning.ts
@@ -135,7 +135,12 @@
   return demand;
 }
 
-const unbounded = { shortReserve: false, ejection: false, pardoned: new Set<Server>() };
+const unbounded = {
+  fairness: false,
+  shortReserve: false,
+  ejection: false,
+  pardoned: new Set<Server>(),
+};
 
 /**
  * Mean rates of engines that do one thing only. An engine with that role is measured; of the others
