perf(node): bound what a node reads, ranks and reports at hundreds of nodes

Cause: with 410 nodes before 3,100 servers several costs grow with the fleet on every node. A node apart from a shard's holder read two rows for it four times a second for as long as it lasted (about 6,000 reads a second over all nodes when one of three regions is apart: computed); it hashed every name for every such shard each time; holders read a load report of each server twice a second that nothing used; a router repeated each place in use to its holder every second. Ruled out: leaving the load report in at a slower pace, since orders ask for the load themselves; telling holders only of changes, which a lost message would falsify for ever.

--- a/src/node/held-shards.ts
+++ b/src/node/held-shards.ts
@@ -23,7 +23,6 @@
 import type { OrdersFactory } from './orders.js';
 import { createShardPlanning } from './planning.js';
 
-const WATCH_EVERY_MS = 500;
 /** Permits are granted after this time even if the order journal could not be read. */
 const MAX_JOURNAL_READ_MS = 1_000;
 
@@ -35,6 +34,8 @@
   backends: Backends;
   replica: Pick<ConfigurationReplica, 'current'>;
   maxQueue: number;
+  /** Time between two looks at a server, in milliseconds. */
+  watchEveryMs: number;
   decisions: Decisions;
   createId: () => string;
   isLeaseValid: () => boolean;
@@ -118,7 +119,7 @@
 
   function startWatch(holding: Holding, vm: Vm): ServerWatch {
     const owner = createWatchOwner(holding);
-    const watchParts = { clock: parts.clock, everyMs: WATCH_EVERY_MS, owner };
+    const watchParts = { clock: parts.clock, everyMs: parts.watchEveryMs, owner };
     if (holding.kind === 'model-engine') {
       return watchEngine(parts.backends.engine(vm.id, vm.address), watchParts);
     }
@@ -202,9 +203,6 @@
     serviceState(state) {
       holder.learnService(state);
     },
-    load(server, report) {
-      holder.learnLoad(server, report);
-    },
     cacheEvents(server, events) {
       holder.learnCacheEvents(server, events);
     },
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -48,7 +48,13 @@
   resolvePick,
 } from '../router/index.js';
 import type { Certificate, Settings } from '../settings/index.js';
-import { createOwnership, rankNodes, resolveShards, type Shard } from '../shards/index.js';
+import {
+  createOwnership,
+  rankNodes,
+  resolveShards,
+  type KnownHolder,
+  type Shard,
+} from '../shards/index.js';
 import { wait, type Timer } from '../task/index.js';
 import { createSystemEnvironment, type NodeEnvironment } from './environment.js';
 import { createGroupServers } from './group-servers.js';
@@ -245,6 +251,7 @@
     freshMs: settings.membership.suspectAfterMs,
     shards: () => shards,
     aliveNodes: () => membership.aliveNames(),
+    placedNodes: () => membership.alive(),
     leaseHolder: () => lease.holder(),
     isLeaseValid: () => lease.isValid(),
     readNodeRow: (name) => lapseWatch.read(name),
@@ -274,6 +281,7 @@
     backends,
     replica,
     maxQueue: settings.requests.maxQueue,
+    watchEveryMs: settings.shards.watchEveryMs,
     decisions: settings.decisions,
     createId,
     isLeaseValid: () => lease.isValid(),
@@ -565,6 +573,16 @@
     return answer.value.fate;
   }
 
+  function isReportDue({ node: holder, fence, summary }: KnownHolder, places: number): boolean {
+    const allPlaces = inUse.size();
+    return placesReport.isDue({
+      shard: summary.shard,
+      holder: `${holder}/${fence}`,
+      places,
+      allPlaces,
+    });
+  }
+
   /** Tells holders which places are in use, so that lost messages and new holders do no harm. */
   function tellPlaces(): void {
     const byShard = inUse.byShard();
@@ -572,10 +590,10 @@
       const permits = byShard.get(name) ?? [];
       const notice = { kind: 'permit.adopt' as const, shard: name, node, incarnation, permits };
       const local = held.find(name);
-      const holder = ownership.holderOf(name)?.node;
+      const known = ownership.holderOf(name);
       if (local !== undefined) local.adopt(notice);
-      else if (holder !== undefined && placesReport.isDue(name, permits.length)) {
-        links.notify(holder, notice);
+      else if (known !== undefined && isReportDue(known, permits.length)) {
+        links.notify(known.node, notice);
       }
     }
     adoptTimer = clock.after(ADOPT_EVERY_MS, tellPlaces);
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -153,6 +153,11 @@
         .positive()
         .default(16)
         .describe('Most backend servers in one shard.'),
+      watchEveryMs: z
+        .number()
+        .positive()
+        .default(500)
+        .describe("Time between two looks of a shard's holder at a server, in milliseconds."),
     })
     .prefault({}),
   orders: z
--- a/src/shards/ownership.ts
+++ b/src/shards/ownership.ts
@@ -7,11 +7,14 @@
 import type { ShardSummary } from '../links/index.js';
 import type { Row, TableService } from '../platform/index.js';
 import type { Clock, Timer } from '../task/index.js';
-import { rankNodes, type Shard } from './partition.js';
+import { rankNodes, selectNearNodes, type PlacedNode, type Shard } from './partition.js';
 import { parseShardRow, shardRowKey, type ShardRow } from './rows.js';
 
 /** Nodes that may try to take one shard. */
 const CANDIDATES = 3;
+/** Time between two tries as a share of how long the shard has been without a known holder. */
+const PAUSE_SHARE = 1 / 8;
+const MAX_PAUSE_MS = 5_000;
 
 /** A shard that this node holds. */
 export interface HeldShard {
@@ -33,8 +36,10 @@
   /** A holder's summary counts as fresh for this long. */
   freshMs: number;
   shards(): Shard[];
-  /** Names of the nodes that take new work. */
+  /** Names of the nodes that take new work; the same array until it changes. */
   aliveNodes(): readonly string[];
+  /** The same nodes with their availability zones. */
+  placedNodes(): readonly PlacedNode[];
   leaseHolder(): LeaseHolder | undefined;
   isLeaseValid(): boolean;
   readNodeRow(node: string): Promise<NodeRow | undefined>;
@@ -77,6 +82,10 @@
   const holders = new Map<string, KnownHolder>();
   const orphanedSince = new Map<string, number>();
   const suspected = new Map<string, string>();
+  const triedAt = new Map<string, number>();
+  /** This node's rank for each shard among the nodes last seen alive. */
+  const ranks = new Map<string, number>();
+  let ranked: readonly string[] = [];
   let timer: Timer | undefined;
   let stopped = false;
   let running: Promise<void> | undefined;
@@ -86,7 +95,7 @@
     for (const shard of parts.shards()) {
       if (stopped || !parts.isLeaseValid()) return;
       if (!isOrphan(shard.name, alive)) continue;
-      if (!isOwnTurn(shard.name, alive)) continue;
+      if (!isOwnTurn(shard, alive)) continue;
       await tryTake(shard.name);
     }
   }
@@ -100,6 +109,7 @@
         clock.now() - known.heardAt <= parts.freshMs);
     if (hasHolder) {
       orphanedSince.delete(shard);
+      triedAt.delete(shard);
       suspected.delete(shard);
       return false;
     }
@@ -108,14 +118,37 @@
   }
 
   /** The first in rank tries at once, the next ones a little later each. */
-  function isOwnTurn(shard: string, alive: readonly string[]): boolean {
-    const rank = rankNodes(shard, alive).indexOf(node);
+  function isOwnTurn(shard: Shard, alive: readonly string[]): boolean {
+    const { name } = shard;
+    const rank = resolveRank(shard, alive);
     if (rank < 0 || rank >= CANDIDATES) return false;
-    const orphanedFor = clock.now() - (orphanedSince.get(shard) ?? clock.now());
-    return orphanedFor >= rank * parts.freshMs;
+    const now = clock.now();
+    const orphanedFor = now - (orphanedSince.get(name) ?? now);
+    if (orphanedFor < rank * parts.freshMs) return false;
+    return now - (triedAt.get(name) ?? -Infinity) >= resolvePause(orphanedFor);
+  }
+
+  /** Ranking hashes every node's name, so it is done once for each set of nodes alive. */
+  function resolveRank(shard: Shard, alive: readonly string[]): number {
+    if (ranked !== alive) {
+      ranked = alive;
+      ranks.clear();
+    }
+    const known = ranks.get(shard.name);
+    if (known !== undefined) return known;
+    const near = selectNearNodes(shard, parts.placedNodes(), CANDIDATES);
+    const rank = rankNodes(shard.name, near).indexOf(node);
+    ranks.set(shard.name, rank);
+    return rank;
+  }
+
+  /** Tries grow rarer, so that an hour apart from the holder does not wear out the table. */
+  function resolvePause(orphanedFor: number): number {
+    return Math.min(MAX_PAUSE_MS, orphanedFor * PAUSE_SHARE);
   }
 
   async function tryTake(shard: string): Promise<void> {
+    triedAt.set(shard, clock.now());
     const read = await table.get(shardRowKey(shard));
     if (read.isErr()) return;
     const row = read.value;
--- a/src/shards/partition.ts
+++ b/src/shards/partition.ts
@@ -110,3 +110,35 @@
   scored.sort((left, right) => right.score - left.score || left.node.localeCompare(right.node));
   return scored.map(({ node }) => node);
 }
+
+/** A node, as far as its nearness to servers goes. */
+export interface PlacedNode {
+  node: string;
+  zone: string;
+}
+
+/**
+ * Names of the nodes that are to hold a shard: those of its availability zone, so that permits and
+ * watches stay within it, or all when the shard spans zones or too few nodes are in its zone.
+ *
+ * @param shard the shard
+ * @param nodes the nodes that may hold shards
+ * @param least how many must be near for the others to be left out
+ */
+export function selectNearNodes(
+  shard: Shard,
+  nodes: readonly PlacedNode[],
+  least: number,
+): string[] {
+  const zones = new Set<string>();
+  for (const { zone } of shard.vms) {
+    zones.add(zone);
+  }
+  const near: string[] = [];
+  const all: string[] = [];
+  for (const { node, zone } of nodes) {
+    all.push(node);
+    if (zones.has(zone)) near.push(node);
+  }
+  return zones.size === 1 && near.length >= least ? near : all;
+}
--- a/src/shards/server-watch.ts
+++ b/src/shards/server-watch.ts
@@ -1,13 +1,13 @@
 /**
- * The task by which the holder of a shard keeps itself informed of each server: its own word on its
- * state, and its load report, which lags. The state is read at a pace of its own, whatever the other
- * reads take: that a server leaves is heard within twice the time a call may take and one period.
+ * The task by which the holder of a shard keeps itself informed of each server, by the server's own
+ * word on its state. The state is read at a pace of its own, whatever the other reads take: that a
+ * server leaves is heard within twice the time a call may take and one period. Load reports are not
+ * read: the tally is exact without them, and before an order the load is asked for then.
  */
 import type { Failure } from '../errors/index.js';
 import type {
   CacheEvent,
   EngineState,
-  LoadReport,
   ModelEngine,
   PlainService,
   ServiceState,
@@ -19,7 +19,6 @@
 export interface ServerWatchOwner {
   engineState(state: EngineState): void;
   serviceState(state: ServiceState): void;
-  load(server: string, report: LoadReport): void;
   /** Changes of the engine's prefix cache, late and with gaps. */
   cacheEvents(server: string, events: readonly CacheEvent[]): void;
   /** The server did not answer. */
@@ -100,7 +99,7 @@
 interface Reads {
   /** Its own word, passed on to the owner. */
   readState(): Promise<Result<unknown, Failure>>;
-  /** What there is besides state and load. */
+  /** What there is besides the state. */
   readMore(): Promise<void>;
 }
 
@@ -123,9 +122,7 @@
   async function readRest(): Promise<void> {
     isReading = true;
     await reads.readMore();
-    const load = await server.load();
     isReading = false;
-    if (load.isOk()) owner.load(server.id, load.value);
   }
 
   function step(): void {
--- a/test/shards/leaving.test.ts
+++ b/test/shards/leaving.test.ts
@@ -81,6 +81,7 @@
     backends: { engine: () => slowEngine, service: () => expect.fail() },
     replica,
     maxQueue: 10,
+    watchEveryMs: 500,
     decisions: defaultDecisions,
     createId: () => `permit-${clock.now()}`,
     isLeaseValid: () => true,
--- /dev/null
+++ b/test/shards/ownership-load.test.ts
@@ -0,0 +1,87 @@
+import { expect } from 'chai';
+import { createSilentLog } from '../../src/events/index.js';
+import type { NodeRow } from '../../src/lease/index.js';
+import {
+  createOwnership,
+  resolveShards,
+  selectNearNodes,
+  shardRowKey,
+} from '../../src/shards/index.js';
+import { createVm } from '../fixtures/configuration.js';
+import { createFakeClock } from '../fixtures/fake-clock.js';
+import { createMemoryTable } from '../fixtures/memory-table.js';
+
+const former = { node: 'entry-2', incarnation: 'i', peer: '127.0.0.1:1', leaseId: 'theirs' };
+const own = { node: 'entry-1', incarnation: 'i', peer: '127.0.0.1:2', leaseId: 'ours' };
+
+/** A node that sees a shard whose holder it does not hear, while the holder's lease is alive. */
+async function start() {
+  const { clock, advance } = createFakeClock();
+  const { table, control } = createMemoryTable();
+  const row = { state: 'held' as NodeRow['state'] };
+  const key = shardRowKey('manuals');
+  const value = { holder: former, fence: 1, released: false };
+  await table.transact({ conditions: [], puts: [{ key, value }], deletes: [] });
+  const shards = resolveShards([createVm({ id: 'engine-1' })], { maxServers: 16 });
+  const names = ['entry-1'];
+  const ownership = createOwnership({
+    table,
+    clock,
+    log: createSilentLog(),
+    node: 'entry-1',
+    everyMs: 250,
+    freshMs: 1_000,
+    shards: () => shards,
+    aliveNodes: () => names,
+    placedNodes: () => [{ node: 'entry-1', zone: 'tema-hall' }],
+    leaseHolder: () => own,
+    isLeaseValid: () => true,
+    readNodeRow: () => Promise.resolve({ holder: former, state: row.state, counter: 0 }),
+    taken: () => undefined,
+    lost: () => undefined,
+  });
+  ownership.start();
+  return { ownership, control, row, advance };
+}
+
+describe('a shard whose holder is alive but not heard', () => {
+  it('is looked at ever more rarely, down to every five seconds', async () => {
+    const { control, advance } = await start();
+    const readsIn = async (durationMs: number) => {
+      const before = control.reads;
+      await advance(durationMs);
+      return control.reads - before;
+    };
+    expect(await readsIn(2_000)).to.be.within(6, 9);
+    await advance(58_000);
+    expect(await readsIn(60_000)).to.be.within(10, 13);
+  });
+
+  it('is taken within an eighth of the time waited once the lease is over', async () => {
+    const { ownership, row, advance } = await start();
+    await advance(4_000);
+    row.state = 'lapsed';
+    await advance(800);
+    expect(ownership.find('manuals')?.fence).to.equal(2);
+  });
+});
+
+describe('the nodes that are to hold a shard', () => {
+  const nodes = [
+    { node: 'entry-1', zone: 'tema-hall' },
+    { node: 'entry-2', zone: 'tema-hall' },
+    { node: 'entry-3', zone: 'osu-hall' },
+  ];
+  const shardIn = (...zones: string[]) => {
+    const vms = zones.map((zone, index) => createVm({ id: `engine-${index}`, zone }));
+    return { name: 'manuals', kind: 'model-engine' as const, vms };
+  };
+
+  it('are those of its zone where there are enough, and else all', () => {
+    const near = (least: number, ...zones: string[]) =>
+      selectNearNodes(shardIn(...zones), nodes, least);
+    expect(near(2, 'tema-hall', 'tema-hall')).to.deep.equal(['entry-1', 'entry-2']);
+    expect(near(3, 'tema-hall')).to.have.length(3);
+    expect(near(1, 'tema-hall', 'osu-hall')).to.have.length(3);
+  });
+});
