--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -251,7 +251,9 @@
       preemption: z
         .boolean()
         .default(false)
-        .describe('Cancel and resume work of low priority to make room for work of high priority.'),
+        .describe(
+          'Cancel and resume work of low priority to make room for work of high priority. Not built: changes nothing.',
+        ),
       placement: z
         .enum(['permits', 'least-reported', 'two-choices', 'round-robin'])
         .default('permits')
--- a/test/permits/drive.ts
+++ b/test/permits/drive.ts
@@ -187,7 +187,7 @@
     release('refused');
   }
 
-  return { clock, advance, holder, engines, outcomes, look, send };
+  return { clock, advance, holder, engines, outcomes, look, createQuery, send };
 }
 
 /** The stand-in answers with as many tokens as its prompt's mark says. */
