--- a/src/permits/shard-holder.ts
+++ b/src/permits/shard-holder.ts
@@ -35,6 +35,14 @@
   learnRelease,
   resolveServedTokens,
 } from './feedback.js';
+import {
+  listHopeless,
+  listLate,
+  listOverdue,
+  resolveLateMs,
+  RETRY_AFTER_MS,
+  type GivenUp,
+} from './giving-up.js';
 import { createAdopted, createGrant, resolvePermitId, resolvePrefillId } from './granting.js';
 import { createLineFit } from './line-fit.js';
 import { createOutputEstimate } from './output-estimate.js';
@@ -53,16 +61,10 @@
   type Guest,
   type Server,
 } from './server.js';
-import {
-  createShardDecisions,
-  findLeastUrgent,
-  resolveLastFirst,
-  type Assignment,
-} from './shard-decisions.js';
+import { createShardDecisions, findLeastUrgent, type Assignment } from './shard-decisions.js';
 import { createWaitRecord } from './wait-record.js';
 
 const TICK_EVERY_MS = 50;
-const RETRY_AFTER_MS = 1_000;
 const LEAST_RETRY_AFTER_MS = 100;
 const MOST_RETRY_AFTER_MS = 30_000;
 /** A permit younger than this may still be on its way to its router. */
@@ -337,30 +339,18 @@
   function step(): void {
     const now = clock.now();
     for (const server of servers.values()) learnOverdue(server, now);
-    giveUpOverdue(now);
-    giveUpHopeless();
+    giveUpAll(listOverdue(queue, now));
+    giveUpAll(listHopeless(queue, decisions));
     const usableNow = countUsable();
-    if (usableNow < usable) giveUpLate(now);
+    if (usableNow < usable && switches.admission) giveUpAll(listLate(queue, decisions, now));
     usable = usableNow;
     dispatch();
   }
 
   /** Whoever can no longer be on time hears so at once. */
-  function giveUpOverdue(now: number): void {
-    for (;;) {
-      const waiting = queue.overdue(now);
-      if (waiting === undefined) return;
-      giveUp(waiting, 'not-in-time', Math.max(RETRY_AFTER_MS, waiting.expectedWaitMs));
-    }
-  }
-
-  function giveUpHopeless(): void {
-    for (const { teams } of [...queue.lanes()]) {
-      for (const team of [...teams.values()]) {
-        const first = team.heap.peek();
-        if (first === undefined || decisions.candidates(first.query).length > 0) break;
-        for (const waiting of [...team.heap.items()]) giveUp(waiting, 'no-server', RETRY_AFTER_MS);
-      }
+  function giveUpAll(found: Iterable<GivenUp>): void {
+    for (const { waiting, reason, retryAfterMs } of found) {
+      giveUp(waiting, reason, retryAfterMs);
     }
   }
 
@@ -372,31 +362,6 @@
     return count;
   }
 
-  /** After servers were lost, the least urgent requests of each team give way until the rest fits. */
-  function giveUpLate(now: number): void {
-    if (!switches.admission) return;
-    for (const { teams } of [...queue.lanes()]) {
-      for (const team of [...teams.values()]) {
-        for (const waiting of resolveLastFirst(team)) {
-          const lateMs = resolveWaitingLateMs(waiting, now);
-          if (lateMs <= 0) break;
-          giveUp(waiting, 'too-late', lateMs);
-        }
-      }
-    }
-  }
-
-  function resolveWaitingLateMs(waiting: Waiting, now: number): number {
-    const passedMs = now - waiting.since;
-    const { firstTokenInMs, deadlineInMs } = waiting.query;
-    const query = {
-      ...waiting.query,
-      firstTokenInMs: firstTokenInMs - passedMs,
-      deadlineInMs: deadlineInMs - passedMs,
-    };
-    return resolveLateMs(query, decisions.forecast(waiting, now));
-  }
-
   function updateMetrics(): void {
     sequence += 1;
     let out = 0;
@@ -549,10 +514,3 @@
     },
   };
 }
-
-/** How much later than allowed a request would be, in milliseconds; not above 0 when it is not. */
-function resolveLateMs(query: PermitQuery, { waitMs, readMs, writeMs }: Forecast): number {
-  const firstTokenMs = waitMs + readMs;
-  const endMs = firstTokenMs + writeMs;
-  return Math.max(firstTokenMs - query.firstTokenInMs, endMs - query.deadlineInMs);
-}
