fix(lease): keep leases through an outage of the table

Cause: a run of the fault matrix (shard.release/table-down) showed every lease declared lapsed as soon as the table was back, before its holder could renew: the row had stood unchanged, because nobody could write it. All shards changed hands after an outage.

Ruled out: counting only reads that succeed close together (on a slow table nothing would ever lapse).

Change: reads that failed for longer than one and a half periods are taken for an outage, and the watch counts anew from the first read after it.

A holder that ended in an outage is still taken over, within 6 s of the table's return (test).

--- a/src/lease/lapse-watch.ts
+++ b/src/lease/lapse-watch.ts
@@ -2,6 +2,10 @@
  * The task that watches other nodes' leases and declares them lapsed in the table, so that what
  * they held can be taken. Each node watches the next few on the ring of names, and whichever nodes
  * it suspects; so the reads do not grow with the number of nodes.
+ *
+ * A row that stood unchanged because the table could not be written says nothing of its holder.
+ * After an outage of the table the watch begins to count anew; otherwise every outage would cost
+ * every node its lease, and all shards would change hands at once.
  */
 import type { Log } from '../events/index.js';
 import type { TableService } from '../platform/index.js';
@@ -15,6 +19,9 @@
 /** The revision that stands for a row which is not there. */
 const ABSENT = 0;
 
+/** Reads that failed for longer than so many periods were an outage, in which nobody could renew. */
+const OUTAGE_PERIODS = 1.5;
+
 /** What the watch needs. */
 export interface LapseWatchParts {
   table: TableService;
@@ -46,6 +53,7 @@
 export function createLapseWatch(parts: LapseWatchParts): LapseWatch {
   const { table, clock, terms, log } = parts;
   const observations = new Map<string, Observation>();
+  const failingSince = new Map<string, number>();
   const known = new Set<string>();
   let timer: Timer | undefined;
   let stopped = false;
@@ -70,8 +78,13 @@
   }
 
   async function watch(node: string): Promise<void> {
+    const startedAt = clock.now();
     const read = await table.get(nodeRowKey(node));
-    if (read.isErr()) return;
+    if (read.isErr()) {
+      if (!failingSince.has(node)) failingSince.set(node, startedAt);
+      return;
+    }
+    endFailure(node);
     const row = read.value === undefined ? createEmptyRow(node) : parseNodeRow(read.value.value);
     if (row === undefined) return;
     if (row.state !== 'held') {
@@ -85,6 +98,14 @@
     if (isLapsed(observation, now, terms)) await declareLapsed(node, row, revision);
   }
 
+  function endFailure(node: string): void {
+    const since = failingSince.get(node);
+    if (since === undefined) return;
+    failingSince.delete(node);
+    const failedForMs = clock.now() - since;
+    if (failedForMs > OUTAGE_PERIODS * terms.renewEveryMs) observations.delete(node);
+  }
+
   /** The next look is due when a row watched now would have stood unchanged for long enough. */
   function nextLookInMs(): number {
     let delayMs = terms.renewEveryMs;
