fix(node): close connections on which nothing was asked at shutdown

Ruled out: links (they are terminated at once), the lease release and operators' streams. Change: the listener follows which connections carry no request and closes those. A test holds it.

--- a/src/node/servers.ts
+++ b/src/node/servers.ts
@@ -7,6 +7,7 @@
 import { getRequestListener } from '@hono/node-server';
 import type { Hono } from 'hono';
 import type { Certificate } from '../settings/index.js';
+import { followConnections, type Connections } from './connections.js';
 import { refuseUnreadable } from './unreadable-request.js';
 
 /** Largest sum of a request's headers, in bytes. */
@@ -14,7 +15,8 @@
 const KEEP_ALIVE_MS = 30_000;
 /** How often node looks for requests that took too long to arrive. */
 const CHECK_EVERY_MS = 1_000;
-const IDLE_CHECK_MS = 50;
+/** Leaves what was just sent on a quiet connection the time to be read and refused. */
+const SWEEP_EVERY_MS = 250;
 
 /** A front that listens. */
 export interface Listener {
@@ -64,6 +66,7 @@
           { ...limits, cert: certificate.certificate, key: certificate.key },
           receive,
         );
+  const connections = followConnections(server, certificate !== undefined);
   server.on('clientError', (error, socket) => {
     refuseUnreadable(error, socket, node);
   });
@@ -72,7 +75,7 @@
     server.listen(Number(port), host, () => {
       resolve({
         address: describeAddress(server, address),
-        close: (graceMs) => close(server, graceMs),
+        close: (graceMs) => close(server, connections, graceMs),
       });
     });
   });
@@ -84,20 +87,19 @@
   return `${bound.address}:${bound.port}`;
 }
 
-function close(server: Server, graceMs: number): Promise<void> {
+function close(server: Server, connections: Connections, graceMs: number): Promise<void> {
   return new Promise((resolve) => {
-    // Connections become idle one by one, as their last answer ends.
-    const idle = setInterval(() => {
-      server.closeIdleConnections();
-    }, IDLE_CHECK_MS);
+    // Connections become quiet one by one, as their last answer ends.
+    const sweep = setInterval(() => {
+      connections.closeQuiet();
+    }, SWEEP_EVERY_MS);
     const limit = setTimeout(() => {
       server.closeAllConnections();
     }, graceMs);
     server.close(() => {
-      clearInterval(idle);
+      clearInterval(sweep);
       clearTimeout(limit);
       resolve();
     });
-    server.closeIdleConnections();
   });
 }
--- a/test/node/servers.test.ts
+++ b/test/node/servers.test.ts
@@ -1,5 +1,6 @@
 import { once } from 'node:events';
 import { get } from 'node:http';
+import { connect } from 'node:net';
 import { expect } from 'chai';
 import { Hono } from 'hono';
 import { stream } from 'hono/streaming';
@@ -57,4 +58,16 @@
     await closed;
     expect(failed).to.equal(true);
   });
+
+  it('does not wait for a connection on which nothing was asked', async () => {
+    const app = createApp(Promise.resolve());
+    const listener = await listen(app, '127.0.0.1:0', READ_TIMEOUT_MS * 60, 'entry-1');
+    const [host = '', port = ''] = listener.address.split(':');
+    const socket = connect(Number(port), host);
+    await once(socket, 'connect');
+    const broken = once(socket, 'close');
+    // Closes only after the server has taken the connection.
+    await read(listener.address, () => undefined);
+    await Promise.all([listener.close(READ_TIMEOUT_MS * 60), broken]);
+  });
 });
--- a/tools/common/cluster.ts
+++ b/tools/common/cluster.ts
@@ -262,9 +262,24 @@
   const answer = await cluster.operate(first, 'POST', '/v1/changes', { objects });
   const accepted = acceptedSchema.safeParse(answer.body);
   if (!accepted.success) throw new Error(`apply: ${JSON.stringify(answer.body)}`);
-  await waitUntil('configuration in force and shards held', timeoutMs, () =>
-    isReady(cluster, accepted.data.version),
-  );
+  try {
+    await waitUntil('configuration in force and shards held', timeoutMs, () =>
+      isReady(cluster, accepted.data.version),
+    );
+  } catch (error) {
+    throw new Error(`${String(error)}: ${await describeCluster(cluster)}`, { cause: error });
+  }
+}
+
+/** What each node says of itself and of shards, in one line. */
+async function describeCluster(cluster: Cluster): Promise<string> {
+  const lines: string[] = [];
+  for (const node of cluster.running()) {
+    const status = await cluster.status(node);
+    const { ready, configurationVersion, shards } = status ?? {};
+    lines.push(JSON.stringify({ node, ready, configurationVersion, shards }));
+  }
+  return lines.join(' ');
 }
 
 async function isReady(cluster: Cluster, version: number): Promise<boolean> {
