--- a/tools/scenarios/main.ts
+++ b/tools/scenarios/main.ts
@@ -6,6 +6,7 @@
 import { defineCommand, runMain } from 'citty';
 import { PORT_SPAN } from '../common/index.js';
 import { describeMisreading, parseScenarios } from './language.js';
+import { measure } from './measure.js';
 import { describeVerdict, tableHead } from './report.js';
 import { runScenario, type Verdict } from './run.js';
 import type { Scenario } from './steps.js';
@@ -70,15 +71,26 @@
   return passed === chosen.length ? 0 : 1;
 }
 
+async function runMeasure(basePort: number): Promise<number> {
+  const figures = await measure(basePort, `${OUT}/measure`);
+  for (const { name, value } of figures) say(`${name}: ${value}`);
+  writeFileSync('out/scenarios-measure.json', JSON.stringify({ figures }, null, 2));
+  return 0;
+}
+
 const command = defineCommand({
   meta: { name: 'scenarios', description: 'Run scripted scenarios with real processes' },
   args: {
     only: { type: 'string', description: 'Run only scenarios whose name contains this' },
+    measure: { type: 'boolean', description: 'Measure what coordination costs, in place of this' },
     port: { type: 'string', default: String(DEFAULT_BASE_PORT), description: 'First port' },
   },
   async run({ args }) {
     try {
-      process.exitCode = await runSuite(args.only, Number(args.port));
+      const port = Number(args.port);
+      process.exitCode = await (args.measure === true
+        ? runMeasure(port)
+        : runSuite(args.only, port));
     } catch (error) {
       say(String(error));
       process.exitCode = 2;
