--- a/tools/scenarios/callers.ts
+++ b/tools/scenarios/callers.ts
@@ -18,6 +18,8 @@
 
 const ASK_TIMEOUT_MS = 1_000;
 const MIN_WAIT_MS = 100;
+/** Wait before all addresses are tried anew when none connected. */
+const NO_ADDRESS_WAIT_MS = 500;
 const MAX_SENDINGS = 12;
 
 /** The callers of one availability zone. */
@@ -70,11 +72,12 @@
       }
       if (attempt.end === 'not-run') failed.clear();
       else failed.add(address);
-      if (failed.size >= addresses.length) {
+      const hasNone = failed.size >= addresses.length;
+      if (hasNone) {
         failed.clear();
         keptUntil = 0;
       }
-      await new Promise((resolve) => setTimeout(resolve, waitMs));
+      await new Promise((resolve) => setTimeout(resolve, hasNone ? NO_ADDRESS_WAIT_MS : waitMs));
     }
   }
 
--- a/tools/scenarios/run.ts
+++ b/tools/scenarios/run.ts
@@ -1,7 +1,7 @@
 /**
  * Runs one scenario from start to end.
  */
-import { createWriteStream, mkdirSync } from 'node:fs';
+import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
 import { act } from './actions.js';
 import { check } from './expectations.js';
 import { countRecords, type RecordCounts } from './judge.js';
@@ -45,7 +45,10 @@
   try {
     stage = await createStage(scenario, basePort, folder, (_, line) => logs.write(`${line}\n`));
     await runSteps(stage, violations);
-    counts = countOutcomes(stage.load.outcomes);
+    const { outcomes } = stage.load;
+    counts = countOutcomes(outcomes);
+    const others = outcomes.filter(({ end }) => end !== 'whole');
+    writeFileSync(`${folder}/not-whole.json`, JSON.stringify(others, null, 2));
     records = countRecords(await readRecords(stage.cluster));
     violations.push(...stage.found);
     const skipped = stage.load.skipped();
