fix(membership): let nodes replaced at the same time hear of each other

News told between the greeting of a link and the moment its peer became a partner passed that peer by; and hearsay of an earlier process, arriving after the newer one's own word, replaced it and retired the newer incarnation for good. Ruled out: ordering incarnations by a clock (none is shared); ignoring hearsay of linked nodes (a half-open link would then hide a replacement). Change: a new partner with a link up is greeted; a node's own word is taken even if retired; a node that sees an earlier process taken for itself, or a heartbeat of a process it does not know, greets.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -248,7 +248,11 @@
     for (const { node } of choosePeers(self, view.alive(), terms.maxPeers)) {
       chosen.add(node);
     }
-    partners.choose(chosen, clock.now());
+    const linked = new Set(links.peers());
+    for (const peer of partners.choose(chosen, clock.now())) {
+      // What was told to partners since the link opened has passed this one by.
+      if (linked.has(peer)) greet(peer);
+    }
   }
 
   function dialMissing(): void {
@@ -308,7 +312,8 @@
     const wasSuspected = view.beat(peer, heartbeat);
     const state = view.find(peer)?.state;
     if (wasSuspected && state !== undefined) tell({ kind: 'state', state }, peer);
-    if (isNew) greet(peer);
+    // A process that is not the one known here answers with its own state.
+    if (isNew || state?.incarnation !== heartbeat.incarnation) greet(peer);
     reach(peer, heartbeat.configurationVersion, peer);
     parts.heardVersion(heartbeat.configurationVersion);
     for (const summary of heartbeat.shards) {
@@ -343,10 +348,14 @@
   }
 
   function receiveState(state: NodeState, peer: string): void {
-    if (state.node === self) return;
+    if (state.node === self) {
+      // Who takes an earlier process for this one hears this one's own word.
+      if (state.incarnation !== parts.ownState().incarnation) greet(peer);
+      return;
+    }
     const isStranger =
       state.node === peer && view.find(peer)?.state.incarnation !== state.incarnation;
-    if (view.learn(state)) tell({ kind: 'state', state }, peer);
+    if (view.learn(state, state.node === peer)) tell({ kind: 'state', state }, peer);
     else outbox.heard({ kind: 'state', state }, peer);
     if (state.node === peer) parts.heardVersion(state.configurationVersion);
     if (isStranger) greet(peer);
--- a/src/membership/partners.ts
+++ b/src/membership/partners.ts
@@ -6,8 +6,12 @@
 
 /** The partners of a node. */
 export interface Partners {
-  /** Sets whom this node chooses. */
-  choose(nodes: ReadonlySet<string>, now: number): void;
+  /**
+   * Sets whom this node chooses.
+   *
+   * @returns those that were no partners before
+   */
+  choose(nodes: ReadonlySet<string>, now: number): string[];
   /**
    * Takes note of a heartbeat.
    *
@@ -43,10 +47,13 @@
       for (const [node, partner] of partners) {
         partner.chosen = nodes.has(node);
       }
+      const added: string[] = [];
       for (const node of nodes) {
         if (partners.has(node)) continue;
         partners.set(node, { heardAt: now, chosen: true, toldChosen: false, choosesUs: false });
+        added.push(node);
       }
+      return added;
     },
     heard(node, choosesUs, now) {
       const known = partners.get(node);
--- a/src/membership/view.ts
+++ b/src/membership/view.ts
@@ -22,9 +22,10 @@
   /**
    * Takes in a state if it is newer than the known one.
    *
+   * @param isOwnWord whether the node itself said so; then it stands against any hearsay
    * @returns whether others are to hear of it: anything changed but sequence, load and configuration
    */
-  learn(state: NodeState): boolean;
+  learn(state: NodeState, isOwnWord?: boolean): boolean;
   /**
    * Takes in a heartbeat of a node.
    *
@@ -50,8 +51,9 @@
   const retired = new Set<string>();
   let alive: readonly NodeState[] | undefined;
 
-  function isNewer(state: NodeState, known: Member | undefined): boolean {
-    if (retired.has(state.incarnation)) return false;
+  function isNewer(state: NodeState, known: Member | undefined, isOwnWord: boolean): boolean {
+    // Hearsay may be older than what it replaces; a node's own word settles which one runs.
+    if (retired.has(state.incarnation) && !isOwnWord) return false;
     if (known === undefined) return true;
     if (known.state.incarnation !== state.incarnation) return true;
     return state.sequence > known.state.sequence;
@@ -75,9 +77,10 @@
   }
 
   return {
-    learn(state) {
+    learn(state, isOwnWord = false) {
       const known = byNode.get(state.node);
-      if (!isNewer(state, known)) return false;
+      if (!isNewer(state, known, isOwnWord)) return false;
+      retired.delete(state.incarnation);
       if (known !== undefined && known.state.incarnation !== state.incarnation) {
         retire(known.state.incarnation);
       }
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -126,6 +126,28 @@
     expect(far.membership.isAlive(holder.name)).to.equal(true);
   });
 
+  it('makes two nodes that are replaced at nearly the same time known to each other', async () => {
+    for (let apartMs = 0; apartMs < 500; apartMs += 25) {
+      const few = createNetwork();
+      const [first, second, third] = await few.start(3);
+      if (first === undefined || second === undefined || third === undefined) throw new Error();
+      await few.advance(1_000);
+      few.kill(first);
+      few.kill(second);
+      await few.advance(200);
+      const newFirst = few.add(first.name, `${first.name}/2`);
+      await newFirst.membership.start();
+      await few.advance(apartMs);
+      const newSecond = few.add(second.name, `${second.name}/2`);
+      await newSecond.membership.start();
+      await few.advance(5_000);
+      const seen = newFirst.membership.find(second.name)?.incarnation;
+      expect(seen, `${apartMs} ms apart`).to.equal(`${second.name}/2`);
+      expect(newSecond.membership.find(first.name)?.incarnation).to.equal(`${first.name}/2`);
+      few.stop();
+    }
+  });
+
   it('tells all how far the configuration has come everywhere', async () => {
     const nodes = await network.start(COUNT);
     for (const node of nodes) {
