fix(router): ask a holder that cannot be reached no second time

Cause, found by the fault matrix (--cell shard.release/stale-list+request.authenticate/table-down): asking again within milliseconds for a holder whose successor takes seconds spent the retry budget, and begun answers that broke later found it empty. Change: 'peer-unreachable' is final; the caller is told when to come back. Repeatable requests were placed without the holder before that already.

--- a/src/router/retries.ts
+++ b/src/router/retries.ts
@@ -136,6 +136,10 @@
   return step === 'engine.connect' || step === 'service.call';
 }
 
+/**
+ * A holder that cannot be reached is not asked again: its successor takes seconds, and the caller is
+ * told when to come back.
+ */
 function isWorthRetrying(question: RetryQuestion): boolean {
   const { failure } = question;
   if (failure.code === 'cancelled') return false;
@@ -146,7 +150,6 @@
       'backend-server-unreachable',
       'backend-server-failed',
       'answer-incomplete',
-      'peer-unreachable',
       'lease-lost',
       () => true,
     )
