--- a/tools/faults/cell.ts
+++ b/tools/faults/cell.ts
@@ -10,12 +10,14 @@
 import { judge } from './judge.js';
 import type { Mechanism } from './mechanisms.js';
 import type { Point, Violation } from './points.js';
-import { isBrokenFor, isRare, prepare } from './preparations.js';
+import { isBrokenFor, isOrder, isRare, prepare } from './preparations.js';
 import { createWorkload, RUN_UNTIL, WORK_FROM, type Workload } from './workload.js';
 import { createWorld, type World } from './world.js';
 
 const LATEST_STRIKE_MS = 6_200;
 const MOST_PASSES = 4;
+/** Share of runs in which a fault at an order strikes the first one. */
+const EARLY_ORDER_SHARE = 0.7;
 /** Faults strike from the beginning of the work on, at the latest from this time after it. */
 const STRIKE_FROM_MS = 3_500;
 
@@ -23,6 +25,8 @@
 export interface Cell {
   step: Step;
   fault: Fault;
+  /** Strikes the first time before the effect, and lasts as long as it can. */
+  isHardest?: boolean;
 }
 
 /** What came of one run. */
@@ -86,15 +90,18 @@
   reached: () => void,
 ): void {
   let isSprung = false;
+  const isHardest = cell.isHardest === true;
   const strike = (process: FakeProcess, server: string | undefined) => {
     isSprung = true;
-    inject(cell.fault, { world, workload, random, process, server });
+    inject(cell.fault, { world, workload, random, process, server, isLongest: isHardest });
   };
+  const isEarly =
+    isHardest || isRare(cell.step) || (isOrder(cell.step) && random.next() < EARLY_ORDER_SHARE);
   world.watch.set({
     step: cell.step,
-    isAfterEffect: random.next() < 0.5,
-    notBefore: WORK_FROM + (isRare(cell.step) ? 0 : between(0, STRIKE_FROM_MS, random)),
-    passes: isRare(cell.step) ? 0 : Math.floor(random.next() * MOST_PASSES),
+    isAfterEffect: random.next() < 0.5 && !isHardest,
+    notBefore: WORK_FROM + (isEarly ? 0 : between(0, STRIKE_FROM_MS, random)),
+    passes: isEarly ? 0 : Math.floor(random.next() * MOST_PASSES),
     spring: (process, server) => {
       if (isSprung) return;
       reached();
--- a/tools/faults/controls.ts
+++ b/tools/faults/controls.ts
@@ -21,19 +21,14 @@
   found: { point: Point; detail: string; seed: number } | undefined;
 }
 
-const MOST_RUNS = 12;
+const MOST_RUNS = 60;
 const SEED_SALT = 900_000;
 
 /** Every control. */
 export const controls: readonly Control[] = [
   {
     off: 'fencing',
-    cells: [{ step: 'order.send', fault: 'pause' }],
-    expected: ['no effect without authority', 'no conflicting orders'],
-  },
-  {
-    off: 'fence-check',
-    cells: [{ step: 'order.send', fault: 'pause' }],
+    cells: [{ step: 'order.send', fault: 'pause', isHardest: true }],
     expected: ['no effect without authority', 'no conflicting orders'],
   },
   {
--- a/tools/faults/faults.ts
+++ b/tools/faults/faults.ts
@@ -39,12 +39,14 @@
   process: FakeProcess;
   /** The server at the other side of the step, if any. */
   server: string | undefined;
+  /** Whether a pause is to last as long as it can. */
+  isLongest: boolean;
 }
 
 /** Longer than a taker waits before it takes a lease. */
 const LEAST_PAUSE_MS = 4_200;
-const LEAST_END_OF_PAUSE_MS = 6_000;
-/** Pauses end at this time of the run, so that what follows from them can be seen. */
+const MOST_SHORT_PAUSE_MS = 6_000;
+/** Long pauses end at this time of the run, so that what follows from them can be seen. */
 const PAUSES_UNTIL = 15_500;
 const WRITES_DISTURBED_MS = 6_000;
 
@@ -121,10 +123,16 @@
 
 function pause(strike: Strike): void {
   strike.process.pause();
-  const mostMs = Math.max(LEAST_END_OF_PAUSE_MS, PAUSES_UNTIL - strike.world.time.now());
-  later(strike, between(LEAST_PAUSE_MS, mostMs, strike.random), () => {
-    strike.process.resume();
-  });
+  const { random, world } = strike;
+  const longestMs = PAUSES_UNTIL - world.time.now();
+  const shortMs = between(LEAST_PAUSE_MS, MOST_SHORT_PAUSE_MS, random);
+  later(
+    strike,
+    random.next() < 0.5 && !strike.isLongest ? shortMs : Math.max(shortMs, longestMs),
+    () => {
+      strike.process.resume();
+    },
+  );
 }
 
 function cut(strike: Strike, others: readonly string[], lengthMs: number): void {
--- a/tools/faults/main.ts
+++ b/tools/faults/main.ts
@@ -10,7 +10,13 @@
 import { runCell, type Cell } from './cell.js';
 import { controls, runControl, type ControlResult } from './controls.js';
 import { faultNames } from './faults.js';
-import { listViolations, runMatrix, type CellResult, type MatrixResult } from './matrix.js';
+import {
+  listViolations,
+  runMatrix,
+  type CellResult,
+  type MatrixPlan,
+  type MatrixResult,
+} from './matrix.js';
 import {
   createDocument,
   formatControl,
@@ -22,7 +28,8 @@
 
 const DEFAULT_SEED = 1;
 const DEFAULT_RUNS = 1;
-const DEFAULT_PAIRS = 100;
+const DEFAULT_PAIRS = 80;
+const DEFAULT_THREADS = 3;
 const OUT_FOLDER = 'out';
 const MOST_DETAILS = 4;
 
@@ -90,9 +97,11 @@
   writeFileSync(`${OUT_FOLDER}/faults.txt`, `${text.join('\n')}\n`);
 }
 
-async function runAll(seed: number, runs: number, pairs: number): Promise<number> {
-  say(`seed ${seed}: ${runs} runs a cell, ${pairs} pairs`);
-  const result = await runMatrix({ seed, runs, pairs }, reportViolations);
+async function runAll(plan: MatrixPlan, threads: number): Promise<number> {
+  const { seed, runs, pairs } = plan;
+  say(`seed ${seed}: ${runs} runs a cell, ${pairs} pairs, ${threads} threads`);
+  const result = await runMatrix(plan, threads);
+  for (const cell of [...result.singles, ...result.pairs]) reportViolations(cell);
   say(formatMatrix(result));
   say('');
   say(formatPoints(summarisePoints(result)));
@@ -118,11 +127,13 @@
       seed: { type: 'string', default: String(DEFAULT_SEED) },
       runs: { type: 'string', default: String(DEFAULT_RUNS) },
       pairs: { type: 'string', default: String(DEFAULT_PAIRS) },
+      threads: { type: 'string', default: String(DEFAULT_THREADS) },
     },
   });
   const seed = Number(values.seed);
   if (values.cell !== undefined) return repeatCell(values.cell, seed);
-  return runAll(seed, Number(values.runs), Number(values.pairs));
+  const plan = { seed, runs: Number(values.runs), pairs: Number(values.pairs) };
+  return runAll(plan, Number(values.threads));
 }
 
 process.exitCode = await main();
--- a/tools/faults/matrix.ts
+++ b/tools/faults/matrix.ts
@@ -1,12 +1,14 @@
 /**
  * The matrix: which cells are run how often, and what came of each.
  */
+import { Worker } from 'node:worker_threads';
 import { steps, type Step } from '../../src/errors/index.js';
 import { createSeededRandom } from '../../src/task/index.js';
-import { runCell, type Cell, type RunOutcome } from './cell.js';
+import type { Cell, RunOutcome } from './cell.js';
 import { pickFrom } from './chance.js';
 import { faultNames, type Fault } from './faults.js';
 import type { Violation } from './points.js';
+import type { Job, JobResult } from './worker.js';
 
 /** How much is run. */
 export interface MatrixPlan {
@@ -55,36 +57,68 @@
 }
 
 /**
- * Runs everything.
+ * Runs everything, on a few threads; a run depends on its seed alone, not on its thread.
  *
  * @param plan how much
- * @param progress hears of each cell that is done
+ * @param threads how many threads
  */
-export async function runMatrix(
-  plan: MatrixPlan,
-  progress: (result: CellResult) => void,
-): Promise<MatrixResult> {
+export async function runMatrix(plan: MatrixPlan, threads: number): Promise<MatrixResult> {
   const startedAt = performance.now();
-  const singles: CellResult[] = [];
-  for (const [index, cell] of listCells().entries()) {
-    const outcomes: RunOutcome[] = [];
+  const cells = listCells();
+  const jobs: Job[] = [];
+  for (const [index, cell] of cells.entries()) {
     for (let run = 0; run < plan.runs; run++) {
-      outcomes.push(await runCell([cell], resolveSeed(plan, index, run)));
+      jobs.push({ index: jobs.length, cells: [cell], seed: resolveSeed(plan, index, run) });
     }
-    const result = { cells: [cell], outcomes };
-    singles.push(result);
-    progress(result);
+  }
+  const singleJobs = jobs.length;
+  for (const [index, pair] of pickPairs(plan).entries()) {
+    const seed = resolveSeed(plan, cells.length + index, 0);
+    jobs.push({ index: jobs.length, cells: pair, seed });
+  }
+  const outcomes = await runJobs(jobs, threads);
+  const singles: CellResult[] = [];
+  for (const [index, cell] of cells.entries()) {
+    const first = index * plan.runs;
+    singles.push({ cells: [cell], outcomes: outcomes.slice(first, first + plan.runs) });
   }
   const pairs: CellResult[] = [];
-  for (const [index, cells] of pickPairs(plan).entries()) {
-    const seed = resolveSeed(plan, singles.length + index, 0);
-    const result = { cells, outcomes: [await runCell(cells, seed)] };
-    pairs.push(result);
-    progress(result);
+  for (const job of jobs.slice(singleJobs)) {
+    pairs.push({ cells: job.cells, outcomes: outcomes.slice(job.index, job.index + 1) });
   }
   return { plan, singles, pairs, tookMs: performance.now() - startedAt };
 }
 
+async function runJobs(jobs: readonly Job[], threads: number): Promise<RunOutcome[]> {
+  const waiting = [...jobs];
+  const outcomes: RunOutcome[] = [];
+  const running: Promise<void>[] = [];
+  for (let count = 0; count < threads; count++) running.push(runThread(waiting, outcomes));
+  await Promise.all(running);
+  return outcomes;
+}
+
+/** One thread takes jobs until none is left. */
+function runThread(waiting: Job[], outcomes: RunOutcome[]): Promise<void> {
+  const worker = new Worker(new URL('./worker.js', import.meta.url));
+  return new Promise((resolve, reject) => {
+    const next = () => {
+      const job = waiting.shift();
+      if (job !== undefined) worker.postMessage(job);
+      else
+        void worker.terminate().then(() => {
+          resolve();
+        });
+    };
+    worker.on('message', ({ index, outcome }: JobResult) => {
+      outcomes[index] = outcome;
+      next();
+    });
+    worker.on('error', reject);
+    next();
+  });
+}
+
 function pickPairs(plan: MatrixPlan): Cell[][] {
   const random = createSeededRandom(plan.seed ^ PAIR_SALT);
   const pairs: Cell[][] = [];
--- a/tools/faults/mechanisms.ts
+++ b/tools/faults/mechanisms.ts
@@ -14,7 +14,6 @@
 /** A mechanism that can be switched off. */
 export type Mechanism =
   | 'fencing'
-  | 'fence-check'
   | 'claims'
   | 'read-back'
   | 'drain-wait'
@@ -48,7 +47,6 @@
 }
 
 function unconditionalPrefixes(off: Mechanism | undefined): string[] {
-  if (off === 'fencing') return ['nodes/', 'shards/', 'engines/'];
   if (off === 'claims') return ['claims/'];
   if (off === 'configuration-conditions') return ['configuration/'];
   return [];
--- a/tools/faults/preparations.ts
+++ b/tools/faults/preparations.ts
@@ -35,6 +35,15 @@
   return rareSteps.includes(step);
 }
 
+/**
+ * Whether a step is one of an order; they come a few times in a run, and the first matter most.
+ *
+ * @param step the step
+ */
+export function isOrder(step: Step): boolean {
+  return step.startsWith('order.');
+}
+
 /** Steps that are brought about by breaking something. */
 const brokenSteps: readonly Step[] = [
   'engine.resume',
--- a/tools/faults/workload.ts
+++ b/tools/faults/workload.ts
@@ -183,6 +183,7 @@
   }
 
   async function probe(): Promise<void> {
+    for (const engine of world.engines.values()) engine.heal();
     for (const [index, node] of nodeNames.entries()) {
       const completion: Question = { kind: 'completion', name: `probe ${index}`, isStreamed: true };
       const keyed: Question = { kind: 'keyed', name: `probe-${index}`, isStreamed: false };
@@ -212,8 +213,8 @@
       for (let count = 0; count < BURST; count++) askCompletion();
     });
   }
-  time.after(WORK_FROM + random.next() * 1_000, () => void wantAdapters(['brakes']));
-  time.after(WORK_FROM + 4_500, () => void wantAdapters(['brakes', 'gears']));
+  time.after(WORK_FROM + random.next() * 500, () => void wantAdapters(['brakes']));
+  time.after(WORK_FROM + 3_000, () => void wantAdapters(['brakes', 'gears']));
   time.after(WORK_FROM + 2_000, () => void drainForAWhile('e1'));
   time.after(WORK_FROM + 3_000 + random.next() * 1_000, () => void replaceNode(pickHolder()));
   time.after(WORK_FROM + 3_500, () => {
