fix(membership): tell a successor that it is taken for a process that left

Cause, found by the fault matrix (--cell drain.wait/pause+configuration.transact/late-duplicate): a late copy of the last word of a process that left made a node take its successor for it, and the greeting that was to settle this named only nodes that do not leave; so the node never learnt which shards the successor holds. Change: a greeting names the peer's own state as known also when that is leaving. Shown by: the cell, which violated 'service resumes by itself' before and nothing afterwards.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -207,6 +207,9 @@
   function greet(peer: string): void {
     const news = createEmptyNews();
     news.states.push(own(), ...view.alive());
+    // One that left is not alive, yet its successor must hear that it is taken for it.
+    const known = view.find(peer)?.state;
+    if (known?.leaving === true) news.states.push(known);
     news.shards.push(...records.all());
     links.send(peer, { ...news, listDigest: vmWatch.digest() });
     sendHeartbeat(peer);
