fix(shards): give back shards that the list no longer has

Cause: when a fleet grows past shards.maxServers its servers belong to other shards, but the old shard stayed held for ever, and its row with it. Ruled out: leaving it to the emptied holder, which keeps the row and its news for the life of the node. Change: each round releases held shards that are not listed; an empty list says nothing. Conclusion: what remains is the time in which two nodes go by different lists; the tallies of the old and the new shard overlap then.

--- a/src/shards/ownership.ts
+++ b/src/shards/ownership.ts
@@ -92,6 +92,7 @@
 
   async function round(): Promise<void> {
     const alive = parts.aliveNodes();
+    await releaseUnlisted();
     for (const shard of parts.shards()) {
       if (stopped || !parts.isLeaseValid()) return;
       if (!isOrphan(shard.name, alive)) continue;
@@ -216,6 +217,22 @@
     parts.lost(shard);
   }
 
+  /**
+   * A fleet that grew or shrank is parted anew; its servers then belong to other shards, and two
+   * holders would grant places on them. An empty list says nothing.
+   */
+  async function releaseUnlisted(): Promise<void> {
+    const listed = new Set<string>();
+    for (const { name } of parts.shards()) {
+      listed.add(name);
+    }
+    if (listed.size === 0) return;
+    for (const shard of [...held.values()]) {
+      if (stopped || !parts.isLeaseValid()) return;
+      if (!listed.has(shard.name)) await releaseOne(shard);
+    }
+  }
+
   function step(): void {
     running = round();
     void running.then(() => {
--- a/test/shards/ownership-load.test.ts
+++ b/test/shards/ownership-load.test.ts
@@ -22,7 +22,8 @@
   const key = shardRowKey('manuals');
   const value = { holder: former, fence: 1, released: false };
   await table.transact({ conditions: [], puts: [{ key, value }], deletes: [] });
-  const shards = resolveShards([createVm({ id: 'engine-1' })], { maxServers: 16 });
+  const list = { vms: [createVm({ id: 'engine-1' })], maxServers: 16 };
+  const lost: string[] = [];
   const names = ['entry-1'];
   const ownership = createOwnership({
     table,
@@ -31,17 +32,17 @@
     node: 'entry-1',
     everyMs: 250,
     freshMs: 1_000,
-    shards: () => shards,
+    shards: () => resolveShards(list.vms, list),
     aliveNodes: () => names,
     placedNodes: () => [{ node: 'entry-1', zone: 'tema-hall' }],
     leaseHolder: () => own,
     isLeaseValid: () => true,
     readNodeRow: () => Promise.resolve({ holder: former, state: row.state, counter: 0 }),
     taken: () => undefined,
-    lost: () => undefined,
+    lost: ({ name }) => lost.push(name),
   });
   ownership.start();
-  return { ownership, control, row, advance };
+  return { ownership, control, row, list, lost, advance };
 }
 
 describe('a shard whose holder is alive but not heard', () => {
@@ -66,6 +67,25 @@
   });
 });
 
+describe('a fleet that is parted anew', () => {
+  it('is held under its new shards alone', async () => {
+    const { ownership, control, row, list, lost, advance } = await start();
+    row.state = 'lapsed';
+    await advance(1_000);
+    expect(ownership.held().map(({ name }) => name)).to.deep.equal(['manuals']);
+    list.vms = [createVm({ id: 'engine-1' }), createVm({ id: 'engine-2', zone: 'osu-hall' })];
+    list.maxServers = 1;
+    await advance(2_000);
+    const names = ownership.held().map(({ name }) => name);
+    expect(names).to.deep.equal(['manuals.osu-hall.0', 'manuals.tema-hall.0']);
+    expect(lost).to.deep.equal(['manuals']);
+    expect(control.rows.get(shardRowKey('manuals'))?.value).to.include({ released: true });
+    list.vms = [];
+    await advance(2_000);
+    expect(ownership.held()).to.have.length(2);
+  });
+});
+
 describe('the nodes that are to hold a shard', () => {
   const nodes = [
     { node: 'entry-1', zone: 'tema-hall' },
