feat(slopes): measure nodes at the settings for hundreds of nodes

Cause: the idle cost at the default settings does not say what a node costs at 410. Change: a part, large, with longer heartbeats, leases and polls, and bounded partners.

--- a/tools/slopes/main.ts
+++ b/tools/slopes/main.ts
@@ -3,7 +3,12 @@
  * `docs/CAPACITY.md` works with. Ends by itself in under five minutes.
  */
 import { defineCommand, runMain } from 'citty';
-import { measureConfiguration, measureEngines, measureNodes } from './measure-clusters.js';
+import {
+  measureConfiguration,
+  measureEngines,
+  measureLargeNodes,
+  measureNodes,
+} from './measure-clusters.js';
 import { measureMembership } from './measure-membership.js';
 import { measurePure } from './measure-pure.js';
 import { measureWork } from './measure-work.js';
@@ -15,6 +20,7 @@
   ['pure', measurePure],
   ['membership', measureMembership],
   ['nodes', measureNodes],
+  ['large', measureLargeNodes],
   ['engines', measureEngines],
   ['configuration', measureConfiguration],
   ['work', measureWork],
--- a/tools/slopes/measure-clusters.ts
+++ b/tools/slopes/measure-clusters.ts
@@ -2,6 +2,7 @@
  * Slopes from real processes: nodes and engines that idle, and teams and changes of configuration.
  */
 import { pause, startCluster, type Cluster, type ClusterSize } from './cluster.js';
+import { largeTerms } from './measure-membership.js';
 import type { Rate } from './processes.js';
 import { report, say, type Series } from './report.js';
 
@@ -53,8 +54,22 @@
 }
 
 /** Ever more nodes without engines, measured at the first three: the cost that goes by nodes. */
-export async function measureNodes(): Promise<void> {
-  await withCluster({ nodes: FEW_NODES, engines: 0 }, async (cluster) => {
+export function measureNodes(): Promise<void> {
+  return measureNodesWith('nodes', {});
+}
+
+/** The same with the settings that the page proposes for hundreds of nodes. */
+export function measureLargeNodes(): Promise<void> {
+  return measureNodesWith('large', {
+    membership: largeTerms,
+    lease: { renewEveryMs: 3_000, holderMs: 10_000, takerMs: 14_000 },
+    configuration: { followEveryMs: 20_000 },
+    shards: { watchEveryMs: 1_000 },
+  });
+}
+
+async function measureNodesWith(part: string, settings: Record<string, unknown>): Promise<void> {
+  await withCluster({ nodes: FEW_NODES, engines: 0, settings }, async (cluster) => {
     await pause(WARM_MS);
     const samples: Sample[] = [];
     for (const count of NODE_COUNTS) {
@@ -63,7 +78,7 @@
       await pause(SETTLE_MS);
       samples.push({ x: count, rate: await cluster.measure(MEASURE_MS, FEW_NODES) });
     }
-    report('nodes', createSeries('node in the cluster', samples));
+    report(part, createSeries('node in the cluster', samples));
   });
 }
 
