fix(membership): tell a new partner everything, also over a link that was already up

Cause: a node that knew another by hearsay sent it nothing when that one opened the link, and nothing when it chose it as a partner later; the other then never knew it. Ruled out: greeting on every link, which would send all states over links made for one permit. Conclusion: a lost greeting mends itself with the next heartbeat.

--- a/src/links/messages.ts
+++ b/src/links/messages.ts
@@ -60,6 +60,8 @@
   inFlight: z.number().int().nonnegative(),
   /** Whether the sender wants heartbeats from the receiver. */
   chosen: z.boolean(),
+  /** Whether the sender lacks the receiver's state, or believes it silent. */
+  isStranger: z.boolean(),
   /** The sender's own shards, while there are so few nodes that each is linked to each. */
   shards: z.array(shardSummarySchema),
 });
--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -198,6 +198,7 @@
       configurationVersion,
       inFlight,
       chosen: partners.isChosen(peer),
+      isStranger: !view.isAlive(peer),
       shards: isMeshed() ? ownShards() : [],
     });
     partners.told(peer);
@@ -316,7 +317,9 @@
     const state = view.find(peer)?.state;
     if (wasSuspected && state !== undefined) tell({ kind: 'state', state }, peer);
     // A process that is not the one known here answers with its own state.
-    if (isNew || state?.incarnation !== heartbeat.incarnation) greet(peer);
+    const isUnknown = state?.incarnation !== heartbeat.incarnation;
+    // A greeting is lost with a link that gives way to another one of the same two nodes.
+    if (isNew || isUnknown || heartbeat.isStranger) greet(peer);
     reach(peer, heartbeat.configurationVersion, peer);
     parts.heardVersion(heartbeat.configurationVersion);
     for (const summary of heartbeat.shards) {
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { createEmptyNews } from '../../src/membership/index.js';
 import {
   createEntryVm,
   createNetwork,
@@ -36,6 +37,17 @@
     }
   });
 
+  it('makes a node known to one that linked it first and was known to it by hearsay', async () => {
+    const second = network.add(nameOf(0));
+    const first = network.add(nameOf(1));
+    await second.membership.start();
+    const states = [first.membership.own()];
+    second.membership.receive('nobody', { ...createEmptyNews(), states });
+    await first.membership.start();
+    await network.advance(1_000);
+    expectAllKnow([first, second], 2);
+  });
+
   it('sends no more per node when there are more nodes', async () => {
     const nodes = await network.start(COUNT);
     await network.advance(5_000);
--- a/test/membership/view.test.ts
+++ b/test/membership/view.test.ts
@@ -26,6 +26,7 @@
     configurationVersion: 0,
     inFlight: 0,
     chosen: true,
+    isStranger: false,
     shards: [],
     ...more,
   };
--- a/tools/slopes/measure-pure.ts
+++ b/tools/slopes/measure-pure.ts
@@ -217,6 +217,7 @@
       configurationVersion: 7_300,
       inFlight: 12,
       chosen: true,
+      isStranger: false,
       shards: [],
     },
   };
