fix(faults): a call given up before it was sent is never sent

Cause: a process paused between a call and its sending concluded 'not sent' from its timer and sent all the same when it woke, so the matrix blamed the configuration writer for a change that was refused as not run and then landed (configuration.transact/pause). The HTTP adapters never send what was given up; the fake network did. Ruled out: a fault of the writer, which had read the outcome as the adapter defines it.

--- a/tools/faults/fakes/network.ts
+++ b/tools/faults/fakes/network.ts
@@ -70,7 +70,9 @@
     const { from, to } = exchange;
     return new Promise((resolve) => {
       let sent = false;
+      let isGivenUp = false;
       const timer = from.clock.after(exchange.timeoutMs, () => {
+        isGivenUp = true;
         resolve(exchange.lost(sent));
       });
       const finish = (value: Value) => {
@@ -86,7 +88,8 @@
         });
       };
       from.perform(() => {
-        if (isCut(from.name, to)) return;
+        // As the HTTP adapters do: what was given up before it was sent is never sent.
+        if (isGivenUp || isCut(from.name, to)) return;
         sent = !down.has(to);
         time.after(latency(to) + (exchange.extraDelayMs ?? 0), () => {
           if (sent) void arrive();
