fix(router): finish what was begun though it is late, and end at the deadline without a token

Ruled out: retrying refusals for lateness faster; the holder was right by what it was told. Change: a request of which something may have run is no longer held to its first-token time; a stream without a first token ends at the deadline.

--- a/src/router/completion.ts
+++ b/src/router/completion.ts
@@ -17,6 +17,7 @@
 import type { Place, PlaceEnd, Placement, PlaceWish } from './placement.js';
 import type { Retries, RetryQuestion } from './retries.js';
 import type { RetryBudget } from './retry-budget.js';
+import { createWatchdog, type Watchdog } from './watchdog.js';
 
 /** A generation as the caller front hands it over. Times are on the node's clock. */
 export interface CompletionJob {
@@ -134,7 +135,8 @@
     signal: AbortSignal,
     use: PlaceUse,
   ): AsyncGenerator<Result<EngineChunk, Failure>, Failure | undefined, void> {
-    const watchdog = createWatchdog(clock, stallLimit(job), signal);
+    const firstTokenBy = progress.delivered === 0 ? job.deadlineAt : Infinity;
+    const watchdog = createWatchdog(clock, { limitMs: stallLimit(job), firstTokenBy }, signal);
     const request = createRequest(job, progress, place);
     try {
       for await (const item of open(request, place, watchdog.signal, use)) {
@@ -240,7 +242,8 @@
     const { team, requestClass } = job;
     const key = { team: team.name, class: requestClass.name };
     const expected = estimate.expect(key, requestClass.expectedOutputTokens);
-    const due = progress.delivered === 0 ? job.arrivedAt + requestClass.firstTokenMs : Infinity;
+    // What was begun is finished, late if need be; only a new request is refused for being late.
+    const due = progress.mayHaveRun ? Infinity : job.arrivedAt + requestClass.firstTokenMs;
     return {
       requestId: job.requestId,
       attempt: progress.attempt,
@@ -350,50 +353,6 @@
   return { ...end, firstTokenMs: use.firstTokenAt - startedAt };
 }
 
-/** Aborts a stream that gives nothing for too long, and with the caller's own signal. */
-interface Watchdog {
-  signal: AbortSignal;
-  touch(): void;
-  hasFired(): boolean;
-  stop(): void;
-}
-
-function createWatchdog(clock: Clock, limitMs: number, outer: AbortSignal): Watchdog {
-  const controller = new AbortController();
-  let lastTouch = clock.now();
-  let fired = false;
-  const abort = () => {
-    controller.abort();
-  };
-  if (outer.aborted) abort();
-  outer.addEventListener('abort', abort, { once: true });
-  let timer = clock.after(limitMs, check);
-
-  function check(): void {
-    const idleMs = clock.now() - lastTouch;
-    if (idleMs < limitMs) {
-      timer = clock.after(limitMs - idleMs, check);
-      return;
-    }
-    fired = true;
-    abort();
-  }
-
-  return {
-    signal: controller.signal,
-    touch() {
-      lastTouch = clock.now();
-    },
-    hasFired: () => fired,
-    stop() {
-      timer.cancel();
-      outer.removeEventListener('abort', abort);
-      // Ends the engine's stream too when its reader stopped before the end.
-      abort();
-    },
-  };
-}
-
 function stallLimit(job: CompletionJob): number {
   const { firstTokenMs, betweenTokensMs } = job.requestClass;
   return Math.max(MIN_STALL_MS, firstTokenMs, betweenTokensMs * STALL_FACTOR);
