fix(router): wait no longer for a holder's answer to a resumed request than to a new one

Cause (fault matrix, drain.wait/cut-peers): a resumed request asked a holder over a link that was cut for a moment; its question was lost and the answer awaited until the deadline, because a resumed request had no first-token time to bound it. Change: each resumed attempt has the class's first-token time anew, and asks again after it.

--- a/src/router/completion.ts
+++ b/src/router/completion.ts
@@ -242,8 +242,10 @@
     const { team, requestClass } = job;
     const key = { team: team.name, class: requestClass.name };
     const expected = estimate.expect(key, requestClass.expectedOutputTokens);
-    // What was begun is finished, late if need be; only a new request is refused for being late.
-    const due = progress.mayHaveRun ? Infinity : job.arrivedAt + requestClass.firstTokenMs;
+    // What was begun is finished, late if need be: each attempt has the whole time anew. It is not
+    // unbounded, because an answer of the holder that was lost is waited for as long.
+    const countedFrom = progress.mayHaveRun ? clock.now() : job.arrivedAt;
+    const due = countedFrom + requestClass.firstTokenMs;
     return {
       requestId: job.requestId,
       attempt: progress.attempt,
