refactor(node): a module each for peers' messages, questions to peers, places and fronts

It wires; what is done with a message, what is asked of others, which places are told and how the fronts listen now stand by themselves. Request ids are made and read in one place.

--- a/src/node/environment.ts
+++ b/src/node/environment.ts
@@ -28,13 +28,13 @@
   createPlatform(settings: Settings['platform'], metrics: Metrics): Platform;
   createLinks(parts: LinksParts): Links;
   /** Starts to listen; rejects when the address is taken. */
-  listen(
+  listen: (
     app: Pick<Hono, 'fetch'>,
     address: string,
     readTimeoutMs: number,
     node: string,
     certificate?: Certificate,
-  ): Promise<Listener>;
+  ) => Promise<Listener>;
 }
 
 /** The machine itself. */
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,14 +1,9 @@
 /**
  * One node, made of its tasks. Every entry VM runs one; all are alike.
  */
-import { match } from 'ts-pattern';
 import { createCallerFront, type Readiness } from '../caller/index.js';
 import { createClaims, createClaimSweep, createGatheredWriter } from '../claims/index.js';
-import {
-  createConfigurationReplica,
-  createConfigurationWriter,
-  type ChangeBatch,
-} from '../configuration/index.js';
+import { createConfigurationReplica, createConfigurationWriter } from '../configuration/index.js';
 import { createLog, type Log } from '../events/index.js';
 import { createLapseWatch, createNodeLease } from '../lease/index.js';
 import {
@@ -17,20 +12,12 @@
   limitCompletions,
   limitServiceCalls,
 } from '../limits/index.js';
-import type {
-  Answer,
-  Fate,
-  LimitAllowance,
-  LimitDraw,
-  Notice,
-  PermitAnswer,
-  Query,
-} from '../links/index.js';
+import type { LimitAllowance, LimitDraw } from '../links/index.js';
 import { createMembership, resolveEntryPoints } from '../membership/index.js';
 import { createMetrics } from '../metrics/index.js';
 import { createOperatorFront, type NodeStatus } from '../operator/index.js';
 import { createFormers } from '../orders/index.js';
-import { createOutputEstimate, type ShardHolder } from '../permits/index.js';
+import { createOutputEstimate } from '../permits/index.js';
 import type { Vm } from '../platform/index.js';
 import {
   createBackends,
@@ -48,29 +35,21 @@
   resolvePick,
 } from '../router/index.js';
 import type { Certificate, Settings } from '../settings/index.js';
-import {
-  createOwnership,
-  rankNodes,
-  resolveShards,
-  type KnownHolder,
-  type Shard,
-} from '../shards/index.js';
-import { wait, type Timer } from '../task/index.js';
+import { createOwnership, rankNodes, resolveShards, type Shard } from '../shards/index.js';
+import { wait } from '../task/index.js';
 import { createSystemEnvironment, type NodeEnvironment } from './environment.js';
+import { createFronts } from './fronts.js';
 import { createGroupServers } from './group-servers.js';
 import { createHeldShards } from './held-shards.js';
 import { createOrdersFactory } from './orders.js';
+import { createPeerMessages } from './peer-messages.js';
+import { createPeerQuestions, createRequestId } from './peer-questions.js';
 import { createPlacesReport } from './places-report.js';
-import type { Listener } from './servers.js';
+import { ADOPT_EVERY_MS, createPlacesTelling } from './places-telling.js';
 
 const OWNERSHIP_EVERY_MS = 250;
-const ADOPT_EVERY_MS = 1_000;
 const LOAD_EVERY_MS = 1_000;
-const FATE_TIMEOUT_MS = 1_000;
-const LIMITS_TIMEOUT_MS = 250;
 const DRAIN_POLL_MS = 50;
-/** Operators may watch a node for ever; its shutdown ends that. */
-const OPERATOR_GRACE_MS = 1_000;
 /** How long a stop waits for outcomes that could not be stored at once. */
 const CLAIMS_GRACE_MS = 10_000;
 
@@ -125,17 +104,32 @@
     operator: advertise.operator ?? settings.listen.operator,
     peer: advertise.peer ?? settings.listen.peer,
   };
-  const listeners: Listener[] = [];
+  const fronts = createFronts({
+    node,
+    settings,
+    certificates: secrets.certificates ?? {},
+    listen: environment.listen,
+  });
   let shards: Shard[] = [];
   let leaving = false;
   let refusing = false;
   let inFlight = 0;
-  let adoptTimer: Timer | undefined;
 
   const inUse = createPlacesInUse();
   const fates = createFates(clock, settings.requests.fateKeptMs);
   const backends = createBackends(environment);
 
+  const questions = createPeerQuestions(() => links);
+  const messages = createPeerMessages({
+    node,
+    incarnation,
+    membership: () => membership,
+    held: () => held,
+    replica: () => replica,
+    limitHome: () => limitHome,
+    fates,
+  });
+
   const links = environment.createLinks({
     node,
     key: secrets.peerKey,
@@ -149,8 +143,8 @@
     opened: (peer) => {
       membership.opened(peer);
     },
-    noticed: receiveNotice,
-    asked: receiveQuery,
+    noticed: messages.noticed,
+    asked: messages.asked,
   });
 
   const replica = createConfigurationReplica({
@@ -160,7 +154,7 @@
     log,
     metrics,
     terms: settings.configuration,
-    fetch: fetchChanges,
+    fetch: questions.fetchChanges,
     push: (changes) => {
       membership.broadcast({ kind: 'configuration.push', changes });
     },
@@ -358,6 +352,18 @@
           shardOf,
         });
 
+  const placesTelling = createPlacesTelling({
+    node,
+    incarnation,
+    clock,
+    links,
+    inUse,
+    report: placesReport,
+    held,
+    ownership,
+    shards: () => shards,
+  });
+
   const limitHome = createLimitHome({
     clock,
     limitsOf: (team) => replica.current().teams.get(team)?.limits,
@@ -426,7 +432,7 @@
     services,
     claims,
     fates,
-    createRequestId: () => `${node}~${createId()}`,
+    createRequestId: () => createRequestId(node, createId()),
     readiness,
     entryPoints: (callerZone) =>
       resolveEntryPoints(
@@ -435,7 +441,7 @@
         settings.membership.entryPointsKeptMs,
         random,
       ),
-    findFate,
+    findFate: questions.findFate,
     track: (change) => {
       inFlight += change;
       metrics.inFlight.set(inFlight);
@@ -485,142 +491,9 @@
     return summary?.servers.find(({ id }) => id === server)?.free;
   }
 
-  function receiveNotice(peer: string, notice: Notice): void {
-    match(notice)
-      .with({ kind: 'heartbeat' }, { kind: 'news' }, (word) => {
-        membership.receive(peer, word);
-      })
-      .with({ kind: 'permit.release' }, (release) => {
-        held.find(release.shard)?.release(release);
-      })
-      .with({ kind: 'permit.progress' }, (progress) => {
-        held.find(progress.shard)?.progress(progress);
-      })
-      .with({ kind: 'permit.cancel' }, ({ shard, requestId, attempt }) => {
-        held.find(shard)?.cancel(peer, requestId, attempt);
-      })
-      .with({ kind: 'permit.adopt' }, (adoption) => {
-        held.find(adoption.shard)?.adopt(adoption);
-      })
-      .with({ kind: 'configuration.push' }, ({ changes }) => {
-        replica.receive(changes);
-      })
-      .exhaustive();
-  }
-
-  async function receiveQuery(peer: string, query: Query): Promise<Answer> {
-    return match(query)
-      .with({ kind: 'permit.request' }, async (wish): Promise<Answer> => {
-        await replica.caughtUp(wish.configurationVersion);
-        const holder = held.find(wish.shard);
-        if (holder !== undefined) return addSummary(holder, await holder.ask(peer, wish));
-        const failure = {
-          code: 'lease-lost' as const,
-          message: 'the shard is not held here',
-          outcome: 'not-run' as const,
-          step: 'permit.ask' as const,
-          peer: node,
-        };
-        return { kind: 'permit.refused', failure };
-      })
-      .with({ kind: 'limits.draw' }, (draw): Promise<Answer> => {
-        return Promise.resolve(limitHome.draw(peer, draw));
-      })
-      .with({ kind: 'configuration.fetch' }, ({ after }): Promise<Answer> => {
-        return Promise.resolve({ kind: 'configuration.changes', ...replica.changesAfter(after) });
-      })
-      .with({ kind: 'request.fate' }, ({ requestId }): Promise<Answer> => {
-        const fate = fates.find(requestId);
-        const found = fate === undefined ? {} : { fate };
-        return Promise.resolve({ kind: 'request.fate.answer', ...found });
-      })
-      .with({ kind: 'vms.fetch' }, ({ digest }): Promise<Answer> => {
-        return Promise.resolve(membership.vmsSince(digest));
-      })
-      .exhaustive();
-  }
-
-  /** Where routers do not hear from every holder, the answer to a request for a permit tells them. */
-  function addSummary(holder: ShardHolder, answer: PermitAnswer): PermitAnswer {
-    if (membership.isMeshed()) return answer;
-    return { ...answer, summary: { ...holder.summary(), incarnation } };
-  }
-
   async function drawLimits(draw: LimitDraw): Promise<LimitAllowance | undefined> {
     const [home = node] = rankNodes(draw.team, membership.aliveNames());
-    if (home === node) return limitHome.draw(node, draw);
-    const answer = await links.query(home, draw, LIMITS_TIMEOUT_MS);
-    if (answer.isErr() || answer.value.kind !== 'limits.allowance') return undefined;
-    return answer.value;
-  }
-
-  async function fetchChanges(after: number): Promise<ChangeBatch | undefined> {
-    for (const peer of links.peers()) {
-      const answer = await links.query(
-        peer,
-        { kind: 'configuration.fetch', after },
-        FATE_TIMEOUT_MS,
-      );
-      if (answer.isOk() && answer.value.kind === 'configuration.changes') return answer.value;
-    }
-    return undefined;
-  }
-
-  async function findFate(requestId: string): Promise<Fate | undefined> {
-    const [peer = ''] = requestId.split('~');
-    const answer = await links.query(peer, { kind: 'request.fate', requestId }, FATE_TIMEOUT_MS);
-    if (answer.isErr() || answer.value.kind !== 'request.fate.answer') return undefined;
-    return answer.value.fate;
-  }
-
-  function isReportDue({ node: holder, fence, summary }: KnownHolder, places: number): boolean {
-    const allPlaces = inUse.size();
-    return placesReport.isDue({
-      shard: summary.shard,
-      holder: `${holder}/${fence}`,
-      places,
-      allPlaces,
-    });
-  }
-
-  /** Tells holders which places are in use, so that lost messages and new holders do no harm. */
-  function tellPlaces(): void {
-    const byShard = inUse.byShard();
-    for (const { name } of shards) {
-      const permits = byShard.get(name) ?? [];
-      const notice = { kind: 'permit.adopt' as const, shard: name, node, incarnation, permits };
-      const local = held.find(name);
-      const known = ownership.holderOf(name);
-      if (local !== undefined) local.adopt(notice);
-      else if (known !== undefined && isReportDue(known, permits.length)) {
-        links.notify(known.node, notice);
-      }
-    }
-    adoptTimer = clock.after(ADOPT_EVERY_MS, tellPlaces);
-  }
-
-  async function openFronts(): Promise<void> {
-    const { readTimeoutMs } = settings.requests;
-    const { caller: callerAddress, operator: operatorAddress } = settings.listen;
-    const { certificates = {} } = secrets;
-    const caller = await environment.listen(
-      callerFront,
-      callerAddress,
-      readTimeoutMs,
-      node,
-      certificates.caller,
-    );
-    listeners.push(caller);
-    const operator = await environment.listen(
-      operatorFront,
-      operatorAddress,
-      readTimeoutMs,
-      node,
-      certificates.operator,
-    );
-    listeners.push(operator);
-    addresses.caller = advertise.caller ?? caller.address;
-    addresses.operator = advertise.operator ?? operator.address;
+    return home === node ? limitHome.draw(node, draw) : questions.drawLimits(home, draw);
   }
 
   /** An empty table is no fault: a first configuration may still be applied. */
@@ -631,13 +504,6 @@
     log.write('tableUnreachable', { tableService, advice });
   }
 
-  async function closeListeners(): Promise<void> {
-    const [caller, operator] = listeners;
-    await caller?.close(settings.shutdown.graceMs);
-    await operator?.close(OPERATOR_GRACE_MS);
-    await links.close();
-  }
-
   async function waitForRequests(): Promise<void> {
     const until = clock.now() + settings.shutdown.graceMs;
     while (inFlight > 0) {
@@ -654,10 +520,13 @@
       try {
         await links.listen();
         addresses.peer = advertise.peer ?? links.address();
-        await openFronts();
+        const opened = await fronts.open({ caller: callerFront, operator: operatorFront });
+        addresses.caller = advertise.caller ?? opened.caller;
+        addresses.operator = advertise.operator ?? opened.operator;
       } catch (error) {
         // A listener left open would keep the process alive.
-        await closeListeners();
+        await fronts.close();
+        await links.close();
         throw error;
       }
       lease.start();
@@ -667,7 +536,7 @@
       await lapseWatch.start();
       claimSweep.start();
       ownership.start();
-      tellPlaces();
+      placesTelling.start();
       if (pick !== undefined) board.start();
       log.write('nodeStarted', { zone, incarnation, ...addresses });
       return addresses;
@@ -690,10 +559,11 @@
       replica.stop();
       membership.announce();
       membership.stop();
-      adoptTimer?.cancel();
+      placesTelling.stop();
       board.stop();
       allowances.stop();
-      await closeListeners();
+      await fronts.close();
+      await links.close();
       log.write('nodeStopped', {});
     },
   };
