feat(faults): measure what the version on requests for permits is worth

Cause: the rule that a message does not overtake an update was taken from a paper and had a citation but no measurement. Ruled out: real processes on loopback, where a push arrives before any request that follows it.

--- a/tools/faults/mechanisms.ts
+++ b/tools/faults/mechanisms.ts
@@ -21,7 +21,8 @@
   | 'resume-position'
   | 'configuration-conditions'
   | 'leaving-word'
-  | 'idle-wait';
+  | 'idle-wait'
+  | 'version-order';
 
 /**
  * A table on which some conditions are not checked or lost answers are taken for failed writes.
@@ -115,12 +116,14 @@
 
 /**
  * Links over which a router gives back each permit as soon as it has it, so that its holder sees
- * nothing running.
+ * nothing running; or on which a request for a permit does not say under which configuration it was
+ * made, so that its holder looks at it under an older one.
  *
  * @param links the links
  * @param off the mechanism that is off, if any
  */
 export function weakenLinks(links: Links, off: Mechanism | undefined): Links {
+  if (off === 'version-order') return withoutVersions(links);
   if (off !== 'idle-wait') return links;
   return {
     ...links,
@@ -149,3 +152,13 @@
     },
   };
 }
+
+function withoutVersions(links: Links): Links {
+  return {
+    ...links,
+    query(peer, query, timeoutMs) {
+      const sent = query.kind === 'permit.request' ? { ...query, configurationVersion: 0 } : query;
+      return links.query(peer, sent, timeoutMs);
+    },
+  };
+}
