--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -123,6 +123,7 @@
   const messages = createPeerMessages({
     node,
     incarnation,
+    log,
     membership: () => membership,
     held: () => held,
     replica: () => replica,
