fix(permits): take a prompt for cached only once its first token came

Cause: the holder noted a prompt's prefixes as cached when it granted the permit. Until the engine had read the prompt, a second request with the same text counted as read already: it went out as a short prompt, ahead of long ones, and read everything again. Its late first token also taught the engine's rate several times too slow, so that requests were refused as late (an idle engine was foretold 4 s for 3500 tokens).

Change: prefixes count once the first token came. What reads the same text waits for it by the bound of one long prompt at a time.

--- a/src/permits/feedback.ts
+++ b/src/permits/feedback.ts
@@ -12,7 +12,8 @@
 const SLOW_MS = 1_000;
 
 /**
- * Takes in that a permit's first token came.
+ * Takes in that a permit's first token came. Only now is its prompt in the server's cache: another
+ * request with the same text that came to the server earlier would read all of it again.
  *
  * @param server the server that read the prompt
  * @param permit the permit
@@ -27,6 +28,7 @@
 ): void {
   const { reading } = permit;
   if (reading === undefined) return;
+  server.prefixes.add(reading.prefixes);
   server.rates.observeFirstToken(reading.tokensAhead, firstTokenMs, now);
   if (!reading.isOverdue && isSlow(firstTokenMs, reading.expectedMs))
     server.health.note('bad', now);
--- a/src/permits/granting.ts
+++ b/src/permits/granting.ts
@@ -118,7 +118,7 @@
 }
 
 function createReading(
-  { isLong, firstTokenBy }: Waiting,
+  { query, isLong, firstTokenBy }: Waiting,
   server: Server,
   tokens: number,
   now: number,
@@ -126,7 +126,8 @@
   if (server.vm.kind === 'plain-service') return undefined;
   const ahead = tokensAhead(server, isLong) + tokens;
   const expectedMs = server.rates.firstTokenMs(ahead, now);
-  return { tokens, tokensAhead: ahead, expectedMs, firstTokenBy, isOverdue: false };
+  const { prefixes } = query;
+  return { prefixes, tokens, tokensAhead: ahead, expectedMs, firstTokenBy, isOverdue: false };
 }
 
 /** A permit that a router says it uses, granted by an earlier holder. */
--- a/src/permits/prefix-index.ts
+++ b/src/permits/prefix-index.ts
@@ -1,15 +1,14 @@
 /**
- * Which prompt prefixes a server is likely to have cached: those of the prompts that were sent to
- * it, most recently used last, less what its cache events say was removed. Events come late and
- * with gaps, so they only ever take away; what a lost event should have taken away is forgotten when
- * so many newer prefixes were sent.
+ * Which prompt prefixes a server is likely to have cached: those of the prompts that it read, most
+ * recently used last, less what its cache events say was removed. Events come late and with gaps, so they only ever take away; what a lost event should have taken away is forgotten when
+ * so many newer prefixes were read.
  */
 
 const MAX_PREFIXES = 8_192;
 
 /** The prefixes of one server. */
 export interface PrefixIndex {
-  /** Notes that a prompt with these prefixes, the shortest first, was sent. */
+  /** Notes that a prompt with these prefixes, the shortest first, was read. */
   add(prefixes: readonly string[]): void;
   /** How many of the prefixes, counted from the shortest, are likely cached. */
   countCached(prefixes: readonly string[]): number;
--- a/src/permits/server.ts
+++ b/src/permits/server.ts
@@ -16,6 +16,8 @@
 
 /** A permit's way to its first token. */
 export interface Reading {
+  /** The prompt's prefixes, which the server has cached from the first token on. */
+  prefixes: readonly string[];
   /** Prompt tokens that were not expected in the cache. */
   tokens: number;
   /** Prompt tokens to be read on the server until this one's first token. */
--- a/src/permits/shard-holder.ts
+++ b/src/permits/shard-holder.ts
@@ -316,7 +316,6 @@
     addPermit(chosen.server, granted);
     const reader = chosen.prefill ?? chosen.server;
     if (prefill !== undefined) addPermit(reader, prefill);
-    reader.prefixes.add(query.prefixes);
     waiting.answer({ kind: 'permit.granted', permit });
   }
 
--- a/test/permits/shard-holder.test.ts
+++ b/test/permits/shard-holder.test.ts
@@ -55,6 +55,22 @@
     );
   });
 
+  it('reads a text once for requests that come while it is being read', async () => {
+    const drive = createDrive({ engines: [{ id: 'manual-1' }] });
+    const text = createPrompt(4_000, 'extract');
+    const asked: Outcome[] = [];
+    for (const question of ['one', 'two', 'three']) {
+      asked.push(drive.send({ prompt: `${text} ${question}` }));
+    }
+    await drive.advance(5_000);
+    let readTokens = 0;
+    for (const { cachedTokens = 0, endMs } of asked) {
+      expect(endMs).to.be.a('number');
+      readTokens += 4_003 - cachedTokens;
+    }
+    expect(readTokens).to.be.at.most(4_500);
+  });
+
   it('answers short questions beside long prompts as if these were not there', async () => {
     async function run(withLong: boolean): Promise<Outcome[]> {
       const drive = createDrive({ engines: twoEngines });
