feat(permits): share the time of engines between teams, not their tokens

A token of an answer counted like a prompt token in the fair share, though it costs a full batch 12 times the time (6000 tokens a second read, 506 written). Refused long prompts left the large team with answers, so it took far more than its share of places while its account said less than its share.

Change: the account counts a token of an answer as the prompt tokens that the engine reads in the time it costs in a full batch, from the engine's own word.

--- a/src/permits/admission.ts
+++ b/src/permits/admission.ts
@@ -9,7 +9,13 @@
 import type { FairShare } from './fair-share.js';
 import type { Lane } from './queue.js';
 import { hasRoom, type RoomTerms } from './room.js';
-import { tokensAhead, tokensUncached, type Guest, type Server } from './server.js';
+import {
+  resolveOutputWeight,
+  tokensAhead,
+  tokensUncached,
+  type Guest,
+  type Server,
+} from './server.js';
 import { addBacklog, createBacklog, type Backlog, type TeamQueue } from './team-queue.js';
 
 /** When things may be expected, in milliseconds from now. */
@@ -120,11 +126,13 @@
     const queue = lane.teams.get(query.team);
     if (queue !== undefined) addBacklog(ahead, queue.backlog(query.priority), part);
   }
-  const finish = share.served(query.team) + (tokensOf(ahead) + tokensOfQuery(query)) / query.weight;
+  const outputWeight = resolveLeastOutputWeight(input.candidates);
+  const own = tokensOf(ahead, outputWeight) + tokensOfQuery(query, outputWeight);
+  const finish = share.served(query.team) + own / query.weight;
   for (const { lane, part } of lanes) {
     for (const queue of lane.teams.values()) {
       if (queue.team === query.team) continue;
-      const before = input.isFair ? shareBefore(queue, share, finish) : 1;
+      const before = input.isFair ? shareBefore(queue, share, finish, outputWeight) : 1;
       const others = input.isFair ? queue.backlog() : queue.backlog(query.priority);
       addBacklog(ahead, others, before * part);
     }
@@ -133,17 +141,29 @@
 }
 
 /** The part of another team's queue that is served until this team's turn has come. */
-function shareBefore(queue: TeamQueue, share: FairShare, finish: number): number {
-  const tokens = tokensOf(queue.backlog());
+function shareBefore(
+  queue: TeamQueue,
+  share: FairShare,
+  finish: number,
+  outputWeight: number,
+): number {
+  const tokens = tokensOf(queue.backlog(), outputWeight);
   if (tokens === 0) return 1;
   const served = Math.max(0, finish - share.served(queue.team)) * queue.weight;
   return Math.min(1, served / tokens);
 }
 
-function tokensOf({ promptTokens, outputTokens }: Backlog): number {
-  return promptTokens + outputTokens;
+function resolveLeastOutputWeight(candidates: readonly Server[]): number {
+  let least = Number.POSITIVE_INFINITY;
+  for (const server of candidates) least = Math.min(least, resolveOutputWeight(server));
+  return Number.isFinite(least) ? least : 1;
+}
+
+/** Work in prompt tokens to read. */
+function tokensOf({ promptTokens, outputTokens }: Backlog, outputWeight: number): number {
+  return promptTokens + outputTokens * outputWeight;
 }
 
-function tokensOfQuery({ promptTokens, expectedOutputTokens }: PermitQuery): number {
-  return promptTokens + expectedOutputTokens;
+function tokensOfQuery(query: PermitQuery, outputWeight: number): number {
+  return query.promptTokens + query.expectedOutputTokens * outputWeight;
 }
--- a/src/permits/fair-share.ts
+++ b/src/permits/fair-share.ts
@@ -1,5 +1,5 @@
 /**
- * What each team was served, in tokens over its weight, on one scale for all teams of a shard
+ * What each team was served, in prompt tokens to read over its weight, on one scale for all teams of a shard
  * (start-time fair queueing). A team that was idle starts a bounded credit behind the least served
  * waiting team: enough for a burst of its own, too little to hold anybody up.
  *
--- a/src/permits/feedback.ts
+++ b/src/permits/feedback.ts
@@ -5,7 +5,7 @@
 import type { PermitProgress, PermitRelease } from '../links/index.js';
 import type { LineFit } from './line-fit.js';
 import type { Verdict } from './server-health.js';
-import type { GrantedPermit, Server } from './server.js';
+import { resolveOutputWeight, type GrantedPermit, type Server } from './server.js';
 
 /** A first token is slow when it took this many times as long as expected, and longer than `SLOW_MS`. */
 const SLOW_FACTOR = 4;
@@ -97,13 +97,16 @@
 }
 
 /**
- * Tokens of work that a permit really was.
+ * Work that a permit really was, in prompt tokens to read. Places for answers are what a busy engine
+ * lacks first, so a token of an answer counts by the time that it costs.
  *
  * @param release the router's word on its end
+ * @param server its server
  */
-export function resolveServedTokens(release: PermitRelease): number {
+export function resolveServedTokens(release: PermitRelease, server: Server): number {
   if (release.result === 'refused') return 0;
-  return release.promptTokens - release.cachedTokens + release.outputTokens;
+  const { promptTokens, cachedTokens, outputTokens } = release;
+  return promptTokens - cachedTokens + outputTokens * resolveOutputWeight(server);
 }
 
 function learnStep(
--- a/src/permits/granting.ts
+++ b/src/permits/granting.ts
@@ -6,6 +6,7 @@
 import { resolveEnginePriority } from './engine-priority.js';
 import type { Waiting } from './queue.js';
 import {
+  resolveOutputWeight,
   tokensAhead,
   tokensUncached,
   type GrantedPermit,
@@ -106,7 +107,7 @@
     weight: query.weight,
     promptTokens: query.promptTokens,
     outputTokens: query.expectedOutputTokens,
-    charged: tokens + query.expectedOutputTokens,
+    charged: tokens + query.expectedOutputTokens * resolveOutputWeight(server),
     isFirstAttempt: query.attempt === 1,
     isLong,
     betweenTokensMs: query.betweenTokensMs ?? Number.POSITIVE_INFINITY,
@@ -162,7 +163,7 @@
     node,
     weight,
     outputTokens: expectedOutputTokens,
-    charged: adopted.promptTokens + expectedOutputTokens,
+    charged: adopted.promptTokens + expectedOutputTokens * resolveOutputWeight(server),
     isFirstAttempt: false,
     isLong: false,
     betweenTokensMs: Number.POSITIVE_INFINITY,
--- a/src/permits/server.ts
+++ b/src/permits/server.ts
@@ -47,7 +47,7 @@
   isLong: boolean;
   /** Longest time between two tokens, in milliseconds. */
   betweenTokensMs: number;
-  /** Tokens charged to the team when it was granted. */
+  /** Charged to the team when it was granted, in prompt tokens to read. */
   charged: number;
   /** Whether the answer's length is that of a whole answer. */
   isFirstAttempt: boolean;
@@ -201,6 +201,18 @@
   return permit;
 }
 
+/**
+ * How many prompt tokens a server reads in the time that one token of an answer costs it in a full
+ * batch, by its own word; 1 where it said nothing.
+ *
+ * @param server the tally to read
+ */
+export function resolveOutputWeight(server: Server): number {
+  const { prefillTokensPerSecond, decodeTokensPerSecond, slots } = server;
+  const weight = prefillTokensPerSecond / (decodeTokensPerSecond * slots);
+  return Number.isFinite(weight) ? weight : 1;
+}
+
 /**
  * Free places for requests, as far as slots go.
  *
--- a/src/permits/shard-holder.ts
+++ b/src/permits/shard-holder.ts
@@ -416,7 +416,7 @@
       waits.observeEnd(now);
       endPrefill(permit, undefined);
       removePermit(server, permit.permitId);
-      charge({ team, weight, tokens: resolveServedTokens(release) - charged });
+      charge({ team, weight, tokens: resolveServedTokens(release, server) - charged });
       dispatch();
     },
     cancel(asker, requestId, attempt) {
--- a/test/permits/shard-holder.test.ts
+++ b/test/permits/shard-holder.test.ts
@@ -71,6 +71,25 @@
     expect(readTokens).to.be.at.most(4_500);
   });
 
+  it('shares the time of engines, not their tokens, between long prompts and long answers', async () => {
+    const model = { maxBatch: 4, cacheTokens: 0 };
+    const drive = createDrive({ engines: [{ id: 'manual-1', model }] });
+    const patient = { firstTokenInMs: 1e6, deadlineInMs: 1e6 };
+    for (let seed = 0; seed < 400; seed += 1) {
+      drive.send({ ...patient, team: 'reads', prompt: createPrompt(200, seed), tokens: 20 });
+      drive.send({ ...patient, team: 'writes', prompt: createPrompt(20, `w${seed}`), tokens: 200 });
+    }
+    await drive.advance(60_000);
+    const answered = { reads: 0, writes: 0 };
+    for (const { team, endMs } of drive.outcomes) {
+      if (endMs === undefined) continue;
+      if (team === 'reads') answered.reads += 1;
+      else answered.writes += 1;
+    }
+    expect(answered.writes).to.be.above(20);
+    expect(answered.reads).to.be.above(answered.writes * 3);
+  });
+
   it('answers short questions beside long prompts as if these were not there', async () => {
     async function run(withLong: boolean): Promise<Outcome[]> {
       const drive = createDrive({ engines: twoEngines });
