feat(permits): tell a team beyond its share sooner, but not for a burst

Cause: a team counted as beyond its share above 1.5 times it. The large team, with a quarter of the weight, could take 37% of the work without being told apart, in the places and before the engines, from teams within their share, while a small team's single burst of some long prompts was enough to be.

Change: beyond is above 1.1 times the share and a burst of 16,384 prompt tokens' work within the 20 s that are remembered.

--- a/src/permits/recent-use.ts
+++ b/src/permits/recent-use.ts
@@ -3,7 +3,7 @@
  * against that of all teams that were served in that time. Unlike the account of fair queueing it
  * also tells while nobody waits.
  */
-import type { TeamCharge } from './fair-share.js';
+import { FAIR_BAND_TOKENS, type TeamCharge } from './fair-share.js';
 
 /** Recent service of all teams. Times are milliseconds on one clock. */
 export interface RecentUse {
@@ -19,8 +19,10 @@
 
 /** Service counts for 1/e after this time. */
 const MEMORY_MS = 20_000;
-/** A team is beyond its share above this many times it. */
-const TOLERANCE = 1.5;
+/** A team is beyond its share above this many times it and a burst. */
+const TOLERANCE = 1.1;
+/** Work by which a team may exceed its share at times, in prompt tokens to read. */
+const BURST_TOKENS = 2 * FAIR_BAND_TOKENS;
 /** Service of the past is scaled down, and teams without any forgotten, this often. */
 const AGE_EVERY_MS = 250;
 /** A team with fewer tokens left counts as not served. */
@@ -67,7 +69,8 @@
       age(now);
       const use = uses.get(team);
       if (use === undefined || use.weight >= totalWeight) return false;
-      return use.tokens / use.weight > (TOLERANCE * totalTokens) / totalWeight;
+      const share = (totalTokens * use.weight) / totalWeight;
+      return use.tokens > share * TOLERANCE + BURST_TOKENS;
     },
   };
 }
--- a/test/permits/learning.test.ts
+++ b/test/permits/learning.test.ts
@@ -69,6 +69,15 @@
     expect(use.isBeyondShare('large', 10 * 60_000)).to.equal(false);
   });
 
+  it('takes a team for beyond its share by a fraction of a large share, not for one burst', () => {
+    const use = createRecentUse();
+    for (const team of ['a', 'b', 'c', 'd']) use.add({ team, weight: 1, tokens: 10_000 }, 0);
+    use.add({ team: 'burst', weight: 1, tokens: 32_000 }, 0);
+    use.add({ team: 'large', weight: 4, tokens: 110_000 }, 0);
+    expect(use.isBeyondShare('burst', 0)).to.equal(false);
+    expect(use.isBeyondShare('large', 0)).to.equal(true);
+  });
+
   it('forgets the prefixes that an engine says it removed', () => {
     const index = createPrefixIndex();
     index.add(['a', 'b', 'c']);
