feat(settings)!: remove decisions.preemption, which did nothing

Weighed: cancelling and resuming a request beyond its team's share frees a place at the cost of reading its prompt and what it wrote again.

--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -248,12 +248,6 @@
         .boolean()
         .default(false)
         .describe('For measurements only: follow the mix at once, whatever a change costs.'),
-      preemption: z
-        .boolean()
-        .default(false)
-        .describe(
-          'Cancel and resume work of low priority to make room for work of high priority. Not built: changes nothing.',
-        ),
       placement: z
         .enum(['permits', 'least-reported', 'two-choices', 'round-robin'])
         .default('permits')
--- a/tools/bench/policies.ts
+++ b/tools/bench/policies.ts
@@ -29,10 +29,7 @@
 ];
 
 /** Mechanisms that are off by default, each switched on. */
-const additions: readonly Policy[] = [
-  { name: 'with-preemption', decisions: { preemption: true } },
-  { name: 'eager-planner', decisions: { eagerPlanner: true } },
-];
+const additions: readonly Policy[] = [{ name: 'eager-planner', decisions: { eagerPlanner: true } }];
 
 export const reedtally: Policy = { name: 'reedtally', decisions: { placement: 'permits' } };
 
