refactor(permits): drop the load reports that nothing read any more

Cause: orders ask the engine itself how much it runs, and the holder's watch no longer reads load reports, but its tally still had room for them. The holder now says how many permits are out.

--- a/src/index.ts
+++ b/src/index.ts
@@ -29,7 +29,6 @@
 } from './orders/index.js';
 export {
   createShardHolder,
-  type Occupancy,
   type ShardHolder,
   type ShardHolderParts,
 } from './permits/index.js';
--- a/src/node/orders.ts
+++ b/src/node/orders.ts
@@ -73,7 +73,7 @@
         hold: (engine, isHeld) => {
           holder.holdForOrder(engine, isHeld);
         },
-        permitsOut: (engine) => holder.occupancy(engine)?.permitsOut ?? 0,
+        permitsOut: (engine) => holder.permitsOn(engine),
       },
       clock: parts.clock,
       log: parts.log,
--- a/src/permits/server.ts
+++ b/src/permits/server.ts
@@ -83,9 +83,6 @@
   leaving: boolean;
   /** No new work, because an order is about to be given. */
   heldForOrder: boolean;
-  /** Requests running, as last reported, with the time of the report on the holder's clock. */
-  reportedRunning: number | undefined;
-  reportedAt: number;
   permits: Map<string, GrantedPermit>;
   /** Tokens that the permits out may come to occupy. */
   reservedTokens: number;
@@ -121,8 +118,6 @@
     busy: false,
     leaving: false,
     heldForOrder: false,
-    reportedRunning: undefined,
-    reportedAt: 0,
     permits: new Map(),
     reservedTokens: 0,
     readers: new Map(),
--- a/src/permits/shard-holder.ts
+++ b/src/permits/shard-holder.ts
@@ -6,7 +6,7 @@
  * - permits out: exact, but for messages under way; a lost one is mended by the next adoption
  *   (a second), after a grace of two;
  * - a server's state: half a second; a server that missed two answers gets nothing;
- * - load reports: used for nothing but the count of requests that are still there before an order;
+ * - load reports: read for nothing here; before an order the engine is asked afresh (`src/orders`);
  * - learned rates: halve every ten seconds without work, towards the engine's own word;
  * - cached prefixes: those granted here, less what late events take away; a gap in the events is
  *   made good by what answers say of cached tokens.
@@ -21,7 +21,7 @@
 } from '../links/index.js';
 import type { Metrics } from '../metrics/index.js';
 import { createDemandMeter, type ClassDemand } from '../planner/demand.js';
-import type { CacheEvent, EngineState, LoadReport, ServiceState, Vm } from '../platform/index.js';
+import type { CacheEvent, EngineState, ServiceState, Vm } from '../platform/index.js';
 import type { Decisions } from '../settings/index.js';
 import type { Clock, Timer } from '../task/index.js';
 import type { Forecast } from './admission.js';
@@ -91,14 +91,6 @@
   isLeaseValid(): boolean;
 }
 
-/** How much still runs on a server. */
-export interface Occupancy {
-  permitsOut: number;
-  /** The server's own last word, where it has been heard. */
-  reportedRunning: number | undefined;
-  reportedAt: number;
-}
-
 /** The holder of one shard. */
 export interface ShardHolder {
   ask(node: string, query: PermitQuery): Promise<PermitAnswer>;
@@ -111,13 +103,13 @@
   setVms(vms: readonly Vm[]): void;
   learnEngine(state: EngineState): void;
   learnService(state: ServiceState): void;
-  learnLoad(server: string, report: LoadReport): void;
   learnCacheEvents(server: string, events: readonly CacheEvent[]): void;
   /** A server did not answer. */
   learnSilence(server: string): void;
   /** Keeps a server free of new work, for an order. */
   holdForOrder(server: string, held: boolean): void;
-  occupancy(server: string): Occupancy | undefined;
+  /** Permits out on a server; 0 for one that the shard does not have. */
+  permitsOn(server: string): number;
   servers(): Server[];
   /** Mean demand for a group over the last `horizonMs`, by class; refused requests included. */
   demand(group: string, horizonMs: number): ClassDemand[];
@@ -461,12 +453,6 @@
       learnService(server, state);
       dispatch();
     },
-    learnLoad(id, report) {
-      const server = servers.get(id);
-      if (server === undefined) return;
-      server.reportedRunning = report.running + report.waiting;
-      server.reportedAt = clock.now() - report.ageMs;
-    },
     learnCacheEvents(id, events) {
       const server = servers.get(id);
       if (server === undefined) return;
@@ -487,15 +473,7 @@
       server.heldForOrder = isHeld;
       if (!isHeld) dispatch();
     },
-    occupancy(id) {
-      const server = servers.get(id);
-      if (server === undefined) return undefined;
-      return {
-        permitsOut: server.permits.size,
-        reportedRunning: server.reportedRunning,
-        reportedAt: server.reportedAt,
-      };
-    },
+    permitsOn: (id) => servers.get(id)?.permits.size ?? 0,
     servers: () => [...servers.values()],
     demand: (group, horizonMs) => demand.read(group, horizonMs, clock.now()),
     summary() {
