fix(permits): count nothing beyond a share against requests within theirs

Cause: with the large team at five times its share small teams' short questions were refused at once by a forecast of 1.5 to 2.5 s, while those that were let in had their first token after 0.3 s at p95.

Change: requests beyond a share are taken last, and forecasts for those within count none of them. At large x1 nothing changes, for nobody is beyond.

--- a/src/permits/admission.ts
+++ b/src/permits/admission.ts
@@ -108,8 +108,9 @@
   return lane.isLong === guest.isLong && lane.isBeyondShare === guest.isBeyondShare;
 }
 
-/** Short prompts pass long ones by. */
+/** Short prompts pass long ones by, and teams within their share those beyond it. */
 function isCompeting(guest: Guest, lane: Lane): boolean {
+  if (lane.isBeyondShare && !guest.isBeyondShare) return false;
   return guest.isLong || !lane.isLong;
 }
 
--- a/src/permits/queue.ts
+++ b/src/permits/queue.ts
@@ -123,6 +123,7 @@
     const other = right.query;
     if (!isFair) return one.priority - other.priority || left.firstTokenBy - right.firstTokenBy;
     return (
+      Number(left.isBeyondShare) - Number(right.isBeyondShare) ||
       share.band(one.team) - share.band(other.team) ||
       one.priority - other.priority ||
       share.served(one.team) - share.served(other.team) ||
--- a/test/permits/queue.test.ts
+++ b/test/permits/queue.test.ts
@@ -91,6 +91,18 @@
     );
   });
 
+  it('takes requests of teams beyond their share last, however little these were served', () => {
+    const { queue, share } = createQueue();
+    const beyond = createWaiting({ team: 'large', priority: 0 }, { isBeyondShare: true });
+    const within = createWaiting({ team: 'small', priority: 3 });
+    queue.add(beyond);
+    queue.add(within);
+    share.charge({ team: 'small', weight: 1, tokens: FAIR_BAND_TOKENS * 3 });
+    expect(queue.first(noLanes)?.waiting).to.equal(within);
+    queue.remove(within);
+    expect(queue.first(noLanes)?.waiting).to.equal(beyond);
+  });
+
   it('lets priority decide between teams that differ by less than a band', () => {
     const { queue } = createQueue();
     queue.charge({ team: 'large', weight: 1, tokens: 10 });
