--- a/src/index.ts
+++ b/src/index.ts
@@ -27,11 +27,7 @@
   type ShardOrders,
   type ShardOrdersParts,
 } from './orders/index.js';
-export {
-  createShardHolder,
-  type ShardHolder,
-  type ShardHolderParts,
-} from './permits/index.js';
+export { createShardHolder, type ShardHolder, type ShardHolderParts } from './permits/index.js';
 export * from './platform/http/index.js';
 export * from './platform/index.js';
 export {
