revert(claims): send claims as they were sent, for one transaction at a time gathers no more

It was meant to bring nine nodes with 32 callers under the platform's several hundred table writes a second. The stand-in answers within a millisecond or two, so hardly anything comes meanwhile. A table that hangs would also have delayed every claim of a node by its time limit.

--- a/src/claims/gathered-writer.ts
+++ b/src/claims/gathered-writer.ts
@@ -1,9 +1,7 @@
 /**
  * Conditional writes of single rows, gathered into few transactions. Claims of one node share the
  * table's several hundred writes a second this way. A write that conflicts is taken out and the
- * others are sent again, so that no request suffers from its neighbour. One transaction is under way at
- * a time: what comes meanwhile goes into the next one, so the slower the table, the more it gathers. A
- * table that hangs delays them all by its time limit.
+ * others are sent again, so that no request suffers from its neighbour.
  */
 import { match } from 'ts-pattern';
 import type { Failure } from '../errors/index.js';
@@ -52,34 +50,15 @@
  */
 export function createGatheredWriter(parts: GatheredWriterParts): GatheredWriter {
   const { table, clock, gatherMs, maxPerTransaction } = parts;
-  let waiting: Entry[] = [];
-  let isSending = false;
+  let gathered: Entry[] = [];
   let timer: Timer | undefined;
 
   function flush(): void {
     timer?.cancel();
     timer = undefined;
-    if (isSending) return;
-    const batch = takeBatch();
-    if (batch.length === 0) return;
-    isSending = true;
-    void send(batch).finally(() => {
-      isSending = false;
-      flush();
-    });
-  }
-
-  /** The first that wait; two writes of one row cannot share a transaction. */
-  function takeBatch(): Entry[] {
-    const batch = new Map<string, Entry>();
-    const left: Entry[] = [];
-    for (const entry of waiting) {
-      const { key } = entry.write;
-      if (batch.size < maxPerTransaction && !batch.has(key)) batch.set(key, entry);
-      else left.push(entry);
-    }
-    waiting = left;
-    return [...batch.values()];
+    const batch = gathered;
+    gathered = [];
+    if (batch.length > 0) void send(batch);
   }
 
   async function send(batch: readonly Entry[]): Promise<void> {
@@ -110,9 +89,14 @@
   return {
     write(write) {
       return new Promise((resolve) => {
-        waiting.push({ write, settle: resolve });
-        if (waiting.length >= maxPerTransaction) flush();
-        else timer ??= clock.after(gatherMs, flush);
+        // Two writes of one row cannot share a transaction.
+        if (gathered.some((entry) => entry.write.key === write.key)) flush();
+        gathered.push({ write, settle: resolve });
+        if (gathered.length >= maxPerTransaction) {
+          flush();
+          return;
+        }
+        timer ??= clock.after(gatherMs, flush);
       });
     },
   };
