--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -44,6 +44,16 @@
   name: { type: 'string', default: 'bench', description: 'Name of the report in out/bench' },
 } as const;
 
+/** The parser lets unknown options pass, and a run with a mistyped one measures something else. */
+function refuseUnknown(rawArguments: readonly string[]): void {
+  for (const argument of rawArguments) {
+    if (!argument.startsWith('--')) continue;
+    const [name = ''] = argument.slice(2).split('=');
+    if (name in args) continue;
+    throw new Error(`there is no option --${name}; see npm run bench -- --help`);
+  }
+}
+
 function say(text: string): void {
   process.stdout.write(`${text}\n`);
 }
@@ -86,7 +96,8 @@
 const command = defineCommand({
   meta: { name: 'bench', description: 'Compare policies on real processes' },
   args,
-  async run({ args: given }) {
+  async run({ args: given, rawArgs }) {
+    refuseUnknown(rawArgs);
     const isQuick = given.quick === true;
     const basePort = Number(given['base-port']);
     const experiment = loadExperiment(given.deployment);
