--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -4,6 +4,7 @@
  */
 import { availableParallelism, loadavg } from 'node:os';
 import { defineCommand, runMain } from 'citty';
+import { refuseUnknown } from '../common/index.js';
 import { reckonCachedShare } from './cached-share.js';
 import { describeFindings } from './findings.js';
 import { faultNames } from './faults.js';
@@ -44,16 +45,6 @@
   name: { type: 'string', default: 'bench', description: 'Name of the report in out/bench' },
 } as const;
 
-/** The parser lets unknown options pass, and a run with a mistyped one measures something else. */
-function refuseUnknown(rawArguments: readonly string[]): void {
-  for (const argument of rawArguments) {
-    if (!argument.startsWith('--')) continue;
-    const [name = ''] = argument.slice(2).split('=');
-    if (name in args) continue;
-    throw new Error(`there is no option --${name}; see npm run bench -- --help`);
-  }
-}
-
 function say(text: string): void {
   process.stdout.write(`${text}\n`);
 }
@@ -97,7 +88,7 @@
   meta: { name: 'bench', description: 'Compare policies on real processes' },
   args,
   async run({ args: given, rawArgs }) {
-    refuseUnknown(rawArgs);
+    refuseUnknown(rawArgs, args);
     const isQuick = given.quick === true;
     const basePort = Number(given['base-port']);
     const experiment = loadExperiment(given.deployment);
--- a/tools/common/index.ts
+++ b/tools/common/index.ts
@@ -2,3 +2,4 @@
 export * from './cluster.js';
 export * from './layout.js';
 export * from './processes.js';
+export * from './options.js';
--- a/tools/faults/main.ts
+++ b/tools/faults/main.ts
@@ -4,9 +4,10 @@
  * every step that the code does was struck, and every control found its violation.
  */
 import { mkdirSync, writeFileSync } from 'node:fs';
-import { parseArgs } from 'node:util';
+import { defineCommand, runMain } from 'citty';
 import { z } from 'zod';
 import { steps, stepSchema, type Step } from '../../src/errors/index.js';
+import { refuseUnknown } from '../common/index.js';
 import { runCell, type Cell } from './cell.js';
 import { controls, runControl, type ControlResult } from './controls.js';
 import { faultNames } from './faults.js';
@@ -33,8 +34,8 @@
 const OUT_FOLDER = 'out';
 const MOST_DETAILS = 4;
 
-/** Steps of the catalogue that no code does yet; a fault strikes somewhere in their runs. */
-const stepsNotBuilt: readonly Step[] = ['engine.handover'];
+/** Steps that the matrix's fleet never does, whose engines are all mixed; a fault strikes at any time. */
+const stepsNotDone: readonly Step[] = ['engine.handover'];
 
 const cellSchema = z.object({ step: stepSchema, fault: z.enum(faultNames) });
 
@@ -85,7 +86,7 @@
       if (outcome.struck) for (const { step } of cells) struck.add(step);
     }
   }
-  return steps.filter((step) => !struck.has(step) && !stepsNotBuilt.includes(step));
+  return steps.filter((step) => !struck.has(step) && !stepsNotDone.includes(step));
 }
 
 function write(result: MatrixResult, found: readonly ControlResult[]): void {
@@ -112,7 +113,7 @@
   const unstruck = listUnstruck(result);
   const blind = found.filter((control) => control.found === undefined).length;
   say('');
-  say(`steps not built yet, struck at any time: ${stepsNotBuilt.join(', ')}`);
+  say(`steps that the fleet never does, struck at any time: ${stepsNotDone.join(', ')}`);
   if (unstruck.length > 0) say(`STEPS NEVER STRUCK: ${unstruck.join(', ')}`);
   const total = result.singles.length * runs + result.pairs.length;
   const took = `${(result.tookMs / 1_000).toFixed(0)} s`;
@@ -120,20 +121,33 @@
   return violated + unstruck.length + blind === 0 ? 0 : 1;
 }
 
-async function main(): Promise<number> {
-  const { values } = parseArgs({
-    options: {
-      cell: { type: 'string' },
-      seed: { type: 'string', default: String(DEFAULT_SEED) },
-      runs: { type: 'string', default: String(DEFAULT_RUNS) },
-      pairs: { type: 'string', default: String(DEFAULT_PAIRS) },
-      threads: { type: 'string', default: String(DEFAULT_THREADS) },
-    },
-  });
-  const seed = Number(values.seed);
-  if (values.cell !== undefined) return repeatCell(values.cell, seed);
-  const plan = { seed, runs: Number(values.runs), pairs: Number(values.pairs) };
-  return runAll(plan, Number(values.threads));
-}
+const args = {
+  cell: { type: 'string', valueHint: 'step/fault[+step/fault]', description: 'Repeat one cell' },
+  seed: { type: 'string', default: String(DEFAULT_SEED), description: 'Seed of the runs' },
+  runs: { type: 'string', default: String(DEFAULT_RUNS), description: 'Runs of each cell' },
+  pairs: {
+    type: 'string',
+    default: String(DEFAULT_PAIRS),
+    description: 'Pairs of faults, at random',
+  },
+  threads: { type: 'string', default: String(DEFAULT_THREADS), description: 'Worker threads' },
+} as const;
+
+const command = defineCommand({
+  meta: {
+    name: 'faults',
+    description: 'Every fault at every step, in virtual time, with controls',
+  },
+  args,
+  async run({ args: given, rawArgs }) {
+    refuseUnknown(rawArgs, args);
+    const seed = Number(given.seed);
+    const plan = { seed, runs: Number(given.runs), pairs: Number(given.pairs) };
+    process.exitCode =
+      given.cell === undefined
+        ? await runAll(plan, Number(given.threads))
+        : await repeatCell(given.cell, seed);
+  },
+});
 
-process.exitCode = await main();
+await runMain(command);
