fix(router): keep retries of cut answers apart from those of declined attempts

Ruled out: a larger reserve, which a larger burst uses up as well; no budget for cut streams, which multiplies load when every engine breaks. Change: declined and cut attempts have a balance each, of the same share of requests.

--- a/src/router/retries.ts
+++ b/src/router/retries.ts
@@ -82,7 +82,8 @@
       return { kind: 'final', failure: withTrueOutcome(late(node, failure), mayHaveRun) };
     }
     // An attempt that started nothing loads no server, so it costs a resumption no retry.
-    if (!isResumption && !budget.spend()) {
+    const cause = failure.outcome === 'not-run' ? 'declined' : 'cut';
+    if (!isResumption && !budget.spend(cause)) {
       metrics.refusals.inc({ reason: 'retry-budget-spent', step: failure.step });
       return { kind: 'final', failure: final };
     }
--- a/src/settings/schema.ts
+++ b/src/settings/schema.ts
@@ -200,7 +200,14 @@
         .positive()
         .default(2_000)
         .describe('Most requests that wait for one shard.'),
-      retryShare: z.number().min(0).max(1).default(0.1).describe('Retries as a share of requests.'),
+      retryShare: z
+        .number()
+        .min(0)
+        .max(1)
+        .default(0.1)
+        .describe(
+          'Retries as a share of requests: for attempts that were declined, and for those that were cut, each.',
+        ),
       maxAttempts: z
         .number()
         .int()
--- a/test/router/runners.test.ts
+++ b/test/router/runners.test.ts
@@ -164,6 +164,20 @@
     expect(wishes[1]?.avoid).to.deep.equal(['e1']);
   });
 
+  it('finishes a begun answer although declined attempts have used up their retries', async () => {
+    let declining = true;
+    const full: Failure = { ...declined, step: 'engine.connect', code: 'queue-full' };
+    const { completions, runUntil } = setUp(createPlacement(['e1', 'e2', 'e3', 'e4'], []), {
+      script: ({ resumeFrom }) => {
+        if (declining) return [Err(full)];
+        return resumeFrom === 0 ? [chunk(0), Err(cut)] : [chunk(1, true)];
+      },
+    });
+    for (let index = 0; index < 8; index += 1) await runUntil(collect(completions));
+    declining = false;
+    expect((await runUntil(collect(completions))).texts).to.deep.equal(['t0', 't1']);
+  });
+
   it('takes a gap in the chunks for a cut', async () => {
     const script: Script = ({ resumeFrom }) =>
       resumeFrom === 0 ? [chunk(0), chunk(2, true)] : [chunk(1, true)];
