refactor(links): take out what nothing calls any more

Cause: membership tells its partners itself and counts silence by heartbeats, so Links.broadcast and lastHeardAt had no caller left; the list of object kinds never had one. Ruled out: keeping them for embedders; links are not part of the public surface's promises, and a fake had to write them again.

--- a/src/configuration/objects.ts
+++ b/src/configuration/objects.ts
@@ -136,8 +136,6 @@
 /** The kinds of objects. */
 export type ObjectKind = ConfigurationObject['kind'];
 
-export const objectKinds: readonly ObjectKind[] = ['team', 'class', 'group', 'binding'];
-
 /** Labels that operators put on a VM; they add to and go before the platform's own. */
 export const vmLabelsSchema = z.strictObject({
   kind: z.literal('vm'),
--- a/src/links/link.ts
+++ b/src/links/link.ts
@@ -32,8 +32,6 @@
   isOpen(): boolean;
   /** Whether a query of this end waits for its answer. */
   isBusy(): boolean;
-  /** When something last arrived, on the owner's clock. */
-  lastHeardAt(): number;
   /** When something last arrived or was sent, on the owner's clock. */
   lastUsedAt(): number;
   notify(notice: Notice): void;
@@ -81,7 +79,6 @@
     peer: () => peer,
     isOpen: () => open && !ended,
     isBusy: () => pending.size > 0,
-    lastHeardAt: () => lastHeardAt,
     lastUsedAt: () => Math.max(lastUsedAt, lastHeardAt),
     notify(notice) {
       if (link.isOpen()) transmit({ type: 'notice', notice }, notice.kind);
--- a/src/links/links.ts
+++ b/src/links/links.ts
@@ -48,12 +48,8 @@
   dial(address: string): void;
   /** Names of the peers with a link up. */
   peers(): string[];
-  /** When the peer was last heard of, on the node's clock. */
-  lastHeardAt(peer: string): number | undefined;
   /** Sends to a node; one without a link is dialled for it. */
   notify(peer: string, notice: Notice): void;
-  /** Sends to every node with a link up. */
-  broadcast(notice: Notice): void;
   /** Sends on the link that is up, if there is one. */
   send(peer: string, notice: Notice): void;
   /** Asks a node; one without a link is dialled for it. */
@@ -230,7 +226,6 @@
     },
     dial: startDial,
     peers: () => [...byPeer.keys()],
-    lastHeardAt: (peer) => byPeer.get(peer)?.lastHeardAt(),
     notify(peer, notice) {
       void reach(peer).then((link) => {
         link?.notify(notice);
@@ -239,11 +234,6 @@
     send(peer, notice) {
       byPeer.get(peer)?.notify(notice);
     },
-    broadcast(notice) {
-      for (const link of byPeer.values()) {
-        link.notify(notice);
-      }
-    },
     async query(peer, query, timeoutMs) {
       const link = await reach(peer);
       if (link !== undefined) return link.query(query, timeoutMs);
--- a/tools/faults/fakes/links.ts
+++ b/tools/faults/fakes/links.ts
@@ -186,13 +186,9 @@
         dial(endpoint, address);
       },
       peers: () => [...endpoint.open.keys()],
-      lastHeardAt: (peer) => endpoint.open.get(peer),
       notify(peer, notice) {
         notify(endpoint, peer, notice);
       },
-      broadcast(notice) {
-        for (const peer of endpoint.open.keys()) notify(endpoint, peer, notice);
-      },
       send(peer, notice) {
         if (endpoint.open.has(peer)) notify(endpoint, peer, notice);
       },
