fix(platform): a garbled state of an engine no longer ends the process

Cause: the state of an engine was parsed outside any guard; other bytes than JSON (an engine that spoils its answers while its role is looked at) became an unhandled rejection, which ends a Node process. Ruled out: the store's answers, which were guarded already. The test failed first (SyntaxError out of state()).

--- a/test/gateway/adapter.test.ts
+++ b/test/gateway/adapter.test.ts
@@ -1,9 +1,12 @@
 import { expect } from 'chai';
+import { Ok } from 'ts-results-es';
 import { createCaller } from '../../platform/calls.js';
 import { parseConfiguration } from '../../platform/configuration.js';
+import { createEngineCalls } from '../../platform/engines.js';
 import { parseEntry } from '../../platform/registry.js';
 import { parseSettings } from '../../platform/settings.js';
 import { createStore, type Store } from '../../platform/store.js';
+import type { RegisteredServer } from '../../src/fleet/index.js';
 import { startStoreStandIn, type StoreStandIn } from '../../stand-ins/users-platform/index.js';
 
 const SETTINGS = `node=front-a-1
@@ -53,6 +56,24 @@
   });
 });
 
+describe('calls to engines', () => {
+  const engine: RegisteredServer = {
+    id: 'e',
+    service: 'chat',
+    address: '127.0.0.1:1',
+    zone: 'a',
+    slots: 16,
+    isLeaving: false,
+    role: 'prefill',
+    warmUpMs: 0,
+  };
+
+  it('says that a state cannot be read when the engine sends other bytes', async () => {
+    const calls = createEngineCalls(() => Promise.resolve(Ok({ status: 200, body: '{"sta' })));
+    expect((await calls.state(engine)).unwrapErr()).to.equal('unreadable state');
+  });
+});
+
 describe('the client of the store', () => {
   let stand: StoreStandIn;
   let store: Store;
