feat(scheduling): judge engines by what all gateways see of them, and let go of silent servers

Cause: an engine that fell silent was found out by each gateway alone, request by request. A reading had no time limit but the caller's, a plain server that hung kept its request to the end, answers with errors counted for nothing, and a server that had been left alone got everything again at once. Ruled out: asking health checks, which a server may answer well while it fails requests. Change: gateways tell the scheduler how each request ended at its engine; it leaves an engine alone that cannot be reached, fails or begins nothing within 400 ms (or four usual times), and gives it one request at a time until it works again. A late engine is expected to be as late again. A reading is given up after twice the expected time and 250 ms; a request that may be repeated after three times its aim without an answer, if the budget has a send left. Errors of a server's own count, with a limit above the ordinary ones.

--- a/src/fleet/health.ts
+++ b/src/fleet/health.ts
@@ -3,13 +3,18 @@
  * alone for a while and then tried again with single requests; its own health answer is not asked,
  * since a server may fail requests while it calls itself healthy.
  */
+import { z } from 'zod';
 import type { Log } from '../events/index.js';
 import type { Clock } from '../task/index.js';
 
 /** Weight of the newest outcome in the failure rate: about ten outcomes decide. */
 const OUTCOME_WEIGHT = 0.15;
-/** Failure rate from which a server is avoided; the fleet's ordinary errors stay well below. */
+/** Failure rate from which a server that breaks off or stays silent is avoided; the fleet's ordinary
+ * failures stay well below. */
 const AVOID_FROM_RATE = 0.5;
+/** Failure rate from which a server that answers with errors of its own is avoided. It lies higher,
+ * since a seventh of a plain service's answers may be errors while nothing is wrong. */
+const AVOID_FROM_ERROR_RATE = 0.75;
 /** First pause before a server is tried again, in ms; it doubles with each failed trial. */
 const FIRST_PAUSE_MS = 500;
 /** Longest pause before a server is tried again, in ms: the order of a server's restart. */
@@ -20,7 +25,19 @@
 const AVOID_FROM_DECLINES = 3;
 
 /** What became of an exchange, as far as the server's health goes. */
-export type HealthOutcome = 'good' | 'failed' | 'declined' | 'unreachable';
+export const healthOutcomeSchema = z.enum([
+  'good',
+  /** The server answered with an error of its own. */
+  'error',
+  /** The answer broke off or was not one. */
+  'failed',
+  'declined',
+  /** No connection was made, or nothing came back in time. */
+  'unreachable',
+]);
+
+/** What became of an exchange, as far as the server's health goes. */
+export type HealthOutcome = z.infer<typeof healthOutcomeSchema>;
 
 /** Failure rates of servers as one gateway sees them. */
 export interface FleetHealth {
@@ -28,6 +45,9 @@
   record(id: string, outcome: HealthOutcome): void;
   /** Whether a server may be given requests now. */
   isUsable(id: string): boolean;
+  /** Whether a server was avoided and has not shown yet that it works again: it is worth single
+   * requests only. */
+  isOnTrial(id: string): boolean;
   /** Forgets a server that is gone. */
   forget(id: string): void;
 }
@@ -84,13 +104,18 @@
         if (record.failureRate < AVOID_FROM_RATE / 2) trust(id, record);
         return;
       }
-      const isOver = outcome === 'unreachable' || record.failureRate >= AVOID_FROM_RATE;
+      const limit = outcome === 'error' ? AVOID_FROM_ERROR_RATE : AVOID_FROM_RATE;
+      const isOver = outcome === 'unreachable' || record.failureRate >= limit;
       if (isOver) avoidOnce(id, record);
     },
     isUsable(id) {
       const record = records.get(id);
       return record === undefined || record.avoidedUntil <= clock.now();
     },
+    isOnTrial(id) {
+      const record = records.get(id);
+      return record !== undefined && record.pauseMs > FIRST_PAUSE_MS;
+    },
     forget(id) {
       records.delete(id);
     },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -106,6 +106,7 @@
   const fleet = createFleet(clock, log, (id) => {
     connections.drop(id);
     health.forget(id);
+    schedulers.forget(id);
   });
   const routes = createRoutingReplica(log, () => {
     front.refreshLimits();
--- a/src/gateway/peering.ts
+++ b/src/gateway/peering.ts
@@ -3,7 +3,7 @@
  * lacks, takes in those that it lacks itself, and carries requests to and from schedulers.
  */
 import { match } from 'ts-pattern';
-import type { Fleet, RegistryChange } from '../fleet/index.js';
+import type { Fleet, HealthOutcome, RegistryChange } from '../fleet/index.js';
 import type { Log } from '../events/index.js';
 import type { Mesh, Peer, PeerMessage } from '../peers/index.js';
 import type { RoutingDocument, RoutingReplica } from '../routing/index.js';
@@ -113,11 +113,11 @@
     if (!state.isDecided) parts.mesh().send(node, { kind: 'job.queued', id: job.id });
   }
 
-  function finish(node: string, id: string): void {
+  function finish(node: string, id: string, outcome?: HealthOutcome): void {
     const service = submitted.get(node)?.get(id);
     if (service === undefined) return;
     submitted.get(node)?.delete(id);
-    parts.scheduler(service).finished(id);
+    parts.scheduler(service).finished(id, outcome);
   }
 
   return {
@@ -145,8 +145,12 @@
           const service = submitted.get(node)?.get(id);
           if (service !== undefined) parts.scheduler(service).promptRead(id);
         })
-        .with({ kind: 'job.finished' }, ({ id }) => {
-          finish(node, id);
+        .with({ kind: 'job.begun' }, ({ id }) => {
+          const service = submitted.get(node)?.get(id);
+          if (service !== undefined) parts.scheduler(service).begun(id);
+        })
+        .with({ kind: 'job.finished' }, ({ id, outcome }) => {
+          finish(node, id, outcome);
         })
         .with(
           { kind: 'job.queued' },
--- a/src/gateway/schedulers.ts
+++ b/src/gateway/schedulers.ts
@@ -39,6 +39,8 @@
    * @param isAvoided gateways that are left out
    */
   holderOf: (service: string, isAvoided?: (node: string) => boolean) => string;
+  /** An engine is gone for good. */
+  forget: (engine: string) => void;
 }
 
 /**
@@ -61,6 +63,11 @@
   }
 
   return {
+    forget(engine) {
+      for (const scheduler of byService.values()) {
+        scheduler.forget(engine);
+      }
+    },
     local(service) {
       const known = byService.get(service);
       if (known !== undefined) return known;
--- a/src/limits/send-budget.ts
+++ b/src/limits/send-budget.ts
@@ -25,6 +25,8 @@
 export interface SendBudget {
   /** A request for a service came. */
   earn(service: string): void;
+  /** Whether a send beyond the first is left in this window. */
+  hasLeft(service: string): boolean;
   /** Takes one send beyond the first; false when none is left in this window. */
   spend(service: string): boolean;
 }
@@ -58,17 +60,21 @@
     return known;
   }
 
+  function hasLeft(service: string): boolean {
+    const { earned, spent } = windowOf(service);
+    const { allowance, ratio } = terms();
+    const part = allowance / Math.max(LEAST_GATEWAYS, gateways());
+    return spent.length + 1 <= USED_SHARE * (ratio * earned.length + part);
+  }
+
   return {
     earn(service) {
       windowOf(service).earned.push(clock.now());
     },
+    hasLeft,
     spend(service) {
-      const { earned, spent } = windowOf(service);
-      const { allowance, ratio } = terms();
-      const part = allowance / Math.max(LEAST_GATEWAYS, gateways());
-      const limit = USED_SHARE * (ratio * earned.length + part);
-      if (spent.length + 1 > limit) return false;
-      spent.push(clock.now());
+      if (!hasLeft(service)) return false;
+      windowOf(service).spent.push(clock.now());
       return true;
     },
   };
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -4,6 +4,7 @@
  */
 import { Packr } from 'msgpackr';
 import { z } from 'zod';
+import { healthOutcomeSchema } from '../fleet/health.js';
 import { jobSchema, placementSchema } from '../scheduling/job.js';
 
 const serverSchema = z.object({
@@ -79,7 +80,13 @@
   backlogMs: z.number(),
 });
 const readSchema = z.object({ kind: z.literal('job.read'), id: z.string() });
-const finishedSchema = z.object({ kind: z.literal('job.finished'), id: z.string() });
+const begunSchema = z.object({ kind: z.literal('job.begun'), id: z.string() });
+const finishedSchema = z.object({
+  kind: z.literal('job.finished'),
+  id: z.string(),
+  /** What became of it at the engine that had it last. */
+  outcome: healthOutcomeSchema.optional(),
+});
 
 export const messageSchema = z.discriminatedUnion('kind', [
   introductionSchema,
@@ -92,6 +99,7 @@
   placedSchema,
   declinedSchema,
   readSchema,
+  begunSchema,
   finishedSchema,
 ]);
 
--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -3,17 +3,12 @@
  * the placement says so, and hands the generating engine what was read.
  */
 import type { RegisteredServer } from '../fleet/index.js';
-import type { Decision, Job, Prompt } from '../scheduling/index.js';
+import type { Decision, Job, Prompt, ScheduledJob } from '../scheduling/index.js';
+import { resolveHealthOutcome, type ExchangeEnd } from './health-outcome.js';
 import type { PlacedServer, Placing, PlacingContext, Placer } from './placer.js';
 import type { ReadPrompt } from './protocol.js';
 import { readPrompt, type ReadOutcome } from './read-prompt.js';
 
-/** A request at the scheduler. */
-export interface ScheduledJob {
-  promptRead(): void;
-  finished(): void;
-}
-
 /** Asks schedulers, wherever they are. */
 export interface SchedulerClient {
   /** Submits a request; `decided` is called once, unless `finished` comes first. */
@@ -23,6 +18,12 @@
 /** Sends that had the prompt read in vain and are repeated at most. */
 const MAX_READS = 3;
 
+/** How many times as long as expected a reading may take before the engine is let go. */
+const READ_PATIENCE = 2;
+/** What a reading may take in any case, in ms: a reading that moved up behind others at the engine,
+ * and several turns of a busy processor on the way. */
+const LEAST_READ_LIMIT_MS = 250;
+
 /** Time after which a caller is told to come back when its prompt could not be read, in ms. */
 const UNREAD_RETRY_MS = 200;
 
@@ -83,8 +84,9 @@
     });
   }
 
-  function leave(): void {
-    scheduled?.finished();
+  /** Ends what the scheduler knows of the request, with what became of it at its engine. */
+  function leave(end?: ExchangeEnd): void {
+    scheduled?.finished(end === undefined ? undefined : resolveHealthOutcome(end));
     scheduled = undefined;
   }
 
@@ -96,13 +98,13 @@
       const { reason, retryAfterMs, backlogMs } = decision;
       return { kind: 'refused', reason, retryAfterMs, backlogMs };
     }
-    const { reader, generator } = decision.placement;
+    const { reader, generator, expectedReadMs } = decision.placement;
     const generating = context.find(generator);
     if (generating === undefined) return exclude(generator);
     if (reader === undefined) return placed(generating, kept);
     const reading = context.find(reader);
     if (reading === undefined) return exclude(reader);
-    return readAt(reading, generating);
+    return readAt(reading, generating, LEAST_READ_LIMIT_MS + READ_PATIENCE * expectedReadMs);
   }
 
   function exclude(id: string): Promise<Placing> {
@@ -110,11 +112,15 @@
     return place();
   }
 
-  async function readAt(reading: RegisteredServer, generating: RegisteredServer): Promise<Placing> {
+  async function readAt(
+    reading: RegisteredServer,
+    generating: RegisteredServer,
+    limitMs: number,
+  ): Promise<Placing> {
     // the first reading that succeeds is free; every further one is a send beyond the first
     if (hasRead && !context.mayAskAgain('read')) return refuseUnread();
     reads += 1;
-    const outcome = await readPrompt(context, reading);
+    const outcome = await readPrompt(context, reading, limitMs);
     if (outcome.kind === 'read') {
       scheduled?.promptRead();
       hasRead = true;
@@ -130,6 +136,7 @@
     outcome: Exclude<ReadOutcome, { kind: 'read' | 'aborted' }>,
   ): Promise<Placing> | Placing {
     excluded.push(reading.id);
+    leave(outcome.kind);
     const isFree = outcome.kind === 'unsent';
     if (!isFree) context.countAttempt();
     const isOver = reads >= MAX_READS || (!isFree && !context.mayAskAgain('read'));
@@ -148,12 +155,15 @@
 
   return {
     place,
+    begun() {
+      scheduled?.begun();
+    },
     sent(placed, outcome) {
       // a server that did not run the request has left the prompt where it was
       const isLeft = outcome.kind === 'unsent' || outcome.kind === 'declined';
       if (!isLeft) kept = undefined;
       if (outcome.kind !== 'finished') excluded.push(placed.server.id);
-      leave();
+      leave(outcome.kind);
     },
     close() {
       leave();
--- /dev/null
+++ b/src/relay/health-outcome.ts
@@ -0,0 +1,27 @@
+/**
+ * What the end of a send says of the server's health.
+ */
+import { match } from 'ts-pattern';
+import type { HealthOutcome } from '../fleet/index.js';
+import type { ReadOutcome } from './read-prompt.js';
+import type { SendOutcome } from './send.js';
+
+/** How a send or a reading ended. */
+export type ExchangeEnd = SendOutcome['kind'] | ReadOutcome['kind'];
+
+/**
+ * Tells what a send's end says of its server.
+ *
+ * @param end how it ended
+ * @returns `undefined` where the end was not the server's doing
+ */
+export function resolveHealthOutcome(end: ExchangeEnd): HealthOutcome | undefined {
+  return match<ExchangeEnd, HealthOutcome | undefined>(end)
+    .with('finished', 'read', () => 'good')
+    .with('failed', () => 'error')
+    .with('declined', () => 'declined')
+    .with('lost', () => 'failed')
+    .with('unsent', 'overdue', () => 'unreachable')
+    .with('aborted', () => undefined)
+    .exhaustive();
+}
--- a/src/relay/next-move.ts
+++ b/src/relay/next-move.ts
@@ -43,7 +43,7 @@
  * @param progress what is known of the request, this send included
  */
 export function resolveMove(outcome: SendOutcome, route: Route, progress: Progress): Move {
-  const mayRepeat = route.repetition === 'any' || (route.isStream && route.isResumable);
+  const mayRepeat = isRepeatable(route);
   const hasAttempts = progress.attempts < route.maxAttempts;
 
   function giveUp(reason: string): Move {
@@ -66,10 +66,15 @@
       if (!isPassing || progress.isBegun) return { kind: 'pass-failure' };
       return { kind: 'again', costs: true, reason: 'failed' };
     })
-    .with({ kind: 'lost' }, ({ reason }) => {
+    .with({ kind: 'lost' }, { kind: 'overdue' }, ({ kind, reason }) => {
       const canContinue = !progress.isBegun || (route.isStream && route.isResumable);
       if (!mayRepeat || !hasAttempts || !canContinue) return { kind: 'fail', reason };
-      return { kind: 'again', costs: true, reason: 'lost' };
+      return { kind: 'again', costs: true, reason: kind };
     })
     .exhaustive();
 }
+
+/** Whether a request of a route may run again after it may have run. */
+export function isRepeatable(route: Route): boolean {
+  return route.repetition === 'any' || (route.isStream && route.isResumable);
+}
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -2,7 +2,9 @@
  * How a request finds the backend server for its next send.
  */
 import type { RegisteredServer } from '../fleet/index.js';
+import type { Clock } from '../task/index.js';
 import type { ExchangeReceiver, Exchange } from './exchange.js';
+import type { ExchangeEnd } from './health-outcome.js';
 import type { BackendProtocol, ReadPrompt, SendTerms } from './protocol.js';
 import type { ReadOutcome } from './read-prompt.js';
 import type { SendOutcome } from './send.js';
@@ -25,6 +27,8 @@
 /** Finds servers for one request. */
 export interface Placer {
   place(): Promise<Placing>;
+  /** The answer to a placed request has begun. */
+  begun(): void;
   /** A send to a placed server has ended. */
   sent(placed: PlacedServer, outcome: SendOutcome): void;
   /** The request has ended; gives back whatever is still held for it. */
@@ -33,6 +37,7 @@
 
 /** What placers need of the request they place. */
 export interface PlacingContext {
+  clock: Clock;
   protocol: BackendProtocol;
   requestId: string | undefined;
   service: string;
@@ -59,5 +64,5 @@
   /** Hears how the reading of the prompt at a server ended. */
   readEnded(server: RegisteredServer, outcome: ReadOutcome): void;
   /** Takes in what an exchange said of a server. */
-  judge(server: RegisteredServer, outcome: SendOutcome['kind'], isOtherServer: boolean): void;
+  judge(server: RegisteredServer, end: ExchangeEnd, isOtherServer: boolean): void;
 }
--- a/src/relay/read-prompt.ts
+++ b/src/relay/read-prompt.ts
@@ -13,6 +13,8 @@
   | { kind: 'declined'; status: number }
   | { kind: 'unsent'; reason: string }
   | { kind: 'lost'; reason: string }
+  /** Nothing came back within the time that such a reading may take; the engine was let go. */
+  | { kind: 'overdue'; reason: string }
   | { kind: 'aborted' };
 
 /**
@@ -20,10 +22,12 @@
  *
  * @param context the request
  * @param server the engine that is to read
+ * @param limitMs how long the reading may take, in milliseconds
  */
 export function readPrompt(
   context: PlacingContext,
   server: RegisteredServer,
+  limitMs: number,
 ): Promise<ReadOutcome> {
   const { protocol } = context;
   if (context.signal.aborted) return Promise.resolve({ kind: 'aborted' });
@@ -52,6 +56,10 @@
         },
       },
     );
+    const limit = context.clock.after(limitMs, () => {
+      exchange.abort();
+      settle({ kind: 'overdue', reason: `not read within ${Math.round(limitMs)} ms` });
+    });
     context.signal.addEventListener('abort', abort);
 
     function abort(): void {
@@ -73,9 +81,9 @@
     function settle(outcome: ReadOutcome): void {
       if (settled) return;
       settled = true;
+      limit.cancel();
       context.signal.removeEventListener('abort', abort);
-      const kind = outcome.kind === 'read' ? 'finished' : outcome.kind;
-      context.judge(server, kind, isOther(facts, server.id));
+      context.judge(server, outcome.kind, isOther(facts, server.id));
       context.readEnded(server, outcome);
       resolve(outcome);
     }
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -13,7 +13,8 @@
 import type { Connections } from './connections.js';
 import { createEnginePlacer, type SchedulerClient } from './engine-placer.js';
 import { startExchange, type OutgoingRequest } from './exchange.js';
-import { resolveMove, type Move, type Progress } from './next-move.js';
+import { resolveHealthOutcome, type ExchangeEnd } from './health-outcome.js';
+import { isRepeatable, resolveMove, type Move, type Progress } from './next-move.js';
 import type { PlacedServer, Placer, PlacingContext } from './placer.js';
 import type { BackendProtocol, CallerHead, ReadPrompt, SendTerms } from './protocol.js';
 import { sendOnce, type SendOutcome } from './send.js';
@@ -35,6 +36,12 @@
 /** Time after which callers are told to come back while there is no configuration yet, in ms. */
 const NOT_READY_RETRY_MS = 300;
 
+/** How many times the aim a server may keep a request that can be repeated without an answer: by then
+ * it is late, and a server that works would have answered. */
+const PATIENCE_FACTOR = 3;
+/** The same at least, in ms, where the aim is short. */
+const LEAST_PATIENCE_MS = 400;
+
 /** What all requests of a gateway share. */
 export interface RelayParts {
   clock: Clock;
@@ -118,6 +125,7 @@
   let timedOut = false;
 
   const context: PlacingContext = {
+    clock,
     protocol,
     requestId,
     service,
@@ -204,16 +212,10 @@
     );
   }
 
-  function judge(
-    server: RegisteredServer,
-    outcome: SendOutcome['kind'],
-    isOtherServer: boolean,
-  ): void {
+  function judge(server: RegisteredServer, end: ExchangeEnd, isOtherServer: boolean): void {
     if (isOtherServer) parts.fleet.retire(server.id, 'another incarnation has its address');
-    if (outcome === 'finished') parts.health.record(server.id, 'good');
-    if (outcome === 'declined') parts.health.record(server.id, 'declined');
-    if (outcome === 'lost') parts.health.record(server.id, 'failed');
-    if (outcome === 'unsent') parts.health.record(server.id, 'unreachable');
+    const outcome = resolveHealthOutcome(end);
+    if (outcome !== undefined) parts.health.record(server.id, outcome);
   }
 
   function createPlacer(): Placer {
@@ -229,7 +231,7 @@
     }));
   }
 
-  async function send(placed: PlacedServer): Promise<SendOutcome> {
+  async function send(placed: PlacedServer, placer: Placer): Promise<SendOutcome> {
     const { server, source, urgency } = placed;
     log.write('requestSent', { request: requestId, server: server.id, attempt: progress.attempts });
     return sendOnce(
@@ -242,10 +244,13 @@
         isStream: route.isStream,
         isContinuation: progress.isBegun,
         signal: giveUp.signal,
+        patienceMs: resolvePatience(),
+        mayLetGo: () => parts.budget.hasLeft(service),
         passed(eventId) {
           lastEventId = eventId ?? lastEventId;
         },
         begun() {
+          placer.begun();
           if (progress.isBegun) return;
           progress.isBegun = true;
           metrics.firstByte.observe({ service }, (clock.now() - arrivedAt) / 1_000);
@@ -259,6 +264,14 @@
     );
   }
 
+  /** How long a server may keep the request without an answer before another is asked instead. */
+  function resolvePatience(): number | undefined {
+    const isLast = progress.attempts + 1 >= route.maxAttempts;
+    if (isLast || !isRepeatable(route)) return undefined;
+    const patienceMs = Math.max(LEAST_PATIENCE_MS, PATIENCE_FACTOR * route.aimMs);
+    return endAt - clock.now() - patienceMs > route.aimMs ? patienceMs : undefined;
+  }
+
   /** Takes in how a send ended. */
   function count(outcome: SendOutcome): void {
     if (outcome.kind === 'unsent') {
@@ -280,7 +293,7 @@
       refuse(placing.reason, placing.retryAfterMs, placing.backlogMs);
       return false;
     }
-    const outcome = await send(placing);
+    const outcome = await send(placing, placer);
     count(outcome);
     placer.sent(placing, outcome);
     judge(placing.server, outcome.kind, outcome.kind === 'declined' && outcome.isOtherServer);
--- a/src/relay/send.ts
+++ b/src/relay/send.ts
@@ -32,6 +32,8 @@
   | { kind: 'unsent'; reason: string }
   /** The request may have run; there is no whole answer. */
   | { kind: 'lost'; reason: string }
+  /** The request may have run; the server was let go because no answer began in time. */
+  | { kind: 'overdue'; reason: string }
   /** The signal ended it. */
   | { kind: 'aborted' };
 
@@ -46,6 +48,10 @@
   /** The answer goes on where an earlier one broke off. */
   isContinuation: boolean;
   signal: AbortSignal;
+  /** Time until the answer has to begin, in ms; `undefined` where it is waited for to the end. */
+  patienceMs: number | undefined;
+  /** Asked once that time is over: whether another server may be asked instead. */
+  mayLetGo(): boolean;
   /** Hears of each event that was passed on. */
   passed(eventId: string | undefined): void;
   /** Hears of the first byte of a good answer. */
@@ -102,6 +108,19 @@
       },
     });
     send.signal.addEventListener('abort', abort);
+    const { patienceMs } = send;
+    const patience =
+      patienceMs === undefined
+        ? undefined
+        : clock.after(patienceMs, () => {
+            letGo(patienceMs);
+          });
+
+    function letGo(waitedMs: number): void {
+      if (head !== undefined || !send.mayLetGo()) return;
+      exchange.abort();
+      settle({ kind: 'overdue', reason: `no answer within ${Math.round(waitedMs)} ms` });
+    }
 
     function abort(): void {
       exchange.abort();
@@ -111,6 +130,7 @@
     function settle(outcome: SendOutcome): void {
       if (settled) return;
       settled = true;
+      patience?.cancel();
       send.signal.removeEventListener('abort', abort);
       resolve(outcome);
     }
--- a/src/relay/service-placer.ts
+++ b/src/relay/service-placer.ts
@@ -104,6 +104,9 @@
       placing.loads.started(server.id);
       return Promise.resolve({ kind: 'placed', server, source: undefined, urgency: undefined });
     },
+    begun() {
+      // the server's load is told by its answer
+    },
     sent({ server }) {
       look().loads.ended(server.id);
     },
--- a/src/scheduling/desk.ts
+++ b/src/scheduling/desk.ts
@@ -9,6 +9,7 @@
  * tens of milliseconds.
  */
 import type { Log } from '../events/index.js';
+import type { HealthOutcome } from '../fleet/index.js';
 import type { Clock, Timer } from '../task/index.js';
 import type { Decision, EnginePlacement, Job } from './job.js';
 import type { Scheduler } from './scheduler.js';
@@ -34,7 +35,8 @@
   /** A request that was placed by a scheduler that is lost now. */
   | { kind: 'job.adopt'; job: Job; placement: EnginePlacement }
   | { kind: 'job.read'; id: string }
-  | { kind: 'job.finished'; id: string };
+  | { kind: 'job.begun'; id: string }
+  | { kind: 'job.finished'; id: string; outcome?: HealthOutcome | undefined };
 
 /** Messages from schedulers at other gateways. */
 export type DeskAnswer =
@@ -69,12 +71,23 @@
   send(node: string, message: DeskMessage): boolean;
 }
 
+/** A request at its scheduler. */
+export interface ScheduledJob {
+  /** Its prompt was read. */
+  promptRead(): void;
+  /** The first event has come. */
+  begun(): void;
+  /**
+   * It has ended.
+   *
+   * @param outcome what became of it at the engine that had it last, where that says something of it
+   */
+  finished(outcome?: HealthOutcome): void;
+}
+
 /** Where gateways hand their requests in. */
 export interface Desk {
-  submit(
-    job: Omit<Job, 'id' | 'zone'>,
-    decided: (decision: Decision) => void,
-  ): { promptRead(): void; finished(): void };
+  submit(job: Omit<Job, 'id' | 'zone'>, decided: (decision: Decision) => void): ScheduledJob;
   /** A word of another gateway's scheduler. */
   answered(node: string, answer: DeskAnswer): void;
   /** A peer was lost: what it had is placed here. */
@@ -175,14 +188,20 @@
     ticket.decided(decision);
   }
 
-  function tell(ticket: Ticket, kind: 'job.read' | 'job.finished'): void {
+  function tell(ticket: Ticket, kind: 'job.read' | 'job.begun'): void {
     const { id, service } = ticket.job;
     if (ticket.at !== node) {
       parts.send(ticket.at, { kind, id });
       return;
     }
     if (kind === 'job.read') parts.local(service).promptRead(id);
-    else parts.local(service).finished(id);
+    else parts.local(service).begun(id);
+  }
+
+  function finish(ticket: Ticket, outcome: HealthOutcome | undefined): void {
+    const { id, service } = ticket.job;
+    if (ticket.at === node) parts.local(service).finished(id, outcome);
+    else parts.send(ticket.at, { kind: 'job.finished', id, outcome });
   }
 
   return {
@@ -205,11 +224,14 @@
         promptRead() {
           tell(ticket, 'job.read');
         },
-        finished() {
+        begun() {
+          tell(ticket, 'job.begun');
+        },
+        finished(outcome) {
           if (!tickets.delete(job.id)) return;
           ticket.isDecided = true;
           ticket.silence?.cancel();
-          tell(ticket, 'job.finished');
+          finish(ticket, outcome);
         },
       };
     },
--- /dev/null
+++ b/src/scheduling/engine-watch.ts
@@ -0,0 +1,103 @@
+/**
+ * Follows how the engines of a service fare with all requests that its scheduler places, whichever
+ * gateway sends them. One gateway alone sees too few requests of an engine to judge it soon; and an
+ * engine that has fallen silent shows first in that nothing comes back from it.
+ */
+import { createFleetHealth, type HealthOutcome } from '../fleet/index.js';
+import type { Log } from '../events/index.js';
+import type { Clock, Timer } from '../task/index.js';
+
+/** Shortest time without a first event after which an engine counts as silent, in ms: several times
+ * what the first event takes on a busy engine of the deployments at hand (some tens of ms). */
+const LEAST_SILENCE_MS = 400;
+/** How many usual times to the first event a generation may take before its engine counts as silent,
+ * so that engines that are slow by nature are not taken for silent ones. */
+const SILENCE_FACTOR = 4;
+/** Weight of the newest time to the first event in the usual one: about ten decide. */
+const TIME_WEIGHT = 0.1;
+
+/** How engines fare. */
+export interface EngineWatch {
+  /**
+   * Whether an engine may be given a request.
+   *
+   * @param inUse requests that it has already
+   */
+  mayTake(id: string, inUse: number): boolean;
+  isUsable(id: string): boolean;
+  /** Takes in how an engine's part in a request ended. */
+  judge(id: string, outcome: HealthOutcome): void;
+  /** An engine is to generate; it is expected to begin soon. */
+  expect(job: string, engine: string): void;
+  /** The first event of a generation has come. */
+  begun(job: string): void;
+  /** A request has ended, however. */
+  ended(job: string): void;
+  /** An engine is gone for good. */
+  forget(engine: string): void;
+}
+
+interface Expectation {
+  engine: string;
+  since: number;
+  timer: Timer;
+}
+
+/**
+ * Creates a watch that has seen nothing.
+ *
+ * @param clock the gateway's clock
+ * @param log hears when an engine is avoided and when it is trusted again
+ */
+export function createEngineWatch(clock: Clock, log: Log): EngineWatch {
+  const health = createFleetHealth(clock, log);
+  const expectations = new Map<string, Expectation>();
+  /** When each engine last gave a sign of life. */
+  const heardAt = new Map<string, number>();
+  let usualMs = 0;
+
+  function end(job: string): Expectation | undefined {
+    const expectation = expectations.get(job);
+    expectation?.timer.cancel();
+    expectations.delete(job);
+    return expectation;
+  }
+
+  function noticeSilence({ engine, since }: Expectation): void {
+    if ((heardAt.get(engine) ?? Number.NEGATIVE_INFINITY) > since) return;
+    health.record(engine, 'unreachable');
+  }
+
+  return {
+    mayTake: (id, inUse) => health.isUsable(id) && (inUse === 0 || !health.isOnTrial(id)),
+    isUsable: (id) => health.isUsable(id),
+    judge(id, outcome) {
+      if (outcome === 'good') heardAt.set(id, clock.now());
+      health.record(id, outcome);
+    },
+    expect(job, engine) {
+      end(job);
+      const silenceMs = Math.max(LEAST_SILENCE_MS, usualMs * SILENCE_FACTOR);
+      const since = clock.now();
+      const timer = clock.after(silenceMs, () => {
+        noticeSilence(expectation);
+      });
+      const expectation: Expectation = { engine, since, timer };
+      expectations.set(job, expectation);
+    },
+    begun(job) {
+      const expectation = end(job);
+      if (expectation === undefined) return;
+      const now = clock.now();
+      heardAt.set(expectation.engine, now);
+      usualMs += TIME_WEIGHT * (now - expectation.since - usualMs);
+    },
+    ended(job) {
+      end(job);
+    },
+    forget(engine) {
+      health.forget(engine);
+      heardAt.delete(engine);
+    },
+  };
+}
--- a/src/scheduling/generating-engines.ts
+++ b/src/scheduling/generating-engines.ts
@@ -22,6 +22,8 @@
    * @param zone where the prompt is, or where the caller's gateway is
    */
   choose(engines: readonly RegisteredServer[], zone: string): RegisteredServer | undefined;
+  /** Requests that an engine was given and that have not ended. */
+  running(id: string): number;
   start(id: string): void;
   end(id: string): void;
 }
@@ -47,6 +49,7 @@
       }
       return best;
     },
+    running: (id) => running.get(id) ?? 0,
     start(id) {
       running.set(id, (running.get(id) ?? 0) + 1);
     },
--- a/src/scheduling/job.ts
+++ b/src/scheduling/job.ts
@@ -37,6 +37,8 @@
   reader: z.string().optional(),
   /** The engine that generates. */
   generator: z.string(),
+  /** How long the reader is expected to take, with what it was given before, in milliseconds. */
+  expectedReadMs: z.number().default(0),
 });
 
 /** Engines for one request. */
--- a/src/scheduling/reading-engine.ts
+++ b/src/scheduling/reading-engine.ts
@@ -17,6 +17,8 @@
   readonly id: string;
   /** Time until what it was given and what waits in time for it is read, in milliseconds. */
   backlogMs(now: number): number;
+  /** Time until what it was given is read, without what still waits, in milliseconds. */
+  readMs(now: number): number;
   /** Time that reading what waits although it will be late would take, in milliseconds. */
   lateMs(): number;
   /** Time that reading a prompt would take it, and the tokens that it would have to read. */
@@ -50,17 +52,25 @@
     return Math.max(read.startedAt, lastEndAt);
   }
 
+  function readMs(now: number): number {
+    let totalMs = 0;
+    let workedMs = 0;
+    let overdueMs = 0;
+    for (const read of reads.values()) {
+      totalMs += read.costMs;
+      if (workedMs > 0) continue;
+      const busyMs = now - busySince(read);
+      workedMs = Math.min(read.costMs, busyMs);
+      overdueMs = Math.max(0, busyMs - read.costMs);
+    }
+    // an engine that is late with a read is expected to be late by as much again
+    return Math.max(0, totalMs - workedMs) + overdueMs;
+  }
+
   return {
     id,
-    backlogMs(now) {
-      let totalMs = queuedMs;
-      let workedMs = 0;
-      for (const read of reads.values()) {
-        if (workedMs === 0) workedMs = Math.min(read.costMs, now - busySince(read));
-        totalMs += read.costMs;
-      }
-      return Math.max(0, totalMs - workedMs);
-    },
+    backlogMs: (now) => queuedMs + readMs(now),
+    readMs,
     estimate(prompt) {
       const tokens = cache.unreadTokens(prompt);
       return { costMs: rate.costMs(tokens), tokens };
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -9,8 +9,9 @@
  * second, since reads are short.
  */
 import type { Log } from '../events/index.js';
-import type { RegisteredServer } from '../fleet/index.js';
+import type { HealthOutcome, RegisteredServer } from '../fleet/index.js';
 import type { Clock, Timer } from '../task/index.js';
+import { createEngineWatch } from './engine-watch.js';
 import { createGeneratingEngines } from './generating-engines.js';
 import type { Decision, EnginePlacement, Job } from './job.js';
 import { createReadingEngine, type ReadingEngine } from './reading-engine.js';
@@ -35,8 +36,16 @@
   adopt(job: Job, placement: EnginePlacement): void;
   /** The prompt of a placed request was read. */
   promptRead(job: string): void;
-  /** A request has ended, however; one that waits is forgotten. */
-  finished(job: string): void;
+  /** The first event of a placed request has come. */
+  begun(job: string): void;
+  /**
+   * A request has ended, however; one that waits is forgotten.
+   *
+   * @param outcome what became of it at the engine that had it last, where that says something of it
+   */
+  finished(job: string, outcome?: HealthOutcome): void;
+  /** An engine is gone for good. */
+  forget(engine: string): void;
   /** Requests that were submitted and have not ended. */
   size(): number;
 }
@@ -72,6 +81,7 @@
   const readers = new Map<string, ReadingEngine>();
   const queues = new Map<string, Queues>();
   const generators = createGeneratingEngines();
+  const watch = createEngineWatch(clock, log);
 
   function readerFor(id: string): ReadingEngine {
     const known = readers.get(id);
@@ -82,11 +92,22 @@
   }
 
   function candidates(job: Job, role: 'prefill' | 'decode'): RegisteredServer[] {
-    const found: RegisteredServer[] = [];
+    const fit: RegisteredServer[] = [];
+    const sound: RegisteredServer[] = [];
     for (const engine of parts.engines()) {
-      if (engine.role === role && !job.excluded.includes(engine.id)) found.push(engine);
+      if (engine.role !== role || job.excluded.includes(engine.id)) continue;
+      fit.push(engine);
+      if (watch.mayTake(engine.id, inUse(engine.id))) sound.push(engine);
     }
-    return found;
+    // where nothing seems sound, the judgement is more likely wrong than all engines are
+    return sound.length > 0 ? sound : fit;
+  }
+
+  /** Requests that an engine was given or that wait for it. */
+  function inUse(id: string): number {
+    const waiting = queues.get(id);
+    const queued = (waiting?.punctual.length ?? 0) + (waiting?.late.length ?? 0);
+    return generators.running(id) + (readers.get(id)?.inFlight() ?? 0) + queued;
   }
 
   function chooseReader(job: Job, engines: readonly RegisteredServer[]) {
@@ -113,7 +134,8 @@
       decline(entry, { reason: 'no-engine', retryAfterMs: 200, backlogMs: 0 });
       return;
     }
-    place(entry, { generator: generator.id });
+    place(entry, { generator: generator.id, expectedReadMs: 0 });
+    watch.expect(entry.job.id, generator.id);
   }
 
   function place(entry: Entry, placement: EnginePlacement): void {
@@ -240,7 +262,7 @@
   }
 
   function isAvailable(id: string): boolean {
-    return findZone(id) !== undefined;
+    return findZone(id) !== undefined && watch.isUsable(id);
   }
 
   function startRead(entry: Entry, engine: ReadingEngine): void {
@@ -252,7 +274,8 @@
       return;
     }
     engine.start(entry.job.id, entry.job.prompt, clock.now());
-    place(entry, { reader: engine.id, generator: generator.id });
+    const expectedReadMs = engine.readMs(clock.now());
+    place(entry, { reader: engine.id, generator: generator.id, expectedReadMs });
   }
 
   function findZone(id: string): string | undefined {
@@ -262,6 +285,19 @@
     return undefined;
   }
 
+  /**
+   * Takes in what became of a request at its engine: the one that reads, or after that the one that
+   * generates. An engine that declines a prompt that was read elsewhere may be right, since the
+   * reader may have dropped it; so the reader is judged as well.
+   */
+  function judge({ reader, placement }: Entry, outcome: HealthOutcome): void {
+    if (placement === undefined) return;
+    watch.judge(reader?.id ?? placement.generator, outcome);
+    const isOnReaderToo = outcome === 'good' || outcome === 'declined';
+    if (reader !== undefined || placement.reader === undefined || !isOnReaderToo) return;
+    watch.judge(placement.reader, outcome);
+  }
+
   function leaveReader(entry: Entry, isWhole: boolean): void {
     const engine = entry.reader;
     entry.expiry?.cancel();
@@ -297,15 +333,28 @@
     },
     promptRead(id) {
       const entry = entries.get(id);
-      if (entry !== undefined) leaveReader(entry, true);
+      if (entry?.placement === undefined) return;
+      leaveReader(entry, true);
+      watch.expect(id, entry.placement.generator);
+    },
+    begun(id) {
+      watch.begun(id);
     },
-    finished(id) {
+    finished(id, outcome) {
       const entry = entries.get(id);
       if (entry === undefined) return;
       entries.delete(id);
+      watch.ended(id);
+      if (outcome !== undefined) judge(entry, outcome);
       leaveReader(entry, false);
       if (entry.placement !== undefined) generators.end(entry.placement.generator);
     },
+    forget(engine) {
+      watch.forget(engine);
+      if (inUse(engine) > 0) return;
+      readers.delete(engine);
+      queues.delete(engine);
+    },
     size: () => entries.size,
   };
 }
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -125,4 +125,28 @@
     }
     expect(health.isUsable('s')).to.equal(false);
   });
+
+  it('avoids a server that answers everything with errors, but not one with ordinary errors', () => {
+    const { clock } = createFakeClock();
+    const health = createFleetHealth(clock, createSilentLog());
+    for (let index = 0; index < 60; index += 1) {
+      health.record('ordinary', index % 6 < 2 ? 'error' : 'good');
+    }
+    for (let index = 0; index < 10; index += 1) {
+      health.record('broken', 'error');
+    }
+    expect(health.isUsable('ordinary')).to.equal(true);
+    expect(health.isUsable('broken')).to.equal(false);
+  });
+
+  it('has a server on trial from its avoidance until it works again', async () => {
+    const { clock, advance } = createFakeClock();
+    const health = createFleetHealth(clock, createSilentLog());
+    expect(health.isOnTrial('s')).to.equal(false);
+    health.record('s', 'unreachable');
+    await advance(600);
+    expect(health.isOnTrial('s')).to.equal(true);
+    health.record('s', 'good');
+    expect(health.isOnTrial('s')).to.equal(false);
+  });
 });
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -243,6 +243,21 @@
       expect(answers.map(({ status }) => status)).to.deep.equal([200, 200]);
     });
 
+    it('asks another server when one keeps the request without an answer', async () => {
+      const soon = { name: 'soon', pathPrefix: '/soon/', targetLatencyMs: 100 };
+      const route = { ...configuration(1).routes[1], ...soon };
+      store.put('op', 'config', configuration(2, [route]));
+      await addSpare();
+      await until(() => fixture.log.lines.some(({ fields }) => fields.version === 2));
+      page.script(() => undefined);
+      spare.script(() => undefined);
+      const answers = await Promise.all([
+        ask(port, { path: '/soon/7', headers: heads('r1') }),
+        ask(port, { path: '/soon/8', headers: heads('r2') }),
+      ]);
+      expect(answers.map(({ status }) => status)).to.deep.equal([200, 200]);
+    });
+
     it('passes the failure on once the attempts are used up', async () => {
       await addSpare();
       for (const server of [page, spare]) {
@@ -299,6 +314,18 @@
       expect(fixture.log.lines.some(({ event }) => event === 'serverRetired')).to.equal(false);
     });
 
+    it('has a prompt read elsewhere when an engine keeps it without an answer', async () => {
+      register(store, spare, 'chat', { stage: 'prefill' });
+      await until(() => fixture.log.lines.some((line) => line.fields.server === 'page-2'));
+      const silent = reader.received();
+      reader.script(() => undefined);
+      const heard = spare.received();
+      spare.script(() => undefined);
+      const answer = await ask(port, { path: '/resumable/7', headers: promptHeads('r1') });
+      expect([silent.length, heard.length]).to.deep.equal([1, 1]);
+      expect(answer).to.include({ status: 200, isWhole: true });
+    });
+
     it('frees what was read when the generating engine declines', async () => {
       generator.script((_request, response) => {
         response.writeHead(503, { 'X-Not-Executed': '1' }).end();
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -138,6 +138,53 @@
     expect(decisions.has(late.id)).to.equal(false);
   });
 
+  it('leaves an engine alone that cannot be reached, whichever gateway says so', () => {
+    const { submit, scheduler } = setUp();
+    const first = job({}, 'x');
+    const reader = placementOf(submit(first))?.reader;
+    scheduler.finished(first.id, 'unreachable');
+    const readers = new Set<string | undefined>();
+    for (let index = 0; index < 4; index += 1) {
+      const submitted = job({}, 'x');
+      readers.add(placementOf(submit(submitted))?.reader);
+      scheduler.promptRead(submitted.id);
+    }
+    expect(readers).not.to.include(reader);
+  });
+
+  it('gives an engine that was left alone one request until it works again', async () => {
+    const { submit, scheduler, advance } = setUp();
+    const lost = job({}, 'bb', 500);
+    expect(placementOf(submit(lost))?.generator).to.equal('g1');
+    scheduler.finished(lost.id, 'unreachable');
+    await advance(600);
+    const taken = [1, 2, 3].map(() => placementOf(submit(job({}, 'bb', 500)))?.generator);
+    expect(taken.filter((id) => id === 'g1')).to.have.length(1);
+  });
+
+  it('leaves an engine alone from which no generation begins', async () => {
+    const { submit, advance } = setUp();
+    expect(placementOf(submit(job({}, 'bb', 500)))?.generator).to.equal('g1');
+    await advance(450);
+    const next = [1, 2, 3].map(() => placementOf(submit(job({}, 'bb', 500)))?.generator);
+    expect(new Set(next)).to.deep.equal(new Set(['g2']));
+  });
+
+  it('uses engines that seem unsound where there are no others', () => {
+    const { submit, scheduler } = setUp([engine('r1', 'prefill'), engine('g1', 'decode')]);
+    const lost = job({}, 'bb', 500);
+    submit(lost);
+    scheduler.finished(lost.id, 'unreachable');
+    expect(placementOf(submit(job({}, 'bb', 500)))?.generator).to.equal('g1');
+  });
+
+  it('expects an engine to take longer the longer it is silent', async () => {
+    const { submit, advance } = setUp([engine('r1', 'prefill'), engine('g1', 'decode')]);
+    submit(job({}, 'x'));
+    await advance(200);
+    expect(submit(job({}, 'y'))).to.include({ kind: 'declined', reason: 'cannot-be-on-time' });
+  });
+
   it('finds another engine for what waits at one that has left', () => {
     const fleet = [engine('r1', 'prefill'), engine('g1', 'decode')];
     const { submit, scheduler, decisions } = setUp(fleet);
@@ -196,11 +243,13 @@
     const scheduler: Scheduler = {
       submit(submitted, decided) {
         local.push(submitted.id);
-        decided({ kind: 'placed', placement: { generator: 'g1' } });
+        decided({ kind: 'placed', placement: { generator: 'g1', expectedReadMs: 0 } });
       },
       adopt: (adopted) => local.push(`adopted ${adopted.id}`),
       promptRead: () => undefined,
+      begun: () => undefined,
       finished: () => undefined,
+      forget: () => undefined,
       size: () => 0,
     };
     const desk = createDesk({
@@ -233,7 +282,11 @@
     const { desk, sent, advance } = setUpDesk();
     desk.submit(job(), () => undefined);
     const placed = sent[0]?.kind === 'job.submit' ? sent[0].job.id : '';
-    desk.answered('peer', { kind: 'job.placed', id: placed, placement: { generator: 'g1' } });
+    desk.answered('peer', {
+      kind: 'job.placed',
+      id: placed,
+      placement: { generator: 'g1', expectedReadMs: 0 },
+    });
     desk.submit(job(), () => undefined);
     const waiting = sent[1]?.kind === 'job.submit' ? sent[1].job.id : '';
     desk.answered('peer', { kind: 'job.queued', id: waiting });
