fix(scenarios): wait for orders rather than for time

Cause: the engines load adapters one after the other at the pace of the weight store, several seconds each. The scenarios gave that a fixed time in which just three orders fit (3 of 3 when run alone), so a slow machine had two. Ruled out: a late planner; the orders come as soon as the store's pace allows. Change: 'wait for 3 orders' waits for the condition, a minute at most; the bound stays three.

--- a/test/scenarios/language.test.ts
+++ b/test/scenarios/language.test.ts
@@ -11,6 +11,7 @@
 
   start load of 2.5 requests a second   # begins here
   pause node entry-1 for 6s
+  wait for 3 orders
   expect no new work at manual-1 after 3s
 `;
 
@@ -28,6 +29,7 @@
     expect(scenario?.steps.map(({ does }) => does)).to.deep.equal([
       { kind: 'start-load', perSecond: 2.5 },
       { kind: 'pause-node', node: { node: 'entry-1' }, ms: 6_000 },
+      { kind: 'wait-for-orders', count: 3 },
       { kind: 'no-new-work', server: 'manual-1', afterMs: 3_000 },
     ]);
     expect(scenario?.steps[0]).to.include({
--- a/tools/scenarios/actions.ts
+++ b/tools/scenarios/actions.ts
@@ -4,11 +4,15 @@
 import { match } from 'ts-pattern';
 import { listNodes, resolvePlatform, waitUntil, zoneOf, type Process } from '../common/index.js';
 import { askEverywhere, askEverywhereAgain, askOtherBody } from './keyed-calls.js';
+import { countRecords } from './judge.js';
 import { competeForLabel, labelVm, loadAdapter, operate, watchEveryNode } from './operators.js';
+import { readRecords } from './records.js';
 import { noteLeaving, type Stage } from './stage.js';
 import type { Action, CutSide, EngineMischief, NodeReference } from './steps.js';
 
 const READY_TIMEOUT_MS = 20_000;
+/** Engines load one adapter after the other at the pace of the weight store, several seconds each. */
+const ORDERS_TIMEOUT_MS = 60_000;
 /** No request of a scenario takes longer than this after a node was asked to stop. */
 const STOP_TIMEOUT_MS = 40_000;
 const LATE_MS = 400;
@@ -30,6 +34,7 @@
     })
     .with({ kind: 'stop-load' }, () => stage.load.stop())
     .with({ kind: 'wait' }, ({ ms }) => sleep(ms))
+    .with({ kind: 'wait-for-orders' }, ({ count }) => waitForOrders(stage, count))
     .with({ kind: 'kill-node' }, async ({ node }) => {
       await kill(await resolveNode(stage, node));
     })
@@ -117,6 +122,14 @@
   return found;
 }
 
+/** Waits until the engines have taken so many orders. */
+async function waitForOrders(stage: Stage, count: number): Promise<void> {
+  await waitUntil(`${count} orders`, ORDERS_TIMEOUT_MS, async () => {
+    const { roleChanges } = countRecords(await readRecords(stage.cluster));
+    return roleChanges >= count;
+  });
+}
+
 /** Finds a node's process; a holder is the one that the running nodes speak of. */
 async function resolveNode(stage: Stage, reference: NodeReference): Promise<Process> {
   if ('node' in reference) return findNode(stage, reference.node);
--- a/tools/scenarios/language.ts
+++ b/tools/scenarios/language.ts
@@ -164,6 +164,9 @@
     .skip(blank.then(words('requests a second')))
     .map((perSecond) => ({ kind: 'start-load', perSecond })),
   words('stop load').result({ kind: 'stop-load' }),
+  after('wait for', count)
+    .skip(blank.then(words('orders')))
+    .map((orders) => ({ kind: 'wait-for-orders', count: orders })),
   after('wait', duration).map((ms) => ({ kind: 'wait', ms })),
   words('ask once with one key at every node').result({ kind: 'same-key' }),
   words('ask again with that key').result({ kind: 'same-key-again' }),
--- a/tools/scenarios/steps.ts
+++ b/tools/scenarios/steps.ts
@@ -17,6 +17,7 @@
   | { kind: 'start-load'; perSecond: number }
   | { kind: 'stop-load' }
   | { kind: 'wait'; ms: number }
+  | { kind: 'wait-for-orders'; count: number }
   | { kind: 'kill-node'; node: NodeReference }
   | { kind: 'kill-every-node' }
   | { kind: 'start-killed-nodes' }
