fix(scheduling): never take an own standstill for a peer's silence

Cause: timers that came due while a process stood still (a freeze, a long turn of the loop on a third of a core) run before the messages that arrived meanwhile are read, so a gateway held its scheduler, or an engine, for silent although the word was there. Ruled out: longer limits, which cost every request that meets a real silence. Change: where a timer fires more than 25 ms late, what has arrived is read first. Tests failed first against clock.after.

--- a/src/relay/read-prompt.ts
+++ b/src/relay/read-prompt.ts
@@ -2,6 +2,7 @@
  * Has a prompt read by one engine, which then keeps its KV cache for the engine that generates.
  */
 import type { RegisteredServer } from '../fleet/index.js';
+import { afterSilence } from '../task/index.js';
 import type { IncomingHead } from './exchange.js';
 import type { PlacingContext } from './placer.js';
 import { isOther } from './send.js';
@@ -56,7 +57,7 @@
         },
       },
     );
-    const limit = context.clock.after(limitMs, () => {
+    const limit = afterSilence(context.clock, limitMs, () => {
       exchange.abort();
       settle({ kind: 'overdue', reason: `not read within ${Math.round(limitMs)} ms` });
     });
--- a/src/relay/send.ts
+++ b/src/relay/send.ts
@@ -6,7 +6,7 @@
  */
 import type { Agent } from 'node:http';
 import type { RegisteredServer } from '../fleet/index.js';
-import type { Clock } from '../task/index.js';
+import { afterSilence, type Clock } from '../task/index.js';
 import type { CallerAnswer } from './caller-answer.js';
 import { createEventCutter } from './event-stream.js';
 import {
@@ -112,7 +112,7 @@
     const patience =
       patienceMs === undefined
         ? undefined
-        : clock.after(patienceMs, () => {
+        : afterSilence(clock, patienceMs, () => {
             letGo(patienceMs);
           });
 
--- a/src/scheduling/desk.ts
+++ b/src/scheduling/desk.ts
@@ -10,7 +10,7 @@
  */
 import type { Log } from '../events/index.js';
 import type { HealthOutcome } from '../fleet/index.js';
-import type { Clock, Timer } from '../task/index.js';
+import { afterSilence, type Clock, type Timer } from '../task/index.js';
 import type { Decision, EnginePlacement, Job } from './job.js';
 import type { Scheduler } from './scheduler.js';
 
@@ -129,7 +129,7 @@
       submitHere(ticket);
       return;
     }
-    ticket.silence = clock.after(SILENCE_MS, () => {
+    ticket.silence = afterSilence(clock, SILENCE_MS, () => {
       log.write('schedulerSilent', { peer: at, request: ticket.job.requestId });
       avoidedUntil.set(at, clock.now() + AVOID_MS);
       moveFrom(at);
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -134,8 +134,8 @@
       decline(entry, { reason: 'no-engine', retryAfterMs: 200, backlogMs: 0 });
       return;
     }
-    place(entry, { generator: generator.id, expectedReadMs: 0 });
     watch.expect(entry.job.id, generator.id);
+    place(entry, { generator: generator.id, expectedReadMs: 0 });
   }
 
   function place(entry: Entry, placement: EnginePlacement): void {
--- a/src/task/index.ts
+++ b/src/task/index.ts
@@ -1,4 +1,5 @@
 /** Tasks, clocks and random sources. */
 export * from './clock.js';
+export * from './patience.js';
 export * from './random.js';
 export * from './task.js';
--- a/test/task/task.test.ts
+++ b/test/task/task.test.ts
@@ -1,5 +1,11 @@
 import { expect } from 'chai';
-import { createSeededRandom, createTask, wait } from '../../src/task/index.js';
+import {
+  afterSilence,
+  createSeededRandom,
+  createTask,
+  wait,
+  type Clock,
+} from '../../src/task/index.js';
 import { createFakeClock, settle } from '../fixtures/fake-clock.js';
 
 describe('a task', () => {
@@ -76,3 +82,59 @@
     }
   });
 });
+
+describe('waiting for a silent peer', () => {
+  /** A clock whose timers run only when they are asked to, like those of a process that stood still. */
+  function setUp() {
+    let now = 0;
+    const due: { at: number; action: () => void }[] = [];
+    const clock: Clock = {
+      now: () => now,
+      after(delayMs, action) {
+        const entry = { at: now + delayMs, action };
+        due.push(entry);
+        return {
+          cancel() {
+            due.splice(due.indexOf(entry), 1);
+          },
+        };
+      },
+    };
+    function runAt(at: number): void {
+      now = at;
+      for (const entry of due.filter((candidate) => candidate.at <= at)) {
+        due.splice(due.indexOf(entry), 1);
+        entry.action();
+      }
+    }
+    return { clock, runAt };
+  }
+
+  it('ends when the time is over', () => {
+    const { clock, runAt } = setUp();
+    let silent = 0;
+    afterSilence(clock, 40, () => (silent += 1));
+    runAt(41);
+    expect(silent).to.equal(1);
+  });
+
+  it('reads what has arrived first where the process itself stood still', () => {
+    const { clock, runAt } = setUp();
+    let silent = 0;
+    const timer = afterSilence(clock, 40, () => (silent += 1));
+    runAt(4_000);
+    expect(silent).to.equal(0);
+    timer.cancel();
+    runAt(5_000);
+    expect(silent).to.equal(0);
+  });
+
+  it('still ends where nothing has arrived', () => {
+    const { clock, runAt } = setUp();
+    let silent = 0;
+    afterSilence(clock, 40, () => (silent += 1));
+    runAt(4_000);
+    runAt(4_030);
+    expect(silent).to.equal(1);
+  });
+});
