fix(scheduling): give up on late requests while they can still be answered

Ruled out: slow generation (5 to 10 ms in the traces). Change: the latest start leaves time for what the engine already reads, and is looked at again when the turn comes.

--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -223,21 +223,29 @@
     const { punctual, late } = queuesOf(engine);
     (isLate ? late : punctual).push(entry);
     if (isLate)
-      entry.expiry = clock.after(latestStartMs(entry), () => {
+      entry.expiry = clock.after(Math.max(0, latestStartMs(entry)), () => {
         expire(entry);
       });
     advance(engine);
   }
 
   /** Time until a request has to start to be read, or it cannot end within its deadline. */
-  function latestStartMs({ job, queuedMs }: Entry): number {
-    return Math.max(0, job.timeLeftMs - queuedMs - terms.reserveMs * 2);
+  function latestStartMs({ job, queuedMs, submittedAt, reader }: Entry): number {
+    const now = clock.now();
+    const leftMs = job.timeLeftMs - (now - submittedAt);
+    return leftMs - (reader?.readMs(now) ?? 0) - queuedMs - terms.reserveMs * 2;
   }
 
   function expire(entry: Entry): void {
     if (entry.placement !== undefined || !entries.has(entry.job.id)) return;
-    const backlogMs = entry.reader?.backlogMs(clock.now()) ?? 0;
+    turnAway(entry);
     leaveReader(entry, false);
+  }
+
+  /** Declines a request that waited until it could no longer end within its deadline. */
+  function turnAway(entry: Entry): void {
+    entry.expiry?.cancel();
+    const backlogMs = entry.reader?.backlogMs(clock.now()) ?? 0;
     const retryAfterMs = MIN_RETRY_AFTER_MS;
     decline(entry, { reason: 'cannot-be-on-time', retryAfterMs, backlogMs });
   }
@@ -249,7 +257,8 @@
       const entry = punctual.shift() ?? late.shift();
       if (entry === undefined) return;
       engine.dequeue(entry.queuedMs, entry.isLate);
-      if (isAvailable(engine.id)) startRead(entry, engine);
+      if (entry.isLate && latestStartMs(entry) < 0) turnAway(entry);
+      else if (isAvailable(engine.id)) startRead(entry, engine);
       else leaveFor(entry);
     }
   }
