fix(scheduling): share a verdict on an engine only where nearly everything fails there

One gateway that is cut off itself could also speak for all. Change: limits of their own for what all gateways report together.

--- a/src/fleet/health.ts
+++ b/src/fleet/health.ts
@@ -9,20 +9,42 @@
 
 /** Weight of the newest outcome in the failure rate: about ten outcomes decide. */
 const OUTCOME_WEIGHT = 0.15;
-/** Failure rate from which a server that breaks off or stays silent is avoided; the fleet's ordinary
- * failures stay well below. */
-const AVOID_FROM_RATE = 0.5;
-/** Failure rate from which a server that answers with errors of its own is avoided. It lies higher,
- * since a seventh of a plain service's answers may be errors while nothing is wrong. */
-const AVOID_FROM_ERROR_RATE = 0.75;
 /** First pause before a server is tried again, in ms; it doubles with each failed trial. */
 const FIRST_PAUSE_MS = 500;
 /** Longest pause before a server is tried again, in ms: the order of a server's restart. */
 const MAX_PAUSE_MS = 4_000;
 
-/** Declines without an answer between them from which a server is avoided: one that is full has
- * answers between them; one that is leaving or in another role has none. */
-const AVOID_FROM_DECLINES = 3;
+/** From when on a server is avoided. */
+export interface HealthTerms {
+  /** Failure rate of a server that breaks off or stays silent. */
+  failureRate: number;
+  /** Failure rate of a server that answers with errors of its own. */
+  errorRate: number;
+  /** Declines without an answer between them: a server that is full has answers between them, one
+   * that is leaving or in another role has none. */
+  declinesInRow: number;
+  /** Times in a row that it could not be reached. */
+  unreachableInRow: number;
+}
+
+/** For one gateway, which sees few requests of each server. Ordinary failures stay well below a half;
+ * a seventh of a plain service's answers may be errors while nothing is wrong. */
+export const singleViewTerms: HealthTerms = {
+  failureRate: 0.5,
+  errorRate: 0.75,
+  declinesInRow: 3,
+  unreachableInRow: 1,
+};
+
+/** For what all gateways report together. A server that still does half of its work is worth more
+ * than none where servers are scarce, and a gateway that is cut off itself must not speak for all:
+ * so nearly everything has to fail. */
+export const sharedViewTerms: HealthTerms = {
+  failureRate: 0.85,
+  errorRate: 0.85,
+  declinesInRow: 6,
+  unreachableInRow: 3,
+};
 
 /** What became of an exchange, as far as the server's health goes. */
 export const healthOutcomeSchema = z.enum([
@@ -43,6 +65,8 @@
 export interface FleetHealth {
   /** Takes in how an exchange with a server ended. */
   record(id: string, outcome: HealthOutcome): void;
+  /** Leaves a server alone for a while, whatever its record. */
+  avoid(id: string): void;
   /** Whether a server may be given requests now. */
   isUsable(id: string): boolean;
   /** Whether a server was avoided and has not shown yet that it works again: it is worth single
@@ -55,6 +79,7 @@
 interface Record {
   failureRate: number;
   declinesInRow: number;
+  unreachableInRow: number;
   avoidedUntil: number;
   pauseMs: number;
 }
@@ -64,10 +89,29 @@
  *
  * @param clock the gateway's clock
  * @param log hears when a server is avoided and when it is trusted again
+ * @param terms from when on a server is avoided
  */
-export function createFleetHealth(clock: Clock, log: Log): FleetHealth {
+export function createFleetHealth(
+  clock: Clock,
+  log: Log,
+  terms: HealthTerms = singleViewTerms,
+): FleetHealth {
   const records = new Map<string, Record>();
 
+  function recordOf(id: string): Record {
+    const known = records.get(id);
+    if (known !== undefined) return known;
+    const created = {
+      failureRate: 0,
+      declinesInRow: 0,
+      unreachableInRow: 0,
+      avoidedUntil: 0,
+      pauseMs: FIRST_PAUSE_MS,
+    };
+    records.set(id, created);
+    return created;
+  }
+
   function avoidOnce(id: string, record: Record): void {
     if (record.avoidedUntil > clock.now()) return;
     record.avoidedUntil = clock.now() + record.pauseMs;
@@ -84,30 +128,28 @@
 
   return {
     record(id, outcome) {
-      const known = records.get(id);
-      if (known === undefined && outcome === 'good') return;
-      const record = known ?? {
-        failureRate: 0,
-        declinesInRow: 0,
-        avoidedUntil: 0,
-        pauseMs: FIRST_PAUSE_MS,
-      };
-      records.set(id, record);
+      if (outcome === 'good' && !records.has(id)) return;
+      const record = recordOf(id);
       record.declinesInRow = outcome === 'declined' ? record.declinesInRow + 1 : 0;
       if (outcome === 'declined') {
-        if (record.declinesInRow >= AVOID_FROM_DECLINES) avoidOnce(id, record);
+        if (record.declinesInRow >= terms.declinesInRow) avoidOnce(id, record);
         return;
       }
+      record.unreachableInRow = outcome === 'unreachable' ? record.unreachableInRow + 1 : 0;
       const failure = outcome === 'good' ? 0 : 1;
       record.failureRate += OUTCOME_WEIGHT * (failure - record.failureRate);
       if (outcome === 'good') {
-        if (record.failureRate < AVOID_FROM_RATE / 2) trust(id, record);
+        if (record.failureRate < terms.failureRate / 2) trust(id, record);
         return;
       }
-      const limit = outcome === 'error' ? AVOID_FROM_ERROR_RATE : AVOID_FROM_RATE;
-      const isOver = outcome === 'unreachable' || record.failureRate >= limit;
+      const limit = outcome === 'error' ? terms.errorRate : terms.failureRate;
+      const isLost = record.unreachableInRow >= terms.unreachableInRow;
+      const isOver = isLost || record.failureRate >= limit;
       if (isOver) avoidOnce(id, record);
     },
+    avoid(id) {
+      avoidOnce(id, recordOf(id));
+    },
     isUsable(id) {
       const record = records.get(id);
       return record === undefined || record.avoidedUntil <= clock.now();
--- a/src/scheduling/engine-watch.ts
+++ b/src/scheduling/engine-watch.ts
@@ -3,7 +3,7 @@
  * gateway sends them. One gateway alone sees too few requests of an engine to judge it soon; and an
  * engine that has fallen silent shows first in that nothing comes back from it.
  */
-import { createFleetHealth, type HealthOutcome } from '../fleet/index.js';
+import { createFleetHealth, sharedViewTerms, type HealthOutcome } from '../fleet/index.js';
 import type { Log } from '../events/index.js';
 import { afterSilence, type Clock, type Timer } from '../task/index.js';
 
@@ -50,7 +50,7 @@
  * @param log hears when an engine is avoided and when it is trusted again
  */
 export function createEngineWatch(clock: Clock, log: Log): EngineWatch {
-  const health = createFleetHealth(clock, log);
+  const health = createFleetHealth(clock, log, sharedViewTerms);
   const expectations = new Map<string, Expectation>();
   /** When each engine last gave a sign of life. */
   const heardAt = new Map<string, number>();
@@ -65,7 +65,7 @@
 
   function noticeSilence({ engine, since }: Expectation): void {
     if ((heardAt.get(engine) ?? Number.NEGATIVE_INFINITY) > since) return;
-    health.record(engine, 'unreachable');
+    health.avoid(engine);
   }
 
   return {
