fix(peers): bring large routing tables to every gateway in time

Change: the document is compressed once, travels with its version, and is unpacked only where it is new; followers are those with the most processor, which have the fast links too; two announce, not one.

--- a/src/gateway/followers.ts
+++ b/src/gateway/followers.ts
@@ -10,6 +10,9 @@
 const SMALL_FLEET = 16;
 /** Gateways that follow in a large fleet: enough for one to fail and one to be slow. */
 const FOLLOWERS = 4;
+/** Followers that pass on at once what they learn; the others make good what gets lost. Two, so that
+ * one may stand still or be cut off from the store without a delay for everybody. */
+const ANNOUNCERS = 2;
 /** Followers that must be heard for another gateway to rely on them. */
 const HEARD_FOLLOWERS = 2;
 /** A follower is heard while its last word is younger than so many heartbeats. */
@@ -18,6 +21,8 @@
 /** What the choice goes by. */
 export interface FollowerView {
   node: string;
+  /** Cores that the gateway may use. */
+  cores: number;
   peers: readonly Peer[];
   now: number;
   /** Time between two heartbeats, in milliseconds. */
@@ -29,26 +34,33 @@
  *
  * @param view the gateway and its peers
  */
-export function isFollower({ node, peers }: FollowerView): boolean {
-  if (peers.length < SMALL_FLEET) return true;
-  const own = draw(node);
-  let before = 0;
-  for (const { introduction } of peers) {
-    if (draw(introduction.node) < own) before += 1;
-  }
-  return before < FOLLOWERS;
+export function isFollower(view: FollowerView): boolean {
+  return view.peers.length < SMALL_FLEET || countBefore(view) < FOLLOWERS;
 }
 
 /**
  * Whether a gateway passes changes on as soon as it learns them: in a large fleet the first of the
- * followers does; the others make good what gets lost.
+ * followers do; the others make good what gets lost.
  *
  * @param view the gateway and its peers
  */
-export function isAnnouncer({ node, peers }: FollowerView): boolean {
-  if (peers.length < SMALL_FLEET) return false;
+export function isAnnouncer(view: FollowerView): boolean {
+  return view.peers.length >= SMALL_FLEET && countBefore(view) < ANNOUNCERS;
+}
+
+/**
+ * How many gateways go before one: those with more processor, which have the faster links as well, and
+ * of equals those that are drawn first.
+ */
+function countBefore({ node, cores, peers }: FollowerView): number {
   const own = draw(node);
-  return peers.every(({ introduction }) => draw(introduction.node) > own);
+  let before = 0;
+  for (const { introduction } of peers) {
+    const isStronger = introduction.cores > cores;
+    const isDrawnFirst = introduction.cores === cores && draw(introduction.node) < own;
+    if (isStronger || isDrawnFirst) before += 1;
+  }
+  return before;
 }
 
 /**
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -245,7 +245,13 @@
   }
 
   function viewFollowers(): FollowerView {
-    return { node, peers: mesh.peers(), now: clock.now(), beatMs: mesh.beatMs() };
+    return {
+      node,
+      cores: settings.cores,
+      peers: mesh.peers(),
+      now: clock.now(),
+      beatMs: mesh.beatMs(),
+    };
   }
 
   function answerDirectory(url: string): StatusAnswer {
--- a/src/gateway/peering.ts
+++ b/src/gateway/peering.ts
@@ -5,7 +5,14 @@
 import { match } from 'ts-pattern';
 import type { Fleet, HealthOutcome, RegistryChange } from '../fleet/index.js';
 import type { Log } from '../events/index.js';
-import type { Mesh, Peer, PeerMessage } from '../peers/index.js';
+import {
+  createRoutesPacker,
+  unpackRoutes,
+  type Mesh,
+  type Peer,
+  type PeerMessage,
+  type RoutesMessage,
+} from '../peers/index.js';
 import type { RoutingDocument, RoutingReplica } from '../routing/index.js';
 import type { Decision, Desk, Job, Scheduler } from '../scheduling/index.js';
 
@@ -49,6 +56,7 @@
  */
 export function createPeering(parts: PeeringParts): Peering {
   const lags = new Map<string, Lag>();
+  const pack = createRoutesPacker();
   /** Jobs that peers submitted here, with the service of each. */
   const submitted = new Map<string, Map<string, string>>();
 
@@ -59,7 +67,7 @@
     if (before === undefined || !parts.isFollower()) return;
     const document = parts.routes.document();
     if (document !== undefined && beat.routes < before.routes) {
-      parts.mesh().send(node, { kind: 'routes', text: document.text });
+      parts.mesh().send(node, pack(document));
     }
     if (beat.fleet < before.fleet) {
       const changes = parts.fleet.changesAfter(beat.fleet);
@@ -74,8 +82,15 @@
     }
   }
 
-  function takeRoutes(text: string): void {
-    const document = parts.parseRoutes(text);
+  /** Several peers may send the same version; only the first is unpacked and read. */
+  function takeRoutes(message: RoutesMessage): void {
+    if (message.version <= parts.routes.version()) return;
+    const text = unpackRoutes(message);
+    if (text.isErr()) {
+      parts.log.write('routesUnreadable', { version: message.version, issues: text.error });
+      return;
+    }
+    const document = parts.parseRoutes(text.value);
     if (document !== undefined) parts.routes.offer(document, 'peer');
   }
 
@@ -128,9 +143,7 @@
         .with({ kind: 'beat' }, (beat) => {
           help(node, beat);
         })
-        .with({ kind: 'routes' }, ({ text }) => {
-          takeRoutes(text);
-        })
+        .with({ kind: 'routes' }, takeRoutes)
         .with({ kind: 'fleet' }, ({ changes }) => {
           takeChanges(changes.map((change) => ({ ...change, server: normalize(change.server) })));
         })
@@ -173,8 +186,8 @@
     passChanges(changes) {
       if (changes.length > 0) announce({ kind: 'fleet', changes: [...changes] });
     },
-    passRoutes({ text }) {
-      announce({ kind: 'routes', text });
+    passRoutes(document) {
+      if (parts.isAnnouncer()) announce(pack(document));
     },
   };
 }
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -5,6 +5,7 @@
 import { Packr } from 'msgpackr';
 import { z } from 'zod';
 import { healthOutcomeSchema } from '../fleet/health.js';
+import { routesMessageSchema } from './routes-message.js';
 import { jobSchema, placementSchema } from '../scheduling/job.js';
 
 const serverSchema = z.object({
@@ -54,7 +55,6 @@
   isFollowing: z.boolean(),
 });
 
-const routesSchema = z.object({ kind: z.literal('routes'), text: z.string() });
 const fleetSchema = z.object({
   kind: z.literal('fleet'),
   changes: z.array(registryChangeSchema),
@@ -91,7 +91,7 @@
 export const messageSchema = z.discriminatedUnion('kind', [
   introductionSchema,
   beatSchema,
-  routesSchema,
+  routesMessageSchema,
   fleetSchema,
   submitSchema,
   adoptSchema,
