refactor(node): take placing and serving out of the composition of a node

What finds places for requests (src/node/placing.ts) and what serves callers (src/node/serving.ts) are parts of their own now; the order of starts and stops is as before.

--- a/src/caller/front.ts
+++ b/src/caller/front.ts
@@ -16,12 +16,15 @@
 import { createRequestHandler } from './queries/request.js';
 import { createInternalFailure } from './tracker.js';
 
+/** The application that answers callers. */
+export type CallerFront = Hono<CallerEnvironment>;
+
 /**
  * Creates the application that answers callers.
  *
  * @param parts the node's parts
  */
-export function createCallerFront(parts: CallerParts): Hono<CallerEnvironment> {
+export function createCallerFront(parts: CallerParts): CallerFront {
   const app = new Hono<CallerEnvironment>();
   const arrival = createArrival(parts);
   const gate = createReadinessGate(parts);
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,57 +1,30 @@
 /**
  * One node, made of its tasks. Every entry VM runs one; all are alike.
  */
-import { createCallerFront, type Readiness } from '../caller/index.js';
-import { createClaims, createClaimSweep, createGatheredWriter } from '../claims/index.js';
+import type { Readiness } from '../caller/index.js';
 import { createConfigurationReplica, createConfigurationWriter } from '../configuration/index.js';
 import { createLog, type Log } from '../events/index.js';
 import { createLapseWatch, createNodeLease } from '../lease/index.js';
-import {
-  createLimitHome,
-  createAllowances,
-  limitCompletions,
-  limitServiceCalls,
-} from '../limits/index.js';
-import type { LimitAllowance, LimitDraw } from '../links/index.js';
-import { createMembership, resolveEntryPoints } from '../membership/index.js';
+import { createMembership } from '../membership/index.js';
 import { createMetrics } from '../metrics/index.js';
 import { createOperatorFront, type NodeStatus } from '../operator/index.js';
 import { createFormers } from '../orders/index.js';
-import { createOutputEstimate } from '../permits/index.js';
-import type { Vm } from '../ports/index.js';
-import {
-  createBackends,
-  createBaselinePlacement,
-  createCompletionRunner,
-  createDirectPlacement,
-  createFates,
-  createHolderPlacement,
-  createLoadBoard,
-  createPlacesInUse,
-  createRetries,
-  createRetryBudget,
-  createServerWord,
-  createServiceCallRunner,
-  resolvePick,
-} from '../router/index.js';
+import { createBackends, createFates, createPlacesInUse } from '../router/index.js';
 import type { Certificate, Settings } from '../settings/index.js';
-import { createOwnership, rankNodes, resolveShards, type Shard } from '../shards/index.js';
+import { createOwnership, resolveShards, type Shard } from '../shards/index.js';
 import { wait } from '../task/index.js';
 import { createSystemEnvironment, type NodeEnvironment } from './environment.js';
 import { createFronts } from './fronts.js';
-import { createGroupServers } from './group-servers.js';
 import { createHeldShards } from './held-shards.js';
 import { createOrdersFactory } from './orders.js';
 import { createPeerMessages } from './peer-messages.js';
-import { createPeerQuestions, createRequestId } from './peer-questions.js';
-import { createPlacesReport } from './places-report.js';
-import { ADOPT_EVERY_MS, createPlacesTelling } from './places-telling.js';
+import { createPeerQuestions } from './peer-questions.js';
+import { createPlacing } from './placing.js';
+import { ADOPT_EVERY_MS } from './places-telling.js';
+import { createServing } from './serving.js';
 
 const OWNERSHIP_EVERY_MS = 250;
-const LOAD_EVERY_MS = 1_000;
 const DRAIN_POLL_MS = 50;
-/** How long a stop waits for outcomes that could not be stored at once. */
-const CLAIMS_GRACE_MS = 10_000;
 
 /** Secrets of a node, as read from where the settings say. */
 export interface Secrets {
@@ -127,7 +100,7 @@
     membership: () => membership,
     held: () => held,
     replica: () => replica,
-    limitHome: () => limitHome,
+    limitHome: () => serving.limitHome,
     fates,
   });
 
@@ -300,149 +273,41 @@
     },
   });
 
-  const groupServers = createGroupServers({
-    snapshot: () => replica.current(),
-    shards: () => shards,
-  });
-  const placesReport = createPlacesReport(links, clock, (summary) => {
-    membership.heardShard(summary);
-  });
-  const permits = createHolderPlacement({
+  const placing = createPlacing({
     node,
+    incarnation,
+    placement: settings.decisions.placement,
     clock,
+    random,
     log,
     metrics,
-    links: placesReport.links,
-    inUse,
-    configurationVersion: () => replica.current().version,
-    shardsOf: (group) => groupServers.shardsOf(group),
-    localHolder: (shard) => held.find(shard),
-    remoteHolder: (shard) => {
-      const known = ownership.holderOf(shard);
-      return known?.node === node ? undefined : known;
-    },
-    fallback: createDirectPlacement({
-      node,
-      random,
-      inUse,
-      createId,
-      serversOf: (group) => groupServers.serversOf(group),
-      shardOf,
-      word: createServerWord(clock, backends),
-      lastFree,
-    }),
-  });
-
-  const board = createLoadBoard({
-    clock,
-    everyMs: LOAD_EVERY_MS,
-    backends,
-    servers: () => membership.vms().filter(({ kind }) => kind !== 'entry'),
-  });
-  const pick = resolvePick(settings.decisions.placement, random);
-  const placement =
-    pick === undefined
-      ? permits
-      : createBaselinePlacement({
-          node,
-          pick,
-          board,
-          inUse,
-          createId,
-          serversOf: (group) => groupServers.serversOf(group),
-          shardOf,
-        });
-
-  const placesTelling = createPlacesTelling({
-    node,
-    incarnation,
-    clock,
     links,
     inUse,
-    report: placesReport,
-    held,
+    backends,
+    createId,
+    replica,
+    membership,
     ownership,
+    held,
     shards: () => shards,
   });
 
-  const limitHome = createLimitHome({
-    clock,
-    limitsOf: (team) => replica.current().teams.get(team)?.limits,
-  });
-  const allowances = createAllowances({
-    node,
-    clock,
-    draw: drawLimits,
-    aliveCount: () => membership.aliveNames().length,
-  });
-
-  const budget = createRetryBudget(settings.requests.retryShare);
-  const { maxAttempts } = settings.requests;
-  const retries = createRetries({ node, clock, random, budget, metrics, maxAttempts });
-  const routing = { node, clock, log, metrics, placement, backends, budget, retries };
-  const estimate = createOutputEstimate();
-  const runner = createCompletionRunner({ ...routing, estimate });
-  const completions = limitCompletions(runner, allowances);
-  const callRunner = createServiceCallRunner(routing);
-  const services = limitServiceCalls(callRunner, allowances);
-
-  const claims = createClaims({
-    table: platform.table('claims'),
-    objectStore: platform.objectStore,
-    writer: createGatheredWriter({
-      table: platform.table('claims'),
-      clock,
-      gatherMs: settings.claims.gatherMs,
-      maxPerTransaction: settings.claims.maxPerTransaction,
-    }),
-    clock,
-    log,
-    metrics,
+  const serving = createServing({
     node,
     incarnation,
-    maxInlineBytes: settings.claims.maxInlineBytes,
-    createId,
-    wallClock: environment.wallClock,
-    isOver: async (claimer, claimerIncarnation) => {
-      const row = await lapseWatch.read(claimer);
-      if (row === undefined) return false;
-      return row.state !== 'held' || row.holder.incarnation !== claimerIncarnation;
-    },
-  });
-
-  const claimSweep = createClaimSweep({
-    table: platform.table('claims'),
-    objectStore: platform.objectStore,
-    clock,
-    metrics,
-    node,
-    retentionMs: settings.claims.retentionMs,
-    sweepPerSecond: settings.claims.sweepPerSecond,
-    aliveNodes: () => membership.aliveNames(),
-    wallClock: environment.wallClock,
-  });
-
-  const callerFront = createCallerFront({
-    node,
-    clock,
+    settings,
+    environment,
+    platform,
     log,
     metrics,
-    terms: settings.requests,
+    placement: placing.placement,
+    backends,
     replica,
-    completions,
-    services,
-    claims,
+    membership,
+    lapseWatch,
+    questions,
     fates,
-    createRequestId: () => createRequestId(node, createId()),
     readiness,
-    entryPoints: (callerZone) =>
-      resolveEntryPoints(
-        membership.alive(),
-        callerZone,
-        settings.membership.entryPointsKeptMs,
-        random,
-      ),
-    findFate: questions.findFate,
     track: (change) => {
       inFlight += change;
       metrics.inFlight.set(inFlight);
@@ -482,21 +347,6 @@
     };
   }
 
-  function shardOf(vm: Vm): string {
-    return groupServers.shardOf(vm.id) ?? vm.service;
-  }
-
-  function lastFree(server: string): number | undefined {
-    const shard = groupServers.shardOf(server);
-    const summary = shard === undefined ? undefined : ownership.holderOf(shard)?.summary;
-    return summary?.servers.find(({ id }) => id === server)?.free;
-  }
-
-  async function drawLimits(draw: LimitDraw): Promise<LimitAllowance | undefined> {
-    const [home = node] = rankNodes(draw.team, membership.aliveNames());
-    return home === node ? limitHome.draw(node, draw) : questions.drawLimits(home, draw);
-  }
-
   /** An empty table is no fault: a first configuration may still be applied. */
   function reportTable(): void {
     if (replica.isFresh()) return;
@@ -521,7 +371,7 @@
       try {
         await links.listen();
         addresses.peer = advertise.peer ?? links.address();
-        const opened = await fronts.open({ caller: callerFront, operator: operatorFront });
+        const opened = await fronts.open({ caller: serving.callerFront, operator: operatorFront });
         addresses.caller = advertise.caller ?? opened.caller;
         addresses.operator = advertise.operator ?? opened.operator;
       } catch (error) {
@@ -535,10 +385,9 @@
       await replica.start();
       reportTable();
       await lapseWatch.start();
-      claimSweep.start();
+      serving.start();
       ownership.start();
-      placesTelling.start();
-      if (pick !== undefined) board.start();
+      placing.start();
       log.write('nodeStarted', { zone, incarnation, ...addresses });
       return addresses;
     },
@@ -549,9 +398,8 @@
       await wait(clock, settings.membership.entryPointsKeptMs);
       refusing = true;
       await waitForRequests();
-      claimSweep.stop();
       // Before the lease is given back: then others take unsettled claims for unknown.
-      await claims.stop(CLAIMS_GRACE_MS);
+      await serving.stop();
       held.stopOrders();
       await formers.sendingsEnded();
       await ownership.release();
@@ -560,9 +408,8 @@
       replica.stop();
       membership.announce();
       membership.stop();
-      placesTelling.stop();
-      board.stop();
-      allowances.stop();
+      placing.stop();
+      serving.close();
       await fronts.close();
       await links.close();
       log.write('nodeStopped', {});
