feat(soak): controls, and a calm end in which changes must be in force

The calm end drains a server and adds a route, and asks every gateway two seconds later. Streams now also break off after their second event.

--- /dev/null
+++ b/tools/soak/controls.ts
@@ -0,0 +1,101 @@
+/**
+ * Controls of the soak: the gateway's program with one mechanism switched off, which the soak has to
+ * find out. The mechanism is taken out of the source while the program is bundled; the sources stay
+ * as they are.
+ */
+import { readFile } from 'node:fs/promises';
+import { join, sep } from 'node:path';
+import { build } from 'esbuild';
+
+/** A mechanism that is switched off. */
+export interface Control {
+  name: string;
+  /** Where the mechanism is, with slashes. */
+  file: string;
+  /** Its text, which must stand there once. */
+  from: string;
+  to: string;
+  /** What the soak must find. */
+  finds: RegExp;
+}
+
+export const controls: readonly Control[] = [
+  {
+    name: 'requests that may run once are sent again',
+    file: 'src/relay/next-move.ts',
+    from: 'if (!mayRepeat || !hasAttempts || !canContinue)',
+    to: 'if (!canContinue)',
+    finds: /ran \d+ times/,
+  },
+  {
+    name: 'what may have run is refused as not run',
+    file: 'src/relay/request.ts',
+    from: 'badGateway: 502',
+    to: 'badGateway: 503',
+    finds: /was refused with 503 and ran/,
+  },
+  {
+    name: 'a broken answer is ended properly',
+    file: 'src/relay/caller-answer.ts',
+    from: 'response.destroy();',
+    to: 'response.end();',
+    finds: /ended before its last event/,
+  },
+  {
+    name: 'a broken stream starts over',
+    file: 'src/relay/request.ts',
+    from: 'lastEventId = eventId ?? lastEventId;',
+    to: 'void eventId;',
+    finds: /got event 1 in place of/,
+  },
+  {
+    name: 'leaving servers go on getting requests',
+    file: 'src/fleet/fleet.ts',
+    from: '!server.isLeaving && !entry.isRetired',
+    to: '!entry.isRetired',
+    finds: /got a request after it had left/,
+  },
+  {
+    name: 'changed routes are not taken over',
+    file: 'src/routing/replica.ts',
+    from: 'if (table.version <= before) return;',
+    to: 'if (before > 0) return;',
+    finds: /changed routes are not in force/,
+  },
+];
+
+/**
+ * Bundles the gateway without a mechanism.
+ *
+ * @param control the mechanism
+ * @param folder where the program goes
+ * @returns the program's path
+ */
+export async function buildControl(control: Control, folder: string): Promise<string> {
+  const outfile = join(folder, 'gateway.cjs');
+  let taken = 0;
+  await build({
+    entryPoints: ['platform/main.ts'],
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'cjs',
+    outfile,
+    logLevel: 'warning',
+    plugins: [
+      {
+        name: 'control',
+        setup(bundling) {
+          bundling.onLoad({ filter: /\.ts$/ }, async ({ path }) => {
+            if (!path.endsWith(control.file.split('/').join(sep))) return undefined;
+            const source = await readFile(path, 'utf8');
+            taken = source.split(control.from).length - 1;
+            return { contents: source.replace(control.from, control.to), loader: 'ts' };
+          });
+        },
+      },
+    ],
+  });
+  if (taken === 1) return outfile;
+  throw new Error(`control "${control.name}": ${taken} places in ${control.file}, expected one`);
+}
--- a/tools/soak/gateways.ts
+++ b/tools/soak/gateways.ts
@@ -34,8 +34,14 @@
  * @param index its number; gives its name and address
  * @param store `host:port` of the store as this gateway reaches it
  * @param folder where settings and logs go
+ * @param program the gateway's program
  */
-export function createGatewayProcess(index: number, store: string, folder: string): GatewayProcess {
+export function createGatewayProcess(
+  index: number,
+  store: string,
+  folder: string,
+  program: string,
+): GatewayProcess {
   const node = `node-${index}`;
   const host = `127.0.0.${10 + index}`;
   const path = join(folder, `${node}.conf`);
@@ -52,7 +58,7 @@
     start() {
       if (child !== undefined) return;
       const log = createWriteStream(join(folder, `${node}.log`), { flags: 'a' });
-      const started = spawn(process.execPath, ['dist/platform/main.js', '--settings', path], {
+      const started = spawn(process.execPath, [program, '--settings', path], {
         stdio: ['ignore', 'pipe', 'pipe'],
       });
       started.stdout.pipe(log, { end: false });
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -3,20 +3,50 @@
  */
 import { join } from 'node:path';
 import { defineCommand, runMain } from 'citty';
-import { runSoak } from './soak.js';
+import { buildControl, controls, type Control } from './controls.js';
+import { runSoak, type SoakTerms } from './soak.js';
 
 function parseSeeds(text: string): number[] {
   const [first = 1, last = first] = text.split('-').map(Number);
   return Array.from({ length: last - first + 1 }, (_, index) => first + index);
 }
 
+/** Runs each control on seed after seed until the soak finds it out. */
+async function runControls(seeds: readonly number[], seconds: number): Promise<void> {
+  for (const control of controls) {
+    const folder = join('out', 'soak', 'controls', control.file.replaceAll('/', '-'));
+    const program = await buildControl(control, folder);
+    const verdict = await findControl(control, seeds, { seconds, folder, program });
+    process.stdout.write(`control: ${control.name}: ${verdict ?? 'NOT FOUND'}\n`);
+    if (verdict === undefined) process.exitCode = 1;
+  }
+}
+
+async function findControl(
+  control: Control,
+  seeds: readonly number[],
+  terms: Omit<SoakTerms, 'seed'>,
+): Promise<string | undefined> {
+  for (const seed of seeds) {
+    const { broken } = await runSoak({ ...terms, seed });
+    const found = broken.find((line) => control.finds.test(line));
+    if (found !== undefined) return `found by seed ${seed}: ${found}`;
+  }
+  return undefined;
+}
+
 const command = defineCommand({
   meta: { name: 'soak', description: 'Real gateways under faults in series' },
   args: {
     seeds: { type: 'string', default: '1', description: 'A seed, or FIRST-LAST' },
     seconds: { type: 'string', default: '8', description: 'How long faults come, for each seed' },
+    controls: { type: 'boolean', default: false, description: 'Mechanisms switched off instead' },
   },
   async run({ args }) {
+    if (args.controls) {
+      await runControls(parseSeeds(args.seeds), Number(args.seconds));
+      return;
+    }
     for (const seed of parseSeeds(args.seeds)) {
       const folder = join('out', 'soak', String(seed));
       const { requests, succeeded, faults, broken } = await runSoak({
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -18,6 +18,7 @@
 import { judge, type Account } from './judge.js';
 import { startProxy, type Disturbance, type DisturbingProxy } from './proxy.js';
 
+const BUILT_PROGRAM = 'dist/platform/main.js';
 const GATEWAYS = 3;
 const EVENTS = 5;
 /** Time between two requests, in ms. */
@@ -29,6 +30,13 @@
 /** How long a caller waits, in ms. */
 const PATIENCE_MS = 1_500;
 
+/** Time within which a change must be in force once nothing is disturbed, in ms, as the users' pages
+ * have it. */
+const IN_FORCE_MS = 2_000;
+/** Requests of each kind to each gateway after that. */
+const CALM_ROUNDS = 5;
+const NOT_FOUND = 404;
+
 /** What a run found. */
 export interface SoakResult {
   requests: number;
@@ -44,6 +52,8 @@
   seconds: number;
   /** Where settings and logs go. */
   folder: string;
+  /** The gateway's program; another one than the built one for controls. */
+  program?: string;
 }
 
 interface Backend {
@@ -61,6 +71,7 @@
  */
 export async function runSoak(terms: SoakTerms): Promise<SoakResult> {
   const random = createSeededRandom(terms.seed);
+  const { program = BUILT_PROGRAM } = terms;
   const store = await startStoreStandIn();
   const accounts = new Map<string, Account>();
   const backends: Backend[] = [];
@@ -102,7 +113,7 @@
       } else {
         accounts.get(id)?.runs.push(backend.id);
         if (random.next() < 0.03) response.socket?.resetAndDestroy();
-        else if (backend.service === 'chat') writeEvents(request, response, EVENTS);
+        else if (backend.service === 'chat') answerStream(random, request, response);
         else answerPage(backend.id, random, request, response);
       }
     };
@@ -156,11 +167,14 @@
     else disturbStore(store, random);
   }
 
-  async function sendOne(gateway: GatewayProcess): Promise<SeenStatus> {
+  async function sendOne(
+    gateway: GatewayProcess,
+    route: Account['kind'] | 'changed' = pick(['once', 'any', 'stream'] as const) ?? 'any',
+  ): Promise<SeenStatus> {
     counter += 1;
     const id = `r-${terms.seed}-${counter}`;
-    const kind = pick(['once', 'any', 'stream'] as const) ?? 'any';
-    const path = `/${kind}/${counter}`;
+    const kind = route === 'changed' ? 'any' : route;
+    const path = `/${route}/${counter}`;
     const account: Account = { id, kind, path, answer: undefined, runs: [], events: EVENTS };
     accounts.set(id, account);
     const headers = { ...renderHeaders(id), ...(kind === 'stream' ? renderPrompt(id) : {}) };
@@ -201,6 +215,28 @@
     return false;
   }
 
+  /** With nothing disturbed: changes of routes and of servers must be in force within their time. */
+  async function judgeCalm(): Promise<string[]> {
+    const leaving = backends.find(({ service }) => service === 'pages');
+    if (leaving === undefined) return ['no server is left'];
+    register(leaving, 'draining');
+    store.put('op', 'config', renderConfiguration(version, 'changed'));
+    await pause(IN_FORCE_MS);
+    const before = leaving.server.received().length;
+    const found: string[] = [];
+    for (const gateway of gateways) {
+      for (let round = 0; round < CALM_ROUNDS; round += 1) {
+        const isFound = (await sendOne(gateway, 'changed')) !== NOT_FOUND;
+        if (!isFound) found.push(`${gateway.node}: changed routes are not in force`);
+        await sendOne(gateway, 'any');
+      }
+    }
+    if (leaving.server.received().length > before) {
+      found.push(`${leaving.id} got a request after it had left`);
+    }
+    return found;
+  }
+
   async function close(): Promise<void> {
     await Promise.all(gateways.map((gateway) => gateway.end()));
     const parts = [...backends.flatMap(({ server, proxy }) => [server, proxy]), ...storeProxies];
@@ -218,7 +254,7 @@
   for (let index = 0; index < GATEWAYS; index += 1) {
     const proxy = await startProxy(store.address);
     storeProxies.push(proxy);
-    const gateway = createGatewayProcess(index, proxy.address, terms.folder);
+    const gateway = createGatewayProcess(index, proxy.address, terms.folder, program);
     gateways.push(gateway);
     gateway.start();
   }
@@ -239,6 +275,7 @@
   for (const gateway of gateways) {
     if (!(await serves(gateway))) broken.push(`${gateway.node} did not serve again`);
   }
+  broken.push(...(await judgeCalm()));
   clearInterval(restarts);
   await close();
   let succeeded = 0;
@@ -272,6 +309,20 @@
   response.write(body.slice(0, 5), () => response.destroy());
 }
 
+/** Writes a stream, which at times breaks off after its second event. */
+function answerStream(
+  random: RandomSource,
+  request: Parameters<ScriptedAnswer>[0],
+  response: Parameters<ScriptedAnswer>[1],
+): void {
+  if (random.next() >= 0.05 || request.headers['last-event-id'] !== undefined) {
+    writeEvents(request, response, EVENTS);
+    return;
+  }
+  response.writeHead(200, { ...sign(request, ''), 'Content-Type': 'text/event-stream' });
+  response.write('id: 1\ndata: part 1\n\nid: 2\ndata: part 2\n\n', () => response.destroy());
+}
+
 function disturbStore(store: StoreStandIn, random: RandomSource): void {
   const faults = ['busy', 'silent', 'answers-lost'] as const;
   store.setFault(faults[Math.floor(random.next() * faults.length)] ?? 'busy');
@@ -290,7 +341,8 @@
   return { 'X-Model': 'm', 'X-Token-Count': '3000,50', 'X-Prompt-Prefix': `aa:2000,${id}:1000` };
 }
 
-function renderConfiguration(version: number): unknown {
+/** The operator's configuration; with a route more where that is named. */
+function renderConfiguration(version: number, more?: string): unknown {
   const common = { hostname: 'soak.example', timeoutMs: PATIENCE_MS, targetLatencyMs: 500 };
   const route = (name: string, more: Record<string, unknown>) => ({
     ...common,
@@ -304,6 +356,7 @@
     routes: [
       route('once', { kind: 'non_idempotent', maxAttempts: 1 }),
       route('any', { kind: 'idempotent', maxAttempts: 2 }),
+      ...(more === undefined ? [] : [route(more, { kind: 'idempotent', maxAttempts: 2 })]),
       route('stream', {
         kind: 'streaming',
         backend: 'chat',
