fix(scheduling): do not take a busy engine for a silent one

Ruled out: lost gateways (gatewayLost: none), the scheduler's own silence watch (an engine that is heard is not silent). Change: a send to an engine is waited for, its scheduler alone judges silence; silence is an outcome of its own, which counts as a failure for one gateway, and as out of reach for the scheduler only where the engine has not been heard since.

--- a/src/fleet/health.ts
+++ b/src/fleet/health.ts
@@ -54,7 +54,9 @@
   /** The answer broke off or was not one. */
   'failed',
   'declined',
-  /** No connection was made, or nothing came back in time. */
+  /** Nothing came back in time, which a server that is busy shows as well as one that is gone. */
+  'silent',
+  /** No connection was made. */
   'unreachable',
 ]);
 
--- a/src/relay/health-outcome.ts
+++ b/src/relay/health-outcome.ts
@@ -21,7 +21,8 @@
     .with('failed', () => 'error')
     .with('declined', () => 'declined')
     .with('lost', () => 'failed')
-    .with('unsent', 'overdue', () => 'unreachable')
+    .with('overdue', () => 'silent')
+    .with('unsent', () => 'unreachable')
     .with('aborted', () => undefined)
     .exhaustive();
 }
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -114,6 +114,8 @@
   const timeLimitMs = Math.min(route.timeoutMs, head.waitMs ?? route.timeoutMs);
   const endAt = arrivedAt + timeLimitMs;
   const engineTerms = parts.routes.index()?.table.services.get(service)?.engine;
+  /** The prompt, where engines serve the request and a scheduler places it. */
+  const prompt = engineTerms === undefined ? undefined : head.prompt;
   const giveUp = new AbortController();
   const progress: Progress = {
     attempts: 0,
@@ -219,9 +221,7 @@
   }
 
   function createPlacer(): Placer {
-    if (engineTerms !== undefined && head.prompt !== undefined) {
-      return createEnginePlacer(context, head.prompt, parts.scheduler);
-    }
+    if (prompt !== undefined) return createEnginePlacer(context, prompt, parts.scheduler);
     return createServicePlacer(() => ({
       servers: parts.fleet.available(service),
       zone: parts.zone,
@@ -267,7 +267,8 @@
   /** How long a server may keep the request without an answer before another is asked instead. */
   function resolvePatience(): number | undefined {
     const isLast = progress.attempts + 1 >= route.maxAttempts;
-    if (isLast || !isRepeatable(route)) return undefined;
+    // a busy engine lets a request wait for a slot; whether it is silent is its scheduler's to judge
+    if (isLast || prompt !== undefined || !isRepeatable(route)) return undefined;
     const patienceMs = Math.max(LEAST_PATIENCE_MS, PATIENCE_FACTOR * route.aimMs);
     return endAt - clock.now() - patienceMs > route.aimMs ? patienceMs : undefined;
   }
--- a/src/scheduling/engine-watch.ts
+++ b/src/scheduling/engine-watch.ts
@@ -25,8 +25,14 @@
    */
   mayTake(id: string, inUse: number): boolean;
   isUsable(id: string): boolean;
-  /** Takes in how an engine's part in a request ended. */
-  judge(id: string, outcome: HealthOutcome): void;
+  /**
+   * Takes in how an engine's part in a request ended.
+   *
+   * @param since when the engine was given the request, on the gateway's clock
+   */
+  judge(id: string, outcome: HealthOutcome, since: number): void;
+  /** An engine has given a sign of life. */
+  heard(id: string): void;
   /** An engine is to generate; it is expected to begin soon. */
   expect(job: string, engine: string): void;
   /** The first event of a generation has come. */
@@ -63,17 +69,25 @@
     return expectation;
   }
 
+  function isHeardSince(engine: string, since: number): boolean {
+    return (heardAt.get(engine) ?? Number.NEGATIVE_INFINITY) > since;
+  }
+
   function noticeSilence({ engine, since }: Expectation): void {
-    if ((heardAt.get(engine) ?? Number.NEGATIVE_INFINITY) > since) return;
-    health.avoid(engine);
+    if (!isHeardSince(engine, since)) health.avoid(engine);
   }
 
   return {
     mayTake: (id, inUse) => health.isUsable(id) && (inUse === 0 || !health.isOnTrial(id)),
     isUsable: (id) => health.isUsable(id),
-    judge(id, outcome) {
+    judge(id, outcome, since) {
       if (outcome === 'good') heardAt.set(id, clock.now());
-      health.record(id, outcome);
+      if (outcome !== 'silent') health.record(id, outcome);
+      // an engine that is heard is busy; one that is not is as good as out of reach
+      else if (!isHeardSince(id, since)) health.record(id, 'unreachable');
+    },
+    heard(id) {
+      heardAt.set(id, clock.now());
     },
     expect(job, engine) {
       end(job);
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -62,6 +62,8 @@
   /** Gives up on a late request that could no longer end in time. */
   expiry: Timer | undefined;
   placement: EnginePlacement | undefined;
+  /** When it was given to its engines. */
+  placedAt: number;
 }
 
 /** What waits for one engine. Those that can be on time go first. */
@@ -140,6 +142,7 @@
 
   function place(entry: Entry, placement: EnginePlacement): void {
     entry.placement = placement;
+    entry.placedAt = clock.now();
     entry.expiry?.cancel();
     generators.start(placement.generator);
     log.write('requestPlaced', {
@@ -168,6 +171,7 @@
       isLate: false,
       expiry: undefined,
       placement: undefined,
+      placedAt: 0,
     };
     entries.set(job.id, entry);
     route(entry);
@@ -299,12 +303,12 @@
    * generates. An engine that declines a prompt that was read elsewhere may be right, since the
    * reader may have dropped it; so the reader is judged as well.
    */
-  function judge({ reader, placement }: Entry, outcome: HealthOutcome): void {
+  function judge({ reader, placement, placedAt }: Entry, outcome: HealthOutcome): void {
     if (placement === undefined) return;
-    watch.judge(reader?.id ?? placement.generator, outcome);
+    watch.judge(reader?.id ?? placement.generator, outcome, placedAt);
     const isOnReaderToo = outcome === 'good' || outcome === 'declined';
     if (reader !== undefined || placement.reader === undefined || !isOnReaderToo) return;
-    watch.judge(placement.reader, outcome);
+    watch.judge(placement.reader, outcome, placedAt);
   }
 
   function leaveReader(entry: Entry, isWhole: boolean): void {
@@ -337,12 +341,14 @@
         isLate: false,
         expiry: undefined,
         placement,
+        placedAt: clock.now(),
       });
       generators.start(placement.generator);
     },
     promptRead(id) {
       const entry = entries.get(id);
       if (entry?.placement === undefined) return;
+      if (entry.reader !== undefined) watch.heard(entry.reader.id);
       leaveReader(entry, true);
       watch.expect(id, entry.placement.generator);
     },
