feat(scheduling): urgent requests go to engines that are full of less urgent ones

Change: an engine is full for a request when requests of its rank and above fill one and a half times the slots, or all together three times. Two tests, the first failed before.

--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -70,6 +70,7 @@
           service: context.service,
           requestId: context.requestId ?? '',
           prompt,
+          rank: context.rank,
           aimLeftMs: context.aimLeftMs(),
           timeLeftMs: context.timeLeftMs(),
           isReturn: context.isReturn,
--- a/src/scheduling/generating-engines.ts
+++ b/src/scheduling/generating-engines.ts
@@ -6,8 +6,12 @@
 import type { RegisteredServer } from '../fleet/index.js';
 
 /** How many requests a generating engine is given, as a share of its slots: a few wait at the engine
- * itself, most urgent first, so that a slot never stands empty. */
+ * itself, most urgent first, so that a slot never stands empty. Less urgent ones do not count, since
+ * the engine admits a request before them. */
 const FILLED_SHARE = 1.5;
+/** How many requests of any rank it is given, as a share of its slots: engines queue a few times their
+ * slots and decline what is beyond. */
+const HELD_SHARE = 3;
 
 /** How much longer a KV cache takes to another availability zone, in terms of running requests:
  * a nearer engine is preferred unless it runs so many more. */
@@ -20,43 +24,63 @@
    *
    * @param engines those that may be chosen
    * @param zone where the prompt is, or where the caller's gateway is
+   * @param rank rank of the request's route
    */
-  choose(engines: readonly RegisteredServer[], zone: string): RegisteredServer | undefined;
+  choose(
+    engines: readonly RegisteredServer[],
+    zone: string,
+    rank: number,
+  ): RegisteredServer | undefined;
   /** Requests that an engine was given and that have not ended. */
   running(id: string): number;
-  start(id: string): void;
-  end(id: string): void;
+  start(id: string, rank: number): void;
+  end(id: string, rank: number): void;
 }
 
 /** Creates a count of nothing. */
 export function createGeneratingEngines(): GeneratingEngines {
-  const running = new Map<string, number>();
+  /** Requests at each engine, by rank. */
+  const counts = new Map<string, Map<number, number>>();
 
-  function load(engine: RegisteredServer, zone: string): number {
-    return (running.get(engine.id) ?? 0) + (engine.zone === zone ? 0 : ZONE_PREFERENCE);
+  function running(id: string, upToRank = Number.POSITIVE_INFINITY): number {
+    let found = 0;
+    for (const [rank, count] of counts.get(id) ?? []) {
+      if (rank <= upToRank) found += count;
+    }
+    return found;
+  }
+
+  function change(id: string, rank: number, by: number): void {
+    const byRank = counts.get(id) ?? new Map<number, number>();
+    counts.set(id, byRank);
+    const count = (byRank.get(rank) ?? 0) + by;
+    if (count > 0) byRank.set(rank, count);
+    else byRank.delete(rank);
+    if (byRank.size === 0) counts.delete(id);
+  }
+
+  function isFull({ id, slots }: RegisteredServer, rank: number): boolean {
+    return running(id, rank) >= slots * FILLED_SHARE || running(id) >= slots * HELD_SHARE;
   }
 
   return {
-    choose(engines, zone) {
+    choose(engines, zone, rank) {
       let best: RegisteredServer | undefined;
       let bestLoad = Number.POSITIVE_INFINITY;
       for (const engine of engines) {
-        const engineLoad = load(engine, zone);
-        const isFull = (running.get(engine.id) ?? 0) >= engine.slots * FILLED_SHARE;
-        if (isFull || engineLoad >= bestLoad) continue;
+        const load = running(engine.id) + (engine.zone === zone ? 0 : ZONE_PREFERENCE);
+        if (load >= bestLoad || isFull(engine, rank)) continue;
         best = engine;
-        bestLoad = engineLoad;
+        bestLoad = load;
       }
       return best;
     },
-    running: (id) => running.get(id) ?? 0,
-    start(id) {
-      running.set(id, (running.get(id) ?? 0) + 1);
+    running: (id) => running(id),
+    start(id, rank) {
+      change(id, rank, 1);
     },
-    end(id) {
-      const left = (running.get(id) ?? 0) - 1;
-      if (left > 0) running.set(id, left);
-      else running.delete(id);
+    end(id, rank) {
+      change(id, rank, -1);
     },
   };
 }
--- a/src/scheduling/job.ts
+++ b/src/scheduling/job.ts
@@ -15,6 +15,8 @@
     tokens: z.number(),
     maxOutputTokens: z.number(),
   }),
+  /** Rank of its route; engines admit requests of rank 0 first. */
+  rank: z.number().default(0),
   /** Time until the first event is late, in milliseconds from when this was sent. */
   aimLeftMs: z.number(),
   /** Time until the answer is of no use, in milliseconds from when this was sent. */
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -131,7 +131,7 @@
 
   function placeDirectly(entry: Entry): void {
     const engines = candidates(entry.job, 'decode');
-    const generator = generators.choose(engines, entry.job.zone);
+    const generator = generators.choose(engines, entry.job.zone, entry.job.rank);
     if (generator === undefined) {
       decline(entry, { reason: 'no-engine', retryAfterMs: 200, backlogMs: 0 });
       return;
@@ -144,7 +144,7 @@
     entry.placement = placement;
     entry.placedAt = clock.now();
     entry.expiry?.cancel();
-    generators.start(placement.generator);
+    generators.start(placement.generator, entry.job.rank);
     log.write('requestPlaced', {
       request: entry.job.requestId,
       ...placement,
@@ -280,7 +280,7 @@
 
   function startRead(entry: Entry, engine: ReadingEngine): void {
     const zone = findZone(engine.id) ?? entry.job.zone;
-    const generator = generators.choose(candidates(entry.job, 'decode'), zone);
+    const generator = generators.choose(candidates(entry.job, 'decode'), zone, entry.job.rank);
     if (generator === undefined) {
       entry.reader = undefined;
       decline(entry, { reason: 'no-engine', retryAfterMs: 200, backlogMs: 0 });
@@ -343,7 +343,7 @@
         placement,
         placedAt: clock.now(),
       });
-      generators.start(placement.generator);
+      generators.start(placement.generator, job.rank);
     },
     promptRead(id) {
       const entry = entries.get(id);
@@ -362,7 +362,9 @@
       watch.ended(id);
       if (outcome !== undefined) judge(entry, outcome);
       leaveReader(entry, false);
-      if (entry.placement !== undefined) generators.end(entry.placement.generator);
+      if (entry.placement !== undefined) {
+        generators.end(entry.placement.generator, entry.job.rank);
+      }
     },
     forget(engine) {
       watch.forget(engine);
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -42,6 +42,7 @@
     service: 'chat',
     requestId: id,
     prompt: { model: 'm', parts, tokens, maxOutputTokens: 50 },
+    rank: 0,
     aimLeftMs: 200,
     timeLeftMs: 2_000,
     isReturn: false,
@@ -195,6 +196,24 @@
     expect(new Set(next)).to.deep.equal(new Set(['g2']));
   });
 
+  it('places an urgent request at an engine that is full of less urgent ones', () => {
+    const { submit } = setUp([engine('r1', 'prefill'), engine('g1', 'decode')]);
+    const full = 16 * 1.5;
+    for (let index = 0; index < full; index += 1) {
+      expect(submit(job({ rank: 1 }, 'bb', 500))?.kind).to.equal('placed');
+    }
+    expect(submit(job({ rank: 1 }, 'bb', 500))?.kind).to.equal('declined');
+    expect(submit(job({ rank: 0 }, 'bb', 500))?.kind).to.equal('placed');
+  });
+
+  it('gives an engine no more than it can hold, whatever the rank', () => {
+    const { submit } = setUp([engine('r1', 'prefill'), engine('g1', 'decode')]);
+    const placed = Array.from({ length: 80 }, (_, index) =>
+      submit(job({ rank: index % 4 }, 'bb', 500)),
+    );
+    expect(placed.filter((decision) => decision?.kind === 'placed').length).to.be.at.most(48);
+  });
+
   it('uses engines that seem unsound where there are no others', () => {
     const { submit, scheduler } = setUp([engine('r1', 'prefill'), engine('g1', 'decode')]);
     loseThree(submit, scheduler, () => job({}, 'bb', 500));
