refactor(scheduling): name the submitter of jobs for what it does

createDesk and its tickets were metaphors; they are a submitter and its submissions now, and the agent for kept connections says what it is.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,7 +22,7 @@
 } from '../relay/index.js';
 import { createOrderLease, createRoleKeeper, type RoleOrders } from '../roles/index.js';
 import { createRoutingReplica, type RoutingDocument, type Service } from '../routing/index.js';
-import { createDesk } from '../scheduling/index.js';
+import { createJobSubmitter } from '../scheduling/index.js';
 import { wait, type Clock, type RandomSource } from '../task/index.js';
 import { resolveFronts } from './directory.js';
 import { createStoreWatch } from './follow.js';
@@ -129,7 +129,7 @@
       fleet.available(service).filter(({ id }) => health.isUsable(id) && !keeper.isChanging(id)),
     cacheTokens: (service) => findService(service)?.engine?.cacheTokens ?? 0,
   });
-  const desk = createDesk({
+  const submitter = createJobSubmitter({
     clock,
     log,
     node,
@@ -143,7 +143,7 @@
     mesh: () => mesh,
     routes,
     fleet,
-    desk,
+    submitter,
     scheduler: schedulers.local,
     isFollower: () => isFollower(viewFollowers()),
     isAnnouncer: () => isAnnouncer(viewFollowers()),
@@ -199,7 +199,7 @@
     waits: createWaitRecord(),
     connections,
     budget,
-    scheduler: desk,
+    scheduler: submitter,
     canFinish,
   };
   const front = createFront({
--- a/src/gateway/peering.ts
+++ b/src/gateway/peering.ts
@@ -14,7 +14,7 @@
   type RoutesMessage,
 } from '../peers/index.js';
 import type { RoutingDocument, RoutingReplica } from '../routing/index.js';
-import type { Decision, Desk, Job, Scheduler } from '../scheduling/index.js';
+import type { Decision, JobSubmitter, Job, Scheduler } from '../scheduling/index.js';
 
 /** Who handles a peer's words. */
 export interface PeeringParts {
@@ -22,7 +22,7 @@
   mesh(): Mesh;
   routes: RoutingReplica;
   fleet: Fleet;
-  desk: Desk;
+  submitter: JobSubmitter;
   scheduler(service: string): Scheduler;
   /** Whether this gateway brings peers that are behind up to date. */
   isFollower(): boolean;
@@ -170,7 +170,7 @@
           { kind: 'job.placed' },
           { kind: 'job.declined' },
           (answer) => {
-            parts.desk.answered(node, answer);
+            parts.submitter.answered(node, answer);
           },
         )
         .exhaustive();
@@ -181,7 +181,7 @@
         finish(node, id);
       }
       submitted.delete(node);
-      parts.desk.lost(node);
+      parts.submitter.lost(node);
     },
     passChanges(changes) {
       if (changes.length > 0) announce({ kind: 'fleet', changes: [...changes] });
--- a/src/relay/connections.ts
+++ b/src/relay/connections.ts
@@ -13,8 +13,8 @@
 const MAX_IDLE = 32;
 
 /** An agent that distrusts idle connections. */
-export class DistrustfulAgent extends Agent {
-  readonly #spoiled = new WeakSet<Socket>();
+export class KeepAliveAgent extends Agent {
+  readonly #unusable = new WeakSet<Socket>();
   readonly #watches = new WeakMap<Socket, () => void>();
 
   constructor(options: AgentOptions = {}) {
@@ -29,22 +29,22 @@
   }
 
   override keepSocketAlive(socket: Socket): boolean {
-    if (this.#spoiled.has(socket) || socket.readableLength > 0) return false;
+    if (this.#unusable.has(socket) || socket.readableLength > 0) return false;
     // the types leave out that it tells whether the connection may be kept
     const keep: (kept: Socket) => unknown = super.keepSocketAlive.bind(this);
     if (keep(socket) === false) return false;
-    const spoil = (): void => {
-      this.#spoiled.add(socket);
+    const refuse = (): void => {
+      this.#unusable.add(socket);
       socket.destroy();
     };
-    this.#watches.set(socket, spoil);
-    socket.on('data', spoil);
+    this.#watches.set(socket, refuse);
+    socket.on('data', refuse);
     return true;
   }
 
   override reuseSocket(socket: Socket, request: never): void {
-    const spoil = this.#watches.get(socket);
-    if (spoil !== undefined) socket.off('data', spoil);
+    const refuse = this.#watches.get(socket);
+    if (refuse !== undefined) socket.off('data', refuse);
     super.reuseSocket(socket, request);
   }
 }
@@ -72,7 +72,7 @@
         known.maxSockets = limitFor(id);
         return known;
       }
-      const agent = new DistrustfulAgent({ maxSockets: limitFor(id) });
+      const agent = new KeepAliveAgent({ maxSockets: limitFor(id) });
       agents.set(id, agent);
       return agent;
     },
--- a/src/scheduling/holder.ts
+++ b/src/scheduling/holder.ts
@@ -3,7 +3,7 @@
  * of equals one that is drawn by the service's name, so that services spread over gateways.
  */
 import { createHash } from 'node:crypto';
-import type { SchedulingGateway } from './desk.js';
+import type { SchedulingGateway } from './job-submitter.js';
 
 /**
  * Names the gateway that schedules a service.
--- a/src/scheduling/index.ts
+++ b/src/scheduling/index.ts
@@ -1,5 +1,5 @@
 /** Placing requests on model engines. */
-export * from './desk.js';
+export * from './job-submitter.js';
 export * from './holder.js';
 export * from './job.js';
 export * from './prompt.js';
--- a/src/scheduling/desk.ts
+++ b/src/scheduling/job-submitter.ts
@@ -30,7 +30,7 @@
 }
 
 /** Messages to schedulers at other gateways. */
-export type DeskMessage =
+export type SchedulerMessage =
   | { kind: 'job.submit'; job: Job }
   /** A request that was placed by a scheduler that is lost now. */
   | { kind: 'job.adopt'; job: Job; placement: EnginePlacement }
@@ -39,7 +39,7 @@
   | { kind: 'job.finished'; id: string; outcome?: HealthOutcome | undefined };
 
 /** Messages from schedulers at other gateways. */
-export type DeskAnswer =
+export type SchedulerAnswer =
   | { kind: 'job.queued'; id: string }
   | { kind: 'job.placed'; id: string; placement: EnginePlacement }
   | DeclinedAnswer;
@@ -53,8 +53,8 @@
   backlogMs: number;
 }
 
-/** What the desk needs. */
-export interface DeskParts {
+/** What the submitter needs. */
+export interface JobSubmitterParts {
   clock: Clock;
   log: Log;
   node: string;
@@ -68,7 +68,7 @@
   /** The scheduler in this process. */
   local(service: string): Scheduler;
   /** Sends to another gateway; false when there is no link. */
-  send(node: string, message: DeskMessage): boolean;
+  send(node: string, message: SchedulerMessage): boolean;
 }
 
 /** A request at its scheduler. */
@@ -86,15 +86,15 @@
 }
 
 /** Where gateways hand their requests in. */
-export interface Desk {
+export interface JobSubmitter {
   submit(job: Omit<Job, 'id' | 'zone'>, decided: (decision: Decision) => void): ScheduledJob;
   /** A word of another gateway's scheduler. */
-  answered(node: string, answer: DeskAnswer): void;
+  answered(node: string, answer: SchedulerAnswer): void;
   /** A peer was lost: what it had is placed here. */
   lost(node: string): void;
 }
 
-interface Ticket {
+interface Submission {
   job: Job;
   decided: (decision: Decision) => void;
   /** Where it is: a peer's name, or this gateway's own. */
@@ -108,29 +108,29 @@
 }
 
 /**
- * Creates a desk.
+ * Creates a submitter.
  *
  * @param parts the schedulers and the way to them
  */
-export function createDesk(parts: DeskParts): Desk {
+export function createJobSubmitter(parts: JobSubmitterParts): JobSubmitter {
   const { clock, log, node } = parts;
-  const tickets = new Map<string, Ticket>();
+  const submissions = new Map<string, Submission>();
   const avoidedUntil = new Map<string, number>();
   let counter = 0;
 
-  function submitAt(ticket: Ticket, at: string): void {
-    ticket.at = at;
-    ticket.asked += 1;
-    if (at === node || ticket.asked > MAX_ASKED) {
-      submitHere(ticket);
+  function submitAt(submission: Submission, at: string): void {
+    submission.at = at;
+    submission.asked += 1;
+    if (at === node || submission.asked > MAX_ASKED) {
+      submitHere(submission);
       return;
     }
-    if (!parts.send(at, { kind: 'job.submit', job: withTimeLeft(ticket) })) {
-      submitHere(ticket);
+    if (!parts.send(at, { kind: 'job.submit', job: withTimeLeft(submission) })) {
+      submitHere(submission);
       return;
     }
-    ticket.silence = afterSilence(clock, SILENCE_MS, () => {
-      log.write('schedulerSilent', { peer: at, request: ticket.job.requestId });
+    submission.silence = afterSilence(clock, SILENCE_MS, () => {
+      log.write('schedulerSilent', { peer: at, request: submission.job.requestId });
       avoidedUntil.set(at, clock.now() + AVOID_MS);
       moveFrom(at);
     });
@@ -141,7 +141,7 @@
   }
 
   /** The job with the times that are left of it. */
-  function withTimeLeft({ job, submittedAt }: Ticket): Job {
+  function withTimeLeft({ job, submittedAt }: Submission): Job {
     const spentMs = clock.now() - submittedAt;
     return {
       ...job,
@@ -152,63 +152,63 @@
 
   /** Hands everything that a scheduler had to the one that is drawn now. */
   function moveFrom(from: string): void {
-    for (const ticket of tickets.values()) {
-      if (ticket.at !== from) continue;
-      ticket.silence?.cancel();
-      ticket.silence = undefined;
-      parts.send(from, { kind: 'job.finished', id: ticket.job.id });
-      const next = schedulerOf(ticket.job.service);
-      if (ticket.placement === undefined) submitAt(ticket, next);
-      else adoptAt(ticket, ticket.placement, next);
+    for (const submission of submissions.values()) {
+      if (submission.at !== from) continue;
+      submission.silence?.cancel();
+      submission.silence = undefined;
+      parts.send(from, { kind: 'job.finished', id: submission.job.id });
+      const next = schedulerOf(submission.job.service);
+      if (submission.placement === undefined) submitAt(submission, next);
+      else adoptAt(submission, submission.placement, next);
     }
   }
 
-  function adoptAt(ticket: Ticket, placement: EnginePlacement, at: string): void {
-    ticket.at = at;
-    const { job } = ticket;
+  function adoptAt(submission: Submission, placement: EnginePlacement, at: string): void {
+    submission.at = at;
+    const { job } = submission;
     if (at === node) parts.local(job.service).adopt(job, placement);
     else parts.send(at, { kind: 'job.adopt', job, placement });
   }
 
-  function submitHere(ticket: Ticket): void {
-    ticket.at = node;
-    ticket.silence = undefined;
-    const job = withTimeLeft(ticket);
+  function submitHere(submission: Submission): void {
+    submission.at = node;
+    submission.silence = undefined;
+    const job = withTimeLeft(submission);
     parts.local(job.service).submit(job, (decision) => {
-      decide(ticket, decision);
+      decide(submission, decision);
     });
   }
 
-  function decide(ticket: Ticket, decision: Decision): void {
-    if (ticket.isDecided) return;
-    ticket.isDecided = true;
-    ticket.silence?.cancel();
-    ticket.silence = undefined;
-    if (decision.kind === 'placed') ticket.placement = decision.placement;
-    ticket.decided(decision);
+  function decide(submission: Submission, decision: Decision): void {
+    if (submission.isDecided) return;
+    submission.isDecided = true;
+    submission.silence?.cancel();
+    submission.silence = undefined;
+    if (decision.kind === 'placed') submission.placement = decision.placement;
+    submission.decided(decision);
   }
 
-  function tell(ticket: Ticket, kind: 'job.read' | 'job.begun'): void {
-    const { id, service } = ticket.job;
-    if (ticket.at !== node) {
-      parts.send(ticket.at, { kind, id });
+  function tell(submission: Submission, kind: 'job.read' | 'job.begun'): void {
+    const { id, service } = submission.job;
+    if (submission.at !== node) {
+      parts.send(submission.at, { kind, id });
       return;
     }
     if (kind === 'job.read') parts.local(service).promptRead(id);
     else parts.local(service).begun(id);
   }
 
-  function finish(ticket: Ticket, outcome: HealthOutcome | undefined): void {
-    const { id, service } = ticket.job;
-    if (ticket.at === node) parts.local(service).finished(id, outcome);
-    else parts.send(ticket.at, { kind: 'job.finished', id, outcome });
+  function finish(submission: Submission, outcome: HealthOutcome | undefined): void {
+    const { id, service } = submission.job;
+    if (submission.at === node) parts.local(service).finished(id, outcome);
+    else parts.send(submission.at, { kind: 'job.finished', id, outcome });
   }
 
   return {
     submit(request, decided) {
       counter += 1;
       const job: Job = { ...request, id: `${node}/${counter}`, zone: parts.zone };
-      const ticket: Ticket = {
+      const submission: Submission = {
         job,
         decided,
         at: node,
@@ -218,35 +218,35 @@
         placement: undefined,
         asked: 0,
       };
-      tickets.set(job.id, ticket);
-      submitAt(ticket, schedulerOf(job.service));
+      submissions.set(job.id, submission);
+      submitAt(submission, schedulerOf(job.service));
       return {
         promptRead() {
-          tell(ticket, 'job.read');
+          tell(submission, 'job.read');
         },
         begun() {
-          tell(ticket, 'job.begun');
+          tell(submission, 'job.begun');
         },
         finished(outcome) {
-          if (!tickets.delete(job.id)) return;
-          ticket.isDecided = true;
-          ticket.silence?.cancel();
-          finish(ticket, outcome);
+          if (!submissions.delete(job.id)) return;
+          submission.isDecided = true;
+          submission.silence?.cancel();
+          finish(submission, outcome);
         },
       };
     },
     answered(from, answer) {
-      const ticket = tickets.get(answer.id);
-      if (ticket?.at !== from) return;
-      ticket.silence?.cancel();
-      ticket.silence = undefined;
+      const submission = submissions.get(answer.id);
+      if (submission?.at !== from) return;
+      submission.silence?.cancel();
+      submission.silence = undefined;
       if (answer.kind === 'job.queued') return;
       if (answer.kind === 'job.placed') {
-        decide(ticket, { kind: 'placed', placement: answer.placement });
+        decide(submission, { kind: 'placed', placement: answer.placement });
         return;
       }
       const { reason, retryAfterMs, backlogMs } = answer;
-      decide(ticket, { kind: 'declined', reason, retryAfterMs, backlogMs });
+      decide(submission, { kind: 'declined', reason, retryAfterMs, backlogMs });
     },
     lost(from) {
       moveFrom(from);
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -2,12 +2,12 @@
 import { createSilentLog } from '../../src/events/index.js';
 import type { RegisteredServer } from '../../src/fleet/index.js';
 import {
-  createDesk,
+  createJobSubmitter,
   createScheduler,
   resolveHolder,
   schedulingTerms,
   type Decision,
-  type DeskMessage,
+  type SchedulerMessage,
   type EnginePlacement,
   type Job,
   type Scheduler,
@@ -277,10 +277,10 @@
   });
 });
 
-describe('the desk that submits requests', () => {
-  function setUpDesk(isLinked = true) {
+describe('the submitter of jobs', () => {
+  function setUpSubmitter(isLinked = true) {
     const fake = createFakeClock();
-    const sent: DeskMessage[] = [];
+    const sent: SchedulerMessage[] = [];
     const local: string[] = [];
     const scheduler: Scheduler = {
       submit(submitted, decided) {
@@ -294,7 +294,7 @@
       forget: () => undefined,
       size: () => 0,
     };
-    const desk = createDesk({
+    const submitter = createJobSubmitter({
       clock: fake.clock,
       log: createSilentLog(),
       node: 'self',
@@ -307,13 +307,13 @@
         return isLinked;
       },
     });
-    return { ...fake, desk, sent, local };
+    return { ...fake, submitter, sent, local };
   }
 
   it('places a request itself when schedulers are silent', async () => {
-    const { desk, local, advance } = setUpDesk();
+    const { submitter, local, advance } = setUpSubmitter();
     const decisions: Decision[] = [];
-    desk.submit(job(), (decision) => decisions.push(decision));
+    submitter.submit(job(), (decision) => decisions.push(decision));
     await advance(30);
     expect(local).to.have.length(0);
     await advance(60);
@@ -321,18 +321,18 @@
   });
 
   it('moves all requests to the next scheduler once one is silent', async () => {
-    const { desk, sent, advance } = setUpDesk();
-    desk.submit(job(), () => undefined);
+    const { submitter, sent, advance } = setUpSubmitter();
+    submitter.submit(job(), () => undefined);
     const placed = sent[0]?.kind === 'job.submit' ? sent[0].job.id : '';
-    desk.answered('peer', {
+    submitter.answered('peer', {
       kind: 'job.placed',
       id: placed,
       placement: { generator: 'g1', expectedReadMs: 0 },
     });
-    desk.submit(job(), () => undefined);
+    submitter.submit(job(), () => undefined);
     const waiting = sent[1]?.kind === 'job.submit' ? sent[1].job.id : '';
-    desk.answered('peer', { kind: 'job.queued', id: waiting });
-    desk.submit(job(), () => undefined);
+    submitter.answered('peer', { kind: 'job.queued', id: waiting });
+    submitter.submit(job(), () => undefined);
     sent.splice(0);
     await advance(41);
     const kinds = sent.map(({ kind }) => kind).filter((kind) => kind !== 'job.finished');
@@ -340,19 +340,19 @@
   });
 
   it('waits for a scheduler that has said it has the request', async () => {
-    const { desk, sent, local, advance } = setUpDesk();
-    desk.submit(job(), () => undefined);
+    const { submitter, sent, local, advance } = setUpSubmitter();
+    submitter.submit(job(), () => undefined);
     const submitted = sent[0]?.kind === 'job.submit' ? sent[0].job.id : '';
-    desk.answered('peer', { kind: 'job.queued', id: submitted });
+    submitter.answered('peer', { kind: 'job.queued', id: submitted });
     await advance(500);
     expect(local).to.have.length(0);
-    desk.lost('peer');
+    submitter.lost('peer');
     expect(sent.filter(({ kind }) => kind === 'job.submit')).to.have.length(2);
   });
 
   it('places a request itself when there is no link', () => {
-    const { desk, local } = setUpDesk(false);
-    desk.submit(job(), () => undefined);
+    const { submitter, local } = setUpSubmitter(false);
+    submitter.submit(job(), () => undefined);
     expect(local).to.have.length(1);
   });
 });
