fix(scheduling): one rule for whether an engine may be given a prompt

Cause: placing gave back engines that seem unsound where nothing seems sound, starting a read refused them; a request that waited went to and fro between the two until the stack was full and the process ended (RangeError, route -> enqueue -> advance -> leaveFor -> route). Change: starting goes by the rule that placing goes by. The test fails without it with the RangeError.

--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -262,7 +262,7 @@
       if (entry === undefined) return;
       engine.dequeue(entry.queuedMs, entry.isLate);
       if (entry.isLate && latestStartMs(entry) < 0) turnAway(entry);
-      else if (isAvailable(engine.id)) startRead(entry, engine);
+      else if (isCandidate(engine.id, entry.job)) startRead(entry, engine);
       else leaveFor(entry);
     }
   }
@@ -274,8 +274,16 @@
     route(entry);
   }
 
-  function isAvailable(id: string): boolean {
-    return findZone(id) !== undefined && watch.isUsable(id);
+  /**
+   * The same rule that placing goes by. With another rule here, a request that waits at an engine
+   * that only placing accepts goes to and fro between the two until the stack is full, and the
+   * process ends with all requests that it serves.
+   */
+  function isCandidate(id: string, job: Job): boolean {
+    for (const engine of candidates(job, 'prefill')) {
+      if (engine.id === id) return true;
+    }
+    return false;
   }
 
   function startRead(entry: Entry, engine: ReadingEngine): void {
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -220,6 +220,25 @@
     expect(placementOf(submit(job({}, 'bb', 500)))?.generator).to.equal('g1');
   });
 
+  it('starts what waits at engines that all seem unsound, without end', () => {
+    const fleet = [engine('r1', 'prefill'), engine('r2', 'prefill'), engine('g1', 'decode')];
+    const { submit, scheduler, decisions } = setUp(fleet);
+    const jobs: Job[] = [];
+    for (let index = 0; index < 2 * schedulingTerms.readsInFlight + 20; index += 1) {
+      const submitted = job({ aimLeftMs: 5_000, timeLeftMs: 9_000 }, `part-${index}`, 3_000);
+      jobs.push(submitted);
+      submit(submitted);
+    }
+    expect(decisions.size).to.equal(2 * schedulingTerms.readsInFlight);
+    const ended = new Set<string>();
+    for (const id of decisions.keys()) {
+      ended.add(id);
+      scheduler.finished(id, 'unreachable');
+    }
+    expect(ended.size).to.equal(jobs.length);
+    expect(scheduler.size()).to.equal(0);
+  });
+
   it('expects an engine to take longer the longer it is silent', async () => {
     const { submit, advance } = setUp([engine('r1', 'prefill'), engine('g1', 'decode')]);
     submit(job({}, 'x'));
