feat(scheduling): decide by what is observed of engines

Cause: every figure that placing went by was a fact of two earlier fleets: 300 tokens a ms, 600 tokens read directly, 40 ms counted for a read, four reads ahead. Where an engine reads 64 tokens a ms, reads were admitted, ordered and cut by wrong times; and after all processes ended, prompts that engines had cached counted as unread. Ruled out: readers idle while prompts wait (the queue's wake-up covers it). Tests: schedulingTerms is gone; tests that filled an engine by its number now fill it until one waits. 'leaves short prompts to the engine that generates' held a constant of 600 tokens; it is replaced by one for the price (scheduler) and one for an engine that reads alone (gateway).

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,13 +22,14 @@
 } from '../relay/index.js';
 import { createOrderLease, createRoleKeeper, type RoleOrders } from '../roles/index.js';
 import { createRoutingReplica, type RoutingDocument, type Service } from '../routing/index.js';
-import { createJobSubmitter } from '../scheduling/index.js';
+import { createJobSubmitter, type CacheLists } from '../scheduling/index.js';
 import { wait, type Clock, type RandomSource } from '../task/index.js';
 import { resolveFronts } from './directory.js';
 import { createStoreWatch } from './follow.js';
 import { isAnnouncer, isFollower, mayRely, type FollowerView } from './followers.js';
 import { startFollowing } from './following.js';
 import { createPeering } from './peering.js';
+import { keepPaces } from './keep-paces.js';
 import { publishAddress } from './publish-address.js';
 import { createSchedulers } from './schedulers.js';
 import type { GatewaySettings, ListenAddress } from './settings.js';
@@ -59,6 +60,7 @@
   routes: RowFeed<RoutingDocument>;
   registry: RowFeed<RegistryChange>;
   roleOrders: RoleOrders;
+  caches: CacheLists;
   /** Decodes routes that a peer passed on; `undefined`, with a log line, when it cannot. */
   parseRoutes(text: string): RoutingDocument | undefined;
   readinessAnswer(isReady: boolean): StatusAnswer;
@@ -128,6 +130,7 @@
     engines: (service) =>
       fleet.available(service).filter(({ id }) => health.isUsable(id) && !keeper.isChanging(id)),
     cacheTokens: (service) => findService(service)?.engine?.cacheTokens ?? 0,
+    caches: platform.caches,
   });
   const submitter = createJobSubmitter({
     clock,
@@ -145,6 +148,7 @@
     fleet,
     submitter,
     scheduler: schedulers.local,
+    adoptPaces: schedulers.adopt,
     isFollower: () => isFollower(viewFollowers()),
     isAnnouncer: () => isAnnouncer(viewFollowers()),
     parseRoutes: (text) => platform.parseRoutes(text),
@@ -165,6 +169,7 @@
       routes: routes.version(),
       fleet: fleet.revision(),
       isFollowing: watch.isReached() && isFollower(viewFollowers()),
+      paces: Object.fromEntries(schedulers.learnt()),
     }),
     received: peering.received,
     lost: peering.lost,
@@ -306,6 +311,14 @@
     found: mesh.learn,
   });
   void publishing.done;
+  void keepPaces({
+    table: platform.table,
+    clock,
+    log,
+    signal: ending.signal,
+    learnt: schedulers.learnt,
+    adopt: schedulers.adopt,
+  });
   keeper.start();
   log.write('gatewayStarted', {
     zone,
--- a/src/gateway/schedulers.ts
+++ b/src/gateway/schedulers.ts
@@ -6,9 +6,13 @@
 import type { RegisteredServer } from '../fleet/index.js';
 import type { Peer } from '../peers/index.js';
 import {
+  allMechanisms,
+  createPaces,
   createScheduler,
   resolveHolder,
-  schedulingTerms,
+  type CacheLists,
+  type Paces,
+  type PacesSnapshot,
   type Scheduler,
   type SchedulingGateway,
 } from '../scheduling/index.js';
@@ -27,6 +31,7 @@
   engines(service: string): readonly RegisteredServer[];
   /** Tokens that the cache of one engine holds. */
   cacheTokens(service: string): number;
+  caches: CacheLists;
 }
 
 /** The schedulers of a gateway. */
@@ -41,6 +46,10 @@
   holderOf: (service: string, isAvoided?: (node: string) => boolean) => string;
   /** An engine is gone for good. */
   forget: (engine: string) => void;
+  /** What is known of the engines of the services that this gateway schedules. */
+  learnt: () => ReadonlyMap<string, PacesSnapshot>;
+  /** Takes over what another gateway has learnt of a service's engines. */
+  adopt: (service: string, paces: PacesSnapshot) => void;
 }
 
 /**
@@ -51,6 +60,7 @@
 export function createSchedulers(parts: SchedulersParts): Schedulers {
   const { clock, log, self } = parts;
   const byService = new Map<string, Scheduler>();
+  const paces = new Map<string, Paces>();
   let gateways: SchedulingGateway[] = [];
   let gatewaysAt = Number.NEGATIVE_INFINITY;
 
@@ -62,6 +72,23 @@
     return found;
   }
 
+  function pacesOf(service: string): Paces {
+    const known = paces.get(service);
+    if (known !== undefined) return known;
+    const created = createPaces();
+    paces.set(service, created);
+    return created;
+  }
+
+  function holderOf(service: string, isAvoided: (node: string) => boolean = () => false): string {
+    if (clock.now() - gatewaysAt > GATEWAYS_MEMORY_MS) {
+      gateways = listGateways();
+      gatewaysAt = clock.now();
+    }
+    const heard = gateways.filter(({ node }) => !isAvoided(node));
+    return resolveHolder(service, heard.length > 0 ? heard : [self]);
+  }
+
   return {
     forget(engine) {
       for (const scheduler of byService.values()) {
@@ -74,20 +101,26 @@
       const created = createScheduler({
         clock,
         log,
-        terms: schedulingTerms,
+        mechanisms: allMechanisms,
+        paces: pacesOf(service),
         engines: () => parts.engines(service),
         cacheTokens: () => parts.cacheTokens(service),
+        caches: parts.caches,
       });
       byService.set(service, created);
       return created;
     },
-    holderOf(service, isAvoided = () => false) {
-      if (clock.now() - gatewaysAt > GATEWAYS_MEMORY_MS) {
-        gateways = listGateways();
-        gatewaysAt = clock.now();
+    holderOf,
+    learnt() {
+      const found = new Map<string, PacesSnapshot>();
+      for (const [service, known] of paces) {
+        if (known.isKnown() && holderOf(service) === self.node)
+          found.set(service, known.snapshot());
       }
-      const heard = gateways.filter(({ node }) => !isAvoided(node));
-      return resolveHolder(service, heard.length > 0 ? heard : [self]);
+      return found;
+    },
+    adopt(service, snapshot) {
+      pacesOf(service).adopt(snapshot);
     },
   };
 }
--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -24,6 +24,10 @@
  * and several turns of a busy processor on the way. */
 const LEAST_READ_LIMIT_MS = 250;
 
+/** Part of the time left that a read may take whose duration is unknown; the rest is for a second
+ * engine. */
+const UNKNOWN_READ_SHARE = 0.5;
+
 /** Time after which a caller is told to come back when its prompt could not be read, in ms. */
 const UNREAD_RETRY_MS = 200;
 
@@ -71,11 +75,13 @@
           requestId: context.requestId ?? '',
           prompt,
           rank: context.rank,
+          pauseMs: context.pauseMs,
           aimLeftMs: context.aimLeftMs(),
           timeLeftMs: context.timeLeftMs(),
           isReturn: context.isReturn,
           isRead: kept !== undefined,
-          excluded: [...excluded, ...context.avoided()],
+          excluded: [...excluded],
+          avoided: context.avoided(),
         },
         (decision) => {
           context.signal.removeEventListener('abort', abort);
@@ -105,7 +111,13 @@
     if (reader === undefined) return placed(generating, kept);
     const reading = context.find(reader);
     if (reading === undefined) return exclude(reader);
-    return readAt(reading, generating, LEAST_READ_LIMIT_MS + READ_PATIENCE * expectedReadMs);
+    return readAt(reading, generating, resolveReadLimit(expectedReadMs));
+  }
+
+  /** How long a read may take: of an engine whose pace is unknown, as long as it can be of use. */
+  function resolveReadLimit(expectedMs: number | undefined): number {
+    if (expectedMs === undefined) return context.timeLeftMs() * UNKNOWN_READ_SHARE;
+    return LEAST_READ_LIMIT_MS + READ_PATIENCE * expectedMs;
   }
 
   function exclude(id: string): Promise<Placing> {
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -42,6 +42,8 @@
   requestId: string | undefined;
   service: string;
   rank: number;
+  /** Longest pause between two events, in milliseconds. */
+  pauseMs: number;
   isReturn: boolean;
   signal: AbortSignal;
   aimLeftMs(): number;
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -132,6 +132,7 @@
     requestId,
     service,
     rank: route.rank,
+    pauseMs: route.pauseMs,
     isReturn: parts.waits.isReturn(route.name, head.waitMs),
     signal: giveUp.signal,
     aimLeftMs: () => route.aimMs - (clock.now() - arrivedAt),
--- a/src/routing/route.ts
+++ b/src/routing/route.ts
@@ -29,6 +29,8 @@
   timeoutMs: number;
   /** Time until the answer, or the first event of a stream, within which it is on time, in ms. */
   aimMs: number;
+  /** Longest pause between two events of a stream within which it is on time, in milliseconds. */
+  pauseMs: number;
   /** Rank among routes; 0 is served first. */
   rank: number;
   targets: readonly Target[];
--- a/src/scheduling/generating-engines.ts
+++ b/src/scheduling/generating-engines.ts
@@ -4,6 +4,7 @@
  * KV caches cross zones slowly.
  */
 import type { RegisteredServer } from '../fleet/index.js';
+import { OTHER_ZONE_MS } from './policy.js';
 
 /** How many requests a generating engine is given, as a share of its slots: a few wait at the engine
  * itself, most urgent first, so that a slot never stands empty. Less urgent ones do not count, since
@@ -16,6 +17,9 @@
 /** How much longer a KV cache takes to another availability zone, in terms of running requests:
  * a nearer engine is preferred unless it runs so many more. */
 const ZONE_PREFERENCE = 2;
+/** What a millisecond weighs that an engine is taken by reads and transfers, in running requests: as
+ * the two weigh against another availability zone. */
+const BUSY_WEIGHT = ZONE_PREFERENCE / OTHER_ZONE_MS;
 
 /** Follows the engines that generate. */
 export interface GeneratingEngines {
@@ -25,12 +29,16 @@
    * @param engines those that may be chosen
    * @param zone where the prompt is, or where the caller's gateway is
    * @param rank rank of the request's route
+   * @param busyMs time for which an engine is taken by reads and transfers, in milliseconds
    */
   choose(
     engines: readonly RegisteredServer[],
     zone: string,
     rank: number,
+    busyMs: (id: string) => number,
   ): RegisteredServer | undefined;
+  /** Whether an engine is to get no more requests of a rank. */
+  isFull(engine: RegisteredServer, rank: number): boolean;
   /** Requests that an engine was given and that have not ended. */
   running(id: string): number;
   start(id: string, rank: number): void;
@@ -64,11 +72,13 @@
   }
 
   return {
-    choose(engines, zone, rank) {
+    isFull,
+    choose(engines, zone, rank, busyMs) {
       let best: RegisteredServer | undefined;
       let bestLoad = Number.POSITIVE_INFINITY;
       for (const engine of engines) {
-        const load = running(engine.id) + (engine.zone === zone ? 0 : ZONE_PREFERENCE);
+        const distance = engine.zone === zone ? 0 : ZONE_PREFERENCE;
+        const load = running(engine.id) + distance + BUSY_WEIGHT * busyMs(engine.id);
         if (load >= bestLoad || isFull(engine, rank)) continue;
         best = engine;
         bestLoad = load;
--- a/src/scheduling/job.ts
+++ b/src/scheduling/job.ts
@@ -17,6 +17,8 @@
   }),
   /** Rank of its route; engines admit requests of rank 0 first. */
   rank: z.number().default(0),
+  /** Longest pause between two events within which the answer is on time, in milliseconds. */
+  pauseMs: z.number().default(Number.POSITIVE_INFINITY),
   /** Time until the first event is late, in milliseconds from when this was sent. */
   aimLeftMs: z.number(),
   /** Time until the answer is of no use, in milliseconds from when this was sent. */
@@ -29,6 +31,8 @@
   zone: z.string(),
   /** Engines that this request was already sent to in vain. */
   excluded: z.array(z.string()).readonly(),
+  /** Engines that its gateway leaves alone for now; they are used where there are no others. */
+  avoided: z.array(z.string()).readonly().default([]),
 });
 
 /** A request that asks for engines. */
@@ -39,8 +43,9 @@
   reader: z.string().optional(),
   /** The engine that generates. */
   generator: z.string(),
-  /** How long the reader is expected to take, with what it was given before, in milliseconds. */
-  expectedReadMs: z.number().default(0),
+  /** How long the reader is expected to take, with what it was given before, in milliseconds; absent
+   * while nothing is known of its pace. */
+  expectedReadMs: z.number().optional(),
 });
 
 /** Engines for one request. */
--- /dev/null
+++ b/src/scheduling/policy.ts
@@ -0,0 +1,44 @@
+/**
+ * The mechanisms by which requests are placed, each of which can be switched off to measure what it is
+ * worth, and the figures that are no property of an engine, a mix or a fleet.
+ */
+
+/** Mechanisms that can be switched off. */
+export interface SchedulingMechanisms {
+  /** Engines that generate read prompts themselves where that is sooner. */
+  directReads: boolean;
+  /** First attempts that will be late wait for what time is left. */
+  lateFirstAttempts: boolean;
+  /** What waits is ordered by deadline; otherwise by arrival. */
+  deadlineOrder: boolean;
+  /** A prompt waits for the engine that has parts of it cached. */
+  cacheAffinity: boolean;
+  /** The margin of what counts as on time follows how far predictions were off. */
+  learntMargin: boolean;
+}
+
+/** Everything on. */
+export const allMechanisms: SchedulingMechanisms = {
+  directReads: true,
+  lateFirstAttempts: true,
+  deadlineOrder: true,
+  cacheAffinity: true,
+  learntMargin: true,
+};
+
+/** Reads that an engine was given are to take so long at most before it gets another one, in ms: some
+ * ways there and back between gateways and their processors' turns, so that it never stands idle
+ * while prompts wait, and no more, since what it was given cannot be reordered. */
+export const COMMITTED_MS = 25;
+/** What a millisecond of an engine's time weighs against a millisecond until the first event: what is
+ * read in vain by one is missing for the next. */
+export const ENGINE_TIME_WEIGHT = 1;
+/** What reading in another availability zone weighs, in milliseconds until the first event: the bytes
+ * that cross zones are charged. */
+export const OTHER_ZONE_MS = 8;
+/** How many times the expected time must be left for a request that will be late: waits behind
+ * punctual requests vary by as much as they last. */
+export const LATE_SAFETY = 2;
+/** Part of the longest pause between events that reads at an engine may take from those that generate
+ * there: the rest is left for their own steps and for what was not foreseen. */
+export const PAUSE_SHARE = 0.5;
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -24,7 +24,7 @@
 export interface ServerStandIn {
   id: string;
   address: string;
-  /** Requests so far, without health checks and reports. */
+  /** Requests so far, without health checks, reports and lists of cached parts. */
   received(): readonly ReceivedRequest[];
   /** Orders so far. */
   orders(): readonly Record<string, unknown>[];
@@ -41,6 +41,8 @@
   /** Events that each stream has. */
   events?: number;
   role?: 'prefill' | 'decode';
+  /** Parts of prompts that an engine says it has cached, with their tokens. */
+  cached?: readonly (readonly [id: string, tokens: number])[];
 }
 
 /**
@@ -87,6 +89,9 @@
     if (path === '/report') {
       const report = { stage: terms.role ?? 'decode', busy: false, sequence: orders.length };
       response.writeHead(200).end(JSON.stringify(report));
+    } else if (path === '/kv-list') {
+      const held = (terms.cached ?? []).map(([id, tokens]) => ['', id, tokens, 'm']);
+      response.writeHead(200).end(JSON.stringify({ epoch: 1, next: 0, held }));
     } else if (path === '/order') {
       orders.push(JSON.parse(body.toString('utf8')) as Record<string, unknown>);
       response.writeHead(202).end();
--- a/test/routing/routing.test.ts
+++ b/test/routing/routing.test.ts
@@ -17,6 +17,7 @@
     isStream: false,
     isResumable: false,
     timeoutMs: 1_000,
+    pauseMs: 200,
     aimMs: 100,
     rank: 0,
     targets: [{ service: 'pages', weight: 1 }],
--- /dev/null
+++ b/test/scheduling/paces.test.ts
@@ -0,0 +1,94 @@
+import { expect } from 'chai';
+import { createPaces, hasMoved } from '../../src/scheduling/index.js';
+import { createPace, resolveReadingWork } from '../../src/scheduling/pace.js';
+
+/** What an engine takes for a read, by the terms that engines have. */
+function takes(unread: number, cached: number, tokensPerMs: number): number {
+  const { tokens, pairs } = resolveReadingWork(unread, cached);
+  return 5 + tokens / tokensPerMs + 0.367 * (pairs / 1_000_000);
+}
+
+const READS: readonly (readonly [unread: number, cached: number])[] = [
+  [3_700, 13_300],
+  [2_900, 6_300],
+  [1_100, 350],
+  [12_000, 0],
+  [900, 25_000],
+];
+
+describe('the pace of engines', () => {
+  for (const tokensPerMs of [30, 64, 300, 600]) {
+    it(`is known within a fifth after ten reads at ${tokensPerMs} tokens a ms`, () => {
+      const pace = createPace();
+      for (let index = 0; index < 10; index += 1) {
+        const [unread, cached] = READS[index % READS.length] ?? [0, 0];
+        pace.learn(resolveReadingWork(unread, cached), takes(unread, cached, tokensPerMs));
+      }
+      for (const [unread, cached] of READS) {
+        const expected = takes(unread, cached, tokensPerMs);
+        const found = pace.expectMs(resolveReadingWork(unread, cached));
+        expect(found).to.be.within(expected * 0.8 - 3, expected * 1.2 + 3);
+      }
+    });
+  }
+
+  it('is not changed by one engine that stands still', () => {
+    const pace = createPace();
+    const work = resolveReadingWork(4_000, 0);
+    for (let index = 0; index < 20; index += 1) {
+      pace.learn(work, 60);
+    }
+    pace.learn(work, 4_000);
+    expect(pace.expectMs(work)).to.be.below(80);
+  });
+
+  it('follows engines that all become slower', () => {
+    const pace = createPace();
+    const work = resolveReadingWork(4_000, 0);
+    for (let index = 0; index < 20; index += 1) {
+      pace.learn(work, 60);
+    }
+    for (let index = 0; index < 60; index += 1) {
+      pace.learn(work, 180);
+    }
+    expect(pace.expectMs(work)).to.be.above(150);
+  });
+
+  it('never says that more to read takes less', () => {
+    const pace = createPace();
+    for (const [unread, cached] of READS) {
+      pace.learn(resolveReadingWork(unread, cached), 0);
+    }
+    const less = pace.expectMs(resolveReadingWork(1_000, 5_000));
+    expect(pace.expectMs(resolveReadingWork(6_000, 0))).to.be.at.least(less);
+  });
+});
+
+describe('what is passed on of paces', () => {
+  it('is taken over by a gateway that knows less, and by no other', () => {
+    const [first, second] = [createPaces(), createPaces()];
+    const work = resolveReadingWork(4_000, 0);
+    first.learnRead('prefill', work, 60);
+    second.adopt(first.snapshot());
+    expect(second.isKnown()).to.equal(true);
+    expect(second.expectReadMs('prefill', work)).to.be.closeTo(60, 10);
+    second.learnRead('prefill', work, 100);
+    const own = second.expectReadMs('prefill', work);
+    second.adopt(first.snapshot());
+    expect(second.expectReadMs('prefill', work)).to.equal(own);
+  });
+
+  it('is worth writing down when it has moved by a tenth', () => {
+    const paces = createPaces();
+    const work = resolveReadingWork(4_000, 0);
+    paces.learnRead('prefill', work, 60);
+    const earlier = paces.snapshot();
+    expect(hasMoved(undefined, earlier)).to.equal(true);
+    paces.learnRead('prefill', work, 61);
+    expect(hasMoved(earlier, paces.snapshot())).to.equal(false);
+    for (let index = 0; index < 30; index += 1) {
+      paces.learnRead('prefill', work, 120);
+    }
+    expect(hasMoved(earlier, paces.snapshot())).to.equal(true);
+  });
+});
