feat(scheduling): late requests by the spare time, engine time by its scarcity

Mechanisms can be switched off (--without=...).

feat(roles): engines that generating does not need read prompts

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -22,7 +22,12 @@
 } from '../relay/index.js';
 import { createOrderLease, createRoleKeeper, type RoleOrders } from '../roles/index.js';
 import { createRoutingReplica, type RoutingDocument, type Service } from '../routing/index.js';
-import { createJobSubmitter, type CacheLists } from '../scheduling/index.js';
+import {
+  allMechanisms,
+  createJobSubmitter,
+  type CacheLists,
+  type SchedulingMechanisms,
+} from '../scheduling/index.js';
 import { wait, type Clock, type RandomSource } from '../task/index.js';
 import { resolveFronts } from './directory.js';
 import { createStoreWatch } from './follow.js';
@@ -77,6 +82,8 @@
   random: RandomSource;
   log: BoundedLog;
   metrics: GatewayMetrics;
+  /** Mechanisms of placing; all where absent. */
+  mechanisms?: SchedulingMechanisms;
 }
 
 /** A running gateway. */
@@ -131,6 +138,7 @@
       fleet.available(service).filter(({ id }) => health.isUsable(id) && !keeper.isChanging(id)),
     cacheTokens: (service) => findService(service)?.engine?.cacheTokens ?? 0,
     caches: platform.caches,
+    mechanisms: parts.mechanisms ?? allMechanisms,
   });
   const submitter = createJobSubmitter({
     clock,
@@ -188,6 +196,7 @@
     orders: platform.roleOrders,
     services: ownServices,
     engines: (service) => fleet.available(service),
+    generatingLoad: (service) => schedulers.local(service).generatingLoad(),
     roleChangeMs: (service) => findService(service)?.engine?.roleChangeMs ?? 0,
   });
   const relay: RelayParts = {
@@ -322,6 +331,7 @@
   keeper.start();
   log.write('gatewayStarted', {
     zone,
+    without: listOff(parts.mechanisms ?? allMechanisms),
     callers: formatAddress(settings.callers),
     startMs: Math.round(clock.now()),
   });
@@ -368,6 +378,15 @@
   return { stop, reconfigure };
 }
 
+/** Names of the mechanisms that are switched off. */
+function listOff(mechanisms: SchedulingMechanisms): string[] {
+  const off: string[] = [];
+  for (const [name, isOn] of Object.entries(mechanisms)) {
+    if (!isOn) off.push(name);
+  }
+  return off;
+}
+
 function formatAddress({ host, port }: ListenAddress): string {
   return `${host}:${port}`;
 }
--- a/src/gateway/schedulers.ts
+++ b/src/gateway/schedulers.ts
@@ -6,7 +6,6 @@
 import type { RegisteredServer } from '../fleet/index.js';
 import type { Peer } from '../peers/index.js';
 import {
-  allMechanisms,
   createPaces,
   createScheduler,
   resolveHolder,
@@ -15,6 +14,7 @@
   type PacesSnapshot,
   type Scheduler,
   type SchedulingGateway,
+  type SchedulingMechanisms,
 } from '../scheduling/index.js';
 import type { Clock } from '../task/index.js';
 
@@ -32,6 +32,7 @@
   /** Tokens that the cache of one engine holds. */
   cacheTokens(service: string): number;
   caches: CacheLists;
+  mechanisms: SchedulingMechanisms;
 }
 
 /** The schedulers of a gateway. */
@@ -101,7 +102,7 @@
       const created = createScheduler({
         clock,
         log,
-        mechanisms: allMechanisms,
+        mechanisms: parts.mechanisms,
         paces: pacesOf(service),
         engines: () => parts.engines(service),
         cacheTokens: () => parts.cacheTokens(service),
--- a/src/roles/keeper.ts
+++ b/src/roles/keeper.ts
@@ -27,6 +27,8 @@
   /** Services with engines that this gateway schedules. */
   services(): readonly string[];
   engines(service: string): readonly RegisteredServer[];
+  /** Work of generating, in engines that it would keep busy; `undefined` where it is not known. */
+  generatingLoad(service: string): number | undefined;
   /** How long an engine is away while its role changes, in milliseconds. */
   roleChangeMs(service: string): number;
 }
@@ -81,7 +83,7 @@
   async function look(): Promise<void> {
     settle();
     for (const service of parts.services()) {
-      const changes = resolveChanges(expected(service));
+      const changes = resolveChanges(expected(service), parts.generatingLoad(service));
       if (changes.length === 0) {
         deviatesSince.delete(service);
         continue;
--- a/src/roles/plan.ts
+++ b/src/roles/plan.ts
@@ -5,8 +5,17 @@
  */
 import type { EngineRole, RegisteredServer } from '../fleet/index.js';
 
-/** Share of the engines that read prompts. */
+/** Share of the engines that read prompts while nothing is known of the demand, and the least share:
+ * generating may turn out to need the rest. */
 const READING_SHARE = 0.62;
+/** Load up to which engines that generate are to be used: bursts of long answers and transfers that
+ * come together are several times the mean. */
+const GENERATING_LOAD = 0.25;
+/** Engines that generate at least, where there are enough: with a single one, all ends when it does. */
+const LEAST_GENERATING = 2;
+/** Part of the engines by which the split must be off before it is changed for the demand: an engine is
+ * away for seconds while it changes. */
+const WORTH_CHANGING_SHARE = 0.1;
 
 /** One change of a role. */
 export interface RoleChange {
@@ -15,13 +24,19 @@
 }
 
 /**
- * Number of engines that are to read prompts.
+ * Number of engines that are to read prompts. Where few engines would do for generating, the others
+ * read as well: reading is what bursts ask for, and every engine that reads adds its cache.
  *
  * @param engines how many there are
+ * @param generatingLoad work of generating, in engines that it would keep busy; `undefined` where it
+ * is not known
  */
-export function resolveReaders(engines: number): number {
+export function resolveReaders(engines: number, generatingLoad?: number): number {
   if (engines < 2) return 0;
-  return Math.min(engines - 1, Math.max(1, Math.round(engines * READING_SHARE)));
+  const readers = Math.min(engines - 1, Math.max(1, Math.round(engines * READING_SHARE)));
+  if (generatingLoad === undefined) return readers;
+  const generating = Math.max(LEAST_GENERATING, Math.ceil(generatingLoad / GENERATING_LOAD));
+  return Math.max(readers, engines - generating);
 }
 
 /**
@@ -29,10 +44,22 @@
  * the role in excess gives one up first, so that both roles stay spread over the zones.
  *
  * @param engines engines of a service with the role that each has or is about to have
+ * @param generatingLoad work of generating, in engines that it would keep busy; `undefined` where it
+ * is not known
  */
-export function resolveChanges(engines: readonly RegisteredServer[]): RoleChange[] {
+export function resolveChanges(
+  engines: readonly RegisteredServer[],
+  generatingLoad?: number,
+): RoleChange[] {
   const readers = engines.filter(({ role }) => role === 'prefill');
-  const surplus = readers.length - resolveReaders(engines.length);
+  const surplus = readers.length - resolveReaders(engines.length, generatingLoad);
+  const isUsual = readers.length >= resolveReaders(engines.length);
+  const generating = engines.length - readers.length;
+  if (isUsual && generating >= Math.min(LEAST_GENERATING, engines.length - 1)) {
+    // a gateway that has just begun to schedule leaves the split as another one chose it
+    if (generatingLoad === undefined) return [];
+    if (Math.abs(surplus) < WORTH_CHANGING_SHARE * engines.length) return [];
+  }
   const role: EngineRole = surplus > 0 ? 'decode' : 'prefill';
   const pool = engines.filter((engine) => engine.role !== undefined && engine.role !== role);
   const changes: RoleChange[] = [];
--- a/src/scheduling/admission.ts
+++ b/src/scheduling/admission.ts
@@ -5,7 +5,7 @@
  * costs the fleet least; what cannot waits for spare time if that is likely to come; the rest is
  * turned away at once and told when there will be room.
  */
-import { ENGINE_TIME_WEIGHT, LATE_SAFETY } from './policy.js';
+import { ENGINE_TIME_WEIGHT, LATE_SAFETY, MOST_ENGINE_TIME_WEIGHT } from './policy.js';
 
 /** What reading a prompt at one engine would mean; times in milliseconds. */
 export interface Prospect {
@@ -35,6 +35,8 @@
   /** Time by which predictions are usually exceeded, in milliseconds. */
   marginMs: number;
   mayBeLate: boolean;
+  /** Part of the engines' time that is left beside what is on time. */
+  spareShare: number;
 }
 
 /** Shortest time after which a refused caller is told to come back, in ms: several ways there and
@@ -53,11 +55,10 @@
   options: readonly Option[],
   demand: Demand,
 ): Admission<Option> {
-  const punctual = findBest(options, (option) => isPunctual(option, demand), scoreOf);
-  if (punctual !== undefined) return { kind: 'punctual', option: punctual };
-  const late = demand.mayBeLate
-    ? findBest(options, (option) => isOfUse(option, demand), lateScoreOf)
-    : undefined;
+  const best = findBest(options, (option) => scoreOf(option, demand));
+  if (best !== undefined && isPunctual(best, demand)) return { kind: 'punctual', option: best };
+  const ofUse = demand.mayBeLate ? options.filter((option) => isOfUse(option, demand)) : [];
+  const late = findBest(ofUse, (option) => scoreOf(option, demand) + option.lateMs);
   if (late !== undefined) return { kind: 'late', option: late };
   return resolveDecline(options, demand);
 }
@@ -71,28 +72,34 @@
   return !option.harmsOthers && resolveReadyMs(option) + marginMs <= aimLeftMs;
 }
 
-function isOfUse(option: Prospect, { timeLeftMs, marginMs }: Demand): boolean {
-  const expectedMs = option.waitMs + option.lateMs + option.readMs + option.restMs;
-  return LATE_SAFETY * expectedMs + marginMs <= timeLeftMs;
+function isOfUse(option: Prospect, demand: Demand): boolean {
+  const expectedMs = resolveLateReadyMs(option, demand.spareShare);
+  return LATE_SAFETY * expectedMs + demand.marginMs <= demand.timeLeftMs;
 }
 
-function scoreOf(option: Prospect): number {
-  return resolveReadyMs(option) + ENGINE_TIME_WEIGHT * option.readMs + option.surchargeMs;
+/** Time until the first event of a request that is read in spare time. */
+export function resolveLateReadyMs(option: Prospect, spareShare: number): number {
+  const { waitMs, lateMs, readMs, restMs } = option;
+  return (waitMs + lateMs) / spareShare + readMs + restMs;
 }
 
-function lateScoreOf(option: Prospect): number {
-  return scoreOf(option) + option.lateMs;
+/**
+ * What a place costs: the time until the first event, and the engine's time, which is dearer the less
+ * of it is left. A request takes the cheapest place or none: going on to the next one in overload,
+ * where all parts have to be read again, takes the time of two other requests for one.
+ */
+function scoreOf(option: Prospect, { spareShare }: Demand): number {
+  const weight = Math.min(MOST_ENGINE_TIME_WEIGHT, ENGINE_TIME_WEIGHT / spareShare);
+  return resolveReadyMs(option) + weight * option.readMs + option.surchargeMs;
 }
 
 function findBest<Option>(
   options: readonly Option[],
-  isFit: (option: Option) => boolean,
   score: (option: Option) => number,
 ): Option | undefined {
   let best: Option | undefined;
   let bestScore = Number.POSITIVE_INFINITY;
   for (const option of options) {
-    if (!isFit(option)) continue;
     const found = score(option);
     if (found >= bestScore) continue;
     best = option;
@@ -104,7 +111,7 @@
 /** The caller comes back when the shortest queue has drained as far as it has to. */
 function resolveDecline(
   options: readonly Prospect[],
-  { aimLeftMs, timeLeftMs, marginMs }: Demand,
+  { aimLeftMs, timeLeftMs, marginMs, spareShare }: Demand,
 ): Admission<never> {
   let backlogMs = Number.POSITIVE_INFINITY;
   let surplusMs = Number.POSITIVE_INFINITY;
@@ -112,7 +119,7 @@
     backlogMs = Math.min(backlogMs, option.waitMs);
     surplusMs = Math.min(surplusMs, resolveReadyMs(option) + marginMs - aimLeftMs);
   }
-  const drainedMs = Math.max(MIN_RETRY_AFTER_MS, surplusMs * 2);
+  const drainedMs = Math.max(MIN_RETRY_AFTER_MS, surplusMs / spareShare);
   return {
     kind: 'declined',
     retryAfterMs: Math.min(timeLeftMs * MAX_WAIT_SHARE, drainedMs),
--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -3,12 +3,16 @@
  * worth, and the figures that are no property of an engine, a mix or a fleet.
  */
 
+import { Err, Ok, type Result } from 'ts-results-es';
+
 /** Mechanisms that can be switched off. */
 export interface SchedulingMechanisms {
   /** Engines that generate read prompts themselves where that is sooner. */
   directReads: boolean;
   /** First attempts that will be late wait for what time is left. */
   lateFirstAttempts: boolean;
+  /** Waits of late requests, and times to come back, follow the time that is left beside others. */
+  spareTime: boolean;
   /** What waits is ordered by deadline; otherwise by arrival. */
   deadlineOrder: boolean;
   /** A prompt waits for the engine that has parts of it cached. */
@@ -17,10 +21,33 @@
   learntMargin: boolean;
 }
 
+/**
+ * Switches mechanisms off.
+ *
+ * @param names names of mechanisms, joined by commas; empty for none
+ * @returns the first name that is none, with those that there are
+ */
+export function parseWithout(names: string): Result<SchedulingMechanisms, string> {
+  const mechanisms = { ...allMechanisms };
+  for (const name of names.split(',')) {
+    if (name === '') continue;
+    if (!isMechanism(name)) {
+      return Err(`${name} is no mechanism; there are ${Object.keys(allMechanisms).join(', ')}`);
+    }
+    mechanisms[name] = false;
+  }
+  return Ok(mechanisms);
+}
+
+function isMechanism(name: string): name is keyof SchedulingMechanisms {
+  return Object.hasOwn(allMechanisms, name);
+}
+
 /** Everything on. */
 export const allMechanisms: SchedulingMechanisms = {
   directReads: true,
   lateFirstAttempts: true,
+  spareTime: true,
   deadlineOrder: true,
   cacheAffinity: true,
   learntMargin: true,
@@ -33,6 +60,9 @@
 /** What a millisecond of an engine's time weighs against a millisecond until the first event: what is
  * read in vain by one is missing for the next. */
 export const ENGINE_TIME_WEIGHT = 1;
+/** The same at most, where engines have no time left: prompts still leave an engine whose queue is
+ * several reads longer than another's. */
+export const MOST_ENGINE_TIME_WEIGHT = 4;
 /** What reading in another availability zone weighs, in milliseconds until the first event: the bytes
  * that cross zones are charged. */
 export const OTHER_ZONE_MS = 8;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -10,16 +10,29 @@
 import type { Log } from '../events/index.js';
 import type { EngineRole, HealthOutcome, RegisteredServer } from '../fleet/index.js';
 import type { Clock, Timer } from '../task/index.js';
-import { resolveAdmission, resolveReadyMs, type Prospect } from './admission.js';
+import {
+  resolveAdmission,
+  resolveLateReadyMs,
+  resolveReadyMs,
+  type Prospect,
+} from './admission.js';
 import type { CacheLists } from './cached-parts.js';
 import { createEngineModel, type EngineModel } from './engine-model.js';
 import { createEngineWatch } from './engine-watch.js';
+import { createGeneratingLoad } from './generating-load.js';
 import { createGeneratingEngines } from './generating-engines.js';
 import type { Decision, DeclineReason, EnginePlacement, Job } from './job.js';
 import { createMargin } from './margin.js';
 import type { Work } from './pace.js';
 import type { Paces } from './paces.js';
-import { COMMITTED_MS, OTHER_ZONE_MS, PAUSE_SHARE, type SchedulingMechanisms } from './policy.js';
+import {
+  COMMITTED_MS,
+  LATE_SAFETY,
+  OTHER_ZONE_MS,
+  PAUSE_SHARE,
+  type SchedulingMechanisms,
+} from './policy.js';
+import { createSpareTime } from './spare-time.js';
 import { createReadingQueue, type ReadingQueue, type WaitingPrompt } from './reading-queue.js';
 
 /** What a scheduler needs. */
@@ -54,6 +67,11 @@
   finished(job: string, outcome?: HealthOutcome): void;
   /** An engine is gone for good. */
   forget(engine: string): void;
+  /**
+   * Work of generating, in engines that it would keep busy: the most of the last minute; `undefined`
+   * while too little was seen.
+   */
+  generatingLoad(): number | undefined;
   /** Requests that were submitted and have not ended. */
   size(): number;
 }
@@ -113,6 +131,8 @@
   const generators = createGeneratingEngines();
   const watch = createEngineWatch(clock, log);
   const margin = createMargin();
+  const spareTime = createSpareTime();
+  const generatingLoad = createGeneratingLoad();
 
   function modelOf(id: string): EngineModel {
     const known = models.get(id);
@@ -300,6 +320,12 @@
     return entry;
   }
 
+  /** Part of their time that engines which may read a prompt have left beside what is on time. */
+  function spareShare(job: Job): number {
+    if (!mechanisms.spareTime) return 1;
+    return spareTime.share(listCandidates(job, 'prefill').length, clock.now());
+  }
+
   function marginMs(): number {
     return mechanisms.learntMargin ? margin.marginMs() : 0;
   }
@@ -318,6 +344,7 @@
       timeLeftMs: job.timeLeftMs - spentMs,
       marginMs: marginMs(),
       mayBeLate: job.isReturn || mechanisms.lateFirstAttempts,
+      spareShare: spareShare(job),
     });
     if (admission.kind === 'declined') {
       decline(entry, 'cannot-be-on-time', admission.retryAfterMs, admission.backlogMs);
@@ -325,7 +352,10 @@
     }
     const { option } = admission;
     entry.predictedAt = clock.now() + resolveReadyMs(option);
-    if (admission.kind === 'late') makeLate(entry);
+    if (admission.kind === 'late') {
+      makeLate(entry);
+      entry.predictedAt = clock.now() + resolveLateReadyMs(option, spareShare(job));
+    }
     if (option.isDirect) placeDirectly(entry, option.server);
     else enqueue(entry, option.engine);
   }
@@ -342,9 +372,14 @@
     advance(engine);
   }
 
-  /** A late request is turned away once it could no longer end within its deadline. */
+  /**
+   * A late request is turned away once it could no longer end within its deadline, or has waited much
+   * longer than it was expected to: spare time does not come then, and its caller should know.
+   */
   function expireInTime(entry: Entry): void {
-    entry.expiry = clock.after(Math.max(0, latestStartMs(entry)), () => {
+    const predictedMs = LATE_SAFETY * (entry.predictedAt - clock.now());
+    const waitMs = Math.min(latestStartMs(entry), Math.max(0, predictedMs));
+    entry.expiry = clock.after(Math.max(0, waitMs), () => {
       if (entry.stage !== 'waiting' || !entries.has(entry.job.id)) return;
       leaveQueue(entry);
       turnAway(entry);
@@ -422,7 +457,10 @@
       return;
     }
     makeLate(entry);
-    queueOf(engine.id).add(entry);
+    const queue = queueOf(engine.id);
+    const aheadMs = engine.reads.remainingMs(clock.now()) + queue.lateMs();
+    entry.predictedAt = clock.now() + aheadMs / spareShare(entry.job) + entry.expectMs();
+    queue.add(entry);
     expireInTime(entry);
   }
 
@@ -443,6 +481,7 @@
       return;
     }
     entry.stage = 'reading';
+    if (!entry.isLate) spareTime.note(entry.expectMs(), clock.now());
     engine.startRead(job.id, 'prefill', job.prompt, clock.now());
     const isPaceKnown = paces.isKnown();
     const expectedReadMs = isPaceKnown ? engine.reads.remainingMs(clock.now()) : undefined;
@@ -475,6 +514,7 @@
     const engine = modelOf(generator);
     entry.engine = engine;
     entry.stage = 'transferred';
+    generatingLoad.noteTransfer(paces.transfer.expectMs(resolveTransfer(job, false)), clock.now());
     engine.startTransfer(job.id, job.prompt, resolveTransfer(job, isOtherZone), clock.now());
     watch.expect(job.id, generator, engine.transfers.remainingMs(clock.now()));
   }
@@ -485,6 +525,7 @@
     entry.placedAt = clock.now();
     entry.expiry?.cancel();
     generators.start(placement.generator, job.rank);
+    noteLoad();
     log.write('requestPlaced', {
       request: job.requestId,
       ...placement,
@@ -498,6 +539,14 @@
     entry.decided({ kind: 'placed', placement });
   }
 
+  function noteLoad(): void {
+    let running = 0;
+    for (const engine of parts.engines()) {
+      if (engine.role === 'decode') running += generators.running(engine.id) / engine.slots;
+    }
+    generatingLoad.note(running, clock.now());
+  }
+
   function findServer(id: string): RegisteredServer | undefined {
     for (const engine of parts.engines()) {
       if (engine.id === id) return engine;
@@ -579,6 +628,7 @@
       wakeUps.get(engine)?.cancel();
       wakeUps.delete(engine);
     },
+    generatingLoad: () => generatingLoad.peak(clock.now()),
     size: () => entries.size,
   };
 }
--- a/test/roles/roles.test.ts
+++ b/test/roles/roles.test.ts
@@ -21,6 +21,25 @@
 }
 
 describe('the split of engines', () => {
+  it('lets engines read that generating does not need, but two', () => {
+    expect(resolveReaders(60, 2)).to.equal(52);
+    expect(resolveReaders(60, 0.1)).to.equal(58);
+    expect(resolveReaders(6, 0.1)).to.equal(4);
+  });
+
+  it('never takes engines from generating that the usual split gives it, for lack of knowledge', () => {
+    const roles = [
+      'prefill',
+      'prefill',
+      'prefill',
+      'prefill',
+      'prefill',
+      'decode',
+      'decode',
+    ] as const;
+    expect(resolveChanges(engines(roles))).to.deep.equal([]);
+  });
+
   it('always leaves an engine that generates, and one that reads where there are two', () => {
     for (let count = 2; count < 60; count += 1) {
       expect(resolveReaders(count)).to.be.within(1, count - 1);
