--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -251,7 +251,7 @@
 
   it('turns late requests away at once while engines have no time beside what is on time', async () => {
     const { submit, scheduler, advance } = setUp(ONE_READER, QUEUES_ONLY);
-    for (let index = 0; index < 60; index += 1) {
+    for (let index = 0; index < 300; index += 1) {
       const punctual = job({}, `on-time-${index}`);
       submit(punctual);
       await advance(20);
