feat(replay): play patterns of load against the scheduler in virtual time

The decisions are the product's own; engines are emulated by their published behaviour (serial reads with a term for pairs, least recently used caches, steps that reading chunks lengthens, links that take one transfer after another). Mechanisms can now also be switched off for cache lists, kept paces and the split by demand.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -102,6 +102,7 @@
 export async function startGateway(parts: GatewayParts): Promise<Gateway> {
   const { settings, platform, clock, random, log, metrics } = parts;
   const { node, zone } = settings;
+  const mechanisms = parts.mechanisms ?? allMechanisms;
   const ending = new AbortController();
   let isLeaving = false;
   let leavingAt = Number.POSITIVE_INFINITY;
@@ -138,7 +139,7 @@
       fleet.available(service).filter(({ id }) => health.isUsable(id) && !keeper.isChanging(id)),
     cacheTokens: (service) => findService(service)?.engine?.cacheTokens ?? 0,
     caches: platform.caches,
-    mechanisms: parts.mechanisms ?? allMechanisms,
+    mechanisms,
   });
   const submitter = createJobSubmitter({
     clock,
@@ -177,7 +178,7 @@
       routes: routes.version(),
       fleet: fleet.revision(),
       isFollowing: watch.isReached() && isFollower(viewFollowers()),
-      paces: Object.fromEntries(schedulers.learnt()),
+      paces: mechanisms.keptPaces ? Object.fromEntries(schedulers.learnt()) : {},
     }),
     received: peering.received,
     lost: peering.lost,
@@ -320,18 +321,19 @@
     found: mesh.learn,
   });
   void publishing.done;
-  void keepPaces({
-    table: platform.table,
-    clock,
-    log,
-    signal: ending.signal,
-    learnt: schedulers.learnt,
-    adopt: schedulers.adopt,
-  });
+  if (mechanisms.keptPaces)
+    void keepPaces({
+      table: platform.table,
+      clock,
+      log,
+      signal: ending.signal,
+      learnt: schedulers.learnt,
+      adopt: schedulers.adopt,
+    });
   keeper.start();
   log.write('gatewayStarted', {
     zone,
-    without: listOff(parts.mechanisms ?? allMechanisms),
+    without: listOff(mechanisms),
     callers: formatAddress(settings.callers),
     startMs: Math.round(clock.now()),
   });
--- a/src/scheduling/admission.ts
+++ b/src/scheduling/admission.ts
@@ -12,6 +12,8 @@
   /** Until the engine starts on it. */
   waitMs: number;
   readMs: number;
+  /** Time of an engine that the choice goes by. */
+  weighedReadMs: number;
   /** From the end of the read to the first event. */
   restMs: number;
   /** What the place costs besides, as time. */
@@ -90,7 +92,8 @@
  */
 function scoreOf(option: Prospect, { spareShare }: Demand): number {
   const weight = Math.min(MOST_ENGINE_TIME_WEIGHT, ENGINE_TIME_WEIGHT / spareShare);
-  return resolveReadyMs(option) + weight * option.readMs + option.surchargeMs;
+  const { waitMs, weighedReadMs, restMs, surchargeMs } = option;
+  return waitMs + restMs + (1 + weight) * weighedReadMs + surchargeMs;
 }
 
 function findBest<Option>(
--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -15,8 +15,14 @@
   spareTime: boolean;
   /** What waits is ordered by deadline; otherwise by arrival. */
   deadlineOrder: boolean;
-  /** A prompt waits for the engine that has parts of it cached. */
+  /** The engine that reads is chosen by what it has cached; otherwise all seem to have nothing. */
   cacheAffinity: boolean;
+  /** A scheduler asks engines that it does not know what they have cached. */
+  cacheLists: boolean;
+  /** Paces of engines outlive the gateway that learnt them. */
+  keptPaces: boolean;
+  /** Engines that generating does not need read prompts. */
+  demandSplit: boolean;
   /** The margin of what counts as on time follows how far predictions were off. */
   learntMargin: boolean;
 }
@@ -50,6 +56,9 @@
   spareTime: true,
   deadlineOrder: true,
   cacheAffinity: true,
+  cacheLists: true,
+  keptPaces: true,
+  demandSplit: true,
   learntMargin: true,
 };
 
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -139,7 +139,7 @@
     if (known !== undefined) return known;
     const created = createEngineModel(id, parts.cacheTokens(), paces);
     models.set(id, created);
-    void learnCache(created);
+    if (mechanisms.cacheLists) void learnCache(created);
     return created;
   }
 
@@ -244,6 +244,7 @@
       isDirect: false,
       waitMs: startsInMs + queue.aheadMs(newcomer),
       readMs,
+      weighedReadMs: mechanisms.cacheAffinity ? readMs : 0,
       restMs,
       surchargeMs: distanceMs + probeMs,
       harmsOthers: queue.wouldDelay(newcomer, startsInMs, clock.now()),
@@ -253,12 +254,14 @@
 
   function weighDirect({ job }: Entry, server: RegisteredServer): Option {
     const engine = modelOf(server.id);
+    const readMs = engine.expectReadMs('decode', job.prompt);
     return {
       server,
       engine,
       isDirect: true,
       waitMs: engine.reads.remainingMs(clock.now()),
-      readMs: engine.expectReadMs('decode', job.prompt),
+      readMs,
+      weighedReadMs: mechanisms.cacheAffinity ? readMs : 0,
       restMs: 0,
       surchargeMs: server.zone === job.zone ? 0 : OTHER_ZONE_MS,
       harmsOthers: false,
@@ -628,7 +631,7 @@
       wakeUps.get(engine)?.cancel();
       wakeUps.delete(engine);
     },
-    generatingLoad: () => generatingLoad.peak(clock.now()),
+    generatingLoad: () => (mechanisms.demandSplit ? generatingLoad.peak(clock.now()) : undefined),
     size: () => entries.size,
   };
 }
--- a/test/scheduling/admission.test.ts
+++ b/test/scheduling/admission.test.ts
@@ -3,7 +3,7 @@
 
 function prospect(more: Partial<Prospect>): Prospect {
   const none = { waitMs: 0, readMs: 0, restMs: 0, surchargeMs: 0, lateMs: 0 };
-  return { ...none, harmsOthers: false, ...more };
+  return { ...none, weighedReadMs: more.readMs ?? 0, harmsOthers: false, ...more };
 }
 
 /** It has parts of the prompt cached, and a longer queue. */
--- a/tools/bench/settings.ts
+++ b/tools/bench/settings.ts
@@ -7,7 +7,7 @@
 import { serviceTimesSchema } from '../../stand-ins/model-engine/settings.js';
 
 /** A lognormal length, clamped. */
-const lengthSchema = z.strictObject({
+export const lengthSchema = z.strictObject({
   median: z.number().positive(),
   sigma: z.number().nonnegative(),
   min: z.number().int().positive(),
--- /dev/null
+++ b/tools/replay/main.ts
@@ -0,0 +1,88 @@
+/**
+ * `npm run replay -- [--pattern FILE] [--seeds N] [--without NAMES]`: plays patterns of load against the
+ * scheduler in virtual time and prints what became of the requests of each kind, over all seeds.
+ */
+import { readdirSync } from 'node:fs';
+import { join } from 'node:path';
+import { defineCommand, runMain } from 'citty';
+import { parseWithout, type SchedulingMechanisms } from '../../src/scheduling/index.js';
+import { readPattern, type Pattern } from './pattern.js';
+import { play, type Tally } from './replay.js';
+
+const PATTERN_FOLDER = 'replay';
+const WRONG_INPUT_EXIT = 2;
+
+function fail(message: string): never {
+  process.stderr.write(`${message}\n`);
+  process.exit(WRONG_INPUT_EXIT);
+}
+
+function listPatterns(path: string | undefined): string[] {
+  if (path !== undefined) return [path];
+  const files = readdirSync(PATTERN_FOLDER).filter((file) => file.endsWith('.json'));
+  return files.sort().map((file) => join(PATTERN_FOLDER, file));
+}
+
+async function playSeeds(
+  pattern: Pattern,
+  seeds: number,
+  mechanisms: SchedulingMechanisms,
+): Promise<Map<string, Tally>> {
+  const totals = new Map<string, Tally>();
+  for (let seed = 1; seed <= seeds; seed += 1) {
+    const { byKind } = await play(pattern, { seed, mechanisms });
+    for (const [kind, tally] of byKind) {
+      totals.set(kind, add(totals.get(kind), tally));
+    }
+  }
+  return totals;
+}
+
+function add(left: Tally | undefined, right: Tally): Tally {
+  if (left === undefined) return { ...right };
+  return {
+    asked: left.asked + right.asked,
+    onTime: left.onTime + right.onTime,
+    late: left.late + right.late,
+    refused: left.refused + right.refused,
+    failed: left.failed + right.failed,
+  };
+}
+
+function print(pattern: Pattern, totals: ReadonlyMap<string, Tally>): void {
+  process.stdout.write(`${pattern.name}\n`);
+  process.stdout.write('  kind               asked  on time   late  refused  failed\n');
+  for (const [kind, { asked, onTime, late, refused, failed }] of totals) {
+    const cells = [
+      kind.padEnd(17),
+      String(asked).padStart(7),
+      (onTime / asked).toFixed(3).padStart(8),
+      (late / asked).toFixed(3).padStart(6),
+      (refused / asked).toFixed(3).padStart(8),
+      (failed / asked).toFixed(3).padStart(7),
+    ];
+    process.stdout.write(`  ${cells.join(' ')}\n`);
+  }
+}
+
+const command = defineCommand({
+  meta: { name: 'replay', description: 'Plays patterns of load against the scheduler' },
+  args: {
+    pattern: { type: 'string', description: 'One pattern file; all of replay/ otherwise' },
+    seeds: { type: 'string', default: '3', description: 'How many seeds' },
+    without: { type: 'string', default: '', description: 'Mechanisms that are off' },
+  },
+  async run({ args }) {
+    const mechanisms = parseWithout(args.without);
+    if (mechanisms.isErr()) fail(`--without: ${mechanisms.error}`);
+    const seeds = Number(args.seeds);
+    if (!Number.isInteger(seeds) || seeds < 1) fail('--seeds: a whole number from 1 on');
+    for (const path of listPatterns(args.pattern)) {
+      const pattern = readPattern(path);
+      if (pattern.isErr()) fail(pattern.error);
+      print(pattern.value, await playSeeds(pattern.value, seeds, mechanisms.value));
+    }
+  },
+});
+
+await runMain(command);
--- /dev/null
+++ b/tools/replay/replay.ts
@@ -0,0 +1,234 @@
+/**
+ * Plays a pattern of load against the scheduler of a service, in virtual time: the decisions are the
+ * product's own, the engines are emulated. Callers that are turned away come back once, as told.
+ */
+import { Ok } from 'ts-results-es';
+import { createSilentLog } from '../../src/events/index.js';
+import type { RegisteredServer } from '../../src/fleet/index.js';
+import {
+  createPaces,
+  createScheduler,
+  type Decision,
+  type Job,
+  type Paces,
+  type Scheduler,
+  type SchedulingMechanisms,
+} from '../../src/scheduling/index.js';
+import { createVirtualTime } from '../faults/fakes/virtual-time.js';
+import { listArrivals, type Arrival } from './arrivals.js';
+import { createEmulatedEngine, type EmulatedEngine } from './emulated-engine.js';
+import type { Pattern } from './pattern.js';
+
+/** Way between two gateways or to an engine, in ms. */
+const WAY_MS = 1;
+/** Time after the last request in which what is under way may end, in ms. */
+const END_MS = 10_000;
+const MS_PER_SECOND = 1_000;
+
+/** What became of the requests of a kind. */
+export interface Tally {
+  asked: number;
+  /** First event and all pauses within the objectives, from the first attempt on. */
+  onTime: number;
+  late: number;
+  /** Turned away, and that again where the caller came back. */
+  refused: number;
+  /** Ended with an engine, or unfinished at its deadline. */
+  failed: number;
+}
+
+/** What a play gave. */
+export interface Outcome {
+  byKind: Map<string, Tally>;
+  /** Prompt tokens that engines were given to read and had not cached, in their own books. */
+  longestHoldMs: number;
+}
+
+/** How a pattern is played. */
+export interface PlayTerms {
+  seed: number;
+  mechanisms: SchedulingMechanisms;
+}
+
+/**
+ * Plays a pattern.
+ *
+ * @param pattern the load
+ * @param terms the seed, and the mechanisms that are on
+ */
+export async function play(pattern: Pattern, { seed, mechanisms }: PlayTerms): Promise<Outcome> {
+  const time = createVirtualTime();
+  const { fleet } = pattern;
+  const engines = new Map<string, EmulatedEngine>();
+  const byKind = new Map<string, Tally>();
+  const held = { longestMs: 0 };
+  let paces: Paces = createPaces();
+  let scheduler: Scheduler = startScheduler();
+
+  function addEngine(id: string, role: 'prefill' | 'decode'): void {
+    engines.set(id, createEmulatedEngine(id, role, fleet, time));
+  }
+
+  function listServers(): RegisteredServer[] {
+    return [...engines.values()].map(({ id, role }) => ({
+      id,
+      role,
+      service: 'chat',
+      address: id,
+      zone: 'zone',
+      slots: fleet.slots,
+      isLeaving: false,
+      warmUpMs: 0,
+    }));
+  }
+
+  function startScheduler(): Scheduler {
+    return createScheduler({
+      clock: time,
+      log: createSilentLog(),
+      mechanisms,
+      paces,
+      engines: listServers,
+      cacheTokens: () => fleet.cacheTokens,
+      caches: { list: ({ id }) => Promise.resolve(Ok(engines.get(id)?.cached() ?? [])) },
+    });
+  }
+
+  function tallyOf(kind: string): Tally {
+    const known = byKind.get(kind) ?? { asked: 0, onTime: 0, late: 0, refused: 0, failed: 0 };
+    byKind.set(kind, known);
+    return known;
+  }
+
+  function ask(arrival: Arrival, attempt: number): void {
+    const { kind } = arrival;
+    const spentMs = time.now() - arrival.atMs;
+    const job: Job = {
+      id: `${arrival.id}/${attempt}`,
+      service: 'chat',
+      requestId: arrival.id,
+      prompt: arrival.prompt,
+      rank: kind.rank,
+      pauseMs: kind.pauseMs,
+      aimLeftMs: kind.aimMs,
+      timeLeftMs: kind.deadlineMs - spentMs,
+      isReturn: attempt > 0,
+      isRead: false,
+      zone: 'zone',
+      excluded: [],
+      avoided: [],
+    };
+    const askedAt = time.now();
+    scheduler.submit(job, (decision) => {
+      time.after(WAY_MS, () => {
+        follow(arrival, attempt, job.id, decision, askedAt);
+      });
+    });
+  }
+
+  function follow(
+    arrival: Arrival,
+    attempt: number,
+    job: string,
+    decision: Decision,
+    askedAt: number,
+  ): void {
+    if (decision.kind === 'declined') {
+      held.longestMs = Math.max(held.longestMs, time.now() - askedAt);
+      if (attempt > 0) tallyOf(arrival.kind.name).refused += 1;
+      else
+        time.after(decision.retryAfterMs, () => {
+          ask(arrival, attempt + 1);
+        });
+      return;
+    }
+    const { reader, generator } = decision.placement;
+    const generating = engines.get(generator);
+    if (generating === undefined) return fail(arrival, job);
+    const watch = createWatch(arrival, job);
+    if (reader === undefined) {
+      generating.readAndGenerate(arrival.prompt, watch);
+      return;
+    }
+    engines.get(reader)?.read(arrival.prompt, () => {
+      time.after(WAY_MS, () => {
+        scheduler.promptRead(job);
+        generating.fetch(arrival.prompt, watch);
+      });
+    });
+  }
+
+  function fail(arrival: Arrival, job: string): void {
+    scheduler.finished(job, 'failed');
+    tallyOf(arrival.kind.name).failed += 1;
+  }
+
+  function createWatch({ atMs, kind }: Arrival, job: string) {
+    let firstAt = Number.POSITIVE_INFINITY;
+    return {
+      begun() {
+        firstAt = time.now() + WAY_MS;
+        scheduler.begun(job);
+      },
+      ended(longestPauseMs: number) {
+        scheduler.finished(job, 'good');
+        const tally = tallyOf(kind.name);
+        const isOnTime = firstAt - atMs <= kind.aimMs && longestPauseMs <= kind.pauseMs;
+        if (time.now() - atMs > kind.deadlineMs) tally.failed += 1;
+        else if (isOnTime) tally.onTime += 1;
+        else tally.late += 1;
+      },
+    };
+  }
+
+  function loseEngine(id: string, backAfterMs: number | undefined): void {
+    const engine = engines.get(id);
+    if (engine === undefined) return;
+    engine.end();
+    engines.delete(id);
+    scheduler.forget(id);
+    if (backAfterMs === undefined) return;
+    time.after(backAfterMs, () => {
+      addEngine(`${id}'`, engine.role);
+    });
+  }
+
+  function loseScheduler(): void {
+    if (!mechanisms.keptPaces) paces = createPaces();
+    scheduler = startScheduler();
+  }
+
+  for (let index = 0; index < fleet.readers; index += 1) addEngine(`r${index + 1}`, 'prefill');
+  for (let index = 0; index < fleet.generators; index += 1) addEngine(`g${index + 1}`, 'decode');
+  for (const event of pattern.events) {
+    time.after(event.atS * MS_PER_SECOND, () => {
+      if (event.what === 'scheduler-lost') loseScheduler();
+      else loseEngine(event.engine, event.backAfterS && event.backAfterS * MS_PER_SECOND);
+    });
+  }
+  for (const arrival of listArrivals(pattern, seed)) {
+    time.after(arrival.atMs, () => {
+      tallyOf(arrival.kind.name).asked += 1;
+      ask(arrival, 0);
+    });
+  }
+  await time.runUntil(pattern.seconds * MS_PER_SECOND + END_MS);
+  return { byKind, longestHoldMs: held.longestMs };
+}
+
+/**
+ * Share of the requests that were on time, of one kind or of all.
+ *
+ * @param outcome what a play gave
+ * @param kind `undefined` for all
+ */
+export function resolveOnTimeShare({ byKind }: Outcome, kind?: string): number {
+  let asked = 0;
+  let onTime = 0;
+  for (const [name, tally] of byKind) {
+    if (kind !== undefined && name !== kind) continue;
+    asked += tally.asked;
+    onTime += tally.onTime;
+  }
+  return asked === 0 ? 1 : onTime / asked;
+}
