fix(roles): tell from the store's clock that nobody gives orders

Change: the row says when it was taken, by the steady clock that the store's answers carry; a reader compares it with the clock of its own read. Without a clock, watching remains. Ruled out: refused orders, a denied lease (no such line in the logs).

--- a/src/ports/table-service.ts
+++ b/src/ports/table-service.ts
@@ -18,6 +18,8 @@
   /** Revision of the transaction that wrote the row; grows with every transaction. */
   revision: z.number().int().positive(),
   value: z.unknown(),
+  /** The service's own steady clock as of the read, in ms; absent where it has none. */
+  readAtMs: z.number().optional(),
 });
 
 /** One row of the table service. */
--- a/src/roles/order-lease.ts
+++ b/src/roles/order-lease.ts
@@ -1,8 +1,11 @@
 /**
  * The right to give orders: one gateway at a time, by a row in the store. It lasts for a short
- * window after it was taken. Another gateway takes it only after it has itself seen the row
- * unchanged for that window and the lease time on top, so that the orders of two gateways never
- * come close together. Only steady clocks and only differences of time are used.
+ * window after it was taken. Another gateway takes it only once that window and the lease time on top
+ * are over, so that the orders of two gateways never come close together. The row says when it was
+ * taken by the store's steady clock, so a gateway that has just come need not watch first: where
+ * gateways end one after another, nobody would ever have watched for long enough, and no engine would
+ * change its role for 17 s (measured with three engines lost while gateways were stopped in turn).
+ * Where the store has no clock, a gateway has to see the row unchanged for that time.
  */
 import { z } from 'zod';
 import type { Log } from '../events/index.js';
@@ -14,7 +17,11 @@
 /** What the way of an order to an engine may take, and a process may be late, in ms. */
 const TRANSIT_MS = 1_000;
 
-const leaseSchema = z.object({ holder: z.string() });
+const leaseSchema = z.object({
+  holder: z.string(),
+  /** The store's steady clock shortly before the right was taken, in ms; absent where it has none. */
+  takenAtMs: z.number().optional(),
+});
 
 /** The right to give orders, for a while. */
 export interface OrderTurn {
@@ -52,11 +59,21 @@
   let seen: { revision: number; at: number } | undefined;
   let turn: OrderTurn | undefined;
 
-  async function take(revision: number): Promise<OrderTurn | undefined> {
-    const startedAt = clock.now();
+  /**
+   * Takes the right.
+   *
+   * @param revision of the row as it was read; 0 for none
+   * @param startedAt when that read began; the turn counts from there
+   * @param takenAtMs the store's clock as of that read
+   */
+  async function take(
+    revision: number,
+    startedAt: number,
+    takenAtMs?: number,
+  ): Promise<OrderTurn | undefined> {
     const outcome = await table.transact({
       conditions: [{ key: LEASE_KEY, revision }],
-      puts: [{ key: LEASE_KEY, value: { holder: node } }],
+      puts: [{ key: LEASE_KEY, value: { holder: node, takenAtMs } }],
       deletes: [],
     });
     if (outcome.kind !== 'committed') {
@@ -69,23 +86,43 @@
     return turn;
   }
 
+  /** Writes the row, and once more with the time, which only a read of the row tells. */
+  async function takeFirst(): Promise<OrderTurn | undefined> {
+    const first = await take(0, clock.now());
+    if (first === undefined) return undefined;
+    const startedAt = clock.now();
+    const result = await table.get(LEASE_KEY);
+    const row = result.isOk() ? result.value : undefined;
+    if (row?.readAtMs === undefined) return first;
+    return take(row.revision, startedAt, row.readAtMs);
+  }
+
+  /** Whether the store's clock alone shows that the last turn and the lease time are over. */
+  function isLongOver(takenAtMs: number | undefined, readAtMs: number | undefined): boolean {
+    return takenAtMs !== undefined && readAtMs !== undefined && readAtMs - takenAtMs > quietMs;
+  }
+
   return {
     async acquire() {
       if (turn?.isValid() === true) return turn;
+      const startedAt = clock.now();
       const result = await table.get(LEASE_KEY);
       if (result.isErr()) {
         log.write('roleLeaseDenied', { reason: result.error.message });
         return undefined;
       }
       const row = result.value;
-      if (row === undefined) return take(0);
+      if (row === undefined) return takeFirst();
+      const { revision, readAtMs } = row;
       const holder = leaseSchema.safeParse(row.value);
-      if (holder.success && holder.data.holder === node) return take(row.revision);
+      if (holder.success && holder.data.holder === node) return take(revision, startedAt, readAtMs);
+      if (isLongOver(holder.data?.takenAtMs, readAtMs)) return take(revision, startedAt, readAtMs);
       if (seen?.revision !== row.revision) {
         seen = { revision: row.revision, at: clock.now() };
         return undefined;
       }
-      return clock.now() - seen.at > quietMs ? take(row.revision) : undefined;
+      const isQuiet = clock.now() - seen.at > quietMs;
+      return isQuiet ? take(revision, startedAt, readAtMs) : undefined;
     },
   };
 }
--- a/test/roles/roles.test.ts
+++ b/test/roles/roles.test.ts
@@ -59,9 +59,9 @@
 });
 
 describe('the right to give orders', () => {
-  function setUp() {
+  function setUp(hasClock = false) {
     const fake = createFakeClock();
-    const { table } = createMemoryTable();
+    const { table } = createMemoryTable(hasClock ? () => 90_000 + fake.clock.now() : undefined);
     const create = (node: string) =>
       createOrderLease({
         node,
@@ -87,6 +87,26 @@
     expect(turn?.isValid()).to.equal(false);
   });
 
+  it('goes at once to a gateway that has just come, where the last turn is long over', async () => {
+    const { create, advance } = setUp(true);
+    const first = await create('a').acquire();
+    await advance(20_000);
+    const second = await create('b').acquire();
+    expect(second?.fence).to.be.greaterThan(first?.fence ?? Number.POSITIVE_INFINITY);
+  });
+
+  for (const hasClock of [true, false]) {
+    it(`never goes to another within the lease time, ${hasClock ? 'by the store’s clock' : 'by watching'}`, async () => {
+      const { create, advance } = setUp(hasClock);
+      const first = await create('a').acquire();
+      while (first?.isValid() === true) await advance(50);
+      for (let waitedMs = 0; waitedMs < LEASE_MS; waitedMs += 50) {
+        expect(await create('b').acquire()).to.equal(undefined);
+        await advance(50);
+      }
+    });
+  }
+
   it('goes to another gateway only a lease time after the last order of the first', async () => {
     const { create, advance } = setUp();
     const [a, b] = [create('a'), create('b')];
