--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -105,13 +105,14 @@
       const { reason, retryAfterMs, backlogMs } = decision;
       return { kind: 'refused', reason, retryAfterMs, backlogMs };
     }
-    const { reader, generator, expectedReadMs } = decision.placement;
+    const { reader, generator, fetchFrom, expectedReadMs } = decision.placement;
+    const source = fetchFrom === undefined ? undefined : context.find(fetchFrom)?.address;
     const generating = context.find(generator);
     if (generating === undefined) return exclude(generator);
-    if (reader === undefined) return placed(generating, kept);
+    if (reader === undefined) return { ...placed(generating, kept), fetchFrom: source };
     const reading = context.find(reader);
     if (reading === undefined) return exclude(reader);
-    return readAt(reading, generating, resolveReadLimit(expectedReadMs));
+    return readAt(reading, generating, resolveReadLimit(expectedReadMs), source);
   }
 
   /** How long a read may take: of an engine whose pace is unknown, as long as it can be of use. */
@@ -129,11 +130,12 @@
     reading: RegisteredServer,
     generating: RegisteredServer,
     limitMs: number,
+    fetchFrom: string | undefined,
   ): Promise<Placing> {
     // the first reading that succeeds is free; every further one is a send beyond the first
     if (hasRead && !context.mayAskAgain('read')) return refuseUnread();
     reads += 1;
-    const outcome = await readPrompt(context, reading, limitMs);
+    const outcome = await readPrompt(context, reading, limitMs, fetchFrom);
     if (outcome.kind === 'read') {
       scheduled?.promptRead();
       hasRead = true;
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -15,6 +15,8 @@
   server: RegisteredServer;
   /** The prompt as read by another engine. */
   source: ReadPrompt | undefined;
+  /** `host:port` of an engine from which parts of the prompt are fetched. */
+  fetchFrom?: string | undefined;
   urgency: number | undefined;
 }
 
@@ -54,7 +56,7 @@
   /** Starts an exchange for this request with a server. */
   start(
     server: RegisteredServer,
-    terms: Pick<SendTerms, 'isPrefill' | 'urgency'>,
+    terms: Pick<SendTerms, 'isPrefill' | 'urgency' | 'fetchFrom'>,
     receiver: ExchangeReceiver,
   ): Exchange;
   /** A send that counts against the route's limit was made. */
--- a/tools/replay/emulated-engine.ts
+++ b/tools/replay/emulated-engine.ts
@@ -23,11 +23,14 @@
 export interface EmulatedEngine {
   readonly id: string;
   readonly role: 'prefill' | 'decode';
-  read(prompt: Prompt, done: () => void): void;
+  /** Reads a prompt, after fetching what `source` has cached of it. */
+  read(prompt: Prompt, source: EmulatedEngine | undefined, done: () => void): void;
   /** Fetches a prompt that was read elsewhere, then generates. */
   fetch(prompt: Prompt, watch: StreamWatch): void;
   /** Reads a prompt between tokens, then generates. */
-  readAndGenerate(prompt: Prompt, watch: StreamWatch): void;
+  readAndGenerate(prompt: Prompt, source: EmulatedEngine | undefined, watch: StreamWatch): void;
+  /** Tokens at the beginning of a prompt that it has cached. */
+  cachedTokens(prompt: Prompt): number;
   cached(): readonly CachedPart[];
   /** It ends; nothing more comes from it. */
   end(): void;
@@ -70,9 +73,18 @@
   let stepping = false;
   let ended = false;
 
+  /** Fetches what another engine has beyond the own cache; gives the tokens that are then cached. */
+  function fetchFrom(source: EmulatedEngine | undefined, prompt: Prompt): number {
+    const own = cache.cachedTokens(prompt);
+    const theirs = source?.cachedTokens(prompt) ?? 0;
+    if (theirs <= own) return own;
+    linkFreeAt = Math.max(linkFreeAt, clock.now()) + (theirs - own) / fleet.linkTokensPerMs;
+    return theirs;
+  }
+
   /** Time to read what is not cached, at full speed. */
-  function resolveReadMs(prompt: Prompt): number {
-    const unread = cache.unreadTokens(prompt);
+  function resolveReadMs(prompt: Prompt, cached: number): number {
+    const unread = prompt.tokens - cached;
     const pairs = (unread * (prompt.tokens - unread / 2)) / 1_000_000;
     return fleet.firstMs + unread / fleet.tokensPerMs + pairs * fleet.pairsMsPerMillion;
   }
@@ -144,10 +156,12 @@
   return {
     id,
     role,
-    read(prompt, done) {
-      const readMs = resolveReadMs(prompt);
+    read(prompt, source, done) {
+      const cached = fetchFrom(source, prompt);
+      const readMs = resolveReadMs(prompt, cached);
+      const startAt = source === undefined ? clock.now() : Math.max(clock.now(), linkFreeAt);
       keep(prompt);
-      freeAt = Math.max(freeAt, clock.now()) + readMs;
+      freeAt = Math.max(freeAt, startAt) + readMs;
       after(freeAt - clock.now(), done);
     },
     fetch(prompt, watch) {
@@ -157,12 +171,15 @@
         generate(prompt, watch);
       });
     },
-    readAndGenerate(prompt, watch) {
-      const leftMs = GENERATING_SLOWDOWN * resolveReadMs(prompt);
+    readAndGenerate(prompt, source, watch) {
+      const leftMs = GENERATING_SLOWDOWN * resolveReadMs(prompt, fetchFrom(source, prompt));
       keep(prompt);
-      readings.push({ leftMs, prompt, watch });
-      step();
+      after(source === undefined ? 0 : Math.max(0, linkFreeAt - clock.now()), () => {
+        readings.push({ leftMs, prompt, watch });
+        step();
+      });
     },
+    cachedTokens: (prompt) => cache.cachedTokens(prompt),
     cached: () => [...held.values()],
     end() {
       ended = true;
--- a/tools/replay/replay.ts
+++ b/tools/replay/replay.ts
@@ -142,15 +142,16 @@
         });
       return;
     }
-    const { reader, generator } = decision.placement;
+    const { reader, generator, fetchFrom = '' } = decision.placement;
     const generating = engines.get(generator);
+    const source = engines.get(fetchFrom);
     if (generating === undefined) return fail(arrival, job);
     const watch = createWatch(arrival, job);
     if (reader === undefined) {
-      generating.readAndGenerate(arrival.prompt, watch);
+      generating.readAndGenerate(arrival.prompt, source, watch);
       return;
     }
-    engines.get(reader)?.read(arrival.prompt, () => {
+    engines.get(reader)?.read(arrival.prompt, source, () => {
       time.after(WAY_MS, () => {
         scheduler.promptRead(job);
         generating.fetch(arrival.prompt, watch);
