--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -105,14 +105,13 @@
       const { reason, retryAfterMs, backlogMs } = decision;
       return { kind: 'refused', reason, retryAfterMs, backlogMs };
     }
-    const { reader, generator, fetchFrom, expectedReadMs } = decision.placement;
-    const source = fetchFrom === undefined ? undefined : context.find(fetchFrom)?.address;
+    const { reader, generator, expectedReadMs } = decision.placement;
     const generating = context.find(generator);
     if (generating === undefined) return exclude(generator);
-    if (reader === undefined) return { ...placed(generating, kept), fetchFrom: source };
+    if (reader === undefined) return placed(generating, kept);
     const reading = context.find(reader);
     if (reading === undefined) return exclude(reader);
-    return readAt(reading, generating, resolveReadLimit(expectedReadMs), source);
+    return readAt(reading, generating, resolveReadLimit(expectedReadMs));
   }
 
   /** How long a read may take: of an engine whose pace is unknown, as long as it can be of use. */
@@ -130,12 +129,11 @@
     reading: RegisteredServer,
     generating: RegisteredServer,
     limitMs: number,
-    fetchFrom: string | undefined,
   ): Promise<Placing> {
     // the first reading that succeeds is free; every further one is a send beyond the first
     if (hasRead && !context.mayAskAgain('read')) return refuseUnread();
     reads += 1;
-    const outcome = await readPrompt(context, reading, limitMs, fetchFrom);
+    const outcome = await readPrompt(context, reading, limitMs);
     if (outcome.kind === 'read') {
       scheduled?.promptRead();
       hasRead = true;
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -15,8 +15,6 @@
   server: RegisteredServer;
   /** The prompt as read by another engine. */
   source: ReadPrompt | undefined;
-  /** `host:port` of an engine from which parts of the prompt are fetched. */
-  fetchFrom?: string | undefined;
   urgency: number | undefined;
 }
 
@@ -56,7 +54,7 @@
   /** Starts an exchange for this request with a server. */
   start(
     server: RegisteredServer,
-    terms: Pick<SendTerms, 'isPrefill' | 'urgency' | 'fetchFrom'>,
+    terms: Pick<SendTerms, 'isPrefill' | 'urgency'>,
     receiver: ExchangeReceiver,
   ): Exchange;
   /** A send that counts against the route's limit was made. */
--- a/src/relay/protocol.ts
+++ b/src/relay/protocol.ts
@@ -39,8 +39,6 @@
   isPrefill?: boolean | undefined;
   /** Continue from a prompt that was read elsewhere. */
   source?: ReadPrompt | undefined;
-  /** `host:port` of an engine from which parts of the prompt are fetched before the rest is read. */
-  fetchFrom?: string | undefined;
   /** Continue a stream after this event. */
   lastEventId?: string | undefined;
 }
--- a/src/relay/read-prompt.ts
+++ b/src/relay/read-prompt.ts
@@ -24,13 +24,11 @@
  * @param context the request
  * @param server the engine that is to read
  * @param limitMs how long the reading may take, in milliseconds
- * @param fetchFrom `host:port` of an engine from which parts of the prompt are fetched
  */
 export function readPrompt(
   context: PlacingContext,
   server: RegisteredServer,
   limitMs: number,
-  fetchFrom?: string,
 ): Promise<ReadOutcome> {
   const { protocol } = context;
   if (context.signal.aborted) return Promise.resolve({ kind: 'aborted' });
@@ -42,7 +40,7 @@
 
     const exchange = context.start(
       server,
-      { isPrefill: true, fetchFrom },
+      { isPrefill: true },
       {
         onHead(received) {
           head = received;
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -233,11 +233,11 @@
   }
 
   async function send(placed: PlacedServer, placer: Placer): Promise<SendOutcome> {
-    const { server, source, urgency, fetchFrom } = placed;
+    const { server, source, urgency } = placed;
     log.write('requestSent', { request: requestId, server: server.id, attempt: progress.attempts });
     return sendOnce(
       {
-        request: outgoing(server, { source, urgency, lastEventId, fetchFrom }),
+        request: outgoing(server, { source, urgency, lastEventId }),
         requestId,
         server,
         agent: parts.connections.agentFor(server.id),
--- a/src/scheduling/cache-model.ts
+++ b/src/scheduling/cache-model.ts
@@ -10,8 +10,8 @@
 
 /** The cache of one engine, as a model. */
 export interface CacheModel {
-  /** Tokens at the beginning of a prompt that the engine need not read. */
-  cachedTokens(prompt: Prompt): number;
+  /** Tokens of a prompt that the engine would have to read. */
+  unreadTokens(prompt: Prompt): number;
   /** A prompt was sent to the engine: its parts are now the most recently used. */
   use(prompt: Prompt): void;
   /** Takes in what the engine says that it keeps, as used before everything that is known. */
@@ -45,13 +45,13 @@
   }
 
   return {
-    cachedTokens(prompt) {
+    unreadTokens(prompt) {
       let cached = 0;
       for (const part of prompt.parts) {
         if (!held.has(keyOf(prompt.model, part.id))) break;
         cached += part.tokens;
       }
-      return Math.min(prompt.tokens, cached);
+      return Math.max(0, prompt.tokens - cached);
     },
     use(prompt) {
       for (const part of prompt.parts) {
--- a/src/scheduling/engine-model.ts
+++ b/src/scheduling/engine-model.ts
@@ -28,23 +28,14 @@
   readonly reads: SerialWork;
   /** Prompts that it fetches from other engines. */
   readonly transfers: SerialWork;
-  /** Tokens at the beginning of a prompt that it has cached or is reading. */
-  cachedTokens(prompt: Prompt): number;
-  /** Tokens at the beginning of a prompt that another engine can fetch from it now. */
-  offeredTokens(prompt: Prompt): number;
-  /**
-   * Time that reading a prompt would take it, in milliseconds; 0 while its pace is unknown.
-   *
-   * @param cached tokens at the beginning that it need not read; those that it has cached if absent
-   */
-  expectReadMs(role: EngineRole, prompt: Prompt, cached?: number): number;
+  /** Time that reading a prompt would take it, in milliseconds; 0 while its pace is unknown. */
+  expectReadMs(role: EngineRole, prompt: Prompt): number;
   /**
    * Time for which it reads or has read prompts while it generates, of the latest `windowMs`
    * milliseconds and of what it still has to do.
    */
   recentDirectMs(now: number, windowMs: number): number;
-  /** It reads a prompt, after it has fetched a part from another engine where `fetch` says so. */
-  startRead(job: string, role: EngineRole, prompt: Prompt, now: number, fetch?: Fetch): void;
+  startRead(job: string, role: EngineRole, prompt: Prompt, now: number): void;
   /** A read ended; `isWhole` when the prompt was read to its end. */
   endRead(job: string, isWhole: boolean, now: number): void;
   /** It fetches a prompt that another engine has read. */
@@ -54,20 +45,9 @@
   learnCache(parts: readonly CachedPart[]): void;
 }
 
-/** A part of a prompt that comes from another engine. */
-export interface Fetch {
-  /** Tokens at the beginning of the prompt that need not be read after it. */
-  cached: number;
-  /** Time that it takes, in milliseconds. */
-  expectedMs: number;
-}
-
 interface Read {
-  prompt: Prompt;
   role: EngineRole;
   work: Work;
-  /** Part of its time that is no reading, in milliseconds. */
-  fetchMs: number;
 }
 
 /**
@@ -87,16 +67,9 @@
   let direct: { startedAt: number; expectedMs: number }[] = [];
   let factor = 1;
 
-  function resolveWork(prompt: Prompt, cached = cache.cachedTokens(prompt)): Work {
-    return resolveReadingWork(prompt.tokens - cached, cached);
-  }
-
-  /** Whether it reads a prompt that begins as another one does. */
-  function isReading(prompt: Prompt): boolean {
-    for (const read of readWork.values()) {
-      if (read.prompt.parts[0]?.id === prompt.parts[0]?.id) return true;
-    }
-    return false;
+  function resolveWork(prompt: Prompt): Work {
+    const unread = cache.unreadTokens(prompt);
+    return resolveReadingWork(unread, prompt.tokens - unread);
   }
 
   function expectMs(role: EngineRole, work: Work): number {
@@ -104,8 +77,7 @@
     return (isAlike ? 1 : factor) * paces.expectReadMs(role, work);
   }
 
-  function learn({ role, work, fetchMs }: Read, allMs: number): void {
-    const tookMs = Math.max(0, allMs - fetchMs);
+  function learn({ role, work }: Read, tookMs: number): void {
     const usualMs = paces.expectReadMs(role, work);
     if (usualMs >= LEAST_TELLING_MS) {
       const ratio = Math.min(MOST_FACTOR, Math.max(1 / MOST_FACTOR, tookMs / usualMs));
@@ -118,9 +90,7 @@
     id,
     reads,
     transfers,
-    cachedTokens: (prompt) => cache.cachedTokens(prompt),
-    offeredTokens: (prompt) => (isReading(prompt) ? 0 : cache.cachedTokens(prompt)),
-    expectReadMs: (role, prompt, cached) => expectMs(role, resolveWork(prompt, cached)),
+    expectReadMs: (role, prompt) => expectMs(role, resolveWork(prompt)),
     recentDirectMs(now, windowMs) {
       direct = direct.filter((read) => read.startedAt + read.expectedMs > now - windowMs);
       let sum = 0;
@@ -129,12 +99,11 @@
       }
       return sum;
     },
-    startRead(job, role, prompt, now, fetch) {
-      const work = resolveWork(prompt, fetch?.cached);
+    startRead(job, role, prompt, now) {
+      const work = resolveWork(prompt);
       cache.use(prompt);
-      const fetchMs = fetch?.expectedMs ?? 0;
-      readWork.set(job, { prompt, role, work, fetchMs });
-      const expectedMs = fetchMs + expectMs(role, work);
+      readWork.set(job, { role, work });
+      const expectedMs = expectMs(role, work);
       reads.start(job, expectedMs, now);
       if (role === 'decode') direct.push({ startedAt: now, expectedMs });
     },
--- a/src/scheduling/job.ts
+++ b/src/scheduling/job.ts
@@ -43,8 +43,6 @@
   reader: z.string().optional(),
   /** The engine that generates. */
   generator: z.string(),
-  /** An engine from which the one that reads fetches what it has cached of the prompt. */
-  fetchFrom: z.string().optional(),
   /** How long the reader is expected to take, with what it was given before, in milliseconds; absent
    * while nothing is known of its pace. */
   expectedReadMs: z.number().optional(),
--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -17,8 +17,6 @@
   deadlineOrder: boolean;
   /** The engine that reads is chosen by what it has cached; otherwise all seem to have nothing. */
   cacheAffinity: boolean;
-  /** An engine fetches parts of a prompt from another one that has them cached. */
-  cacheFetch: boolean;
   /** A scheduler asks engines that it does not know what they have cached. */
   cacheLists: boolean;
   /** Paces of engines outlive the gateway that learnt them. */
@@ -58,7 +56,6 @@
   spareTime: true,
   deadlineOrder: true,
   cacheAffinity: true,
-  cacheFetch: true,
   cacheLists: true,
   keptPaces: true,
   demandSplit: true,
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -17,7 +17,7 @@
   type Prospect,
 } from './admission.js';
 import type { CacheLists } from './cached-parts.js';
-import { createEngineModel, type EngineModel, type Fetch } from './engine-model.js';
+import { createEngineModel, type EngineModel } from './engine-model.js';
 import { createEngineWatch } from './engine-watch.js';
 import { createGeneratingLoad } from './generating-load.js';
 import { createGeneratingEngines } from './generating-engines.js';
@@ -93,8 +93,6 @@
   placement: EnginePlacement | undefined;
   /** When it was given to its engines. */
   placedAt: number;
-  /** Tokens at its beginning that need not be read where it was placed. */
-  cachedTokens: number;
   /** How often the engine that it waited for could not take it. */
   moves: number;
 }
@@ -106,11 +104,6 @@
   isDirect: boolean;
 }
 
-/** A fetch with the engine that it comes from. */
-interface SourcedFetch extends Fetch {
-  from: string;
-}
-
 /** A request finds another engine at most so often while it waits: engines that all fail in turn are
  * not worth more of its caller's time. */
 const MAX_MOVES = 5;
@@ -236,45 +229,11 @@
     return options;
   }
 
-  /** Time until an engine has read a prompt, with what it fetches for that, in milliseconds. */
-  function expectReadMs(engine: EngineModel, role: EngineRole, job: Job): number {
-    const fetch = findFetch(engine, role, job);
-    if (fetch === undefined) return engine.expectReadMs(role, job.prompt);
-    return fetch.expectedMs + engine.expectReadMs(role, job.prompt, fetch.cached);
-  }
-
-  /**
-   * The fetch that spares an engine most of a prompt's reading; `undefined` where reading is as soon.
-   * Moving the KV cache of a shared part takes a small part of the time of reading it, so a prompt
-   * need not wait for the engine that has its parts.
-   */
-  function findFetch(engine: EngineModel, role: EngineRole, job: Job): SourcedFetch | undefined {
-    // an engine that generates reads between tokens all the same: fetches there brought nothing
-    if (role === 'decode' || !mechanisms.cacheFetch || !paces.transfer.isKnown()) return undefined;
-    const { prompt } = job;
-    const own = engine.cachedTokens(prompt);
-    const zone = findServer(engine.id)?.zone;
-    let best: SourcedFetch | undefined;
-    let leastMs = engine.expectReadMs(role, prompt);
-    for (const source of parts.engines()) {
-      if (source.id === engine.id || !watch.isUsable(source.id)) continue;
-      const cached = models.get(source.id)?.offeredTokens(prompt) ?? 0;
-      if (cached <= own) continue;
-      const factor = source.zone === zone ? 1 : OTHER_ZONE_FACTOR;
-      const expectedMs = paces.transfer.expectMs({ tokens: factor * (cached - own), pairs: 0 });
-      const allMs = expectedMs + engine.expectReadMs(role, prompt, cached);
-      if (allMs >= leastMs) continue;
-      best = { from: source.id, cached, expectedMs };
-      leastMs = allMs;
-    }
-    return best;
-  }
-
   function weighReader(entry: Entry, server: RegisteredServer, restMs: number): Option {
     const engine = modelOf(server.id);
     const queue = queueOf(server.id);
     const startsInMs = engine.reads.remainingMs(clock.now());
-    const readMs = expectReadMs(engine, 'prefill', entry.job);
+    const readMs = engine.expectReadMs('prefill', entry.job.prompt);
     const newcomer = { ...entry, isLate: false, expectMs: () => readMs };
     const distanceMs = server.zone === entry.job.zone ? 0 : OTHER_ZONE_MS;
     // while nothing is known, what was given counts instead of what it takes
@@ -295,7 +254,7 @@
 
   function weighDirect({ job }: Entry, server: RegisteredServer): Option {
     const engine = modelOf(server.id);
-    const readMs = expectReadMs(engine, 'decode', job);
+    const readMs = engine.expectReadMs('decode', job.prompt);
     return {
       server,
       engine,
@@ -356,11 +315,10 @@
       placement: undefined,
       placedAt: now,
       moves: 0,
-      cachedTokens: 0,
       rank: job.rank,
       isLate: false,
       readBy: now,
-      expectMs: () => (entry.engine === undefined ? 0 : expectReadMs(entry.engine, 'prefill', job)),
+      expectMs: () => entry.engine?.expectReadMs('prefill', job.prompt) ?? 0,
     };
     return entry;
   }
@@ -527,20 +485,16 @@
     }
     entry.stage = 'reading';
     if (!entry.isLate) spareTime.note(entry.expectMs(), clock.now());
-    const fetch = findFetch(engine, 'prefill', job);
-    entry.cachedTokens = fetch?.cached ?? engine.cachedTokens(job.prompt);
-    engine.startRead(job.id, 'prefill', job.prompt, clock.now(), fetch);
+    engine.startRead(job.id, 'prefill', job.prompt, clock.now());
     const isPaceKnown = paces.isKnown();
     const expectedReadMs = isPaceKnown ? engine.reads.remainingMs(clock.now()) : undefined;
-    const fetchFrom = fetch?.from;
-    place(entry, { reader: engine.id, generator: generator.id, fetchFrom, expectedReadMs });
+    place(entry, { reader: engine.id, generator: generator.id, expectedReadMs });
   }
 
   function placeDirectly(entry: Entry, server: RegisteredServer): void {
     const engine = modelOf(server.id);
     entry.engine = engine;
     entry.stage = 'read-directly';
-    entry.cachedTokens = engine.cachedTokens(entry.job.prompt);
     engine.startRead(entry.job.id, 'decode', entry.job.prompt, clock.now());
     watch.expect(entry.job.id, server.id, engine.reads.remainingMs(clock.now()));
     place(entry, { generator: server.id });
@@ -579,7 +533,6 @@
       request: job.requestId,
       ...placement,
       tokens: job.prompt.tokens,
-      cachedTokens: entry.cachedTokens,
       outputTokens: job.prompt.maxOutputTokens,
       isLate: entry.isLate,
       marginMs: Math.round(marginMs()),
--- a/tools/replay/emulated-engine.ts
+++ b/tools/replay/emulated-engine.ts
@@ -23,14 +23,11 @@
 export interface EmulatedEngine {
   readonly id: string;
   readonly role: 'prefill' | 'decode';
-  /** Reads a prompt, after fetching what `source` has cached of it. */
-  read(prompt: Prompt, source: EmulatedEngine | undefined, done: () => void): void;
+  read(prompt: Prompt, done: () => void): void;
   /** Fetches a prompt that was read elsewhere, then generates. */
   fetch(prompt: Prompt, watch: StreamWatch): void;
   /** Reads a prompt between tokens, then generates. */
-  readAndGenerate(prompt: Prompt, source: EmulatedEngine | undefined, watch: StreamWatch): void;
-  /** Tokens at the beginning of a prompt that it has cached. */
-  cachedTokens(prompt: Prompt): number;
+  readAndGenerate(prompt: Prompt, watch: StreamWatch): void;
   cached(): readonly CachedPart[];
   /** It ends; nothing more comes from it. */
   end(): void;
@@ -73,18 +70,9 @@
   let stepping = false;
   let ended = false;
 
-  /** Fetches what another engine has beyond the own cache; gives the tokens that are then cached. */
-  function fetchFrom(source: EmulatedEngine | undefined, prompt: Prompt): number {
-    const own = cache.cachedTokens(prompt);
-    const theirs = source?.cachedTokens(prompt) ?? 0;
-    if (theirs <= own) return own;
-    linkFreeAt = Math.max(linkFreeAt, clock.now()) + (theirs - own) / fleet.linkTokensPerMs;
-    return theirs;
-  }
-
   /** Time to read what is not cached, at full speed. */
-  function resolveReadMs(prompt: Prompt, cached: number): number {
-    const unread = prompt.tokens - cached;
+  function resolveReadMs(prompt: Prompt): number {
+    const unread = cache.unreadTokens(prompt);
     const pairs = (unread * (prompt.tokens - unread / 2)) / 1_000_000;
     return fleet.firstMs + unread / fleet.tokensPerMs + pairs * fleet.pairsMsPerMillion;
   }
@@ -156,12 +144,10 @@
   return {
     id,
     role,
-    read(prompt, source, done) {
-      const cached = fetchFrom(source, prompt);
-      const readMs = resolveReadMs(prompt, cached);
-      const startAt = source === undefined ? clock.now() : Math.max(clock.now(), linkFreeAt);
+    read(prompt, done) {
+      const readMs = resolveReadMs(prompt);
       keep(prompt);
-      freeAt = Math.max(freeAt, startAt) + readMs;
+      freeAt = Math.max(freeAt, clock.now()) + readMs;
       after(freeAt - clock.now(), done);
     },
     fetch(prompt, watch) {
@@ -171,15 +157,12 @@
         generate(prompt, watch);
       });
     },
-    readAndGenerate(prompt, source, watch) {
-      const leftMs = GENERATING_SLOWDOWN * resolveReadMs(prompt, fetchFrom(source, prompt));
+    readAndGenerate(prompt, watch) {
+      const leftMs = GENERATING_SLOWDOWN * resolveReadMs(prompt);
       keep(prompt);
-      after(source === undefined ? 0 : Math.max(0, linkFreeAt - clock.now()), () => {
-        readings.push({ leftMs, prompt, watch });
-        step();
-      });
+      readings.push({ leftMs, prompt, watch });
+      step();
     },
-    cachedTokens: (prompt) => cache.cachedTokens(prompt),
     cached: () => [...held.values()],
     end() {
       ended = true;
--- a/tools/replay/replay.ts
+++ b/tools/replay/replay.ts
@@ -142,16 +142,15 @@
         });
       return;
     }
-    const { reader, generator, fetchFrom = '' } = decision.placement;
+    const { reader, generator } = decision.placement;
     const generating = engines.get(generator);
-    const source = engines.get(fetchFrom);
     if (generating === undefined) return fail(arrival, job);
     const watch = createWatch(arrival, job);
     if (reader === undefined) {
-      generating.readAndGenerate(arrival.prompt, source, watch);
+      generating.readAndGenerate(arrival.prompt, watch);
       return;
     }
-    engines.get(reader)?.read(arrival.prompt, source, () => {
+    engines.get(reader)?.read(arrival.prompt, () => {
       time.after(WAY_MS, () => {
         scheduler.promptRead(job);
         generating.fetch(arrival.prompt, watch);
