refactor(scheduling): paces of engines are learnt anew by each scheduler

Worth nothing within the spread and no rule needs it, so it goes, with its tests (the store's row, what is passed on, what is worth writing down): a fresh scheduler's single probing reads do.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -34,7 +34,6 @@
 import { isAnnouncer, isFollower, mayRely, type FollowerView } from './followers.js';
 import { startFollowing } from './following.js';
 import { createPeering } from './peering.js';
-import { keepPaces } from './keep-paces.js';
 import { publishAddress } from './publish-address.js';
 import { createSchedulers } from './schedulers.js';
 import type { GatewaySettings, ListenAddress } from './settings.js';
@@ -157,7 +156,6 @@
     fleet,
     submitter,
     scheduler: schedulers.local,
-    adoptPaces: schedulers.adopt,
     isFollower: () => isFollower(viewFollowers()),
     isAnnouncer: () => isAnnouncer(viewFollowers()),
     parseRoutes: (text) => platform.parseRoutes(text),
@@ -178,7 +176,6 @@
       routes: routes.version(),
       fleet: fleet.revision(),
       isFollowing: watch.isReached() && isFollower(viewFollowers()),
-      paces: mechanisms.keptPaces ? Object.fromEntries(schedulers.learnt()) : {},
     }),
     received: peering.received,
     lost: peering.lost,
@@ -321,15 +318,6 @@
     found: mesh.learn,
   });
   void publishing.done;
-  if (mechanisms.keptPaces)
-    void keepPaces({
-      table: platform.table,
-      clock,
-      log,
-      signal: ending.signal,
-      learnt: schedulers.learnt,
-      adopt: schedulers.adopt,
-    });
   keeper.start();
   log.write('gatewayStarted', {
     zone,
--- a/src/gateway/peering.ts
+++ b/src/gateway/peering.ts
@@ -14,7 +14,7 @@
   type RoutesMessage,
 } from '../peers/index.js';
 import type { RoutingDocument, RoutingReplica } from '../routing/index.js';
-import type { Decision, JobSubmitter, Job, PacesSnapshot, Scheduler } from '../scheduling/index.js';
+import type { Decision, JobSubmitter, Job, Scheduler } from '../scheduling/index.js';
 
 /** Who handles a peer's words. */
 export interface PeeringParts {
@@ -24,8 +24,6 @@
   fleet: Fleet;
   submitter: JobSubmitter;
   scheduler(service: string): Scheduler;
-  /** Takes over what a peer has learnt of a service's engines. */
-  adoptPaces(service: string, paces: PacesSnapshot): void;
   /** Whether this gateway brings peers that are behind up to date. */
   isFollower(): boolean;
   /** Whether this gateway passes on what it learns at once. */
@@ -144,9 +142,6 @@
         .with({ kind: 'introduction' }, () => undefined)
         .with({ kind: 'beat' }, (beat) => {
           help(node, beat);
-          for (const [service, paces] of Object.entries(beat.paces)) {
-            parts.adoptPaces(service, paces);
-          }
         })
         .with({ kind: 'routes' }, takeRoutes)
         .with({ kind: 'fleet' }, ({ changes }) => {
--- a/src/gateway/schedulers.ts
+++ b/src/gateway/schedulers.ts
@@ -11,7 +11,6 @@
   resolveHolder,
   type CacheLists,
   type Paces,
-  type PacesSnapshot,
   type Scheduler,
   type SchedulingGateway,
   type SchedulingMechanisms,
@@ -47,10 +46,6 @@
   holderOf: (service: string, isAvoided?: (node: string) => boolean) => string;
   /** An engine is gone for good. */
   forget: (engine: string) => void;
-  /** What is known of the engines of the services that this gateway schedules. */
-  learnt: () => ReadonlyMap<string, PacesSnapshot>;
-  /** Takes over what another gateway has learnt of a service's engines. */
-  adopt: (service: string, paces: PacesSnapshot) => void;
 }
 
 /**
@@ -112,16 +107,5 @@
       return created;
     },
     holderOf,
-    learnt() {
-      const found = new Map<string, PacesSnapshot>();
-      for (const [service, known] of paces) {
-        if (known.isKnown() && holderOf(service) === self.node)
-          found.set(service, known.snapshot());
-      }
-      return found;
-    },
-    adopt(service, snapshot) {
-      pacesOf(service).adopt(snapshot);
-    },
   };
 }
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -7,7 +7,6 @@
 import { healthOutcomeSchema } from '../fleet/health.js';
 import { routesMessageSchema } from './routes-message.js';
 import { jobSchema, placementSchema } from '../scheduling/job.js';
-import { pacesSnapshotSchema } from '../scheduling/paces.js';
 
 const serverSchema = z.object({
   id: z.string(),
@@ -54,8 +53,6 @@
   fleet: z.number(),
   /** It follows the store by itself, and the store answers it. */
   isFollowing: z.boolean(),
-  /** What is known of the engines of the services that it schedules, by service. */
-  paces: z.record(z.string(), pacesSnapshotSchema).default({}),
 });
 
 const fleetSchema = z.object({
--- a/src/scheduling/least-squares.ts
+++ b/src/scheduling/least-squares.ts
@@ -19,15 +19,6 @@
    * @param deviation how far such an observation is off by chance, in the quantity's unit
    */
   observe(terms: readonly number[], value: number, deviation: number): void;
-  /** The weights of the terms at present. */
-  weights(): readonly number[];
-  /**
-   * Replaces the weights.
-   *
-   * @param weights the new ones
-   * @param doubt how uncertain they are, as a share of the prior's deviations
-   */
-  restart(weights: readonly number[], doubt: number): void;
 }
 
 /**
@@ -36,7 +27,6 @@
  * @param deviations how far each weight may plausibly be from 0
  */
 export function createLinearEstimate(deviations: readonly number[]): LinearEstimate {
-  const size = deviations.length;
   let weights = deviations.map(() => 0);
   let covariance = createDiagonal(deviations);
 
@@ -66,11 +56,6 @@
       );
       addDrift();
     },
-    weights: () => weights,
-    restart(given, doubt) {
-      weights = Array.from({ length: size }, (_, index) => given[index] ?? 0);
-      covariance = createDiagonal(deviations.map((deviation) => doubt * deviation));
-    },
   };
 }
 
--- a/src/scheduling/pace.ts
+++ b/src/scheduling/pace.ts
@@ -30,16 +30,6 @@
  * engine that stands still must not change the pace of all. */
 const MOST_SURPRISE = 2;
 
-/** How uncertain a pace is that was taken over, as a share of one that is unknown. */
-const ADOPTED_DOUBT = 0.1;
-
-/** What a pace is made of, for whoever schedules next. */
-export interface PaceSnapshot {
-  weights: readonly number[];
-  /** Pieces of work it was learnt from. */
-  samples: number;
-}
-
 /** How long work takes. */
 export interface Pace {
   /** Whether any work has ended yet. */
@@ -48,9 +38,6 @@
   expectMs(work: Work): number;
   /** Takes a measured time in, in milliseconds. */
   learn(work: Work, measuredMs: number): void;
-  snapshot(): PaceSnapshot;
-  /** Takes over what another scheduler has learnt, unless more is known here. */
-  adopt(snapshot: PaceSnapshot): void;
 }
 
 /** Creates a pace that is unknown. */
@@ -59,7 +46,7 @@
   let samples = 0;
 
   function expectMs(work: Work): number {
-    return resolveExpectedMs({ weights: estimate.weights(), samples }, work);
+    return samples === 0 ? 0 : Math.max(0, estimate.predict(resolveTerms(work)));
   }
 
   return {
@@ -72,30 +59,9 @@
       estimate.observe(resolveTerms(work), believedMs, deviationMs);
       samples += 1;
     },
-    snapshot: () => ({ weights: estimate.weights(), samples }),
-    adopt(snapshot) {
-      if (snapshot.samples <= samples) return;
-      estimate.restart(snapshot.weights, ADOPTED_DOUBT);
-      samples = snapshot.samples;
-    },
   };
 }
 
-/**
- * Time that work takes by a snapshot, in milliseconds; 0 for one that knows nothing.
- *
- * @param snapshot what a pace is made of
- * @param work the work
- */
-export function resolveExpectedMs({ weights, samples }: PaceSnapshot, work: Work): number {
-  if (samples === 0) return 0;
-  let expectedMs = 0;
-  for (const [index, term] of resolveTerms(work).entries()) {
-    expectedMs += term * (weights[index] ?? 0);
-  }
-  return Math.max(0, expectedMs);
-}
-
 /**
  * The work of reading the end of a prompt whose beginning is cached.
  *
--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -19,8 +19,6 @@
   cacheAffinity: boolean;
   /** A scheduler asks engines that it does not know what they have cached. */
   cacheLists: boolean;
-  /** Paces of engines outlive the gateway that learnt them. */
-  keptPaces: boolean;
   /** Engines that generating does not need read prompts. */
   demandSplit: boolean;
   /** The margin of what counts as on time follows how far predictions were off. */
@@ -57,7 +55,6 @@
   deadlineOrder: true,
   cacheAffinity: true,
   cacheLists: true,
-  keptPaces: true,
   demandSplit: true,
   learntMargin: true,
 };
