--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -114,6 +114,7 @@
   schedulerChanged: { id: 7050, level: 'info', text: 'another gateway schedules a service' },
   engineCacheListed: { id: 7052, level: 'info', text: 'an engine said what it has cached' },
   engineCacheUnknown: { id: 7053, level: 'info', text: 'an engine did not say what it has cached' },
+  decisionFailed: { id: 7054, level: 'error', text: 'a decision threw; nothing else is affected' },
   schedulerSilent: { id: 7051, level: 'warn', text: 'scheduler did not answer; placing alone' },
   gatewayFound: { id: 7060, level: 'info', text: 'a peer gateway was heard' },
   gatewayLost: { id: 7061, level: 'warn', text: 'a peer gateway is silent' },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -28,7 +28,7 @@
   type CacheLists,
   type SchedulingMechanisms,
 } from '../scheduling/index.js';
-import { wait, type Clock, type RandomSource } from '../task/index.js';
+import { createGuardedClock, wait, type Clock, type RandomSource } from '../task/index.js';
 import { resolveFronts } from './directory.js';
 import { createStoreWatch } from './follow.js';
 import { isAnnouncer, isFollower, mayRely, type FollowerView } from './followers.js';
@@ -129,8 +129,11 @@
     }),
     () => mesh.peers().length + 1,
   );
+  const guardedClock = createGuardedClock(clock, (error) => {
+    log.write('decisionFailed', { step: 'timer', reason: String(error) });
+  });
   const schedulers = createSchedulers({
-    clock,
+    clock: guardedClock,
     log,
     self: { node, cores: settings.cores },
     peers: () => mesh.peers(),
@@ -141,7 +144,7 @@
     mechanisms,
   });
   const submitter = createJobSubmitter({
-    clock,
+    clock: guardedClock,
     log,
     node,
     zone,
--- a/src/gateway/peering.ts
+++ b/src/gateway/peering.ts
@@ -135,45 +135,51 @@
     parts.scheduler(service).finished(id, outcome);
   }
 
+  function receive(peer: Peer, message: PeerMessage): void {
+    const { node } = peer.introduction;
+    match(message)
+      .with({ kind: 'introduction' }, () => undefined)
+      .with({ kind: 'beat' }, (beat) => {
+        help(node, beat);
+      })
+      .with({ kind: 'routes' }, takeRoutes)
+      .with({ kind: 'fleet' }, ({ changes }) => {
+        takeChanges(changes.map((change) => ({ ...change, server: normalize(change.server) })));
+      })
+      .with({ kind: 'job.submit' }, (submission) => {
+        submit(node, submission);
+      })
+      .with({ kind: 'job.adopt' }, ({ job, placement }) => {
+        note(node, job);
+        parts.scheduler(job.service).adopt(job, placement);
+      })
+      .with({ kind: 'job.read' }, ({ id }) => {
+        const service = submitted.get(node)?.get(id);
+        if (service !== undefined) parts.scheduler(service).promptRead(id);
+      })
+      .with({ kind: 'job.begun' }, ({ id }) => {
+        const service = submitted.get(node)?.get(id);
+        if (service !== undefined) parts.scheduler(service).begun(id);
+      })
+      .with({ kind: 'job.finished' }, ({ id, outcome }) => {
+        finish(node, id, outcome);
+      })
+      .with({ kind: 'job.queued' }, { kind: 'job.placed' }, { kind: 'job.declined' }, (answer) => {
+        parts.submitter.answered(node, answer);
+      })
+      .exhaustive();
+  }
+
   return {
+    /** A message that cannot be handled is its sender's loss alone; it asks elsewhere. */
     received(peer, message) {
-      const { node } = peer.introduction;
-      match(message)
-        .with({ kind: 'introduction' }, () => undefined)
-        .with({ kind: 'beat' }, (beat) => {
-          help(node, beat);
-        })
-        .with({ kind: 'routes' }, takeRoutes)
-        .with({ kind: 'fleet' }, ({ changes }) => {
-          takeChanges(changes.map((change) => ({ ...change, server: normalize(change.server) })));
-        })
-        .with({ kind: 'job.submit' }, (submission) => {
-          submit(node, submission);
-        })
-        .with({ kind: 'job.adopt' }, ({ job, placement }) => {
-          note(node, job);
-          parts.scheduler(job.service).adopt(job, placement);
-        })
-        .with({ kind: 'job.read' }, ({ id }) => {
-          const service = submitted.get(node)?.get(id);
-          if (service !== undefined) parts.scheduler(service).promptRead(id);
-        })
-        .with({ kind: 'job.begun' }, ({ id }) => {
-          const service = submitted.get(node)?.get(id);
-          if (service !== undefined) parts.scheduler(service).begun(id);
-        })
-        .with({ kind: 'job.finished' }, ({ id, outcome }) => {
-          finish(node, id, outcome);
-        })
-        .with(
-          { kind: 'job.queued' },
-          { kind: 'job.placed' },
-          { kind: 'job.declined' },
-          (answer) => {
-            parts.submitter.answered(node, answer);
-          },
-        )
-        .exhaustive();
+      try {
+        receive(peer, message);
+      } catch (error) {
+        const { node } = peer.introduction;
+        const { kind } = message;
+        parts.log.write('decisionFailed', { step: kind, peer: node, reason: String(error) });
+      }
     },
     lost(node) {
       lags.delete(node);
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -61,7 +61,10 @@
   const server: Server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, keepAlive: false, requestTimeout: 0 },
     (request, response) => {
-      void receive(request, response);
+      receive(request, response).catch((error: unknown) => {
+        log.write('decisionFailed', { step: 'request', reason: String(error) });
+        response.destroy();
+      });
     },
   );
   refreshLimits();
