--- /dev/null
+++ b/src/scheduling/options.ts
@@ -0,0 +1,157 @@
+/**
+ * Where a prompt could be read, and what that would mean: by each engine that reads for others, and by
+ * each that generates, where those that generate there already do not pause for too long.
+ */
+import type { RegisteredServer } from '../fleet/index.js';
+import type { Clock } from '../task/index.js';
+import type { Prospect } from './admission.js';
+import type { Candidates } from './candidates.js';
+import type { EngineModel } from './engine-model.js';
+import type { Entry } from './entry.js';
+import type { GeneratingEngines } from './generating-engines.js';
+import type { Job } from './job.js';
+import type { KnownEngines } from './known-engines.js';
+import type { Work } from './pace.js';
+import type { Paces } from './paces.js';
+import { OTHER_ZONE_MS, PAUSE_SHARE, type SchedulingMechanisms } from './policy.js';
+
+/** What each read that an engine was given weighs while nothing is known of its pace, in ms: it only
+ * has to be more than the distance, so that first reads are spread. */
+const PROBE_MS = 10 * OTHER_ZONE_MS;
+/** How many times as long a KV cache takes to another availability zone, by the platform's pages. */
+const OTHER_ZONE_FACTOR = 2;
+
+/** An engine at which a prompt could be read. */
+export interface Option extends Prospect {
+  server: RegisteredServer;
+  engine: EngineModel;
+  isDirect: boolean;
+}
+
+/** What listing options goes by. */
+export interface OptionsParts {
+  clock: Clock;
+  paces: Paces;
+  mechanisms: SchedulingMechanisms;
+  candidates: Candidates;
+  engines: KnownEngines;
+  generators: GeneratingEngines;
+}
+
+/** Lists where prompts could be read. */
+export interface Options {
+  /**
+   * Lists where a request's prompt could be read.
+   *
+   * @param entry the request
+   * @param restMs time from the end of a read to the first event, in milliseconds
+   */
+  list(entry: Entry, restMs: number): Option[];
+  /** Time for which an engine that generates is taken by reads and transfers, in milliseconds. */
+  busyMs: (id: string) => number;
+  /** Time from the end of a read to the first event, in milliseconds. */
+  expectRestMs(job: Job): number;
+}
+
+/**
+ * Creates the list of no request.
+ *
+ * @param parts the engines and what is known of them
+ */
+export function createOptions(parts: OptionsParts): Options {
+  const { clock, paces, mechanisms, candidates, engines, generators } = parts;
+
+  function list(entry: Entry, restMs: number): Option[] {
+    const { job } = entry;
+    const generating = candidates.list(job, 'decode');
+    const options: Option[] = [];
+    for (const server of candidates.list(job, 'prefill')) {
+      if (generating.length > 0) options.push(weighReader(entry, server, restMs));
+    }
+    const mayReadDirectly = mechanisms.directReads && paces.isKnown();
+    if (!mayReadDirectly && options.length > 0) return options;
+    for (const server of generating) {
+      if (generators.isFull(server, job.rank)) continue;
+      const option = weighDirect(entry, server);
+      if (!wouldPause(option, job)) options.push(option);
+    }
+    return options;
+  }
+
+  function weighReader(entry: Entry, server: RegisteredServer, restMs: number): Option {
+    const engine = engines.model(server.id);
+    const queue = engines.queue(server.id);
+    const startsInMs = engine.reads.remainingMs(clock.now());
+    const readMs = engine.expectReadMs('prefill', entry.job.prompt);
+    const newcomer = { ...entry, isLate: false, expectMs: () => readMs };
+    const distanceMs = server.zone === entry.job.zone ? 0 : OTHER_ZONE_MS;
+    // while nothing is known, what was given counts instead of what it takes
+    const probeMs = paces.isKnown() ? 0 : PROBE_MS * (engine.reads.count() + queue.count());
+    return {
+      server,
+      engine,
+      isDirect: false,
+      waitMs: startsInMs + queue.aheadMs(newcomer),
+      readMs,
+      weighedReadMs: mechanisms.cacheAffinity ? readMs : 0,
+      restMs,
+      surchargeMs: distanceMs + probeMs,
+      harmsOthers: queue.wouldDelay(newcomer, startsInMs, clock.now()),
+      lateMs: queue.lateMs(),
+    };
+  }
+
+  function weighDirect({ job }: Entry, server: RegisteredServer): Option {
+    const engine = engines.model(server.id);
+    const readMs = engine.expectReadMs('decode', job.prompt);
+    return {
+      server,
+      engine,
+      isDirect: true,
+      waitMs: engine.reads.remainingMs(clock.now()),
+      readMs,
+      weighedReadMs: mechanisms.cacheAffinity ? readMs : 0,
+      restMs: 0,
+      surchargeMs: server.zone === job.zone ? 0 : OTHER_ZONE_MS,
+      harmsOthers: false,
+      lateMs: 0,
+    };
+  }
+
+  /**
+   * Whether reading a prompt between the tokens of others would hold their next events up for too
+   * long. One event may stand for many tokens, and each of their steps takes a chunk of the prompt.
+   */
+  function wouldPause({ server, engine, readMs }: Option, { pauseMs }: Job): boolean {
+    if (generators.running(server.id) === 0) return false;
+    return engine.recentDirectMs(clock.now(), pauseMs) + readMs > PAUSE_SHARE * pauseMs;
+  }
+
+  /** Time for which an engine that generates is taken by reads and transfers. */
+  function busyMs(id: string): number {
+    const engine = engines.model(id);
+    const now = clock.now();
+    return engine.reads.remainingMs(now) + engine.transfers.remainingMs(now);
+  }
+
+  /** Time from the end of a read to the first event, at the engine that could give it first. */
+  function expectTransferMs(job: Job, generating: readonly RegisteredServer[]): number {
+    const transferMs = paces.transfer.expectMs(resolveTransfer(job, false));
+    let leastMs = Number.POSITIVE_INFINITY;
+    for (const { id } of generating) {
+      leastMs = Math.min(leastMs, busyMs(id));
+    }
+    return Number.isFinite(leastMs) ? leastMs + transferMs : transferMs;
+  }
+
+  return {
+    list,
+    busyMs,
+    expectRestMs: (job) => expectTransferMs(job, candidates.list(job, 'decode')),
+  };
+}
+
+/** What moving a prompt to the engine that generates takes. */
+export function resolveTransfer({ prompt }: Job, isOtherZone: boolean): Work {
+  return { tokens: prompt.tokens * (isOtherZone ? OTHER_ZONE_FACTOR : 1), pairs: 0 };
+}
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -8,32 +8,24 @@
  * soft state: a scheduler that starts anew knows the fleet within a second, since reads are short.
  */
 import type { Log } from '../events/index.js';
-import type { EngineRole, HealthOutcome, RegisteredServer } from '../fleet/index.js';
+import type { HealthOutcome, RegisteredServer } from '../fleet/index.js';
 import type { Clock, Timer } from '../task/index.js';
-import {
-  resolveAdmission,
-  resolveLateReadyMs,
-  resolveReadyMs,
-  type Prospect,
-} from './admission.js';
+import { resolveAdmission, resolveLateReadyMs, resolveReadyMs } from './admission.js';
 import type { CacheLists } from './cached-parts.js';
-import { createEngineModel, type EngineModel } from './engine-model.js';
+import { createCandidates } from './candidates.js';
+import type { EngineModel } from './engine-model.js';
 import { createEngineWatch } from './engine-watch.js';
-import { createGeneratingLoad } from './generating-load.js';
+import { createEntry, type Entry } from './entry.js';
 import { createGeneratingEngines } from './generating-engines.js';
+import { createGeneratingLoad } from './generating-load.js';
 import type { Decision, DeclineReason, EnginePlacement, Job } from './job.js';
+import { createKnownEngines } from './known-engines.js';
 import { createMargin } from './margin.js';
-import type { Work } from './pace.js';
+import { createOptions, resolveTransfer } from './options.js';
 import type { Paces } from './paces.js';
-import {
-  COMMITTED_MS,
-  LATE_SAFETY,
-  OTHER_ZONE_MS,
-  PAUSE_SHARE,
-  type SchedulingMechanisms,
-} from './policy.js';
+import { COMMITTED_MS, LATE_SAFETY, type SchedulingMechanisms } from './policy.js';
+import type { ReadingQueue } from './reading-queue.js';
 import { createSpareTime } from './spare-time.js';
-import { createReadingQueue, type ReadingQueue, type WaitingPrompt } from './reading-queue.js';
 
 /** What a scheduler needs. */
 export interface SchedulerParts {
@@ -76,46 +68,12 @@
   size(): number;
 }
 
-/** What a request is at. */
-type Stage = 'waiting' | 'reading' | 'read-directly' | 'transferred' | 'generating';
-
-interface Entry extends WaitingPrompt {
-  job: Job;
-  submittedAt: number;
-  /** When its first event was predicted on admission. */
-  predictedAt: number;
-  decided: (decision: Decision) => void;
-  stage: Stage;
-  /** The engine that it waits for, or that works on it. */
-  engine: EngineModel | undefined;
-  /** Gives up on a late request that could no longer end in time. */
-  expiry: Timer | undefined;
-  placement: EnginePlacement | undefined;
-  /** When it was given to its engines. */
-  placedAt: number;
-  /** How often the engine that it waited for could not take it. */
-  moves: number;
-}
-
-/** An engine at which a prompt could be read. */
-interface Option extends Prospect {
-  server: RegisteredServer;
-  engine: EngineModel;
-  isDirect: boolean;
-}
-
 /** A request finds another engine at most so often while it waits: engines that all fail in turn are
  * not worth more of its caller's time. */
 const MAX_MOVES = 5;
 /** Time after which a caller is told to come back where no engine takes requests, in ms: the order of
  * the time in which a lost engine is noticed. */
 const NO_ENGINE_RETRY_MS = 200;
-/** What each read that an engine was given weighs while nothing is known of its pace, in ms: it only
- * has to be more than the distance, so that first reads are spread. */
-const PROBE_MS = 10 * OTHER_ZONE_MS;
-/** How many times as long a KV cache takes to another availability zone, by the platform's pages. */
-const OTHER_ZONE_FACTOR = 2;
-
 /**
  * Creates a scheduler that knows of no request.
  *
@@ -124,8 +82,6 @@
 export function createScheduler(parts: SchedulerParts): Scheduler {
   const { clock, log, paces, mechanisms } = parts;
   const entries = new Map<string, Entry>();
-  const models = new Map<string, EngineModel>();
-  const queues = new Map<string, ReadingQueue<Entry>>();
   /** Engines that are to get the next read once they have nearly done the present one. */
   const wakeUps = new Map<string, Timer>();
   const generators = createGeneratingEngines();
@@ -133,200 +89,32 @@
   const margin = createMargin();
   const spareTime = createSpareTime();
   const generatingLoad = createGeneratingLoad();
-
-  function modelOf(id: string): EngineModel {
-    const known = models.get(id);
-    if (known !== undefined) return known;
-    const created = createEngineModel(id, parts.cacheTokens(), paces);
-    models.set(id, created);
-    if (mechanisms.cacheLists) void learnCache(created);
-    return created;
-  }
-
-  /**
-   * Asks an engine for what it has cached. A scheduler that starts anew would otherwise take all
-   * prompts for unread, turn away what can well be served, and have parts read again elsewhere.
-   */
-  async function learnCache(engine: EngineModel): Promise<void> {
-    const server = findServer(engine.id);
-    if (server === undefined) return;
-    const listed = await parts.caches.list(server);
-    if (listed.isErr()) {
-      log.write('engineCacheUnknown', { server: engine.id, reason: listed.error });
-      return;
-    }
-    engine.learnCache(listed.value);
-    log.write('engineCacheListed', { server: engine.id, parts: listed.value.length });
-  }
-
-  function queueOf(id: string): ReadingQueue<Entry> {
-    const known = queues.get(id);
-    if (known !== undefined) return known;
-    const created = createReadingQueue<Entry>();
-    queues.set(id, created);
-    return created;
-  }
+  const candidates = createCandidates({ engines: () => parts.engines(), watch, inUse });
+  const engines = createKnownEngines({
+    log,
+    paces,
+    cacheTokens: () => parts.cacheTokens(),
+    caches: mechanisms.cacheLists ? parts.caches : undefined,
+    find: (id) => candidates.find(id),
+  });
+  const options = createOptions({ clock, paces, mechanisms, candidates, engines, generators });
 
   /** Requests that an engine was given or that wait for it. */
   function inUse(id: string): number {
-    const queued = queues.get(id)?.count() ?? 0;
-    return generators.running(id) + (models.get(id)?.reads.count() ?? 0) + queued;
-  }
-
-  /** Engines of a role that seem sound, for all and for the gateway that asks. */
-  function listSound(job: Job, role: EngineRole): RegisteredServer[] {
-    const sound: RegisteredServer[] = [];
-    for (const engine of listFit(job, role)) {
-      if (job.avoided.includes(engine.id)) continue;
-      if (watch.mayTake(engine.id, inUse(engine.id))) sound.push(engine);
-    }
-    return sound;
-  }
-
-  /** Engines of a role that this request was not sent to in vain. */
-  function listFit(job: Job, role: EngineRole): RegisteredServer[] {
-    const fit: RegisteredServer[] = [];
-    for (const engine of parts.engines()) {
-      if (engine.role === role && !job.excluded.includes(engine.id)) fit.push(engine);
-    }
-    return fit;
-  }
-
-  /**
-   * Engines that may be given a request. The one rule for it: with another one elsewhere, a request
-   * goes to and fro between the two. Where nothing seems sound, the judgement is more likely wrong
-   * than all engines are.
-   */
-  function listCandidates(job: Job, role: EngineRole): RegisteredServer[] {
-    const sound = listSound(job, role);
-    return sound.length > 0 ? sound : listFit(job, role);
-  }
-
-  function isCandidate(id: string, job: Job): boolean {
-    for (const engine of listCandidates(job, 'prefill')) {
-      if (engine.id === id) return true;
-    }
-    return false;
-  }
-
-  function listOptions(entry: Entry): Option[] {
-    const { job } = entry;
-    const generating = listCandidates(job, 'decode');
-    const options: Option[] = [];
-    const restMs = expectTransferMs(job, generating);
-    const byMs = job.aimLeftMs - restMs - marginMs();
-    entry.readBy = entry.submittedAt + (mechanisms.deadlineOrder ? byMs : 0);
-    for (const server of listCandidates(job, 'prefill')) {
-      if (generating.length > 0) options.push(weighReader(entry, server, restMs));
-    }
-    const mayReadDirectly = mechanisms.directReads && paces.isKnown();
-    if (!mayReadDirectly && options.length > 0) return options;
-    for (const server of generating) {
-      if (generators.isFull(server, job.rank)) continue;
-      const option = weighDirect(entry, server);
-      if (!wouldPause(option, job)) options.push(option);
-    }
-    return options;
-  }
-
-  function weighReader(entry: Entry, server: RegisteredServer, restMs: number): Option {
-    const engine = modelOf(server.id);
-    const queue = queueOf(server.id);
-    const startsInMs = engine.reads.remainingMs(clock.now());
-    const readMs = engine.expectReadMs('prefill', entry.job.prompt);
-    const newcomer = { ...entry, isLate: false, expectMs: () => readMs };
-    const distanceMs = server.zone === entry.job.zone ? 0 : OTHER_ZONE_MS;
-    // while nothing is known, what was given counts instead of what it takes
-    const probeMs = paces.isKnown() ? 0 : PROBE_MS * (engine.reads.count() + queue.count());
-    return {
-      server,
-      engine,
-      isDirect: false,
-      waitMs: startsInMs + queue.aheadMs(newcomer),
-      readMs,
-      weighedReadMs: mechanisms.cacheAffinity ? readMs : 0,
-      restMs,
-      surchargeMs: distanceMs + probeMs,
-      harmsOthers: queue.wouldDelay(newcomer, startsInMs, clock.now()),
-      lateMs: queue.lateMs(),
-    };
-  }
-
-  function weighDirect({ job }: Entry, server: RegisteredServer): Option {
-    const engine = modelOf(server.id);
-    const readMs = engine.expectReadMs('decode', job.prompt);
-    return {
-      server,
-      engine,
-      isDirect: true,
-      waitMs: engine.reads.remainingMs(clock.now()),
-      readMs,
-      weighedReadMs: mechanisms.cacheAffinity ? readMs : 0,
-      restMs: 0,
-      surchargeMs: server.zone === job.zone ? 0 : OTHER_ZONE_MS,
-      harmsOthers: false,
-      lateMs: 0,
-    };
-  }
-
-  /**
-   * Whether reading a prompt between the tokens of others would hold their next events up for too
-   * long. One event may stand for many tokens, and each of their steps takes a chunk of the prompt.
-   */
-  function wouldPause({ server, engine, readMs }: Option, { pauseMs }: Job): boolean {
-    if (generators.running(server.id) === 0) return false;
-    return engine.recentDirectMs(clock.now(), pauseMs) + readMs > PAUSE_SHARE * pauseMs;
-  }
-
-  /** Time for which an engine that generates is taken by reads and transfers. */
-  function busyMs(id: string): number {
-    const engine = modelOf(id);
-    const now = clock.now();
-    return engine.reads.remainingMs(now) + engine.transfers.remainingMs(now);
-  }
-
-  /** Time from the end of a read to the first event, at the engine that could give it first. */
-  function expectTransferMs(job: Job, generating: readonly RegisteredServer[]): number {
-    const transferMs = paces.transfer.expectMs(resolveTransfer(job, false));
-    let leastMs = Number.POSITIVE_INFINITY;
-    for (const { id } of generating) {
-      leastMs = Math.min(leastMs, busyMs(id));
-    }
-    return Number.isFinite(leastMs) ? leastMs + transferMs : transferMs;
+    return generators.running(id) + engines.inUse(id);
   }
 
   function submit(job: Job, decided: (decision: Decision) => void): void {
-    const entry = createEntry(job, decided);
+    const entry = createEntry(job, clock.now(), decided);
     entries.set(job.id, entry);
     if (job.isRead) placeAtGenerator(entry);
     else route(entry);
   }
 
-  function createEntry(job: Job, decided: (decision: Decision) => void): Entry {
-    const now = clock.now();
-    const entry: Entry = {
-      job,
-      submittedAt: now,
-      predictedAt: now,
-      decided,
-      stage: 'waiting',
-      engine: undefined,
-      expiry: undefined,
-      placement: undefined,
-      placedAt: now,
-      moves: 0,
-      rank: job.rank,
-      isLate: false,
-      readBy: now,
-      expectMs: () => entry.engine?.expectReadMs('prefill', job.prompt) ?? 0,
-    };
-    return entry;
-  }
-
   /** Part of their time that engines which may read a prompt have left beside what is on time. */
   function spareShare(job: Job): number {
     if (!mechanisms.spareTime) return 1;
-    return spareTime.share(listCandidates(job, 'prefill').length, clock.now());
+    return spareTime.share(candidates.list(job, 'prefill').length, clock.now());
   }
 
   function marginMs(): number {
@@ -336,13 +124,16 @@
   /** Finds engines for a request, or declines it. */
   function route(entry: Entry): void {
     const { job } = entry;
-    const options = listOptions(entry);
-    if (options.length === 0) {
+    const restMs = options.expectRestMs(job);
+    const byMs = mechanisms.deadlineOrder ? job.aimLeftMs - restMs - marginMs() : 0;
+    entry.readBy = entry.submittedAt + byMs;
+    const choices = options.list(entry, restMs);
+    if (choices.length === 0) {
       decline(entry, 'no-engine', NO_ENGINE_RETRY_MS, 0);
       return;
     }
     const spentMs = clock.now() - entry.submittedAt;
-    const admission = resolveAdmission(options, {
+    const admission = resolveAdmission(choices, {
       aimLeftMs: job.aimLeftMs - spentMs,
       timeLeftMs: job.timeLeftMs - spentMs,
       marginMs: marginMs(),
@@ -370,7 +161,7 @@
 
   function enqueue(entry: Entry, engine: EngineModel): void {
     entry.engine = engine;
-    queueOf(engine.id).add(entry);
+    engines.queue(engine.id).add(entry);
     if (entry.isLate) expireInTime(entry);
     advance(engine);
   }
@@ -414,12 +205,12 @@
 
   /** Starts reads at an engine while it is to get some. */
   function advance(engine: EngineModel): void {
-    const queue = queueOf(engine.id);
+    const queue = engines.queue(engine.id);
     while (hasRoom(engine)) {
       const entry = queue.takePunctual() ?? takeLate(engine, queue);
       if (entry === undefined) return;
       if (isTooLate(entry)) postpone(entry, engine);
-      else if (isCandidate(engine.id, entry.job) || entry.moves >= MAX_MOVES)
+      else if (candidates.mayRead(engine.id, entry.job) || entry.moves >= MAX_MOVES)
         startRead(entry, engine);
       else leaveFor(entry);
     }
@@ -460,7 +251,7 @@
       return;
     }
     makeLate(entry);
-    const queue = queueOf(engine.id);
+    const queue = engines.queue(engine.id);
     const aheadMs = engine.reads.remainingMs(clock.now()) + queue.lateMs();
     entry.predictedAt = clock.now() + aheadMs / spareShare(entry.job) + entry.expectMs();
     queue.add(entry);
@@ -477,8 +268,13 @@
 
   function startRead(entry: Entry, engine: EngineModel): void {
     const { job } = entry;
-    const zone = findServer(engine.id)?.zone ?? job.zone;
-    const generator = generators.choose(listCandidates(job, 'decode'), zone, job.rank, busyMs);
+    const zone = candidates.find(engine.id)?.zone ?? job.zone;
+    const generator = generators.choose(
+      candidates.list(job, 'decode'),
+      zone,
+      job.rank,
+      options.busyMs,
+    );
     if (generator === undefined) {
       decline(entry, 'no-engine', NO_ENGINE_RETRY_MS, 0);
       return;
@@ -492,7 +288,7 @@
   }
 
   function placeDirectly(entry: Entry, server: RegisteredServer): void {
-    const engine = modelOf(server.id);
+    const engine = engines.model(server.id);
     entry.engine = engine;
     entry.stage = 'read-directly';
     engine.startRead(entry.job.id, 'decode', entry.job.prompt, clock.now());
@@ -503,7 +299,12 @@
   /** Another engine is to generate from a prompt that was read before. */
   function placeAtGenerator(entry: Entry): void {
     const { job } = entry;
-    const generator = generators.choose(listCandidates(job, 'decode'), job.zone, job.rank, busyMs);
+    const generator = generators.choose(
+      candidates.list(job, 'decode'),
+      job.zone,
+      job.rank,
+      options.busyMs,
+    );
     if (generator === undefined) {
       decline(entry, 'no-engine', NO_ENGINE_RETRY_MS, 0);
       return;
@@ -514,7 +315,7 @@
 
   function startTransfer(entry: Entry, generator: string, isOtherZone: boolean): void {
     const { job } = entry;
-    const engine = modelOf(generator);
+    const engine = engines.model(generator);
     entry.engine = engine;
     entry.stage = 'transferred';
     generatingLoad.noteTransfer(paces.transfer.expectMs(resolveTransfer(job, false)), clock.now());
@@ -550,13 +351,6 @@
     generatingLoad.note(running, clock.now());
   }
 
-  function findServer(id: string): RegisteredServer | undefined {
-    for (const engine of parts.engines()) {
-      if (engine.id === id) return engine;
-    }
-    return undefined;
-  }
-
   /**
    * Takes in what became of a request at its engine: the one that reads, or after that the one that
    * generates. An engine that declines a prompt that was read elsewhere may be right, since the
@@ -573,7 +367,7 @@
   }
 
   function leaveQueue(entry: Entry): void {
-    if (entry.engine !== undefined) queueOf(entry.engine.id).remove(entry);
+    if (entry.engine !== undefined) engines.queue(entry.engine.id).remove(entry);
   }
 
   /** The engine that works on a request no longer does. */
@@ -592,7 +386,7 @@
     submit,
     adopt(job, placement) {
       if (entries.has(job.id)) return;
-      const entry = createEntry(job, () => undefined);
+      const entry = createEntry(job, clock.now(), () => undefined);
       entries.set(job.id, { ...entry, stage: 'generating', placement });
       generators.start(placement.generator, job.rank);
     },
@@ -602,7 +396,7 @@
       const { reader, generator } = entry.placement;
       watch.heard(reader);
       leaveEngine(entry, true);
-      const isOtherZone = findServer(reader)?.zone !== findServer(generator)?.zone;
+      const isOtherZone = candidates.find(reader)?.zone !== candidates.find(generator)?.zone;
       startTransfer(entry, generator, isOtherZone);
     },
     begun(id) {
@@ -626,8 +420,7 @@
     forget(engine) {
       watch.forget(engine);
       if (inUse(engine) > 0) return;
-      models.delete(engine);
-      queues.delete(engine);
+      engines.forget(engine);
       wakeUps.get(engine)?.cancel();
       wakeUps.delete(engine);
     },
@@ -638,8 +431,3 @@
 
 /** How many times the expected read must fit before the deadline of a request that is late. */
 const LATE_END_FACTOR = 2;
-
-/** What moving a prompt to the engine that generates takes. */
-function resolveTransfer({ prompt }: Job, isOtherZone: boolean): Work {
-  return { tokens: prompt.tokens * (isOtherZone ? OTHER_ZONE_FACTOR : 1), pairs: 0 };
-}
