--- a/src/scheduling/generating-engines.ts
+++ b/src/scheduling/generating-engines.ts
@@ -41,14 +41,23 @@
   isFull(engine: RegisteredServer, rank: number): boolean;
   /** Requests that an engine was given and that have not ended. */
   running(id: string): number;
-  start(id: string, rank: number): void;
-  end(id: string, rank: number): void;
+  /**
+   * How much of an engine is taken: of its slots, or of its memory if that is more.
+   *
+   * @param cacheTokens tokens that its memory holds; prompts count whole, shared parts as often as
+   * they occur
+   */
+  load(engine: RegisteredServer, cacheTokens: number): number;
+  start(id: string, rank: number, tokens: number): void;
+  end(id: string, rank: number, tokens: number): void;
 }
 
 /** Creates a count of nothing. */
 export function createGeneratingEngines(): GeneratingEngines {
   /** Requests at each engine, by rank. */
   const counts = new Map<string, Map<number, number>>();
+  /** Prompt tokens at each engine. */
+  const held = new Map<string, number>();
 
   function running(id: string, upToRank = Number.POSITIVE_INFINITY): number {
     let found = 0;
@@ -86,11 +95,17 @@
       return best;
     },
     running: (id) => running(id),
-    start(id, rank) {
+    load({ id, slots }, cacheTokens) {
+      return Math.max(running(id) / slots, (held.get(id) ?? 0) / Math.max(1, cacheTokens));
+    },
+    start(id, rank, tokens) {
+      held.set(id, (held.get(id) ?? 0) + tokens);
       change(id, rank, 1);
     },
-    end(id, rank) {
+    end(id, rank, tokens) {
       change(id, rank, -1);
+      if (counts.has(id)) held.set(id, (held.get(id) ?? 0) - tokens);
+      else held.delete(id);
     },
   };
 }
--- a/src/scheduling/generating-load.ts
+++ b/src/scheduling/generating-load.ts
@@ -1,6 +1,6 @@
 /**
  * How much work generating is, in engines that it would keep busy: requests that run, as a share of an
- * engine's slots, and transfers of prompts, which an engine's link takes one after another. The peak
+ * engine's slots or of its memory, whichever is more, and transfers of prompts, which an engine's link takes one after another. The peak
  * counts, since a change of roles takes longer than a burst.
  */
 import { createSpareTime } from './spare-time.js';
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -328,7 +328,7 @@
     entry.placement = placement;
     entry.placedAt = clock.now();
     entry.expiry?.cancel();
-    generators.start(placement.generator, job.rank);
+    generators.start(placement.generator, job.rank, job.prompt.tokens);
     noteLoad();
     log.write('requestPlaced', {
       request: job.requestId,
@@ -344,11 +344,11 @@
   }
 
   function noteLoad(): void {
-    let running = 0;
+    let taken = 0;
     for (const engine of parts.engines()) {
-      if (engine.role === 'decode') running += generators.running(engine.id) / engine.slots;
+      if (engine.role === 'decode') taken += generators.load(engine, parts.cacheTokens());
     }
-    generatingLoad.note(running, clock.now());
+    generatingLoad.note(taken, clock.now());
   }
 
   /**
@@ -388,7 +388,7 @@
       if (entries.has(job.id)) return;
       const entry = createEntry(job, clock.now(), () => undefined);
       entries.set(job.id, { ...entry, stage: 'generating', placement });
-      generators.start(placement.generator, job.rank);
+      generators.start(placement.generator, job.rank, job.prompt.tokens);
     },
     promptRead(id) {
       const entry = entries.get(id);
@@ -415,7 +415,8 @@
       watch.ended(id);
       if (outcome !== undefined) judge(entry, outcome);
       leaveEngine(entry, false);
-      if (entry.placement !== undefined) generators.end(entry.placement.generator, entry.job.rank);
+      if (entry.placement !== undefined)
+        generators.end(entry.placement.generator, entry.job.rank, entry.job.prompt.tokens);
     },
     forget(engine) {
       watch.forget(engine);
