--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -74,6 +74,7 @@
 /** Time after which a caller is told to come back where no engine takes requests, in ms: the order of
  * the time in which a lost engine is noticed. */
 const NO_ENGINE_RETRY_MS = 200;
+
 /**
  * Creates a scheduler that knows of no request.
  *
--- a/tools/replay/replay.ts
+++ b/tools/replay/replay.ts
@@ -40,7 +40,7 @@
 /** What a play gave. */
 export interface Outcome {
   byKind: Map<string, Tally>;
-  /** Prompt tokens that engines were given to read and had not cached, in their own books. */
+  /** Longest time after which a request was turned away, in milliseconds. */
   longestHoldMs: number;
 }
 
