--- a/src/scheduling/entry.ts
+++ b/src/scheduling/entry.ts
@@ -17,6 +17,9 @@
   predictedAt: number;
   decided: (decision: Decision) => void;
   stage: Stage;
+  /** Time that reading it takes at the engine that it waits for, as of when it began to wait, in ms:
+   * working it out anew for each that waits took most of a decision's time. */
+  queuedMs: number;
   /** The engine that it waits for, or that works on it. */
   engine: EngineModel | undefined;
   /** Gives up on a late request that could no longer end in time. */
@@ -50,7 +53,8 @@
     rank: job.rank,
     isLate: false,
     readBy: now,
-    expectMs: () => entry.engine?.expectReadMs('prefill', job.prompt) ?? 0,
+    queuedMs: 0,
+    expectMs: () => entry.queuedMs,
   };
   return entry;
 }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -112,10 +112,14 @@
     else route(entry);
   }
 
-  /** Part of their time that engines which may read a prompt have left beside what is on time. */
-  function spareShare(job: Job): number {
+  /** Part of their time that the engines that read have left beside what is on time. */
+  function spareShare(): number {
     if (!mechanisms.spareTime) return 1;
-    return spareTime.share(candidates.list(job, 'prefill').length, clock.now());
+    let reading = 0;
+    for (const { role } of parts.engines()) {
+      if (role === 'prefill') reading += 1;
+    }
+    return spareTime.share(reading, clock.now());
   }
 
   function marginMs(): number {
@@ -139,7 +143,7 @@
       timeLeftMs: job.timeLeftMs - spentMs,
       marginMs: marginMs(),
       mayBeLate: job.isReturn || mechanisms.lateFirstAttempts,
-      spareShare: spareShare(job),
+      spareShare: spareShare(),
     });
     if (admission.kind === 'declined') {
       decline(entry, 'cannot-be-on-time', admission.retryAfterMs, admission.backlogMs);
@@ -149,7 +153,7 @@
     entry.predictedAt = clock.now() + resolveReadyMs(option);
     if (admission.kind === 'late') {
       makeLate(entry);
-      entry.predictedAt = clock.now() + resolveLateReadyMs(option, spareShare(job));
+      entry.predictedAt = clock.now() + resolveLateReadyMs(option, spareShare());
     }
     if (option.isDirect) placeDirectly(entry, option.server);
     else enqueue(entry, option.engine);
@@ -162,6 +166,7 @@
 
   function enqueue(entry: Entry, engine: EngineModel): void {
     entry.engine = engine;
+    entry.queuedMs = engine.expectReadMs('prefill', entry.job.prompt);
     engines.queue(engine.id).add(entry);
     if (entry.isLate) expireInTime(entry);
     advance(engine);
@@ -210,6 +215,7 @@
     while (hasRoom(engine)) {
       const entry = queue.takePunctual() ?? takeLate(engine, queue);
       if (entry === undefined) return;
+      entry.queuedMs = engine.expectReadMs('prefill', entry.job.prompt);
       if (isTooLate(entry)) postpone(entry, engine);
       else if (candidates.mayRead(engine.id, entry.job) || entry.moves >= MAX_MOVES)
         startRead(entry, engine);
@@ -254,7 +260,7 @@
     makeLate(entry);
     const queue = engines.queue(engine.id);
     const aheadMs = engine.reads.remainingMs(clock.now()) + queue.lateMs();
-    entry.predictedAt = clock.now() + aheadMs / spareShare(entry.job) + entry.expectMs();
+    entry.predictedAt = clock.now() + aheadMs / spareShare() + entry.expectMs();
     queue.add(entry);
     expireInTime(entry);
   }
