--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -78,3 +78,7 @@
 /** Part of the longest pause between events that reads at an engine may take from those that generate
  * there: the rest is left for their own steps and for what was not foreseen. */
 export const PAUSE_SHARE = 0.5;
+/** Part of a request's objective that the margin of predictions may take. Without a bound, a spell in
+ * which first events come late by more than the objective leaves nothing on time; nothing is then
+ * observed that would lower the margin, and everything is late from there on. */
+export const MARGIN_SHARE = 0.25;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -23,7 +23,7 @@
 import { createMargin } from './margin.js';
 import { createOptions, resolveTransfer } from './options.js';
 import type { Paces } from './paces.js';
-import { COMMITTED_MS, LATE_SAFETY, type SchedulingMechanisms } from './policy.js';
+import { COMMITTED_MS, LATE_SAFETY, MARGIN_SHARE, type SchedulingMechanisms } from './policy.js';
 import type { ReadingQueue } from './reading-queue.js';
 import { createSpareTime } from './spare-time.js';
 
@@ -122,15 +122,15 @@
     return spareTime.share(reading, clock.now());
   }
 
-  function marginMs(): number {
-    return mechanisms.learntMargin ? margin.marginMs() : 0;
+  function marginMs(job: Job): number {
+    return mechanisms.learntMargin ? Math.min(margin.marginMs(), MARGIN_SHARE * job.aimLeftMs) : 0;
   }
 
   /** Finds engines for a request, or declines it. */
   function route(entry: Entry): void {
     const { job } = entry;
     const restMs = options.expectRestMs(job);
-    const byMs = mechanisms.deadlineOrder ? job.aimLeftMs - restMs - marginMs() : 0;
+    const byMs = mechanisms.deadlineOrder ? job.aimLeftMs - restMs - marginMs(job) : 0;
     entry.readBy = entry.submittedAt + byMs;
     const choices = options.list(entry, restMs);
     if (choices.length === 0) {
@@ -141,7 +141,7 @@
     const admission = resolveAdmission(choices, {
       aimLeftMs: job.aimLeftMs - spentMs,
       timeLeftMs: job.timeLeftMs - spentMs,
-      marginMs: marginMs(),
+      marginMs: marginMs(job),
       mayBeLate: job.isReturn || mechanisms.lateFirstAttempts,
       spareShare: spareShare(),
     });
@@ -189,7 +189,7 @@
   /** Time until a request has to start to be read, or it cannot end within its deadline. */
   function latestStartMs(entry: Entry): number {
     const leftMs = entry.job.timeLeftMs - (clock.now() - entry.submittedAt);
-    return leftMs - LATE_END_FACTOR * entry.expectMs() - marginMs();
+    return leftMs - LATE_END_FACTOR * entry.expectMs() - marginMs(entry.job);
   }
 
   /** Declines a request that waited until it could no longer end within its deadline. */
@@ -343,7 +343,7 @@
       tokens: job.prompt.tokens,
       outputTokens: job.prompt.maxOutputTokens,
       isLate: entry.isLate,
-      marginMs: Math.round(marginMs()),
+      marginMs: Math.round(marginMs(job)),
       predictedMs: Math.round(entry.predictedAt - entry.submittedAt),
       waitedMs: Math.round(clock.now() - entry.submittedAt),
     });
