--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -271,19 +271,18 @@
     expect(late?.kind === 'declined' && late.retryAfterMs).to.be.above(300);
   });
 
-  it('takes requests as on time again after a spell in which all came late', async () => {
+  it('takes requests as on time again after a spell in which many came late', async () => {
     const { submit, scheduler, advance } = setUp(ONE_READER, ON_TIME_ONLY);
-    for (let index = 0; index < 60; index += 1) {
-      const delayed = job({ aimLeftMs: 150 }, `delayed-${index}`);
+    for (let index = 0; index < 80; index += 1) {
+      const delayed = job({ aimLeftMs: 2_000 }, `delayed-${index}`);
       submit(delayed);
       await advance(24);
       scheduler.promptRead(delayed.id);
-      await advance(300);
+      await advance(index % 2 === 0 ? 0 : 300);
       scheduler.begun(delayed.id);
       scheduler.finished(delayed.id, 'good');
     }
-    await advance(10_000);
-    expect(submit(job({ aimLeftMs: 400 }, 'next'))).to.include({ kind: 'placed' });
+    expect(submit(job({ aimLeftMs: 300 }, 'next'))).to.include({ kind: 'placed' });
   });
 
   it('gives each engine one read while nothing is known of their pace', () => {
