test(gateway): guards around peers' messages and requests, lists of caches, the store's clock

Found on reading the change again: these came without a test of their own. The stand-in of the store now tells its clock with reads, as the real one does; before, no test outside the lease's fake saw it.

--- a/stand-ins/users-platform/store.ts
+++ b/stand-ins/users-platform/store.ts
@@ -93,7 +93,12 @@
     found.sort((left, right) => (left.key < right.key ? -1 : 1));
     const limit = Number(query.get('limit') ?? 500);
     const hasMore = found.length > limit;
-    answer(response, 200, { rows: found.slice(0, limit), hasMore, ver: version });
+    answer(response, 200, {
+      rows: found.slice(0, limit),
+      hasMore,
+      ver: version,
+      nowMs: performance.now(),
+    });
   }
 
   function readFeed(response: ServerResponse, query: URLSearchParams): void {
@@ -108,7 +113,7 @@
       changed.push(row.value === undefined ? { ...row, deleted: true } : row);
     }
     if (changed.length > 0) {
-      answer(response, 200, { rows: changed, ver: version });
+      answer(response, 200, { rows: changed, ver: version, nowMs: performance.now() });
       return;
     }
     holdFeed(response, query);
@@ -118,7 +123,7 @@
     const timer = setTimeout(
       () => {
         waiting.delete(wake);
-        answer(response, 200, { rows: [], ver: version });
+        answer(response, 200, { rows: [], ver: version, nowMs: performance.now() });
       },
       Number(query.get('waitMs')),
     );
--- a/test/gateway/adapter.test.ts
+++ b/test/gateway/adapter.test.ts
@@ -2,12 +2,16 @@
 import { Ok } from 'ts-results-es';
 import { createCaller } from '../../platform/calls.js';
 import { parseConfiguration } from '../../platform/configuration.js';
-import { createEngineCalls } from '../../platform/engines.js';
+import { createCacheCalls, createEngineCalls } from '../../platform/engines.js';
 import { parseEntry } from '../../platform/registry.js';
 import { parseSettings } from '../../platform/settings.js';
 import { createStore, type Store } from '../../platform/store.js';
 import type { RegisteredServer } from '../../src/fleet/index.js';
-import { startStoreStandIn, type StoreStandIn } from '../../stand-ins/users-platform/index.js';
+import {
+  startServerStandIn,
+  startStoreStandIn,
+  type StoreStandIn,
+} from '../../stand-ins/users-platform/index.js';
 
 const SETTINGS = `node=front-a-1
 zone=a
@@ -72,6 +76,21 @@
     const calls = createEngineCalls(() => Promise.resolve(Ok({ status: 200, body: '{"sta' })));
     expect((await calls.state(engine)).unwrapErr()).to.equal('unreadable state');
   });
+
+  it('list what an engine has cached', async () => {
+    const stand = await startServerStandIn({ id: 'e', cached: [['aa', 1_000]] });
+    const calls = createCacheCalls(createCaller());
+    const listed = await calls.list({ ...engine, address: stand.address });
+    await stand.close();
+    expect(listed.unwrap()).to.deep.equal([{ model: 'm', id: 'aa', tokens: 1_000 }]);
+  });
+
+  it('say why an engine did not list what it has cached', async () => {
+    const answer = (status: number, body: string) =>
+      createCacheCalls(() => Promise.resolve(Ok({ status, body }))).list(engine);
+    expect((await answer(429, '')).unwrapErr()).to.equal('status 429');
+    expect((await answer(200, '{"held":[["", 1]]}')).unwrapErr()).to.equal('unreadable list');
+  });
 });
 
 describe('the client of the store', () => {
@@ -89,6 +108,14 @@
 
   afterEach(() => stand.close());
 
+  it('tells the store’s own clock with a row', async () => {
+    await store.transact({ conditions: [], puts: [{ key: 'k', value: 1 }], deletes: [] });
+    const first = (await store.get('k')).unwrap()?.readAtMs;
+    const second = (await store.get('k')).unwrap()?.readAtMs;
+    expect(first).to.be.a('number');
+    expect(second).to.be.at.least(first ?? Number.POSITIVE_INFINITY);
+  });
+
   it('writes only where the conditions hold', async () => {
     const put = (revision: number) =>
       store.transact({
--- /dev/null
+++ b/test/gateway/guards.test.ts
@@ -0,0 +1,73 @@
+import { expect } from 'chai';
+import { createPeering, type PeeringParts } from '../../src/gateway/peering.js';
+import type { Peer } from '../../src/peers/index.js';
+import { createFront } from '../../src/relay/index.js';
+import type { Scheduler } from '../../src/scheduling/index.js';
+import { createSystemClock } from '../../src/task/index.js';
+import { createHeaderProtocol } from '../../platform/headers.js';
+import { ask, createKeptLog, findPort, heads } from '../fixtures/gateway.js';
+
+describe('a decision that throws', () => {
+  it('of a peer’s message is told and harms nothing else', () => {
+    const log = createKeptLog();
+    const done: string[] = [];
+    const scheduler = {
+      adopt: () => {
+        throw new Error('no such engine');
+      },
+      submit: (job: { id: string }) => done.push(job.id),
+    } as unknown as Scheduler;
+    const peering = createPeering({
+      log,
+      mesh: () => ({ send: () => true, peers: () => [] }),
+      scheduler: () => scheduler,
+    } as unknown as PeeringParts);
+    const peer = { introduction: { node: 'peer' } } as unknown as Peer;
+    const job = {
+      id: 'peer/1',
+      service: 'chat',
+      requestId: 'r1',
+      prompt: { model: 'm', parts: [], tokens: 10, maxOutputTokens: 1 },
+      rank: 0,
+      pauseMs: 100,
+      aimLeftMs: 100,
+      timeLeftMs: 1_000,
+      isReturn: false,
+      isRead: false,
+      zone: 'a',
+      excluded: [],
+      avoided: [],
+    };
+    peering.received(peer, { kind: 'job.adopt', job, placement: { generator: 'g1' } });
+    peering.received(peer, { kind: 'job.submit', job: { ...job, id: 'peer/2' } });
+    const failed = log.lines.filter(({ event }) => event === 'decisionFailed');
+    expect(failed.map(({ fields }) => fields.step)).to.deep.equal(['job.adopt']);
+    expect(done).to.deep.equal(['peer/2']);
+  });
+
+  it('of one request closes its connection, and the next is served', async () => {
+    const log = createKeptLog();
+    const front = createFront({
+      clock: createSystemClock(),
+      log,
+      protocol: createHeaderProtocol(),
+      limits: () => undefined,
+      serve({ head, answer }) {
+        if (head.requestId === 'bad') return Promise.reject(new Error('no such engine'));
+        answer.refuse(503, 'not run: for the test', 100);
+        return Promise.resolve();
+      },
+    });
+    const port = await findPort();
+    await front.listen('127.0.0.1', port);
+    const lost = await ask(port, { path: '/', headers: heads('bad') }).then(
+      () => 'answered',
+      () => 'closed',
+    );
+    const next = await ask(port, { path: '/', headers: heads('good') });
+    front.close();
+    expect(lost).to.equal('closed');
+    expect(next.status).to.equal(503);
+    expect(log.lines.map(({ event }) => event)).to.deep.equal(['decisionFailed']);
+  });
+});
