--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -94,6 +94,7 @@
     level: 'info',
     text: 'the store dropped history; reading all anew',
   },
+  storeCallFailed: { id: 7013, level: 'info', text: 'a call for changes in the store failed' },
   routesApplied: { id: 7020, level: 'info', text: 'routes in force' },
   routesUnreadable: { id: 7021, level: 'error', text: 'a version of the routes cannot be read' },
   serverChanged: { id: 7030, level: 'info', text: 'registry entry of a backend server changed' },
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -71,7 +71,12 @@
     if (change.server === undefined && known === undefined) return;
     const waitMs = graceUntil - clock.now();
     if (change.server === undefined && waitMs > 0) {
-      log.write('serverLapsed', { server: change.id, revision: change.revision, waitMs });
+      log.write('serverLapsed', {
+        server: change.id,
+        revision: change.revision,
+        before: known?.change.revision,
+        waitMs: Math.round(waitMs),
+      });
       clock.after(waitMs, () => {
         learn(change, source);
       });
--- a/src/gateway/follow.ts
+++ b/src/gateway/follow.ts
@@ -85,6 +85,7 @@
       await wait(clock, REST_MS);
       continue;
     }
+    const sentAt = clock.now();
     const result =
       revision === undefined
         ? await feed.readAll(signal)
@@ -97,7 +98,7 @@
       revision = result.value.revision;
       continue;
     }
-    revision = takeFailure(parts, result.error, revision);
+    revision = takeFailure(parts, result.error, revision, sentAt);
     if (result.error.kind === 'history-lost') continue;
     await wait(clock, pauseMs * (0.5 + random.next()));
     pauseMs = Math.min(MAX_PAUSE_MS, pauseMs * 2);
@@ -108,7 +109,14 @@
   parts: FollowParts<Item>,
   failure: FeedFailure,
   revision: number | undefined,
+  sentAt: number,
 ): number | undefined {
+  parts.log.write('storeCallFailed', {
+    feed: parts.name,
+    after: revision,
+    waitedMs: Math.round(parts.clock.now() - sentAt),
+    reason: failure.reason,
+  });
   if (failure.kind === 'history-lost') {
     parts.log.write('storeHistoryLost', { feed: parts.name, after: revision });
     return undefined;
