--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -2,9 +2,9 @@
  * The backend servers that a gateway knows. Changes come from the registry or from peers, in any
  * order and more than once; each entry only moves forward by its revision.
  *
- * While the registry's store is away, entries of live servers may lapse. A removal that is read
- * shortly after the store came back therefore takes effect only if the entry has not returned by
- * the end of a grace period.
+ * While the registry's store is away, entries of live servers may lapse. The removal of an entry that
+ * was last written before the outage therefore takes effect only if the entry has not returned by the
+ * end of a grace period after it. An entry that was written since has not lapsed: its removal holds.
  */
 import type { Log } from '../events/index.js';
 import type { Clock } from '../task/index.js';
@@ -36,6 +36,8 @@
   replace(changes: readonly RegistryChange[], revision: number): void;
   /** A server said itself that it is not the incarnation asked for, or that it leaves. */
   retire(id: string, reason: string): void;
+  /** The store is away; entries may lapse from now on. */
+  storeLost(): void;
   /** The store answers again after an outage. */
   storeReturned(): void;
   find(id: string): RegisteredServer | undefined;
@@ -63,28 +65,49 @@
   const byService = new Map<string, readonly RegisteredServer[]>();
   let newest = 0;
   let graceUntil = Number.NEGATIVE_INFINITY;
+  /** The newest revision when the store was lost; `undefined` while it is not. */
+  let lostAtRevision: number | undefined;
+  /** Entries of this revision or an older one may have lapsed in the last outage. */
+  let lapsedUpTo = 0;
+  /** Removals that wait for the end of the grace period. */
+  const lapsed = new Map<string, RegistryChange>();
 
   function learn(change: RegistryChange, source: FleetSource): void {
     newest = Math.max(newest, change.revision);
     const known = entries.get(change.id);
     if (known !== undefined && known.change.revision >= change.revision) return;
     if (change.server === undefined && known === undefined) return;
-    const waitMs = graceUntil - clock.now();
-    if (change.server === undefined && waitMs > 0) {
+    if (change.server === undefined && mayReturn(known)) {
+      lapsed.set(change.id, change);
       log.write('serverLapsed', {
         server: change.id,
         revision: change.revision,
         before: known?.change.revision,
-        waitMs: Math.round(waitMs),
-      });
-      clock.after(waitMs, () => {
-        learn(change, source);
+        waitMs: Math.round(graceUntil - clock.now()),
       });
       return;
     }
     apply(change, known, source);
   }
 
+  /** Otherwise a server that left just after the store's return got requests for three seconds more. */
+  function mayReturn(known: Entry | undefined): boolean {
+    if (known === undefined || clock.now() >= graceUntil) return false;
+    return known.change.revision <= lapsedUpTo;
+  }
+
+  /** Takes out what has not returned; while the store is away again, nothing could have. */
+  function endGrace(): void {
+    if (lostAtRevision !== undefined) return;
+    for (const [id, change] of lapsed) {
+      const known = entries.get(id);
+      if (known !== undefined && known.change.revision < change.revision) {
+        apply(change, known, 'store');
+      }
+    }
+    lapsed.clear();
+  }
+
   function apply(change: RegistryChange, known: Entry | undefined, source: FleetSource): void {
     const { server } = change;
     entries.set(change.id, {
@@ -138,8 +161,14 @@
       log.write('serverRetired', { server: id, reason, revision: entry.change.revision });
       left(id);
     },
+    storeLost() {
+      lostAtRevision = newest;
+    },
     storeReturned() {
       graceUntil = clock.now() + RETURN_GRACE_MS;
+      lapsedUpTo = lostAtRevision ?? newest;
+      lostAtRevision = undefined;
+      clock.after(RETURN_GRACE_MS, endGrace);
     },
     find: (id) => entries.get(id)?.change.server,
     available(service) {
