--- a/src/gateway/follow.ts
+++ b/src/gateway/follow.ts
@@ -2,67 +2,37 @@
  * Follows a part of the store for as long as the gateway runs: reads it whole, then waits for its
  * changes, and starts over where the store has forgotten them.
  */
-import type { Log } from '../events/index.js';
-import type { FeedBatch, FeedFailure, RowFeed } from '../ports/row-feed.js';
-import { wait, type Clock, type RandomSource } from '../task/index.js';
+import type { FeedBatch } from '../ports/row-feed.js';
+import { wait, type RandomSource } from '../task/index.js';
+import { ask, type AskParts } from './ask.js';
 
-/** How long the store may hold a call that waits for changes, in ms. A call that was swallowed by an
- * outage or a silent connection is found out only when its time is over; with what it may take beyond
- * (1.5 s), that must be within the three seconds after which a gateway counts as in touch again and
- * the two within which a change must be in force then. Longer would cost fewer calls. */
-const HOLD_MS = 3_000;
+/** Time within which an accepted change must be in force where the settings do not say, in ms. */
+const DEFAULT_CHANGE_MS = 2_000;
+/** Share of that time for which the store may hold a call. A call that an outage or a silent connection
+ * swallowed is found out when the hold is over; with the share below and an answer, that is within the
+ * time for a change. Longer would cost fewer calls. */
+const HOLD_SHARE = 0.75;
+/** Share of that time after which an answer that has not begun is overdue and the store is asked again. */
+const OVERDUE_SHARE = 0.2;
 /** First pause after a call that failed, in ms; doubles up to the longest. */
 const FIRST_PAUSE_MS = 100;
-/** Longest pause, in ms: a change must be known soon after the store is back. */
-const MAX_PAUSE_MS = 800;
+/** Longest pause, in ms. With the 2.2 s that lapsed entries get, a server that left just after the store's
+ * return is out within the three seconds after which gateways answer for that. */
+const MAX_PAUSE_MS = 400;
+/** With more gateways than this each asks less often during an outage: the store bounds the reads of all
+ * of them, and 64 gateways with two feeds ask for 320 of 2,000 a second. */
+const GATEWAYS_AT_FULL_PACE = 64;
 
 /** Time between two looks at whether others still pass on what the store holds, in ms. */
 const REST_MS = 200;
 
-/** Knows whether the store answers this gateway. */
-export interface StoreWatch {
-  succeeded(): void;
-  failed(reason: string): void;
-  /** The store answered the last call. */
-  isReached(): boolean;
-}
-
-/**
- * Creates the record of whether the store answers.
- *
- * @param clock the gateway's clock
- * @param log hears of a lost and a regained store
- * @param returned called when the store answers again
- */
-export function createStoreWatch(clock: Clock, log: Log, returned: () => void): StoreWatch {
-  let lostAt: number | undefined;
-  let answered = false;
-  return {
-    isReached: () => answered && lostAt === undefined,
-    succeeded() {
-      answered = true;
-      if (lostAt === undefined) return;
-      log.write('storeRegained', { lostMs: Math.round(clock.now() - lostAt) });
-      lostAt = undefined;
-      returned();
-    },
-    failed(reason) {
-      if (lostAt !== undefined) return;
-      lostAt = clock.now();
-      log.write('storeLost', { reason });
-    },
-  };
-}
-
 /** What following needs. */
-export interface FollowParts<Item> {
-  name: string;
-  feed: RowFeed<Item>;
-  clock: Clock;
+export interface FollowParts<Item> extends AskParts<Item> {
   random: RandomSource;
-  log: Log;
-  watch: StoreWatch;
-  signal: AbortSignal;
+  /** Time within which an accepted change must be in force, in ms. */
+  changeMs?: number | undefined;
+  /** How many gateways there are; one where absent. */
+  gateways?(): number;
   /** Others pass on what the store holds; nothing need be asked now. */
   mayRest(): boolean;
   /** Everything there is. */
@@ -77,7 +47,8 @@
  * @param parts the feed and who listens
  */
 export async function follow<Item>(parts: FollowParts<Item>): Promise<void> {
-  const { feed, clock, random, signal, watch } = parts;
+  const { clock, random, signal, watch } = parts;
+  const changeMs = parts.changeMs ?? DEFAULT_CHANGE_MS;
   let revision: number | undefined;
   let pauseMs = FIRST_PAUSE_MS;
   while (!signal.aborted) {
@@ -85,42 +56,27 @@
       await wait(clock, REST_MS);
       continue;
     }
-    const sentAt = clock.now();
-    const result =
-      revision === undefined
-        ? await feed.readAll(signal)
-        : await feed.next(revision, HOLD_MS, signal);
+    const crowding = Math.max(1, (parts.gateways?.() ?? 1) / GATEWAYS_AT_FULL_PACE);
+    const isHeld = revision !== undefined && pauseMs === FIRST_PAUSE_MS;
+    const result = await ask(parts, {
+      after: revision,
+      holdMs: isHeld ? changeMs * HOLD_SHARE : 0,
+      overdueMs: changeMs * OVERDUE_SHARE * crowding,
+    });
     if (result.isOk()) {
-      watch.succeeded();
+      watch.succeeded(parts.name);
       pauseMs = FIRST_PAUSE_MS;
       if (revision === undefined) parts.replaced(result.value);
       else parts.changed(result.value);
       revision = result.value.revision;
       continue;
     }
-    revision = takeFailure(parts, result.error, revision, sentAt);
-    if (result.error.kind === 'history-lost') continue;
-    await wait(clock, pauseMs * (0.5 + random.next()));
+    if (result.error.kind === 'history-lost') {
+      parts.log.write('storeHistoryLost', { feed: parts.name, after: revision });
+      revision = undefined;
+      continue;
+    }
+    await wait(clock, pauseMs * crowding * (0.5 + random.next()));
     pauseMs = Math.min(MAX_PAUSE_MS, pauseMs * 2);
   }
 }
-
-function takeFailure<Item>(
-  parts: FollowParts<Item>,
-  failure: FeedFailure,
-  revision: number | undefined,
-  sentAt: number,
-): number | undefined {
-  parts.log.write('storeCallFailed', {
-    feed: parts.name,
-    after: revision,
-    waitedMs: Math.round(parts.clock.now() - sentAt),
-    reason: failure.reason,
-  });
-  if (failure.kind === 'history-lost') {
-    parts.log.write('storeHistoryLost', { feed: parts.name, after: revision });
-    return undefined;
-  }
-  if (failure.kind === 'unavailable') parts.watch.failed(failure.reason);
-  return revision;
-}
--- a/src/gateway/following.ts
+++ b/src/gateway/following.ts
@@ -11,7 +11,7 @@
 /** What following needs. */
 export interface FollowingParts extends Pick<
   FollowParts<never>,
-  'clock' | 'random' | 'log' | 'watch' | 'signal' | 'mayRest'
+  'clock' | 'random' | 'log' | 'watch' | 'signal' | 'mayRest' | 'gateways' | 'changeMs'
 > {
   routesFeed: RowFeed<RoutingDocument>;
   registryFeed: RowFeed<RegistryChange>;
@@ -26,8 +26,7 @@
  * @param parts the feeds and what they change
  */
 export function startFollowing(parts: FollowingParts): void {
-  const { routes, fleet, peering, clock, random, log, watch, signal, mayRest } = parts;
-  const common = { clock, random, log, watch, signal, mayRest };
+  const { routes, fleet, peering } = parts;
 
   function takeRoutes(documents: readonly RoutingDocument[]): void {
     for (const document of documents) {
@@ -37,7 +36,7 @@
   }
 
   void follow({
-    ...common,
+    ...parts,
     name: 'routes',
     feed: parts.routesFeed,
     replaced: ({ items }) => {
@@ -48,7 +47,7 @@
     },
   });
   void follow({
-    ...common,
+    ...parts,
     name: 'registry',
     feed: parts.registryFeed,
     replaced: ({ items, revision }) => {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -30,13 +30,13 @@
 } from '../scheduling/index.js';
 import { createGuardedClock, wait, type Clock, type RandomSource } from '../task/index.js';
 import { resolveFronts } from './directory.js';
-import { createStoreWatch } from './follow.js';
 import { isAnnouncer, isFollower, mayRely, type FollowerView } from './followers.js';
 import { startFollowing } from './following.js';
 import { createPeering } from './peering.js';
 import { publishAddress } from './publish-address.js';
 import { createSchedulers } from './schedulers.js';
 import type { GatewaySettings, ListenAddress } from './settings.js';
+import { createStoreWatch } from './store-watch.js';
 import { startStatusServer, type StatusAnswer, type StatusHandler } from './status-servers.js';
 
 /** Part of the grace period that is kept for ending, in ms: connections are closed by then, so that
@@ -106,8 +106,13 @@
   let isLeaving = false;
   let leavingAt = Number.POSITIVE_INFINITY;
 
-  const watch = createStoreWatch(clock, log, () => {
-    fleet.storeReturned();
+  const watch = createStoreWatch(clock, log, {
+    lost() {
+      fleet.storeLost();
+    },
+    returned() {
+      fleet.storeReturned();
+    },
   });
   const health = createFleetHealth(clock, log);
   const connections = createConnections(limitConnections);
@@ -299,6 +304,8 @@
     watch,
     signal: ending.signal,
     mayRest: () => mayRely(viewFollowers()),
+    gateways: () => mesh.peers().length + 1,
+    changeMs: settings.bounds.changeMs,
     routesFeed: platform.routes,
     registryFeed: platform.registry,
     routes,
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -12,6 +12,8 @@
 export interface FleetBounds {
   /** Time from the request to stop until the process is killed, in milliseconds. */
   graceMs: number;
+  /** Time within which an accepted change must be in force, in milliseconds, where operators set one. */
+  changeMs: number | undefined;
   /** Time for which a holder of orders is alone, in milliseconds. */
   leaseMs: number;
   /** Sends beyond the first for each request. */
--- /dev/null
+++ b/src/gateway/store-watch.ts
@@ -0,0 +1,85 @@
+/**
+ * Whether the store answers this gateway. Several feeds ask it; what one of them finds holds for all: a
+ * call that was sent before the last answer says nothing new when it fails, and once the store answers
+ * again, calls that are still out from before are sent anew.
+ */
+import type { Log } from '../events/index.js';
+import type { Clock } from '../task/index.js';
+
+/** A call that failed, or whose answer is overdue. */
+export interface LostCall {
+  /** The feed that sent it. */
+  feed: string;
+  /** When it was sent, on the gateway's clock, in ms. */
+  sentAt: number;
+  reason: string;
+}
+
+/** Who hears of outages. */
+export interface OutageListener {
+  /** A call that was sent after the first loss was lost as well: the store itself is away. */
+  lost(): void;
+  /** The store answers again after such an outage. */
+  returned(): void;
+}
+
+/** Knows whether the store answers this gateway. */
+export interface StoreWatch {
+  /** The store answered a call of a feed. */
+  succeeded(feed: string): void;
+  failed(call: LostCall): void;
+  /** The store answered the last call. */
+  isReached(): boolean;
+  /**
+   * Has calls sent anew that were out while the store was lost.
+   *
+   * @param action called as soon as the store answers any feed again
+   * @returns ends it
+   */
+  onRegained(action: () => void): () => void;
+}
+
+/**
+ * Creates the record of whether the store answers.
+ *
+ * @param clock the gateway's clock
+ * @param log hears of a lost and a regained store
+ * @param listener hears of outages of the store, not of single calls that were lost
+ */
+export function createStoreWatch(clock: Clock, log: Log, listener: OutageListener): StoreWatch {
+  const waiting = new Set<() => void>();
+  let answeredAt = Number.NEGATIVE_INFINITY;
+  let lostAt: number | undefined;
+  let isAway = false;
+
+  function regain(feed: string, since: number): void {
+    log.write('storeRegained', { feed, lostMs: Math.round(clock.now() - since), isAway });
+    lostAt = undefined;
+    if (isAway) listener.returned();
+    isAway = false;
+    for (const action of [...waiting]) action();
+  }
+
+  return {
+    isReached: () => answeredAt > Number.NEGATIVE_INFINITY && lostAt === undefined,
+    succeeded(feed) {
+      answeredAt = clock.now();
+      if (lostAt !== undefined) regain(feed, lostAt);
+    },
+    failed({ feed, sentAt, reason }) {
+      if (sentAt < answeredAt) return;
+      if (lostAt === undefined) {
+        lostAt = clock.now();
+        log.write('storeLost', { feed, reason });
+        return;
+      }
+      if (isAway || sentAt < lostAt) return;
+      isAway = true;
+      listener.lost();
+    },
+    onRegained(action) {
+      waiting.add(action);
+      return () => waiting.delete(action);
+    },
+  };
+}
--- a/src/ports/row-feed.ts
+++ b/src/ports/row-feed.ts
@@ -19,17 +19,23 @@
 
 /** A part of the store. */
 export interface RowFeed<Item> {
-  /** Reads everything. */
-  readAll(signal: AbortSignal): Promise<Result<FeedBatch<Item>, FeedFailure>>;
+  /**
+   * Reads everything.
+   *
+   * @param begun called when an answer begins to come
+   */
+  readAll(signal: AbortSignal, begun?: () => void): Promise<Result<FeedBatch<Item>, FeedFailure>>;
   /**
    * Waits for changes.
    *
    * @param after the revision of the last read
    * @param waitMs how long the store may wait for a change
+   * @param begun called when the answer begins to come
    */
   next(
     after: number,
     waitMs: number,
     signal: AbortSignal,
+    begun?: () => void,
   ): Promise<Result<FeedBatch<Item>, FeedFailure>>;
 }
--- a/test/gateway/adapter.test.ts
+++ b/test/gateway/adapter.test.ts
@@ -40,6 +40,12 @@
     expect(settings.bounds.graceMs).to.equal(8_000);
   });
 
+  it('lets a change take the least of the times that are set for one', () => {
+    expect(parseSettings(SETTINGS).unwrap().bounds.changeMs).to.equal(undefined);
+    const text = `${SETTINGS}bounds.configMs=2000\nbounds.drainMs=1500\n`;
+    expect(parseSettings(text).unwrap().bounds.changeMs).to.equal(1_500);
+  });
+
   it('names each field that is wrong or missing', () => {
     const text = SETTINGS.replace('graceS=8', 'graceS=soon').replace('zone=a\n', '');
     const mistakes = parseSettings(text).unwrapErr();
--- a/test/gateway/follow.test.ts
+++ b/test/gateway/follow.test.ts
@@ -1,13 +1,14 @@
 import { expect } from 'chai';
 import { Err, Ok } from 'ts-results-es';
 import { createSilentLog } from '../../src/events/index.js';
-import { createStoreWatch, follow } from '../../src/gateway/follow.js';
+import { follow } from '../../src/gateway/follow.js';
+import { createStoreWatch } from '../../src/gateway/store-watch.js';
 import type { RowFeed } from '../../src/ports/row-feed.js';
 import { createFakeClock } from '../fixtures/fake-clock.js';
 
-/** Time from the end of an outage until a change must be in force, in ms, as the users' pages have it
- * on their smaller deployments: three seconds to be in touch and two for the change. */
-const IN_FORCE_MS = 5_000;
+/** Time from the end of an outage until a change must be in force, in ms. The three seconds to be in touch
+ * run meanwhile. */
+const IN_FORCE_MS = 2_000;
 /** What a call may take beyond the time that the store holds it, in ms (platform/store.ts). */
 const SLACK_MS = 1_500;
 
@@ -37,7 +38,7 @@
       clock,
       random: { next: () => 0.5 },
       log,
-      watch: createStoreWatch(clock, log, () => undefined),
+      watch: createStoreWatch(clock, log, { lost: () => undefined, returned: () => undefined }),
       signal: ending.signal,
       mayRest: () => false,
       replaced: ({ items }) => heard.push(...items),
--- a/test/gateway/store-outage.test.ts
+++ b/test/gateway/store-outage.test.ts
@@ -9,7 +9,8 @@
 import { expect } from 'chai';
 import { Err, Ok, type Result } from 'ts-results-es';
 import { createSilentLog } from '../../src/events/index.js';
-import { createStoreWatch, follow } from '../../src/gateway/follow.js';
+import { follow } from '../../src/gateway/follow.js';
+import { createStoreWatch } from '../../src/gateway/store-watch.js';
 import type { FeedBatch, FeedFailure, RowFeed } from '../../src/ports/row-feed.js';
 import type { Clock } from '../../src/task/index.js';
 import { createFakeClock } from '../fixtures/fake-clock.js';
@@ -72,7 +73,7 @@
         }
       }),
   };
-  clock.after(lostAt, () => {
+  clock.after(lostAt - clock.now(), () => {
     held.clear();
   });
   return {
@@ -91,14 +92,14 @@
   const { clock, advance } = createFakeClock();
   const ending = new AbortController();
   const log = createSilentLog();
-  const watch = createStoreWatch(clock, log, () => undefined);
+  const watch = createStoreWatch(clock, log, { lost: () => undefined, returned: () => undefined });
   const lostAt = 2_000 + phaseMs;
   const backAt = lostAt + outageMs;
   const knownAfterMs: number[] = [];
   for (const [index, name] of ['routes', 'registry'].entries()) {
     const store = createSilentStore(clock, lostAt, backAt);
     let written = Number.POSITIVE_INFINITY;
-    clock.after(backAt, () => {
+    clock.after(backAt - clock.now(), () => {
       written = store.write();
     });
     function hear({ items }: FeedBatch<number>): void {
