--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -5,10 +5,13 @@
  * While the registry's store is away, entries of live servers may lapse. The removal of an entry that
  * was last written before the outage therefore takes effect only if the entry has not returned by the
  * end of a grace period after it. An entry that was written since has not lapsed: its removal holds.
+ *
+ * Entries go by their names, servers by their incarnations: one that starts again under its name is
+ * another server, and the one before has left.
  */
 import type { Log } from '../events/index.js';
 import type { Clock } from '../task/index.js';
-import type { RegisteredServer, RegistryChange } from './server.js';
+import type { RegisteredServer, RegistryChange, UnusableEntry } from './server.js';
 
 /** How long a removed entry may take to return once the store is back, in ms: the platform says
  * about two seconds; a little is added for the way through the store. */
@@ -47,6 +50,14 @@
   changesAfter(revision: number): RegistryChange[];
 }
 
+/**
+ * Hears that an incarnation is gone or leaves.
+ *
+ * @param id the incarnation
+ * @param successor the incarnation that has taken its place; absent where it may still finish its work
+ */
+export type ServerLoss = (id: string, successor?: RegisteredServer) => void;
+
 interface Entry {
   change: RegistryChange;
   learntAt: number;
@@ -58,10 +69,19 @@
  *
  * @param clock the gateway's clock
  * @param log hears of every change of belief
- * @param left called when a server is gone or leaves
+ * @param left called when a server is gone or leaves, once for each
+ * @param becameUnusable hears of each entry that came to name no server to use
  */
-export function createFleet(clock: Clock, log: Log, left: (id: string) => void): Fleet {
+export function createFleet(
+  clock: Clock,
+  log: Log,
+  left: ServerLoss,
+  becameUnusable: (entry: UnusableEntry) => void = () => undefined,
+): Fleet {
+  /** By name. */
   const entries = new Map<string, Entry>();
+  /** Names by incarnation; of those that are there. */
+  const names = new Map<string, string>();
   const byService = new Map<string, readonly RegisteredServer[]>();
   let newest = 0;
   let graceUntil = Number.NEGATIVE_INFINITY;
@@ -76,8 +96,9 @@
     newest = Math.max(newest, change.revision);
     const known = entries.get(change.id);
     if (known !== undefined && known.change.revision >= change.revision) return;
-    if (change.server === undefined && known === undefined) return;
-    if (change.server === undefined && mayReturn(known)) {
+    const isRemoval = change.server === undefined && change.unusable === undefined;
+    if (isRemoval && known === undefined) return;
+    if (isRemoval && mayReturn(known)) {
       lapsed.set(change.id, change);
       log.write('serverLapsed', {
         server: change.id,
@@ -99,8 +120,8 @@
   /** Takes out what has not returned; while the store is away again, nothing could have. */
   function endGrace(): void {
     if (lostAtRevision !== undefined) return;
-    for (const [id, change] of lapsed) {
-      const known = entries.get(id);
+    for (const [name, change] of lapsed) {
+      const known = entries.get(name);
       if (known !== undefined && known.change.revision < change.revision) {
         apply(change, known, 'store');
       }
@@ -110,33 +131,62 @@
 
   function apply(change: RegistryChange, known: Entry | undefined, source: FleetSource): void {
     const { server } = change;
+    const before = known?.change.server;
+    const isSame = before !== undefined && before.id === server?.id;
     entries.set(change.id, {
       change,
       learntAt: clock.now(),
-      isRetired: known?.isRetired === true,
+      isRetired: isSame && known?.isRetired === true,
     });
+    if (before !== undefined) names.delete(before.id);
+    if (server !== undefined) names.set(server.id, change.id);
     byService.clear();
+    note(change, known?.change, source);
     const wasAvailable = known !== undefined && isAvailable(known);
+    const hasRestarted = before !== undefined && server !== undefined && !isSame;
+    if (hasRestarted) left(before.id, server);
+    else if (wasAvailable && server?.isLeaving !== false) left(before?.id ?? change.id);
+    forgetOld();
+  }
+
+  /** An entry that stays unusable is written of once, however often it is written. */
+  function note(
+    change: RegistryChange,
+    known: RegistryChange | undefined,
+    source: FleetSource,
+  ): void {
+    const { id, revision, server, unusable } = change;
+    if (unusable !== undefined) {
+      if (known?.unusable?.issues === unusable.issues) return;
+      log.write('serverUnreadable', { server: id, revision, source, ...unusable });
+      becameUnusable(unusable);
+      return;
+    }
     log.write('serverChanged', {
-      server: change.id,
-      revision: change.revision,
+      server: id,
+      revision,
       source,
       state: describeState(server),
-      service: server?.service ?? known?.change.server?.service,
+      bornAtMs: server?.bornAtMs,
+      bornAtMsBefore: known?.server?.bornAtMs,
+      service: server?.service ?? known?.server?.service,
       role: server?.role,
       address: server?.address,
     });
-    if (wasAvailable && (server === undefined || server.isLeaving)) left(change.id);
-    forgetOld();
   }
 
   function forgetOld(): void {
     const before = clock.now() - REMOVAL_MEMORY_MS;
-    for (const [id, entry] of entries) {
-      if (entry.change.server === undefined && entry.learntAt < before) entries.delete(id);
+    for (const [name, entry] of entries) {
+      if (entry.change.server === undefined && entry.learntAt < before) entries.delete(name);
     }
   }
 
+  function findEntry(id: string): Entry | undefined {
+    const name = names.get(id);
+    return name === undefined ? undefined : entries.get(name);
+  }
+
   return {
     revision: () => newest,
     learn,
@@ -146,15 +196,15 @@
         present.add(change.id);
         learn(change, 'store');
       }
-      for (const [id, entry] of entries) {
-        if (present.has(id) || entry.change.server === undefined) continue;
+      for (const [name, entry] of entries) {
+        if (present.has(name) || entry.change.server === undefined) continue;
         if (entry.change.revision > revision) continue;
-        learn({ id, revision, server: undefined }, 'store');
+        learn({ id: name, revision, server: undefined }, 'store');
       }
       newest = Math.max(newest, revision);
     },
     retire(id, reason) {
-      const entry = entries.get(id);
+      const entry = findEntry(id);
       if (entry === undefined || entry.isRetired) return;
       entry.isRetired = true;
       byService.clear();
@@ -170,7 +220,7 @@
       lostAtRevision = undefined;
       clock.after(RETURN_GRACE_MS, endGrace);
     },
-    find: (id) => entries.get(id)?.change.server,
+    find: (id) => findEntry(id)?.change.server,
     available(service) {
       const known = byService.get(service);
       if (known !== undefined) return known;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -5,7 +5,12 @@
 import { randomUUID } from 'node:crypto';
 import type { Server } from 'node:http';
 import type { BoundedLog } from '../events/index.js';
-import { createFleet, createFleetHealth, type RegistryChange } from '../fleet/index.js';
+import {
+  createFleet,
+  createFleetHealth,
+  type RegisteredServer,
+  type RegistryChange,
+} from '../fleet/index.js';
 import { createSendBudget } from '../limits/send-budget.js';
 import type { GatewayMetrics } from '../metrics/index.js';
 import { createMesh, type Mesh } from '../peers/index.js';
@@ -115,13 +120,21 @@
     },
   });
   const health = createFleetHealth(clock, log);
-  const connections = createConnections(limitConnections);
+  const connections = createConnections(limitConnections, clock);
   const loads = createServerLoads(clock);
-  const fleet = createFleet(clock, log, (id) => {
-    connections.drop(id);
-    health.forget(id);
-    schedulers.forget(id);
-  });
+  const fleet = createFleet(
+    clock,
+    log,
+    (id, successor) => {
+      if (successor !== undefined) connections.breakOff(id, resolveAgeMs(successor));
+      connections.drop(id);
+      health.forget(id);
+      schedulers.forget(id);
+    },
+    ({ reason }) => {
+      metrics.unusableEntries.inc({ reason });
+    },
+  );
   const routes = createRoutingReplica(log, () => {
     front.refreshLimits();
   });
@@ -378,6 +391,11 @@
   return { stop, reconfigure };
 }
 
+/** How long ago a server started, by its clock and this gateway's, which may differ; 0 where neither says. */
+function resolveAgeMs({ bornAtMs }: RegisteredServer): number {
+  return bornAtMs === undefined ? 0 : Math.max(0, Date.now() - bornAtMs);
+}
+
 /** Names of the mechanisms that are switched off. */
 function listOff(mechanisms: SchedulingMechanisms): string[] {
   const off: string[] = [];
--- a/src/gateway/peering.ts
+++ b/src/gateway/peering.ts
@@ -5,6 +5,7 @@
 import { match } from 'ts-pattern';
 import type { Fleet, HealthOutcome, RegistryChange } from '../fleet/index.js';
 import type { Log } from '../events/index.js';
+import { packChanges, unpackChanges } from './registry-changes.js';
 import {
   createRoutesPacker,
   unpackRoutes,
@@ -70,7 +71,7 @@
       parts.mesh().send(node, pack(document));
     }
     if (beat.fleet < before.fleet) {
-      const changes = parts.fleet.changesAfter(beat.fleet);
+      const changes = packChanges(parts.fleet.changesAfter(beat.fleet));
       if (changes.length > 0) parts.mesh().send(node, { kind: 'fleet', changes });
     }
   }
@@ -144,7 +145,7 @@
       })
       .with({ kind: 'routes' }, takeRoutes)
       .with({ kind: 'fleet' }, ({ changes }) => {
-        takeChanges(changes.map((change) => ({ ...change, server: normalize(change.server) })));
+        takeChanges(unpackChanges(changes));
       })
       .with({ kind: 'job.submit' }, (submission) => {
         submit(node, submission);
@@ -190,17 +191,10 @@
       parts.submitter.lost(node);
     },
     passChanges(changes) {
-      if (changes.length > 0) announce({ kind: 'fleet', changes: [...changes] });
+      if (changes.length > 0) announce({ kind: 'fleet', changes: packChanges(changes) });
     },
     passRoutes(document) {
       if (parts.isAnnouncer()) announce(pack(document));
     },
   };
 }
-
-type SentServer = (PeerMessage & { kind: 'fleet' })['changes'][number]['server'];
-
-/** A server as it was sent, with every field present. */
-function normalize(server: SentServer): RegistryChange['server'] {
-  return server === undefined ? undefined : { ...server, role: server.role };
-}
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -161,6 +161,12 @@
       labelNames: ['operation', 'outcome'],
       registers,
     }),
+    unusableEntries: new Counter({
+      name: 'reedtally_gateway_unusable_entries_total',
+      help: 'Registry entries that came to name no server to use, by what could not be read',
+      labelNames: ['reason'],
+      registers,
+    }),
     logLinesDropped: new Counter({
       name: 'reedtally_gateway_log_lines_dropped_total',
       help: 'Log lines left out to keep the volume bounded',
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -9,7 +9,9 @@
 import { jobSchema, placementSchema } from '../scheduling/job.js';
 
 const serverSchema = z.object({
+  /** The name of its entry; with its start it names the incarnation. */
   id: z.string(),
+  bornAtMs: z.number().optional(),
   service: z.string(),
   address: z.string(),
   zone: z.string(),
@@ -23,6 +25,9 @@
   id: z.string(),
   revision: z.number(),
   server: serverSchema.optional(),
+  unusable: z
+    .object({ reason: z.enum(['bytes', 'document', 'fields']), issues: z.string() })
+    .optional(),
 });
 
 /** Who a gateway is; the first message on a link. */
--- a/src/relay/connections.ts
+++ b/src/relay/connections.ts
@@ -4,6 +4,8 @@
  */
 import { Agent, type AgentOptions } from 'node:http';
 import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
+import type { Clock } from '../task/index.js';
 
 /** Idle connections are closed by this end after this long, in ms; servers state their own limit
  * in their answers, which goes first where it is shorter. */
@@ -16,8 +18,10 @@
 export class KeepAliveAgent extends Agent {
   readonly #unusable = new WeakSet<Socket>();
   readonly #watches = new WeakMap<Socket, () => void>();
+  readonly #openedAt = new WeakMap<Duplex, number>();
+  readonly #clock: Clock;
 
-  constructor(options: AgentOptions = {}) {
+  constructor(clock: Clock, options: AgentOptions = {}) {
     super({
       ...options,
       keepAlive: true,
@@ -26,6 +30,20 @@
       timeout: IDLE_CLOSE_MS,
       noDelay: true,
     });
+    this.#clock = clock;
+  }
+
+  override createConnection(
+    ...args: Parameters<Agent['createConnection']>
+  ): ReturnType<Agent['createConnection']> {
+    const socket = super.createConnection(...args);
+    if (socket) this.#openedAt.set(socket, this.#clock.now());
+    return socket;
+  }
+
+  /** When a connection was opened, on the gateway's clock in ms. */
+  openedAt(socket: Duplex): number {
+    return this.#openedAt.get(socket) ?? this.#clock.now();
   }
 
   override keepSocketAlive(socket: Socket): boolean {
@@ -55,6 +73,14 @@
   agentFor(id: string): Agent;
   /** Closes what is idle to a server that is gone; what is in use ends with its request. */
   drop(id: string): void;
+  /**
+   * Breaks connections to an incarnation that another one has replaced: what was sent to it ends now, not
+   * at a timeout. Connections opened since the other one's start already lead to that one and stay.
+   *
+   * @param id the incarnation that is gone
+   * @param sinceMs how long ago the other one started, in ms
+   */
+  breakOff(id: string, sinceMs: number): void;
   close(): void;
 }
 
@@ -62,9 +88,10 @@
  * Creates the connections of a gateway.
  *
  * @param limitFor most connections that this gateway may have to a server
+ * @param clock tells how old connections are
  */
-export function createConnections(limitFor: (id: string) => number): Connections {
-  const agents = new Map<string, Agent>();
+export function createConnections(limitFor: (id: string) => number, clock: Clock): Connections {
+  const agents = new Map<string, KeepAliveAgent>();
   return {
     agentFor(id) {
       const known = agents.get(id);
@@ -72,7 +99,7 @@
         known.maxSockets = limitFor(id);
         return known;
       }
-      const agent = new KeepAliveAgent({ maxSockets: limitFor(id) });
+      const agent = new KeepAliveAgent(clock, { maxSockets: limitFor(id) });
       agents.set(id, agent);
       return agent;
     },
@@ -81,6 +108,16 @@
       agents.delete(id);
       if (agent !== undefined) closeIdle(agent);
     },
+    breakOff(id, sinceMs) {
+      const agent = agents.get(id);
+      if (agent === undefined) return;
+      const openedBefore = clock.now() - sinceMs;
+      for (const sockets of Object.values(agent.sockets)) {
+        for (const socket of sockets ?? []) {
+          if (agent.openedAt(socket) < openedBefore) socket.destroy(createReset());
+        }
+      }
+    },
     close() {
       for (const agent of agents.values()) {
         agent.destroy();
@@ -90,6 +127,11 @@
   };
 }
 
+/** Ends a send as the reset by a server that crashed does. */
+function createReset(): Error {
+  return Object.assign(new Error('the server has started again'), { code: 'ECONNRESET' });
+}
+
 function closeIdle(agent: Agent): void {
   for (const sockets of Object.values(agent.freeSockets)) {
     for (const socket of sockets ?? []) {
--- a/src/relay/read-prompt.ts
+++ b/src/relay/read-prompt.ts
@@ -1,7 +1,7 @@
 /**
  * Has a prompt read by one engine, which then keeps its KV cache for the engine that generates.
  */
-import type { RegisteredServer } from '../fleet/index.js';
+import { resolveName, type RegisteredServer } from '../fleet/index.js';
 import { afterSilence } from '../task/index.js';
 import type { IncomingHead } from './exchange.js';
 import type { PlacingContext } from './placer.js';
@@ -84,7 +84,7 @@
       settled = true;
       limit.cancel();
       context.signal.removeEventListener('abort', abort);
-      context.judge(server, outcome.kind, isOther(facts, server.id));
+      context.judge(server, outcome.kind, isOther(facts, resolveName(server)));
       context.readEnded(server, outcome);
       resolve(outcome);
     }
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -3,7 +3,12 @@
  * one of four ways: a server's answer, a refusal (it did not run and will not), a failure (it may
  * have run), or a cut (an answer that was begun cannot be finished).
  */
-import type { FleetHealth, Fleet, RegisteredServer } from '../fleet/index.js';
+import {
+  resolveName,
+  type FleetHealth,
+  type Fleet,
+  type RegisteredServer,
+} from '../fleet/index.js';
 import type { Log } from '../events/index.js';
 import type { SendBudget } from '../limits/send-budget.js';
 import type { GatewayMetrics } from '../metrics/index.js';
@@ -174,7 +179,7 @@
     server: RegisteredServer,
     terms: Omit<SendTerms, 'serverId' | 'timeLeftMs'>,
   ): OutgoingRequest {
-    const all = { ...terms, serverId: server.id, timeLeftMs: endAt - clock.now() };
+    const all = { ...terms, serverId: resolveName(server), timeLeftMs: endAt - clock.now() };
     return {
       address: server.address,
       method: arrival.method,
--- a/src/relay/send.ts
+++ b/src/relay/send.ts
@@ -5,7 +5,7 @@
  * can still be asked for elsewhere, where that is allowed.
  */
 import type { Agent } from 'node:http';
-import type { RegisteredServer } from '../fleet/index.js';
+import { resolveName, type RegisteredServer } from '../fleet/index.js';
 import { afterSilence, type Clock } from '../task/index.js';
 import type { CallerAnswer } from './caller-answer.js';
 import { createEventCutter } from './event-stream.js';
@@ -182,7 +182,7 @@
     }
 
     function settleDeclined(): void {
-      const isOtherServer = isOther(facts, send.server.id);
+      const isOtherServer = isOther(facts, resolveName(send.server));
       settle({ kind: 'declined', status: head?.status ?? 0, isOtherServer });
     }
 
--- a/test/gateway/adapter.test.ts
+++ b/test/gateway/adapter.test.ts
@@ -60,7 +60,7 @@
   });
 
   it('says why an entry cannot be read, and takes a removal for one', () => {
-    expect(parseEntry({ key: 's', revision: 1, text: '{}' })).to.have.property('issues');
+    expect(parseEntry({ key: 's', revision: 1, text: '{}' }).unusable).to.have.property('issues');
     const removal = parseEntry({ key: 's', revision: 2, text: undefined });
     expect(removal).to.deep.equal({ id: 's', revision: 2, server: undefined });
   });
--- a/test/gateway/lifecycle.test.ts
+++ b/test/gateway/lifecycle.test.ts
@@ -71,7 +71,16 @@
     store.setFault('answers-lost');
     store.put('op', 'config', configuration(2));
     store.compact();
-    store.put('servers', 'other', { backend: 'x', address: '127.0.0.1:1', zone: 'z' });
+    store.put('servers', 'other', {
+      backend: 'x',
+      address: '127.0.0.1:1',
+      zone: 'z',
+      version: 'v1',
+      slots: 1,
+      state: 'ready',
+      coldRemainingMs: 0,
+      sequence: 0,
+    });
     store.compact();
     store.setFault('none');
     await until(() => routesOf(fixture).includes(2));
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -63,6 +63,7 @@
   role: 'prefill' | 'decode' | undefined;
   server: ServerStandIn;
   proxy: DisturbingProxy;
+  bornAtMs: number;
 }
 
 /**
@@ -85,19 +86,42 @@
 
   async function addBackend(service: string, role?: 'prefill' | 'decode'): Promise<void> {
     counter += 1;
-    const id = `${service}-${counter}`;
+    await startBackend(`${service}-${counter}`, service, role);
+  }
+
+  async function startBackend(id: string, service: string, role: Backend['role']): Promise<void> {
     const events = service === 'chat' ? { events: EVENTS } : {};
     const server = await startServerStandIn({ id, ...events, ...(role && { role }) });
     const proxy = await startProxy(server.address);
-    const backend: Backend = { id, service, role, server, proxy };
+    const backend: Backend = { id, service, role, server, proxy, bornAtMs: Date.now() };
     backends.push(backend);
     register(backend, 'ready');
     scriptRuns(backend);
   }
 
-  function register({ id, service, role, proxy }: Backend, state: string): void {
-    const entry = { backend: service, address: proxy.address, zone: 'zone-a', slots: 64, state };
-    store.put('servers', id, { ...entry, stage: role, sequence: 1 });
+  function register({ id, service, role, proxy, bornAtMs }: Backend, state: string): void {
+    const place = { backend: service, address: proxy.address, zone: 'zone-a', version: 'v1' };
+    const own = { slots: 64, state, coldRemainingMs: 0, stage: role, sequence: 1, born: bornAtMs };
+    store.put('servers', id, { ...place, ...own });
+  }
+
+  /** A server crashes and starts again under its id, at another address. */
+  async function restartBackend(): Promise<void> {
+    const [gone] = backends.splice(Math.floor(random.next() * backends.length), 1);
+    if (gone === undefined) return;
+    await Promise.all([gone.server.close(), gone.proxy.close()]);
+    await startBackend(gone.id, gone.service, gone.role);
+  }
+
+  /** Another writer spoils an entry for a while, or leaves one that never was good. */
+  function spoilEntry(): void {
+    const spoilt = pick(backends);
+    if (spoilt === undefined) return;
+    store.put('servers', `no-server-${counter}`, { backend: 'pages', address: 7 });
+    store.put('servers', spoilt.id, { backend: spoilt.service, state: 'unheard-of' });
+    setTimeout(() => {
+      if (backends.includes(spoilt)) register(spoilt, 'ready');
+    }, FAULT_MS * 2);
   }
 
   /** Every request goes through a script that notes who ran it and sometimes misbehaves. */
@@ -163,8 +187,10 @@
     if (chance < 0.3) disturbGateway(pick(gateways));
     else if (chance < 0.5) disturbProxy(pick(storeProxies));
     else if (chance < 0.7) disturbProxy(pick(backends)?.proxy);
-    else if (chance < 0.8) await removeBackend();
-    else if (chance < 0.9) configure();
+    else if (chance < 0.76) await removeBackend();
+    else if (chance < 0.82) await restartBackend();
+    else if (chance < 0.86) spoilEntry();
+    else if (chance < 0.93) configure();
     else disturbStore(store, random);
   }
 
@@ -216,7 +242,8 @@
     return false;
   }
 
-  /** With nothing disturbed: changes of routes and of servers must be in force within their time. */
+  /** Changes of routes and of servers must be in force within their time. It runs while the gateways'
+   * time without disturbance does, not after it. */
   async function judgeCalm(): Promise<string[]> {
     const leaving = backends.find(({ service }) => service === 'pages');
     if (leaving === undefined) return ['no server is left'];
@@ -276,7 +303,7 @@
   for (const gateway of gateways) {
     if (!(await serves(gateway))) broken.push(`${gateway.node} did not serve again`);
   }
-  await pause(CONTACT_MS);
+  await pause(CONTACT_MS - IN_FORCE_MS);
   broken.push(...(await judgeCalm()));
   clearInterval(restarts);
   await close();
