--- a/src/gateway/follow.ts
+++ b/src/gateway/follow.ts
@@ -19,9 +19,9 @@
 /** Longest pause, in ms. With the 2.2 s that lapsed entries get, a server that left just after the store's
  * return is out within the three seconds after which gateways answer for that. */
 const MAX_PAUSE_MS = 400;
-/** With more gateways than this each asks less often during an outage: the store bounds the reads of all
- * of them, and 64 gateways with two feeds ask for 320 of 2,000 a second. */
-const GATEWAYS_AT_FULL_PACE = 64;
+/** With more gateways than this asking, each asks less often during an outage: the store bounds the reads of
+ * all of them, and 64 gateways with two feeds ask for 320 of 2,000 a second. */
+const ASKING_AT_FULL_PACE = 64;
 
 /** Time between two looks at whether others still pass on what the store holds, in ms. */
 const REST_MS = 200;
@@ -31,8 +31,8 @@
   random: RandomSource;
   /** Time within which an accepted change must be in force, in ms. */
   changeMs?: number | undefined;
-  /** How many gateways there are; one where absent. */
-  gateways?(): number;
+  /** How many gateways ask the store as this one does; one where absent. */
+  asking?(): number;
   /** Others pass on what the store holds; nothing need be asked now. */
   mayRest(): boolean;
   /** Everything there is. */
@@ -56,11 +56,11 @@
       await wait(clock, REST_MS);
       continue;
     }
-    const crowding = Math.max(1, (parts.gateways?.() ?? 1) / GATEWAYS_AT_FULL_PACE);
+    const crowding = Math.max(1, (parts.asking?.() ?? 1) / ASKING_AT_FULL_PACE);
     const isHeld = revision !== undefined && pauseMs === FIRST_PAUSE_MS;
     const result = await ask(parts, {
       after: revision,
-      holdMs: isHeld ? changeMs * HOLD_SHARE : 0,
+      holdMs: isHeld ? Math.round(changeMs * HOLD_SHARE) : 0,
       overdueMs: changeMs * OVERDUE_SHARE * crowding,
     });
     if (result.isOk()) {
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -317,7 +317,8 @@
     watch,
     signal: ending.signal,
     mayRest: () => mayRely(viewFollowers()),
-    gateways: () => mesh.peers().length + 1,
+    // those that follow for all others are few, whatever the size
+    asking: () => (isFollower(viewFollowers()) ? 1 : mesh.peers().length + 1),
     changeMs: settings.bounds.changeMs,
     routesFeed: platform.routes,
     registryFeed: platform.registry,
