refactor(gossip): one table of members, outbox and choice of partners for all who need them

Cause: what membership does to know a fleet at a bounded cost (partners on a ring, news once over each link, suspicion and refutation) is bound to its own states, so gateways cannot use it. Change: the table of members and the outbox take the state and the order of items as parameters and move to src/gossip with partners and their choice; membership keeps what is its own.

--- a/src/membership/membership.ts
+++ b/src/membership/membership.ts
@@ -4,6 +4,7 @@
  * by its number of partners and by the number of changes, never by the number of nodes.
  */
 import type { Log } from '../events/index.js';
+import { choosePeers, createOutbox, createPartners } from '../gossip/index.js';
 import type {
   Heartbeat,
   Links,
@@ -17,9 +18,7 @@
 import type { Vm, VmList } from '../ports/index.js';
 import type { Settings } from '../settings/index.js';
 import type { Clock, Timer } from '../task/index.js';
-import { createEmptyNews, createOutbox, type NewsItem } from './outbox.js';
-import { createPartners } from './partners.js';
-import { choosePeers } from './peers.js';
+import { createEmptyNews, createNews, newsOrder, type NewsItem } from './news.js';
 import { createShardRecords } from './shard-records.js';
 import { createView, type View } from './view.js';
 import { createVmWatch } from './vm-watch.js';
@@ -93,7 +92,7 @@
   const { node: self, terms, links, clock, log } = parts;
   const view: View = createView();
   const partners = createPartners();
-  const outbox = createOutbox(() => partners.names());
+  const outbox = createOutbox(() => partners.names(), newsOrder);
   const records = createShardRecords();
   let sequence = 0;
   let lastBeatAt = clock.now();
@@ -150,8 +149,8 @@
 
   function flush(): void {
     for (const peer of partners.names()) {
-      const news = outbox.take(peer);
-      if (news !== undefined) links.send(peer, news);
+      const items = outbox.take(peer);
+      if (items.length > 0) links.send(peer, createNews(items));
     }
   }
 
--- a/src/membership/outbox.ts
+++ b/src/membership/news.ts
@@ -1,9 +1,8 @@
 /**
- * News that is to be passed on, for each partner what it has not heard yet. Items of one key
- * replace each other, the newer the older; an item that a partner sent us is not sent back. So each
- * item crosses a link about once, whichever way it came.
+ * What nodes tell their partners when it changes, and how it is put into one message.
  */
 import { match } from 'ts-pattern';
+import type { ItemOrder } from '../gossip/index.js';
 import type { News, NodeState, ShardSummary, Suspicion } from '../links/index.js';
 
 /** One thing that partners are to hear. */
@@ -14,59 +13,8 @@
   | { kind: 'shard'; summary: ShardSummary }
   | { kind: 'list'; digest: string };
 
-/** What partners have yet to hear. */
-export interface Outbox {
-  /** Queues an item for each partner but the one it came from. */
-  add(item: NewsItem, from?: string): void;
-  /** A partner sent an item, so that it need not be sent to it. */
-  heard(item: NewsItem, from: string): void;
-  /** Takes what a partner has yet to hear; `undefined` when there is nothing. */
-  take(partner: string): News | undefined;
-  /** Whether a partner has anything left to hear. */
-  isEmpty(): boolean;
-}
-
-/**
- * Creates an empty outbox.
- *
- * @param partners names of the partners at the moment
- */
-export function createOutbox(partners: () => string[]): Outbox {
-  const queues = new Map<string, Map<string, NewsItem>>();
-
-  function queueOf(partner: string): Map<string, NewsItem> {
-    const queue = queues.get(partner) ?? new Map<string, NewsItem>();
-    queues.set(partner, queue);
-    return queue;
-  }
-
-  return {
-    add(item, from) {
-      const key = resolveKey(item);
-      for (const partner of partners()) {
-        if (partner !== from) queueOf(partner).set(key, item);
-      }
-    },
-    heard(item, from) {
-      const queue = queues.get(from);
-      const key = resolveKey(item);
-      const queued = queue?.get(key);
-      if (queued !== undefined && resolveAge(queued) <= resolveAge(item)) queue?.delete(key);
-    },
-    take(partner) {
-      const queue = queues.get(partner);
-      queues.delete(partner);
-      if (queue === undefined || queue.size === 0) return undefined;
-      return createNews(queue.values());
-    },
-    isEmpty() {
-      for (const queue of queues.values()) {
-        if (queue.size > 0) return false;
-      }
-      return true;
-    },
-  };
-}
+/** How news items relate. */
+export const newsOrder: ItemOrder<NewsItem> = { key: resolveKey, age: resolveAge };
 
 function resolveKey(item: NewsItem): string {
   return match(item)
@@ -78,7 +26,6 @@
     .exhaustive();
 }
 
-/** Among items of one key, the greater is the newer. */
 function resolveAge(item: NewsItem): number {
   return match(item)
     .with({ kind: 'state' }, ({ state }) => state.sequence)
@@ -94,7 +41,8 @@
   return { kind: 'news', states: [], suspicions: [], reached: [], shards: [] };
 }
 
-function createNews(items: Iterable<NewsItem>): News {
+/** Creates news of some items. */
+export function createNews(items: Iterable<NewsItem>): News {
   const news = createEmptyNews();
   const byVersion = new Map<number, string[]>();
   for (const item of items) {
--- a/src/membership/view.ts
+++ b/src/membership/view.ts
@@ -1,21 +1,11 @@
 /**
- * What a node believes of the other nodes: a pure table of their states, the newest of each. A node
- * counts as alive until somebody who was to hear from it says that it is silent, and again as soon
- * as a newer word of its own arrives; so the cost of knowing all nodes goes by what changes, not by
- * how many nodes there are. This is the failure detection of "SWIM" with its refutation.
- * Times are on the node's own monotonic clock.
+ * What a node believes of the other nodes: their states with the configuration in force on each.
  */
+import { createMembers, type Member as KnownMember } from '../gossip/index.js';
 import type { Heartbeat, NodeState, Suspicion } from '../links/index.js';
 
-/** Former incarnations that are remembered, so that none of them returns. */
-const MAX_RETIRED = 4_096;
-
 /** One node as this node knows it. */
-export interface Member {
-  state: NodeState;
-  /** When it was suspected; `undefined` while it counts as alive. */
-  suspectedAt: number | undefined;
-}
+export type Member = KnownMember<NodeState>;
 
 /** The nodes that one node knows. */
 export interface View {
@@ -47,90 +37,34 @@
 
 /** Creates an empty view. */
 export function createView(): View {
-  const byNode = new Map<string, Member>();
-  const retired = new Set<string>();
-  let alive: readonly NodeState[] | undefined;
-
-  function isNewer(state: NodeState, known: Member | undefined, isOwnWord: boolean): boolean {
-    // Hearsay may be older than what it replaces; a node's own word settles which one runs.
-    if (retired.has(state.incarnation) && !isOwnWord) return false;
-    if (known === undefined) return true;
-    if (known.state.incarnation !== state.incarnation) return true;
-    return state.sequence > known.state.sequence;
-  }
-
-  function retire(incarnation: string): void {
-    retired.add(incarnation);
-    for (const oldest of retired) {
-      if (retired.size <= MAX_RETIRED) break;
-      retired.delete(oldest);
-    }
-  }
-
-  function listAlive(): NodeState[] {
-    const found: NodeState[] = [];
-    for (const { state, suspectedAt } of byNode.values()) {
-      if (suspectedAt === undefined && !state.leaving) found.push(state);
-    }
-    found.sort((left, right) => left.node.localeCompare(right.node));
-    return found;
-  }
+  const table = createMembers<NodeState>(({ leaving }) => !leaving);
 
   return {
     learn(state, isOwnWord = false) {
-      const known = byNode.get(state.node);
-      if (!isNewer(state, known, isOwnWord)) return false;
-      retired.delete(state.incarnation);
-      if (known !== undefined && known.state.incarnation !== state.incarnation) {
-        retire(known.state.incarnation);
-      }
+      const known = table.find(state.node);
       const version = Math.max(state.configurationVersion, reachedBefore(known, state));
-      byNode.set(state.node, {
-        state: { ...state, configurationVersion: version },
-        suspectedAt: undefined,
-      });
-      alive = undefined;
+      if (!table.learn({ ...state, configurationVersion: version }, isOwnWord)) return false;
       return known === undefined || known.suspectedAt !== undefined || differs(known.state, state);
     },
     beat(node, heartbeat) {
-      const known = byNode.get(node);
+      const known = table.find(node);
       if (known?.state.incarnation !== heartbeat.incarnation) return false;
-      const { state } = known;
-      if (heartbeat.sequence <= state.sequence) return false;
-      state.sequence = heartbeat.sequence;
-      state.inFlight = heartbeat.inFlight;
-      if (known.suspectedAt === undefined) return false;
-      known.suspectedAt = undefined;
-      alive = undefined;
-      return true;
+      if (heartbeat.sequence <= known.state.sequence) return false;
+      known.state.inFlight = heartbeat.inFlight;
+      return table.refresh(node, heartbeat.sequence);
     },
     reach(node, version) {
-      const known = byNode.get(node);
+      const known = table.find(node);
       if (known === undefined || version <= known.state.configurationVersion) return false;
       known.state.configurationVersion = version;
       return true;
     },
-    suspect({ node, incarnation, sequence }, now) {
-      const known = byNode.get(node);
-      if (known === undefined || known.suspectedAt !== undefined) return false;
-      if (known.state.incarnation !== incarnation || known.state.sequence > sequence) return false;
-      known.suspectedAt = now;
-      known.state.sequence = sequence;
-      alive = undefined;
-      return true;
-    },
-    forget(now, silentMs) {
-      for (const [node, { suspectedAt }] of byNode) {
-        if (suspectedAt !== undefined && now - suspectedAt > silentMs) byNode.delete(node);
-      }
-    },
-    find: (node) => byNode.get(node),
-    isAlive(node) {
-      const known = byNode.get(node);
-      return known !== undefined && known.suspectedAt === undefined;
-    },
-    members: () => [...byNode.values()],
-    alive: () => (alive ??= listAlive()),
+    suspect: table.suspect,
+    forget: table.forget,
+    find: table.find,
+    isAlive: table.isAlive,
+    members: table.all,
+    alive: table.alive,
   };
 }
 
--- a/test/membership/peers.test.ts
+++ b/test/gossip/choose-peers.test.ts
@@ -1,5 +1,5 @@
 import { expect } from 'chai';
-import { choosePeers } from '../../src/membership/index.js';
+import { choosePeers } from '../../src/gossip/index.js';
 
 const MAX_PEERS = 16;
 
--- a/tools/slopes/measure-pure.ts
+++ b/tools/slopes/measure-pure.ts
@@ -19,7 +19,8 @@
   type NodeState,
   type PermitQuery,
 } from '../../src/links/index.js';
-import { choosePeers, createView } from '../../src/membership/index.js';
+import { choosePeers } from '../../src/gossip/index.js';
+import { createView } from '../../src/membership/index.js';
 import { createMetrics } from '../../src/metrics/index.js';
 import { createShardHolder } from '../../src/permits/index.js';
 import { vmsSchema, type Vm } from '../../src/ports/index.js';
