feat(peers): a bounded number of links and heartbeats for each gateway

Cause: a link between every two gateways. At 195 of them each process dials 194 peers, is dialled by 194, and throws half of the links away; each introduction lists all known addresses (3.2 KB, 240 MB for a start of all by arithmetic); heartbeats of all to all slow down with the fleet, so that a silent peer was noticed after 8 s at 300 gateways. Ruled out: hubs (the strongest gateways as everybody's partners), whose links would grow with the fleet. Change: partners on a hash ring, shared with membership (src/gossip); states and suspicions go once over each link; suspicions of others wait 300 ms for their refutation; a gateway that hears none of its partners suspects nobody. Routes and registry changes are announced by version and fetched from the first that has them, so each gateway gets one copy. Links to schedulers are made ahead of need and on demand. Elections are kept until the peers change. The log says found and lost gateways in one line a heartbeat.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -37,6 +37,8 @@
    * @param revision the registry's revision as of the read
    */
   replace(changes: readonly RegistryChange[], revision: number): void;
+  /** All changes up to a revision are known. */
+  reach(revision: number): void;
   /** A server said itself that it is not the incarnation asked for, or that it leaves. */
   retire(id: string, reason: string): void;
   /** The store is away; entries may lapse from now on. */
@@ -190,6 +192,9 @@
   return {
     revision: () => newest,
     learn,
+    reach(revision) {
+      newest = Math.max(newest, revision);
+    },
     replace(changes, revision) {
       const present = new Set<string>();
       for (const change of changes) {
--- a/src/gateway/directory.ts
+++ b/src/gateway/directory.ts
@@ -1,9 +1,9 @@
 /**
- * Which gateways callers are told to use: those that are ready and were heard lately. Gateways in
+ * Which gateways callers are told to use: those that are ready and believed alive. Gateways in
  * the caller's availability zone come alone where there are enough of them, since bytes between
  * zones cost; else all are named.
  */
-import type { Peer } from '../peers/index.js';
+import type { GatewayState } from '../peers/index.js';
 
 /** Most addresses in one answer: more are not read. */
 const MAX_ADDRESSES = 64;
@@ -25,18 +25,17 @@
  * Lists the addresses for one caller.
  *
  * @param own this gateway
- * @param peers the peers that were heard lately
+ * @param peers the peers that are believed alive
  * @param zone the caller's availability zone
  */
 export function resolveFronts(
   own: OwnFront,
-  peers: readonly Peer[],
+  peers: readonly GatewayState[],
   zone: string | undefined,
 ): string[] {
   const ready: FrontAddress[] = own.isReady ? [own] : [];
-  for (const { introduction, beat } of peers) {
-    if (beat?.isReady !== true) continue;
-    ready.push({ address: introduction.front, zone: introduction.zone });
+  for (const peer of peers) {
+    if (peer.isReady) ready.push({ address: peer.front, zone: peer.zone });
   }
   const near = ready.filter((front) => front.zone === zone);
   const chosen = near.length >= ENOUGH_IN_ZONE ? near : ready;
--- a/src/gateway/followers.ts
+++ b/src/gateway/followers.ts
@@ -4,78 +4,86 @@
  * any other gateway follows by itself as soon as it does not hear enough of those few.
  */
 import { createHash } from 'node:crypto';
-import type { Peer } from '../peers/index.js';
+import type { GatewayState } from '../peers/index.js';
 
 /** Fleets of at most so many gateways follow all by themselves. */
 const SMALL_FLEET = 16;
 /** Gateways that follow in a large fleet: enough for one to fail and one to be slow. */
 const FOLLOWERS = 4;
-/** Followers that pass on at once what they learn; the others make good what gets lost. Two, so that
- * one may stand still or be cut off from the store without a delay for everybody. */
-const ANNOUNCERS = 2;
 /** Followers that must be heard for another gateway to rely on them. */
 const HEARD_FOLLOWERS = 2;
-/** A follower is heard while its last word is younger than so many heartbeats. */
-const FRESH_BEATS = 2.2;
-
 /** What the choice goes by. */
 export interface FollowerView {
   node: string;
   /** Cores that the gateway may use. */
   cores: number;
-  peers: readonly Peer[];
-  now: number;
-  /** Time between two heartbeats, in milliseconds. */
-  beatMs: number;
+  /** Peers believed alive; the same array until it changes. */
+  peers: readonly GatewayState[];
+  /** Whether this gateway hears its partners, through which followers pass things on. */
+  isConnected: boolean;
 }
 
-/**
- * Whether a gateway is among those that follow the store.
- *
- * @param view the gateway and its peers
- */
-export function isFollower(view: FollowerView): boolean {
-  return view.peers.length < SMALL_FLEET || countBefore(view) < FOLLOWERS;
+/** Who follows the store, as one gateway sees it. */
+export interface Followers {
+  /** Whether this gateway is among those that follow the store. */
+  isFollower(): boolean;
+  /** Whether there are gateways that do not follow it, so that what is read there is passed on at once. */
+  isLargeFleet(): boolean;
+  /** Whether this gateway may rely on others for what the store holds. */
+  mayRely(): boolean;
 }
 
-/**
- * Whether a gateway passes changes on as soon as it learns them: in a large fleet the first of the
- * followers do; the others make good what gets lost.
- *
- * @param view the gateway and its peers
- */
-export function isAnnouncer(view: FollowerView): boolean {
-  return view.peers.length >= SMALL_FLEET && countBefore(view) < ANNOUNCERS;
+interface Count {
+  of: readonly GatewayState[];
+  /** Gateways that go before this one. */
+  before: number;
+  /** Peers that follow the store, and are answered by it. */
+  following: number;
 }
 
 /**
- * How many gateways go before one: those with more processor, which have the faster links as well, and
- * of equals those that are drawn first.
+ * Creates the choice of a gateway. It is worked out when the peers change, not for each question.
+ *
+ * @param look what the gateway sees now
  */
-function countBefore({ node, cores, peers }: FollowerView): number {
-  const own = draw(node);
-  let before = 0;
-  for (const { introduction } of peers) {
-    const isStronger = introduction.cores > cores;
-    const isDrawnFirst = introduction.cores === cores && draw(introduction.node) < own;
-    if (isStronger || isDrawnFirst) before += 1;
+export function createFollowers(look: () => FollowerView): Followers {
+  let count: Count | undefined;
+
+  function resolveCount(view: FollowerView): Count {
+    if (count?.of !== view.peers) count = countPeers(view);
+    return count;
   }
-  return before;
+
+  function isLargeFleet(): boolean {
+    return look().peers.length >= SMALL_FLEET;
+  }
+
+  function isFollower(): boolean {
+    return !isLargeFleet() || resolveCount(look()).before < FOLLOWERS;
+  }
+
+  return {
+    isFollower,
+    isLargeFleet,
+    mayRely() {
+      const view = look();
+      if (isFollower() || !view.isConnected) return false;
+      return resolveCount(view).following >= HEARD_FOLLOWERS;
+    },
+  };
 }
 
-/**
- * Whether a gateway may rely on others for what the store holds.
- *
- * @param view the gateway and its peers
- */
-export function mayRely(view: FollowerView): boolean {
-  if (isFollower(view)) return false;
-  let heard = 0;
-  for (const { beat, heardAt } of view.peers) {
-    const isFresh = view.now - heardAt < FRESH_BEATS * view.beatMs;
-    if (beat?.isFollowing === true && isFresh) heard += 1;
+/** Those with more processor go first, since they have the faster links as well, and of equals those
+ * that are drawn first. */
+function countPeers({ node, cores, peers }: FollowerView): Count {
+  const own = draw(node);
+  const count: Count = { of: peers, before: 0, following: 0 };
+  for (const peer of peers) {
+    const isDrawnFirst = peer.cores === cores && draw(peer.node) < own;
+    if (peer.cores > cores || isDrawnFirst) count.before += 1;
+    if (peer.isFollowing) count.following += 1;
   }
-  return heard >= HEARD_FOLLOWERS;
+  return count;
 }
 
 /** A fixed number for each name, so that all gateways agree without a word. */
--- a/src/gateway/following.ts
+++ b/src/gateway/following.ts
@@ -31,8 +31,8 @@
   function takeRoutes(documents: readonly RoutingDocument[]): void {
     for (const document of documents) {
       routes.offer(document, 'store');
-      peering.passRoutes(document);
     }
+    peering.announce();
   }
 
   void follow({
@@ -52,12 +52,13 @@
     feed: parts.registryFeed,
     replaced: ({ items, revision }) => {
       fleet.replace(items, revision);
+      peering.announce();
     },
     changed: ({ items }) => {
       for (const change of items) {
         fleet.learn(change, 'store');
       }
-      peering.passChanges(items);
+      if (items.length > 0) peering.announce();
     },
   });
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -13,7 +13,7 @@
 } from '../fleet/index.js';
 import { createSendBudget } from '../limits/send-budget.js';
 import type { GatewayMetrics } from '../metrics/index.js';
-import { createMesh, type Mesh } from '../peers/index.js';
+import { createOverlay, type Overlay } from '../peers/index.js';
 import type { RowFeed } from '../ports/row-feed.js';
 import type { TableService } from '../ports/table-service.js';
 import {
@@ -35,7 +35,7 @@
 } from '../scheduling/index.js';
 import { createGuardedClock, wait, type Clock, type RandomSource } from '../task/index.js';
 import { resolveFronts } from './directory.js';
-import { isAnnouncer, isFollower, mayRely, type FollowerView } from './followers.js';
+import { createFollowers } from './followers.js';
 import { startFollowing } from './following.js';
 import { createPeering } from './peering.js';
 import { publishAddress } from './publish-address.js';
@@ -62,6 +62,10 @@
 /** Connections to a server that a gateway may have in any case. */
 const LEAST_CONNECTIONS = 4;
 
+/** Seeds are dialled once the addresses in the store were read, or after so long, in ms: all gateways are
+ * given the same few, which would answer all of a fleet that starts at once. */
+const SEEDS_AFTER_MS = 300;
+
 /** What the platform gives to a gateway. */
 export interface GatewayPlatform {
   protocol: BackendProtocol;
@@ -145,7 +149,7 @@
       allowance: settings.bounds.retryAllowance,
       windowMs: settings.bounds.retryWindowMs,
     }),
-    () => mesh.peers().length + 1,
+    () => overlay.peers().length + 1,
   );
   const guardedClock = createGuardedClock(clock, (error) => {
     log.write('decisionFailed', { step: 'timer', reason: String(error) });
@@ -154,7 +158,7 @@
     clock: guardedClock,
     log,
     self: { node, cores: settings.cores },
-    peers: () => mesh.peers(),
+    peers: () => overlay.peers(),
     engines: (service) =>
       fleet.available(service).filter(({ id }) => health.isUsable(id) && !keeper.isChanging(id)),
     cacheTokens: (service) => findService(service)?.engine?.cacheTokens ?? 0,
@@ -168,21 +172,28 @@
     zone,
     schedulerOf: schedulers.holderOf,
     local: schedulers.local,
-    send: (peer, message) => mesh.send(peer, message),
+    send: (peer, message) => overlay.send(peer, message),
   });
+  const followers = createFollowers(() => ({
+    node,
+    cores: settings.cores,
+    peers: overlay.peers(),
+    isConnected: overlay.isConnected(),
+  }));
   const peering = createPeering({
+    clock,
     log,
-    mesh: () => mesh,
+    overlay: () => overlay,
     routes,
     fleet,
     submitter,
     scheduler: schedulers.local,
-    isFollower: () => isFollower(viewFollowers()),
-    isAnnouncer: () => isAnnouncer(viewFollowers()),
+    followers,
     parseRoutes: (text) => platform.parseRoutes(text),
   });
-  const mesh: Mesh = createMesh({
+  const overlay: Overlay = createOverlay({
     clock,
+    random,
     log,
     self: {
       node,
@@ -192,12 +203,12 @@
       zone,
       cores: settings.cores,
     },
-    beat: () => ({
+    status: () => ({
       isReady: isReady(),
-      routes: routes.version(),
-      fleet: fleet.revision(),
-      isFollowing: watch.isReached() && isFollower(viewFollowers()),
+      isFollowing: watch.isReached() && followers.isFollower(),
     }),
+    versions: () => ({ routes: routes.version(), fleet: fleet.revision() }),
+    needed: listSchedulers,
     received: peering.received,
     lost: peering.lost,
   });
@@ -250,7 +261,7 @@
   function limitConnections(id: string): number {
     const service = fleet.find(id)?.service ?? '';
     const all = findService(service)?.maxConnections ?? LEAST_CONNECTIONS;
-    const part = Math.floor((all * CONNECTION_SHARE) / (mesh.peers().length + 1));
+    const part = Math.floor((all * CONNECTION_SHARE) / (overlay.peers().length + 1));
     return Math.max(LEAST_CONNECTIONS, part);
   }
 
@@ -269,27 +280,24 @@
     return !isLeaving && routes.version() > 0;
   }
 
-  function ownServices(): string[] {
-    const found: string[] = [];
+  function* engineServices(): Generator<string> {
     for (const [name, { engine }] of routes.index()?.table.services ?? []) {
-      if (engine !== undefined && schedulers.holderOf(name) === node) found.push(name);
+      if (engine !== undefined) yield name;
     }
-    return found;
   }
 
-  function viewFollowers(): FollowerView {
-    return {
-      node,
-      cores: settings.cores,
-      peers: mesh.peers(),
-      now: clock.now(),
-      beatMs: mesh.beatMs(),
-    };
+  function ownServices(): string[] {
+    return [...engineServices()].filter((name) => schedulers.holderOf(name) === node);
+  }
+
+  /** Links to schedulers are made before the first request needs one. */
+  function listSchedulers(): string[] {
+    return [...engineServices()].flatMap((name) => schedulers.nearest(name));
   }
 
   function answerDirectory(url: string): StatusAnswer {
     const own = { address: formatAddress(settings.callers), zone, isReady: isReady() };
-    const addresses = resolveFronts(own, mesh.peers(), platform.readDirectoryZone(url));
+    const addresses = resolveFronts(own, overlay.peers(), platform.readDirectoryZone(url));
     return platform.directoryAnswer(addresses, settings.bounds.directoryTtlMs * TTL_SHARE);
   }
 
@@ -316,9 +324,9 @@
     log,
     watch,
     signal: ending.signal,
-    mayRest: () => mayRely(viewFollowers()),
+    mayRest: () => followers.mayRely(),
     // those that follow for all others are few, whatever the size
-    asking: () => (isFollower(viewFollowers()) ? 1 : mesh.peers().length + 1),
+    asking: () => (followers.isFollower() ? 1 : overlay.peers().length + 1),
     changeMs: settings.bounds.changeMs,
     routesFeed: platform.routes,
     registryFeed: platform.registry,
@@ -326,10 +334,8 @@
     fleet,
     peering,
   });
-  for (const seed of settings.seeds) {
-    mesh.learn(seed);
-  }
-  await mesh.listen(settings.peers.host, settings.peers.port);
+  await overlay.listen(settings.peers.host, settings.peers.port);
+  overlay.start();
   await front.listen(settings.callers.host, settings.callers.port);
   const statusServers = await startStatusServers();
   const address = { node, address: formatAddress(settings.peers) };
@@ -339,9 +345,11 @@
     log,
     address,
     signal: ending.signal,
-    found: mesh.learn,
+    found: (address) => {
+      overlay.learn(address);
+    },
   });
-  void publishing.done;
+  void Promise.race([publishing.done, wait(clock, SEEDS_AFTER_MS)]).then(learnSeeds);
   keeper.start();
   log.write('gatewayStarted', {
     zone,
@@ -360,7 +368,7 @@
     log.write('gatewayStopping', { inFlight: front.inFlight(), graceMs: bounds.graceMs });
     front.startClosing();
     keeper.stop();
-    mesh.beatNow();
+    overlay.publish();
     await publishing.withdraw();
     while (clock.now() < endAt) {
       await wait(clock, STOP_LOOK_MS);
@@ -373,7 +381,7 @@
     log.write('gatewayStopped', { inFlight: front.inFlight() });
     ending.abort();
     front.close();
-    mesh.close();
+    overlay.close();
     connections.close();
     for (const server of statusServers) {
       server.close();
@@ -384,8 +392,12 @@
 
   function reconfigure(next: GatewaySettings): void {
     Object.assign(settings, next);
-    for (const seed of next.seeds) {
-      mesh.learn(seed);
+    learnSeeds();
+  }
+
+  function learnSeeds(): void {
+    for (const seed of settings.seeds) {
+      overlay.learn(seed, true);
     }
   }
 
--- a/src/gateway/peering.ts
+++ b/src/gateway/peering.ts
@@ -1,53 +1,49 @@
 /**
- * What a gateway does with its peers' words: passes on routes and registry changes that a peer
- * lacks, takes in those that it lacks itself, and carries requests to and from schedulers.
+ * What a gateway does with its peers' words: says which routes and registry changes it knows, gives
+ * them to a peer that asks, asks for those that it lacks, and carries requests to and from schedulers.
  */
 import { match } from 'ts-pattern';
-import type { Fleet, HealthOutcome, RegistryChange } from '../fleet/index.js';
 import type { Log } from '../events/index.js';
-import { packChanges, unpackChanges } from './registry-changes.js';
+import type { Fleet, HealthOutcome } from '../fleet/index.js';
 import {
   createRoutesPacker,
   unpackRoutes,
-  type Mesh,
-  type Peer,
+  type Overlay,
   type PeerMessage,
   type RoutesMessage,
+  type StoreVersions,
 } from '../peers/index.js';
 import type { RoutingDocument, RoutingReplica } from '../routing/index.js';
 import type { Decision, JobSubmitter, Job, Scheduler } from '../scheduling/index.js';
+import type { Clock, Timer } from '../task/index.js';
+import { createCatchUp } from './catch-up.js';
+import type { Followers } from './followers.js';
+import { packChanges, unpackChanges } from './registry-changes.js';
+
+/** Versions that come to be known within this time are announced together, in ms. */
+const GATHER_MS = 10;
 
 /** Who handles a peer's words. */
 export interface PeeringParts {
+  clock: Clock;
   log: Log;
-  mesh(): Mesh;
+  overlay(): Pick<Overlay, 'send' | 'tellPartners'>;
   routes: RoutingReplica;
   fleet: Fleet;
   submitter: JobSubmitter;
   scheduler(service: string): Scheduler;
-  /** Whether this gateway brings peers that are behind up to date. */
-  isFollower(): boolean;
-  /** Whether this gateway passes on what it learns at once. */
-  isAnnouncer(): boolean;
+  followers: Pick<Followers, 'isLargeFleet' | 'mayRely'>;
   /** Decodes routes that a peer passed on; `undefined` when they cannot be read. */
   parseRoutes(text: string): RoutingDocument | undefined;
 }
 
 /** Handles peers' words. */
 export interface Peering {
-  received: (peer: Peer, message: PeerMessage) => void;
+  received: (node: string, message: PeerMessage) => void;
   /** A peer was lost: what it had submitted here has ended. */
   lost: (node: string) => void;
-  /** Passes on registry changes that were read from the store. */
-  passChanges(changes: readonly RegistryChange[]): void;
-  /** Passes on routes that were read from the store. */
-  passRoutes(document: RoutingDocument): void;
-}
-
-/** How far behind a peer was at its last heartbeat. */
-interface Lag {
-  routes: number;
-  fleet: number;
+  /** Tells partners that newer routes or registry changes are known here. */
+  announce(): void;
 }
 
 /**
@@ -56,30 +52,41 @@
  * @param parts what the words change
  */
 export function createPeering(parts: PeeringParts): Peering {
-  const lags = new Map<string, Lag>();
+  const { clock, routes, fleet } = parts;
+  const catchUp = createCatchUp();
   const pack = createRoutesPacker();
   /** Jobs that peers submitted here, with the service of each. */
   const submitted = new Map<string, Map<string, string>>();
+  let announcement: Timer | undefined;
 
-  /** A peer that was already behind at its last word has not caught up by itself. */
-  function help(node: string, beat: Lag): void {
-    const before = lags.get(node);
-    lags.set(node, { routes: parts.routes.version(), fleet: parts.fleet.revision() });
-    if (before === undefined || !parts.isFollower()) return;
-    const document = parts.routes.document();
-    if (document !== undefined && beat.routes < before.routes) {
-      parts.mesh().send(node, pack(document));
-    }
-    if (beat.fleet < before.fleet) {
-      const changes = packChanges(parts.fleet.changesAfter(beat.fleet));
-      if (changes.length > 0) parts.mesh().send(node, { kind: 'fleet', changes });
+  function ownVersions(): StoreVersions {
+    return { routes: routes.version(), fleet: fleet.revision() };
+  }
+
+  function announce(): void {
+    if (!parts.followers.isLargeFleet()) return;
+    announcement ??= clock.after(GATHER_MS, () => {
+      announcement = undefined;
+      parts.overlay().tellPartners({ kind: 'versions', ...ownVersions() });
+    });
+  }
+
+  function hearVersions(node: string, theirs: StoreVersions): void {
+    const relies = parts.followers.mayRely();
+    const progress = { now: clock.now(), theirs, own: ownVersions(), relies };
+    for (const what of catchUp.choose(progress)) {
+      parts.overlay().send(node, { kind: 'want', what, after: progress.own[what] });
     }
   }
 
-  function announce(message: PeerMessage): void {
-    if (!parts.isAnnouncer()) return;
-    for (const { introduction } of parts.mesh().peers()) {
-      parts.mesh().send(introduction.node, message);
+  function give(node: string, { what, after }: PeerMessage & { kind: 'want' }): void {
+    const document = routes.document();
+    if (what === 'routes' && document !== undefined && document.table.version > after) {
+      parts.overlay().send(node, pack(document));
+    }
+    if (what === 'fleet') {
+      const changes = packChanges(fleet.changesAfter(after));
+      parts.overlay().send(node, { kind: 'fleet', changes, revision: fleet.revision() });
     }
   }
 
@@ -92,23 +99,27 @@
       return;
     }
     const document = parts.parseRoutes(text.value);
-    if (document !== undefined) parts.routes.offer(document, 'peer');
+    if (document === undefined) return;
+    parts.routes.offer(document, 'peer');
+    announce();
   }
 
-  function takeChanges(changes: readonly RegistryChange[]): void {
-    for (const change of changes) {
-      parts.fleet.learn(change, 'peer');
+  function takeChanges({ changes, revision }: PeerMessage & { kind: 'fleet' }): void {
+    for (const change of unpackChanges(changes)) {
+      fleet.learn(change, 'peer');
     }
+    fleet.reach(revision);
+    announce();
   }
 
   function decide(node: string, id: string, decision: Decision): void {
     if (decision.kind === 'placed') {
-      parts.mesh().send(node, { kind: 'job.placed', id, placement: decision.placement });
+      parts.overlay().send(node, { kind: 'job.placed', id, placement: decision.placement });
       return;
     }
     submitted.get(node)?.delete(id);
     const { reason, retryAfterMs, backlogMs } = decision;
-    parts.mesh().send(node, { kind: 'job.declined', id, reason, retryAfterMs, backlogMs });
+    parts.overlay().send(node, { kind: 'job.declined', id, reason, retryAfterMs, backlogMs });
   }
 
   /** Remembers which peer a job belongs to. */
@@ -126,7 +137,7 @@
       state.isDecided = true;
       decide(node, job.id, decision);
     });
-    if (!state.isDecided) parts.mesh().send(node, { kind: 'job.queued', id: job.id });
+    if (!state.isDecided) parts.overlay().send(node, { kind: 'job.queued', id: job.id });
   }
 
   function finish(node: string, id: string, outcome?: HealthOutcome): void {
@@ -136,17 +147,17 @@
     parts.scheduler(service).finished(id, outcome);
   }
 
-  function receive(peer: Peer, message: PeerMessage): void {
-    const { node } = peer.introduction;
+  function receive(node: string, message: PeerMessage): void {
     match(message)
-      .with({ kind: 'introduction' }, () => undefined)
-      .with({ kind: 'beat' }, (beat) => {
-        help(node, beat);
+      .with({ kind: 'introduction' }, { kind: 'news' }, { kind: 'view' }, () => undefined)
+      .with({ kind: 'beat' }, { kind: 'versions' }, (versions) => {
+        hearVersions(node, versions);
       })
-      .with({ kind: 'routes' }, takeRoutes)
-      .with({ kind: 'fleet' }, ({ changes }) => {
-        takeChanges(unpackChanges(changes));
+      .with({ kind: 'want' }, (want) => {
+        give(node, want);
       })
+      .with({ kind: 'routes' }, takeRoutes)
+      .with({ kind: 'fleet' }, takeChanges)
       .with({ kind: 'job.submit' }, (submission) => {
         submit(node, submission);
       })
@@ -173,28 +184,21 @@
 
   return {
     /** A message that cannot be handled is its sender's loss alone; it asks elsewhere. */
-    received(peer, message) {
+    received(node, message) {
       try {
-        receive(peer, message);
+        receive(node, message);
       } catch (error) {
-        const { node } = peer.introduction;
         const { kind } = message;
         parts.log.write('decisionFailed', { step: kind, peer: node, reason: String(error) });
       }
     },
     lost(node) {
-      lags.delete(node);
       for (const id of [...(submitted.get(node)?.keys() ?? [])]) {
         finish(node, id);
       }
       submitted.delete(node);
       parts.submitter.lost(node);
     },
-    passChanges(changes) {
-      if (changes.length > 0) announce({ kind: 'fleet', changes: packChanges(changes) });
-    },
-    passRoutes(document) {
-      if (parts.isAnnouncer()) announce(pack(document));
-    },
+    announce,
   };
 }
--- a/src/gateway/schedulers.ts
+++ b/src/gateway/schedulers.ts
@@ -4,7 +4,7 @@
  */
 import type { Log } from '../events/index.js';
 import type { RegisteredServer } from '../fleet/index.js';
-import type { Peer } from '../peers/index.js';
+import type { GatewayState } from '../peers/index.js';
 import {
   createPaces,
   createScheduler,
@@ -17,15 +17,17 @@
 } from '../scheduling/index.js';
 import type { Clock } from '../task/index.js';
 
-/** How long the list of ready gateways is remembered, in ms: it changes with heartbeats. */
-const GATEWAYS_MEMORY_MS = 100;
+/** Schedulers of a service to which a gateway keeps links: the one that is drawn, and the one that is
+ * asked when that is silent. */
+const LINKED_SCHEDULERS = 2;
 
 /** What the schedulers need. */
 export interface SchedulersParts {
   clock: Clock;
   log: Log;
   self: SchedulingGateway;
-  peers(): readonly Peer[];
+  /** Peers believed alive; the same array until it changes. */
+  peers(): readonly GatewayState[];
   /** Engines of a service that take requests now. */
   engines(service: string): readonly RegisteredServer[];
   /** Tokens that the cache of one engine holds. */
@@ -44,6 +46,8 @@
    * @param isAvoided gateways that are left out
    */
   holderOf: (service: string, isAvoided?: (node: string) => boolean) => string;
+  /** Gateways that are asked to schedule a service first. */
+  nearest: (service: string) => string[];
   /** An engine is gone for good. */
   forget: (engine: string) => void;
 }
@@ -57,15 +61,19 @@
   const { clock, log, self } = parts;
   const byService = new Map<string, Scheduler>();
   const paces = new Map<string, Paces>();
-  let gateways: SchedulingGateway[] = [];
-  let gatewaysAt = Number.NEGATIVE_INFINITY;
+  let ready: SchedulingGateway[] = [];
+  let readyOf: readonly GatewayState[] | undefined;
+  /** Who schedules each service where nobody is avoided, until the peers change. */
+  const holders = new Map<string, string>();
 
-  function listGateways(): SchedulingGateway[] {
-    const found = [self];
-    for (const { introduction, beat } of parts.peers()) {
-      if (beat?.isReady === true) found.push(introduction);
+  function listReady(): readonly SchedulingGateway[] {
+    const peers = parts.peers();
+    if (peers !== readyOf) {
+      ready = [self, ...peers.filter(({ isReady }) => isReady)];
+      readyOf = peers;
+      holders.clear();
     }
-    return found;
+    return ready;
   }
 
   function pacesOf(service: string): Paces {
@@ -77,12 +85,20 @@
   }
 
   function holderOf(service: string, isAvoided: (node: string) => boolean = () => false): string {
-    if (clock.now() - gatewaysAt > GATEWAYS_MEMORY_MS) {
-      gateways = listGateways();
-      gatewaysAt = clock.now();
+    const all = listReady();
+    const usual = holders.get(service) ?? resolveHolder(service, all);
+    holders.set(service, usual);
+    if (!isAvoided(usual)) return usual;
+    const others = all.filter(({ node }) => !isAvoided(node));
+    return resolveHolder(service, others.length > 0 ? others : [self]);
+  }
+
+  function nearest(service: string): string[] {
+    const found: string[] = [];
+    while (found.length < LINKED_SCHEDULERS && found.length < listReady().length) {
+      found.push(holderOf(service, (node) => found.includes(node)));
     }
-    const heard = gateways.filter(({ node }) => !isAvoided(node));
-    return resolveHolder(service, heard.length > 0 ? heard : [self]);
+    return found;
   }
 
   return {
@@ -107,5 +123,6 @@
       return created;
     },
     holderOf,
+    nearest,
   };
 }
--- a/src/gossip/choose-peers.ts
+++ b/src/gossip/choose-peers.ts
@@ -5,7 +5,7 @@
  * round, which make the paths short. Availability zones are mixed by the hash, so that the loss of
  * one leaves the rest connected. A node that comes or goes changes only its neighbours' choices.
  */
-import { hashName } from '../shards/index.js';
+import { hashName } from './hash-name.js';
 
 const RING = 2 ** 32;
 const HALF = 0.5;
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -1,4 +1,5 @@
-/** Links between gateways. */
-export * from './mesh.js';
+/** Other gateways: who is there, and what they say to each other. */
+export * from './links.js';
 export * from './messages.js';
+export * from './overlay.js';
 export * from './routes-message.js';
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -3,7 +3,7 @@
  * message is made good by the next heartbeat.
  */
 import { Packr } from 'msgpackr';
-import { z } from 'zod';
+import * as z from 'zod';
 import { healthOutcomeSchema } from '../fleet/health.js';
 import { routesMessageSchema } from './routes-message.js';
 import { jobSchema, placementSchema } from '../scheduling/job.js';
@@ -30,12 +30,13 @@
     .optional(),
 });
 
-/** Who a gateway is; the first message on a link. */
-export const introductionSchema = z.object({
-  kind: z.literal('introduction'),
+/** What a gateway says of itself, passed on to all others when it changes. */
+export const gatewayStateSchema = z.object({
   node: z.string(),
   /** Differs for each start of the process. */
   incarnation: z.string(),
+  /** Grows with each word of the gateway on itself. */
+  sequence: z.number(),
   /** `host:port` for peers. */
   address: z.string(),
   /** `host:port` for callers. */
@@ -43,27 +44,67 @@
   zone: z.string(),
   /** Cores that the gateway may use. */
   cores: z.number(),
-  /** Addresses of the peers it knows. */
-  known: z.array(z.string()),
-});
-
-/** A gateway's regular word. */
-export const beatSchema = z.object({
-  kind: z.literal('beat'),
   /** Takes callers' requests. */
   isReady: z.boolean(),
+  /** It follows the store by itself, and the store answers it. */
+  isFollowing: z.boolean(),
+});
+
+const suspicionSchema = z.object({
+  node: z.string(),
+  incarnation: z.string(),
+  /** The last sequence that was heard; a newer one refutes the suspicion. */
+  sequence: z.number(),
+});
+
+/** The first message on a link. */
+const introductionSchema = z.object({
+  kind: z.literal('introduction'),
+  state: gatewayStateSchema,
+  /** The link takes the place of one on which nothing was heard. */
+  isReplacement: z.boolean(),
+});
+
+/** How far a gateway knows what the store holds. */
+const versionsFields = {
   /** Version of the routes in force there. */
   routes: z.number(),
   /** Newest revision of the registry known there. */
   fleet: z.number(),
-  /** It follows the store by itself, and the store answers it. */
-  isFollowing: z.boolean(),
-});
+};
 
+/** A gateway's regular word to its partners. */
+const beatSchema = z.object({
+  kind: z.literal('beat'),
+  ...versionsFields,
+  /** The sender has chosen the receiver as its partner. */
+  isChosen: z.boolean(),
+  /** Of all gateways that the sender believes alive, itself included. */
+  digest: z.number(),
+});
+/** Said as soon as a version is new. */
+const versionsSchema = z.object({ kind: z.literal('versions'), ...versionsFields });
+const toldFields = {
+  states: z.array(gatewayStateSchema),
+  suspicions: z.array(suspicionSchema),
+};
+/** What has changed; it is passed on. */
+const newsSchema = z.object({ kind: z.literal('news'), ...toldFields });
+/** All that the sender believes, for one that asked for it. */
+const viewSchema = z.object({ kind: z.literal('view'), ...toldFields });
+/** Asks for what the receiver knows beyond a version. */
+const wantSchema = z.object({
+  kind: z.literal('want'),
+  what: z.enum(['routes', 'fleet', 'view']),
+  after: z.number(),
+});
 const fleetSchema = z.object({
   kind: z.literal('fleet'),
   changes: z.array(registryChangeSchema),
+  /** With these changes the receiver knows all up to this revision. */
+  revision: z.number(),
 });
+
 const submitSchema = z.object({ kind: z.literal('job.submit'), job: jobSchema });
 const adoptSchema = z.object({
   kind: z.literal('job.adopt'),
@@ -96,6 +137,10 @@
 export const messageSchema = z.discriminatedUnion('kind', [
   introductionSchema,
   beatSchema,
+  versionsSchema,
+  newsSchema,
+  viewSchema,
+  wantSchema,
   routesMessageSchema,
   fleetSchema,
   submitSchema,
@@ -110,10 +155,12 @@
 
 /** A message between gateways. */
 export type PeerMessage = z.infer<typeof messageSchema>;
-/** Who a gateway is. */
-export type Introduction = z.infer<typeof introductionSchema>;
-/** A gateway's regular word. */
-export type Beat = z.infer<typeof beatSchema>;
+/** What a gateway says of itself. */
+export type GatewayState = z.infer<typeof gatewayStateSchema>;
+/** A word that a gateway is silent. */
+export type GatewaySuspicion = z.infer<typeof suspicionSchema>;
+/** How far a gateway knows what the store holds. */
+export type StoreVersions = Omit<z.infer<typeof versionsSchema>, 'kind'>;
 
 const packr = new Packr({ useRecords: false, encodeUndefinedAsNil: false });
 
--- a/src/permits/shard-decisions.ts
+++ b/src/permits/shard-decisions.ts
@@ -5,7 +5,7 @@
  */
 import type { PermitQuery } from '../links/index.js';
 import type { Decisions } from '../settings/index.js';
-import { hashName } from '../shards/partition.js';
+import { hashName } from '../gossip/index.js';
 import { resolveForecast, type Forecast, type LanePart } from './admission.js';
 import { resolveWorkMs } from './capacity.js';
 import {
--- a/src/shards/partition.ts
+++ b/src/shards/partition.ts
@@ -2,6 +2,7 @@
  * Which backend servers belong together. A shard holds up to some number of servers of one fleet
  * and has one holder, which alone orders its engines and grants permits for them.
  */
+import { hashName } from '../gossip/index.js';
 import type { Vm } from '../ports/index.js';
 
 /** The servers of one shard. */
@@ -76,25 +77,6 @@
   return groups;
 }
 
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
-const MIX_SHIFT = 15;
-const MIX_FACTOR = 0x2c1b3c6d;
-
-/**
- * A well-spread 32-bit hash of a short name, the same in every process.
- *
- * @param name any string
- */
-export function hashName(name: string): number {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < name.length; index++) {
-    hash = Math.imul(hash ^ name.charCodeAt(index), FNV_PRIME);
-  }
-  hash = Math.imul(hash ^ (hash >>> MIX_SHIFT), MIX_FACTOR);
-  return (hash ^ (hash >>> MIX_SHIFT)) >>> 0;
-}
-
 /**
  * Orders nodes by how much they want a shard (rendezvous hashing): the same order on every node,
  * and the loss of one node moves only what that node had.
--- a/test/gateway/guards.test.ts
+++ b/test/gateway/guards.test.ts
@@ -1,6 +1,5 @@
 import { expect } from 'chai';
 import { createPeering, type PeeringParts } from '../../src/gateway/peering.js';
-import type { Peer } from '../../src/peers/index.js';
 import { createFront } from '../../src/relay/index.js';
 import type { Scheduler } from '../../src/scheduling/index.js';
 import { createSystemClock } from '../../src/task/index.js';
@@ -18,11 +17,12 @@
       submit: (job: { id: string }) => done.push(job.id),
     } as unknown as Scheduler;
     const peering = createPeering({
+      clock: createSystemClock(),
       log,
-      mesh: () => ({ send: () => true, peers: () => [] }),
+      overlay: () => ({ send: () => true, tellPartners: () => undefined }),
       scheduler: () => scheduler,
     } as unknown as PeeringParts);
-    const peer = { introduction: { node: 'peer' } } as unknown as Peer;
+    const peer = 'peer';
     const job = {
       id: 'peer/1',
       service: 'chat',
--- a/test/gateway/lifecycle.test.ts
+++ b/test/gateway/lifecycle.test.ts
@@ -89,7 +89,7 @@
   it('learns routes and servers from a peer when the store turns it away', async () => {
     store.put('op', 'config', configuration(1));
     const [first, second] = [await start('node-1'), await start('node-2')];
-    await until(() => second.log.lines.some(({ event }) => event === 'gatewayFound'));
+    await until(() => second.log.lines.some(({ event }) => event === 'gatewaysChanged'));
     await until(() => routesOf(second).includes(1));
     const lonely = await startGatewayFixture('node-3', '127.0.0.1:1', [
       `127.0.0.1:${first.settings.peers.port}`,
--- /dev/null
+++ b/test/peers/links.test.ts
@@ -0,0 +1,74 @@
+import { expect } from 'chai';
+import { createOverlay, type Overlay, type PeerMessage } from '../../src/peers/index.js';
+import { createSystemClock, createSystemRandom } from '../../src/task/index.js';
+import { createKeptLog, until, type KeptLog } from '../fixtures/gateway.js';
+
+interface Member {
+  overlay: Overlay;
+  log: KeptLog;
+  received: PeerMessage[];
+  lost: string[];
+}
+
+describe('the overlay on sockets', () => {
+  const members: Member[] = [];
+
+  afterEach(() => {
+    for (const { overlay } of members.splice(0)) {
+      overlay.close();
+    }
+  });
+
+  async function join(node: string): Promise<Member> {
+    const log = createKeptLog();
+    const received: PeerMessage[] = [];
+    const lost: string[] = [];
+    // the port is known only once it is taken; the introduction is read when a link is made
+    const self = { node, incarnation: `${node}-1`, address: '', front: '', zone: 'a', cores: 1 };
+    const overlay = createOverlay({
+      clock: createSystemClock(),
+      random: createSystemRandom(),
+      log,
+      self,
+      status: () => ({ isReady: true, isFollowing: true }),
+      versions: () => ({ routes: 1, fleet: 1 }),
+      needed: () => [],
+      received: (_node, message) => received.push(message),
+      lost: (peer) => lost.push(peer),
+    });
+    await overlay.listen('127.0.0.1', 0);
+    self.address = `127.0.0.1:${overlay.port()}`;
+    overlay.start();
+    const member = { overlay, log, received, lost };
+    members.push(member);
+    return member;
+  }
+
+  it('keeps one link between two gateways that dialled each other at once', async () => {
+    const [a, b] = [await join('a'), await join('b')];
+    a.overlay.learn(`127.0.0.1:${b.overlay.port()}`);
+    b.overlay.learn(`127.0.0.1:${a.overlay.port()}`);
+    await until(() => a.overlay.peers().length === 1 && b.overlay.peers().length === 1);
+    // well beyond the time after which a link without heartbeats is dropped
+    await until(() => a.received.length > 6 && b.received.length > 6);
+    expect(a.lost).to.deep.equal([]);
+    expect(b.lost).to.deep.equal([]);
+  });
+
+  it('learns of gateways from those it knows', async () => {
+    const [a, b, c] = [await join('a'), await join('b'), await join('c')];
+    b.overlay.learn(`127.0.0.1:${a.overlay.port()}`);
+    await until(() => a.overlay.peers().length === 1);
+    c.overlay.learn(`127.0.0.1:${a.overlay.port()}`);
+    await until(() => b.overlay.peers().length === 2 && c.overlay.peers().length === 2);
+  });
+
+  it('says that a peer is lost when it is gone', async () => {
+    const [a, b] = [await join('a'), await join('b')];
+    a.overlay.learn(`127.0.0.1:${b.overlay.port()}`);
+    await until(() => a.overlay.peers().length === 1);
+    b.overlay.close();
+    await until(() => a.lost.includes('b') && a.overlay.peers().length === 0);
+    expect(a.overlay.send('b', { kind: 'job.read', id: 'x' })).to.equal(false);
+  });
+});
--- /dev/null
+++ b/test/peers/overlay.test.ts
@@ -0,0 +1,205 @@
+import { expect } from 'chai';
+import { createPeerNetwork, nameOf, type PeerNode } from '../fixtures/peer-network.js';
+
+/** Time within which a change must be in force on the fleets with the shortest bound, in ms. */
+const CHANGE_MS = 3_000;
+
+type Network = ReturnType<typeof createPeerNetwork>;
+
+function startAll(network: Network, count: number): PeerNode[] {
+  const names = Array.from({ length: count }, (_, index) => nameOf(index));
+  return names.map((name) => network.start(name, names));
+}
+
+function up(nodes: readonly PeerNode[]): PeerNode[] {
+  return nodes.filter(({ condition }) => condition === 'up');
+}
+
+/** Whether every live gateway believes just the live ones alive. */
+function agree(nodes: readonly PeerNode[]): boolean {
+  const alive = up(nodes);
+  const names = new Set(alive.map(({ name }) => name));
+  return alive.every(({ name, overlay }) => {
+    const peers = overlay.peers();
+    return (
+      peers.length === names.size - 1 &&
+      peers.every((peer) => names.has(peer.node) && peer.node !== name)
+    );
+  });
+}
+
+/** Moves the clock until all agree; how long that took, in ms. */
+function timeUntilAgreed(network: Network, limitMs: number): number {
+  for (let spentMs = 0; spentMs < limitMs; spentMs += 20) {
+    if (agree(network.nodes)) return spentMs;
+    network.advance(20);
+  }
+  return Number.POSITIVE_INFINITY;
+}
+
+function restart(network: Network, node: PeerNode): PeerNode {
+  network.nodes.splice(network.nodes.indexOf(node), 1);
+  const known = network.nodes.map(({ name }) => name);
+  return network.start(node.name, known);
+}
+
+describe('the overlay of several hundred gateways', function () {
+  this.timeout(60_000);
+
+  it('knows all of them soon after a common start', () => {
+    const network = createPeerNetwork();
+    startAll(network, 300);
+    expect(timeUntilAgreed(network, 5_000)).to.be.below(4_000);
+  });
+
+  it('costs each gateway no more than a fleet of 30 does', () => {
+    const costs = [30, 300].map((count) => {
+      const network = createPeerNetwork();
+      startAll(network, count);
+      network.advance(20_000);
+      const before = network.nodes.map(({ sent, sentBytes }) => ({ sent, sentBytes }));
+      network.advance(10_000);
+      let [sent, bytes, links] = [0, 0, 0];
+      for (const [index, node] of network.nodes.entries()) {
+        sent += node.sent - (before[index]?.sent ?? 0);
+        bytes += node.sentBytes - (before[index]?.sentBytes ?? 0);
+        links = Math.max(links, node.linkCount());
+      }
+      return { sent: sent / count, bytes: bytes / count, links };
+    });
+    const [small, large] = costs;
+    if (small === undefined || large === undefined) throw new Error('two sizes are compared');
+    expect(large.sent).to.be.below(small.sent * 1.25);
+    expect(large.bytes).to.be.below(small.bytes * 1.25);
+    expect(large.links).to.be.below(32);
+  });
+
+  it('notices lost gateways within the time for a change, whatever the size and how many', () => {
+    for (const [count, lost] of [
+      [30, 4],
+      [300, 4],
+      [300, 150],
+    ] as const) {
+      const network = createPeerNetwork();
+      const nodes = startAll(network, count);
+      network.advance(8_000);
+      for (const node of nodes.slice(0, lost)) network.kill(node, 'powerless');
+      expect(timeUntilAgreed(network, 10_000), `${lost} of ${count}`).to.be.below(CHANGE_MS);
+    }
+  });
+
+  it('notices processes that end at once', () => {
+    const network = createPeerNetwork();
+    const nodes = startAll(network, 300);
+    network.advance(8_000);
+    for (const node of nodes.slice(0, 150)) network.kill(node, 'killed');
+    expect(timeUntilAgreed(network, 10_000)).to.be.below(1_000);
+  });
+
+  it('finds itself again after all gateways lost power at once', () => {
+    const network = createPeerNetwork();
+    const nodes = startAll(network, 200);
+    network.advance(8_000);
+    for (const node of nodes) network.kill(node, 'powerless');
+    network.advance(700);
+    for (const node of nodes) restart(network, node);
+    expect(timeUntilAgreed(network, 10_000)).to.be.below(5_000);
+  });
+
+  it('joins again with a part that was cut off', () => {
+    const network = createPeerNetwork();
+    startAll(network, 200);
+    network.advance(8_000);
+    const isCut = (name: string) => Number(name.slice(-3)) < 40;
+    network.control.passes = (from, to) => isCut(from) === isCut(to);
+    network.advance(6_000);
+    network.control.passes = () => true;
+    expect(timeUntilAgreed(network, 10_000)).to.be.below(4_000);
+  });
+
+  it('loses nobody when a gateway returns that heard nobody', () => {
+    const network = createPeerNetwork();
+    const [alone, ...others] = startAll(network, 100);
+    network.advance(8_000);
+    if (alone === undefined) throw new Error('no gateway');
+    network.control.passes = (from, to) => from !== alone.name && to !== alone.name;
+    network.advance(6_000);
+    expect(alone.overlay.peers()).to.have.length(0);
+    expect(alone.overlay.isConnected()).to.equal(false);
+    network.control.passes = () => true;
+    for (let spentMs = 0; spentMs < 4_000; spentMs += 20) {
+      network.advance(20);
+      for (const { overlay } of others) {
+        const believed = overlay.peers().filter(({ node }) => node !== alone.name);
+        expect(believed).to.have.length(98);
+      }
+    }
+    expect(alone.overlay.peers()).to.have.length(99);
+  });
+
+  it('replaces connections that go silent, and loses nobody', () => {
+    const network = createPeerNetwork();
+    const nodes = startAll(network, 60);
+    network.advance(8_000);
+    const known = new Map(nodes.map((node) => [node, node.overlay.peers().length]));
+    let silenced = 0;
+    for (const node of nodes.slice(0, 20)) {
+      const [peer] = network.partnersOf(node);
+      if (peer !== undefined && network.silence(node.name, peer)) silenced += 1;
+    }
+    expect(silenced).to.equal(20);
+    for (let spentMs = 0; spentMs < 5_000; spentMs += 50) {
+      network.advance(50);
+      for (const node of nodes) expect(node.overlay.peers()).to.have.length(known.get(node) ?? 0);
+    }
+  });
+
+  it('dials dead addresses at a bounded pace, and not for ever', () => {
+    const network = createPeerNetwork();
+    const nodes = startAll(network, 200);
+    network.advance(8_000);
+    for (const node of nodes.slice(0, 60)) network.kill(node, 'powerless');
+    network.advance(6_000);
+    const dialsIn = (spanMs: number) => {
+      const before = up(nodes).reduce((sum, { dials }) => sum + dials, 0);
+      network.advance(spanMs);
+      return up(nodes).reduce((sum, { dials }) => sum + dials, 0) - before;
+    };
+    // 60 addresses, three dials each between two heartbeats
+    expect(dialsIn(4_000)).to.be.below(60 * 3 * 10 * 1.3);
+    network.advance(70_000);
+    expect(dialsIn(4_000)).to.equal(0);
+  });
+
+  it('tells all of a gateway that is not ready any more', () => {
+    const network = createPeerNetwork();
+    const [leaving, ...others] = startAll(network, 200);
+    network.advance(8_000);
+    if (leaving === undefined) throw new Error('no gateway');
+    leaving.status = { isReady: false, isFollowing: false };
+    leaving.overlay.publish();
+    network.advance(400);
+    const seen = others.map(({ overlay }) => {
+      const peers = overlay.peers();
+      return peers.find(({ node }) => node === leaving.name)?.isReady;
+    });
+    expect(new Set(seen)).to.deep.equal(new Set([false]));
+  });
+
+  it('reaches a gateway that is no partner, and says when it cannot', () => {
+    const network = createPeerNetwork();
+    const [first, ...others] = startAll(network, 100);
+    network.advance(8_000);
+    const linked = new Set(first === undefined ? [] : network.partnersOf(first));
+    const [far, lost] = others.filter(({ name }) => !linked.has(name));
+    if (first === undefined || far === undefined || lost === undefined) throw new Error('too few');
+    expect(first.overlay.send(far.name, { kind: 'job.read', id: 'x' })).to.equal(true);
+    network.advance(10);
+    expect(far.received.map(({ message }) => message.kind)).to.include('job.read');
+    network.kill(lost, 'killed');
+    first.overlay.send(lost.name, { kind: 'job.read', id: 'x' });
+    network.advance(100);
+    expect(first.lost).to.include(lost.name);
+    expect(first.overlay.send('nobody', { kind: 'job.read', id: 'x' })).to.equal(false);
+  });
+});
--- a/tools/faults/fakes/answers.ts
+++ b/tools/faults/fakes/answers.ts
@@ -2,7 +2,7 @@
  * What the fake servers answer, worked out from the request alone, so that a judge can tell a whole
  * answer of its own from any other.
  */
-import { hashName } from '../../../src/shards/index.js';
+import { hashName } from '../../../src/gossip/index.js';
 
 const MIN_TOKENS = 3;
 const MORE_TOKENS = 8;
