perf(gateway): the schedulers to keep links to are worked out when the peers change

Cause: who is asked first for each service was drawn from all peers at each heartbeat, twice. Change: kept until the peers change; links are looked through only where one is idle.

--- a/src/gateway/schedulers.ts
+++ b/src/gateway/schedulers.ts
@@ -47,7 +47,7 @@
    */
   holderOf: (service: string, isAvoided?: (node: string) => boolean) => string;
   /** Gateways that are asked to schedule a service first. */
-  nearest: (service: string) => string[];
+  nearest: (service: string) => readonly string[];
   /** An engine is gone for good. */
   forget: (engine: string) => void;
 }
@@ -65,6 +65,8 @@
   let readyOf: readonly GatewayState[] | undefined;
   /** Who schedules each service where nobody is avoided, until the peers change. */
   const holders = new Map<string, string>();
+  /** Who is asked first for each service, until the peers change. */
+  const nearestOf = new Map<string, readonly string[]>();
 
   function listReady(): readonly SchedulingGateway[] {
     const peers = parts.peers();
@@ -72,6 +74,7 @@
       ready = [self, ...peers.filter(({ isReady }) => isReady)];
       readyOf = peers;
       holders.clear();
+      nearestOf.clear();
     }
     return ready;
   }
@@ -93,11 +96,15 @@
     return resolveHolder(service, others.length > 0 ? others : [self]);
   }
 
-  function nearest(service: string): string[] {
+  function nearest(service: string): readonly string[] {
+    const all = listReady();
+    const known = nearestOf.get(service);
+    if (known !== undefined) return known;
     const found: string[] = [];
-    while (found.length < LINKED_SCHEDULERS && found.length < listReady().length) {
+    while (found.length < LINKED_SCHEDULERS && found.length < all.length) {
       found.push(holderOf(service, (node) => found.includes(node)));
     }
+    nearestOf.set(service, found);
     return found;
   }
 
--- a/src/peers/overlay.ts
+++ b/src/peers/overlay.ts
@@ -414,8 +414,10 @@
   }
 
   function closeIdle(): void {
+    const idle = links.idle();
+    if (idle.length === 0) return;
     const kept = new Set([...partners.names(), ...parts.needed()]);
-    for (const node of links.idle()) {
+    for (const node of idle) {
       if (!kept.has(node)) links.drop(node);
     }
   }
