--- a/src/scheduling/admission.ts
+++ b/src/scheduling/admission.ts
@@ -112,10 +112,10 @@
 }
 
 /** The caller comes back when the shortest queue has drained as far as it has to. */
-function resolveDecline(
+export function resolveDecline(
   options: readonly Prospect[],
   { aimLeftMs, timeLeftMs, marginMs, spareShare }: Demand,
-): Admission<never> {
+): Admission<never> & { kind: 'declined' } {
   let backlogMs = Number.POSITIVE_INFINITY;
   let surplusMs = Number.POSITIVE_INFINITY;
   for (const option of options) {
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -10,7 +10,13 @@
 import type { Log } from '../events/index.js';
 import type { HealthOutcome, RegisteredServer } from '../fleet/index.js';
 import type { Clock, Timer } from '../task/index.js';
-import { resolveAdmission, resolveLateReadyMs, resolveReadyMs } from './admission.js';
+import {
+  resolveAdmission,
+  resolveDecline,
+  resolveLateReadyMs,
+  resolveReadyMs,
+  type Demand,
+} from './admission.js';
 import type { CacheLists } from './cached-parts.js';
 import { createCandidates } from './candidates.js';
 import type { EngineModel } from './engine-model.js';
@@ -139,15 +145,8 @@
       decline(entry, 'no-engine', NO_ENGINE_RETRY_MS, 0);
       return;
     }
-    const spentMs = clock.now() - entry.submittedAt;
-    const spare = spareShare();
-    const admission = resolveAdmission(choices, {
-      aimLeftMs: job.aimLeftMs - spentMs,
-      timeLeftMs: job.timeLeftMs - spentMs,
-      marginMs: marginMs(job),
-      mayBeLate: job.isReturn || mechanisms.lateFirstAttempts,
-      spareShare: spare,
-    });
+    const demand = demandOf(entry);
+    const admission = resolveAdmission(choices, demand);
     if (admission.kind === 'declined') {
       decline(entry, 'cannot-be-on-time', admission.retryAfterMs, admission.backlogMs);
       return;
@@ -156,12 +155,23 @@
     entry.predictedAt = clock.now() + resolveReadyMs(option);
     if (admission.kind === 'late') {
       makeLate(entry);
-      entry.predictedAt = clock.now() + resolveLateReadyMs(option, spare);
+      entry.predictedAt = clock.now() + resolveLateReadyMs(option, demand.spareShare);
     }
     if (option.isDirect) placeDirectly(entry, option.server);
     else enqueue(entry, option.engine);
   }
 
+  function demandOf({ job, submittedAt }: Entry): Demand {
+    const spentMs = clock.now() - submittedAt;
+    return {
+      aimLeftMs: job.aimLeftMs - spentMs,
+      timeLeftMs: job.timeLeftMs - spentMs,
+      marginMs: marginMs(job),
+      mayBeLate: job.isReturn || mechanisms.lateFirstAttempts,
+      spareShare: spareShare(),
+    };
+  }
+
   function makeLate(entry: Entry): void {
     entry.isLate = true;
     entry.readBy = entry.submittedAt + entry.job.timeLeftMs;
@@ -197,8 +207,15 @@
 
   /** Declines a request that waited until it could no longer end within its deadline. */
   function turnAway(entry: Entry): void {
-    const backlogMs = entry.engine?.reads.remainingMs(clock.now()) ?? 0;
-    decline(entry, 'cannot-be-on-time', NO_ENGINE_RETRY_MS, backlogMs);
+    const generating = candidates.list(entry.job, 'decode');
+    const restMs = options.expectRestMs(entry.job, generating);
+    const choices = options.list(entry, generating, restMs);
+    if (choices.length === 0) {
+      decline(entry, 'no-engine', NO_ENGINE_RETRY_MS, 0);
+      return;
+    }
+    const { retryAfterMs, backlogMs } = resolveDecline(choices, demandOf(entry));
+    decline(entry, 'cannot-be-on-time', retryAfterMs, backlogMs);
   }
 
   function decline(
