--- a/src/gateway/follow.ts
+++ b/src/gateway/follow.ts
@@ -23,9 +23,8 @@
  * all of them, and 64 gateways with two feeds ask for 320 of 2,000 a second. */
 const ASKING_AT_FULL_PACE = 64;
 
-/** Time between two looks at whether others still pass on what the store holds, in ms: what the look goes
- * by changes with heartbeats. */
-const REST_MS = 400;
+/** Time between two looks at whether others still pass on what the store holds, in ms. */
+const REST_MS = 200;
 
 /** What following needs. */
 export interface FollowParts<Item> extends AskParts<Item> {
--- a/src/peers/overlay.ts
+++ b/src/peers/overlay.ts
@@ -12,7 +12,7 @@
   createPartners,
   hashName,
 } from '../gossip/index.js';
-import { untilNextMultiple, type Clock, type RandomSource, type Timer } from '../task/index.js';
+import type { Clock, RandomSource, Timer } from '../task/index.js';
 import { createHearsay } from './hearsay.js';
 import { createPeerLinks, type LinksFactory } from './links.js';
 import type { GatewayState, GatewaySuspicion, PeerMessage, StoreVersions } from './messages.js';
@@ -48,8 +48,6 @@
 /** What the overlay needs. */
 export interface OverlayParts {
   clock: Clock;
-  /** Time of day, in ms; the process's where absent. */
-  wallMs?: () => number;
   random: RandomSource;
   log: Log;
   self: Omit<GatewayState, 'sequence' | 'isReady' | 'isFollowing'>;
@@ -92,7 +90,7 @@
  * @param parts who this gateway is and who listens
  */
 export function createOverlay(parts: OverlayParts): Overlay {
-  const { clock, log, self, wallMs = Date.now } = parts;
+  const { clock, log, self } = parts;
   const members = createMembers<GatewayState>();
   const partners = createPartners();
   const outbox = createOutbox<PeerNews>(() => partners.names(), peerNewsOrder);
@@ -353,8 +351,7 @@
     }
     members.forget(now, FORGET_MS);
     logChanges();
-    // heartbeats of all gateways fall together, so that a process wakes once for those of its partners
-    beatTimer = clock.after(untilNextMultiple(BEAT_MS, wallMs()), tend);
+    beatTimer = clock.after(BEAT_MS, tend);
   }
 
   /** A peer that owes an answer sits behind a connection that has gone silent, or is gone. */
--- a/src/task/clock.ts
+++ b/src/task/clock.ts
@@ -41,14 +41,3 @@
     clock.after(delayMs, resolve);
   });
 }
-
-/**
- * Time until the next multiple of a period on the wall clock, in milliseconds. Processes whose periodic work
- * falls together wake once for the messages of all their peers.
- *
- * @param periodMs the period
- * @param wallMs time of day, in milliseconds; a step of it makes one period shorter
- */
-export function untilNextMultiple(periodMs: number, wallMs: number): number {
-  return periodMs - (((wallMs % periodMs) + periodMs) % periodMs);
-}
