feat(gateway): show which settings and routes are in force, and since when

Cause: from outside nobody could tell which gateway ran with which settings after a change of their files. Change: a fingerprint of the settings file in the lines of start and reload; gauges with the time since which settings and routes are in force, and of the peers believed alive; a walk in OPERATIONS. Suspicions that may still be refuted are called pending suspicions.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -141,6 +141,8 @@
   );
   const routes = createRoutingReplica(log, () => {
     front.refreshLimits();
+    metrics.routesSince.reset();
+    metrics.routesSince.set({ version: routes.version() }, Date.now() / 1_000);
   });
   const budget = createSendBudget(
     clock,
@@ -312,11 +314,16 @@
     return Promise.all(pending);
   }
 
-  const renderMetrics: StatusHandler = async () => ({
-    status: 200,
-    contentType: metrics.registry.contentType,
-    body: await metrics.registry.metrics(),
-  });
+  const renderMetrics: StatusHandler = async () => {
+    metrics.peers.set(overlay.peers().length);
+    const { contentType } = metrics.registry;
+    return { status: 200, contentType, body: await metrics.registry.metrics() };
+  };
+
+  function noteSettings(): void {
+    metrics.settingsSince.reset();
+    metrics.settingsSince.set({ fingerprint: settings.fingerprint }, Date.now() / 1_000);
+  }
 
   startFollowing({
     clock,
@@ -351,7 +358,9 @@
   });
   void Promise.race([publishing.done, wait(clock, SEEDS_AFTER_MS)]).then(learnSeeds);
   keeper.start();
+  noteSettings();
   log.write('gatewayStarted', {
+    settings: settings.fingerprint,
     zone,
     without: listOff(mechanisms),
     callers: formatAddress(settings.callers),
@@ -392,6 +401,7 @@
 
   function reconfigure(next: GatewaySettings): void {
     Object.assign(settings, next);
+    noteSettings();
     learnSeeds();
   }
 
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -27,6 +27,8 @@
 
 /** The settings of a gateway process. */
 export interface GatewaySettings {
+  /** Hash of the file that the settings were read from: tells which file a gateway runs with. */
+  fingerprint: string;
   node: string;
   zone: string;
   /** Cores that the process may use. */
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -167,6 +167,23 @@
       labelNames: ['reason'],
       registers,
     }),
+    settingsSince: new Gauge({
+      name: 'reedtally_gateway_settings_since_seconds',
+      help: 'When the settings in force were taken, as Unix time, by their fingerprint',
+      labelNames: ['fingerprint'],
+      registers,
+    }),
+    routesSince: new Gauge({
+      name: 'reedtally_gateway_routes_since_seconds',
+      help: 'When the routes in force were taken, as Unix time, by their version',
+      labelNames: ['version'],
+      registers,
+    }),
+    peers: new Gauge({
+      name: 'reedtally_gateway_peers',
+      help: 'Peer gateways believed alive',
+      registers,
+    }),
     logLinesDropped: new Counter({
       name: 'reedtally_gateway_log_lines_dropped_total',
       help: 'Log lines left out to keep the volume bounded',
--- a/src/peers/overlay.ts
+++ b/src/peers/overlay.ts
@@ -13,10 +13,10 @@
   hashName,
 } from '../gossip/index.js';
 import type { Clock, RandomSource, Timer } from '../task/index.js';
-import { createHearsay } from './hearsay.js';
 import { createPeerLinks, type LinksFactory } from './links.js';
 import type { GatewayState, GatewaySuspicion, PeerMessage, StoreVersions } from './messages.js';
 import { packNews, peerNewsOrder, type PeerNews } from './news.js';
+import { createPendingSuspicions } from './pending-suspicions.js';
 import { createProbing } from './probing.js';
 
 /** Time between two heartbeats, in ms: what a gateway missed must reach it well within the two seconds
@@ -94,7 +94,7 @@
   const members = createMembers<GatewayState>();
   const partners = createPartners();
   const outbox = createOutbox<PeerNews>(() => partners.names(), peerNewsOrder);
-  const hearsay = createHearsay();
+  const pending = createPendingSuspicions();
   const probing = createProbing(clock, parts.random);
   /** Messages for peers to which a link is being made. */
   const waiting = new Map<string, PeerMessage[]>();
@@ -179,10 +179,11 @@
 
   /** A machine that answers that no process listens has lost its gateway; silence may be a slow way. */
   function failed(address: string, isRefused: boolean): void {
-    for (const { node, ...state } of members.alive()) {
+    for (const state of members.alive()) {
+      const { node } = state;
       if (state.address !== address || links.isLinked(node)) continue;
       if (waiting.delete(node)) parts.lost(node);
-      if (isRefused) suspect({ node, ...state });
+      if (isRefused) suspect(state);
     }
   }
 
@@ -272,7 +273,7 @@
     const before = known?.state.incarnation;
     const wasAlive = members.isAlive(node);
     if (!members.learn(state, isOwnWord)) return false;
-    hearsay.refuted(node);
+    pending.refuted(node);
     probing.settle(state.address);
     if (!wasAlive) changes.found.add(node);
     if (before !== undefined && before !== incarnation) parts.lost(node);
@@ -298,7 +299,7 @@
       links.send(node, packNews('news', [item]));
       return;
     }
-    if (hearsay.add(suspicion, clock.now()) && from !== undefined) tell(item, from);
+    if (pending.add(suspicion, clock.now()) && from !== undefined) tell(item, from);
   }
 
   /** A greater sequence, told to all, stands against the suspicion. */
@@ -337,7 +338,7 @@
     tendedAt = now;
     dropSilentLinks(now);
     watchPartners(now);
-    for (const suspicion of hearsay.takeDue(now)) {
+    for (const suspicion of pending.takeDue(now)) {
       believeLost(suspicion);
     }
     linkPartners(now);
--- a/src/peers/hearsay.ts
+++ b/src/peers/pending-suspicions.ts
@@ -10,7 +10,7 @@
 const REFUTE_MS = 300;
 
 /** Suspicions that may still be refuted. */
-export interface Hearsay {
+export interface PendingSuspicions {
   /** Remembers a suspicion; false when it is known already. */
   add(suspicion: GatewaySuspicion, now: number): boolean;
   /** A gateway has said something newer of itself. */
@@ -20,7 +20,7 @@
 }
 
 /** Creates an empty set of suspicions. */
-export function createHearsay(): Hearsay {
+export function createPendingSuspicions(): PendingSuspicions {
   const waiting = new Map<string, { suspicion: GatewaySuspicion; since: number }>();
 
   return {
--- a/test/gateway/lifecycle.test.ts
+++ b/test/gateway/lifecycle.test.ts
@@ -156,4 +156,23 @@
     expect(answer.headers.connection).to.equal('close');
     await stopping;
   });
+
+  it('shows which settings and routes are in force, and since when', async () => {
+    store.put('op', 'config', configuration(1));
+    const fixture = await start('node-1');
+    await until(() => routesOf(fixture).includes(1));
+    const { metrics } = fixture.settings;
+    const show = () => ask(metrics.port, { path: '/metrics' }).then(({ body }) => body);
+    const before = await show();
+    expect(before).to.match(/routes_since_seconds\{version="1"\} \d{10}/);
+    expect(before).to.match(/settings_since_seconds\{fingerprint="first"\} \d{10}/);
+    expect(before).to.match(/reedtally_gateway_peers 0/);
+    fixture.gateway.reconfigure({ ...fixture.settings, fingerprint: 'second' });
+    store.put('op', 'config', configuration(2));
+    await until(() => routesOf(fixture).includes(2));
+    const after = await show();
+    expect(after).to.match(/settings_since_seconds\{fingerprint="second"\}/);
+    expect(after).to.match(/routes_since_seconds\{version="2"\}/);
+    expect(after).not.to.match(/fingerprint="first"|version="1"/);
+  });
 });
--- a/test/gateway/settings-watch.test.ts
+++ b/test/gateway/settings-watch.test.ts
@@ -46,10 +46,12 @@
   }
 
   it('is taken over when it changes without a signal', async () => {
-    const { changes } = start();
+    const { changes, log } = start();
     writeFileSync(path, lines.join('\n').replace('retrySlack=58', 'retrySlack=20'));
     await until(() => changes.length === 1);
     expect(changes[0]?.bounds.retryAllowance).to.equal(20);
+    const reloaded = log.lines.find(({ event }) => event === 'settingsReloaded');
+    expect(reloaded?.fields.fingerprint).to.equal(changes[0]?.fingerprint);
   });
 
   it('is read again when asked for, and left alone while it is wrong', () => {
