fix(fleet): tell peers of removals that wait for their entries' return

Cause: a gateway that asks a peer for registry changes is told the revision up to which it then knows all, and never asks for these again; a removal read within 2.2 s of the store's return waits at the peer and was left out of the answer, so the one that asked went on sending to a server that had left. Change: such a removal is among the changes for peers. The test failed before.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -235,8 +235,13 @@
     },
     changesAfter(revision) {
       const found: RegistryChange[] = [];
-      for (const { change } of entries.values()) {
-        if (change.revision > revision) found.push(change);
+      for (const [name, { change }] of entries) {
+        // a peer that is told this revision asks for nothing up to it again: a removal that is left out here
+        // would never reach it, and it would send requests to a server that has left
+        const removal = lapsed.get(name);
+        const isRemoved = removal !== undefined && removal.revision > change.revision;
+        const latest = isRemoved ? removal : change;
+        if (latest.revision > revision) found.push(latest);
       }
       return found;
     },
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -50,6 +50,18 @@
     expect(left).to.deep.equal(['s']);
   });
 
+  it('tells peers of a removal that still waits for its entry’s return', () => {
+    const { fleet } = setUp();
+    fleet.learn(change('s', 1), 'store');
+    fleet.storeLost();
+    fleet.storeReturned();
+    fleet.learn({ id: 's', revision: 2, server: undefined }, 'store');
+    expect(fleet.revision()).to.equal(2);
+    expect(fleet.available('pages')).to.have.length(1);
+    // a peer that is told of revision 2 does not ask for it again
+    expect(fleet.changesAfter(1)).to.deep.equal([{ id: 's', revision: 2, server: undefined }]);
+  });
+
   it('gives lapsed entries time to return once the store is back', async () => {
     const { fleet, advance } = setUp();
     fleet.learn(change('alive', 1), 'store');
