refactor: one list of schedulers to ask, one place for a gateway's versions, one fixture of entries

Cause: found in reading the change. Who schedules a service was kept twice (the first drawn, and the first two); how far a gateway knows the store was worked out in peering and again beside the overlay; the type of a suspicion repeated that of a state; two tests of the fleet each made entries by a copy of one function. Change: the list of the first drawn answers both questions; peering tells the versions; the fixture stands in test/fixtures/registry.ts.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -209,7 +209,7 @@
       isReady: isReady(),
       isFollowing: watch.isReached() && followers.isFollower(),
     }),
-    versions: () => ({ routes: routes.version(), fleet: fleet.revision() }),
+    versions: peering.versions,
     needed: listSchedulers,
     received: peering.received,
     lost: peering.lost,
--- a/src/gateway/peering.ts
+++ b/src/gateway/peering.ts
@@ -42,6 +42,8 @@
   received: (node: string, message: PeerMessage) => void;
   /** A peer was lost: what it had submitted here has ended. */
   lost: (node: string) => void;
+  /** How far this gateway knows what the store holds. */
+  versions: () => StoreVersions;
   /** Tells partners that newer routes or registry changes are known here. */
   announce(): void;
 }
@@ -59,7 +61,7 @@
   const submitted = new Map<string, Map<string, string>>();
   let announcement: Timer | undefined;
 
-  function ownVersions(): StoreVersions {
+  function versions(): StoreVersions {
     return { routes: routes.version(), fleet: fleet.revision() };
   }
 
@@ -67,13 +69,13 @@
     if (!parts.followers.isLargeFleet()) return;
     announcement ??= clock.after(GATHER_MS, () => {
       announcement = undefined;
-      parts.overlay().tellPartners({ kind: 'versions', ...ownVersions() });
+      parts.overlay().tellPartners({ kind: 'versions', ...versions() });
     });
   }
 
   function hearVersions(node: string, theirs: StoreVersions): void {
     const relies = parts.followers.mayRely();
-    const progress = { now: clock.now(), theirs, own: ownVersions(), relies };
+    const progress = { now: clock.now(), theirs, own: versions(), relies };
     for (const what of catchUp.choose(progress)) {
       parts.overlay().send(node, { kind: 'want', what, after: progress.own[what] });
     }
@@ -199,6 +201,7 @@
       submitted.delete(node);
       parts.submitter.lost(node);
     },
+    versions,
     announce,
   };
 }
--- a/src/gateway/schedulers.ts
+++ b/src/gateway/schedulers.ts
@@ -63,18 +63,15 @@
   const paces = new Map<string, Paces>();
   let ready: SchedulingGateway[] = [];
   let readyOf: readonly GatewayState[] | undefined;
-  /** Who schedules each service where nobody is avoided, until the peers change. */
-  const holders = new Map<string, string>();
-  /** Who is asked first for each service, until the peers change. */
-  const nearestOf = new Map<string, readonly string[]>();
+  /** Who is asked for each service, the first that is drawn first, until the peers change. */
+  const drawn = new Map<string, readonly string[]>();
 
   function listReady(): readonly SchedulingGateway[] {
     const peers = parts.peers();
     if (peers !== readyOf) {
       ready = [self, ...peers.filter(({ isReady }) => isReady)];
       readyOf = peers;
-      holders.clear();
-      nearestOf.clear();
+      drawn.clear();
     }
     return ready;
   }
@@ -87,24 +84,25 @@
     return created;
   }
 
+  function resolveAmong(service: string, isAvoided: (node: string) => boolean): string {
+    const left = listReady().filter(({ node }) => !isAvoided(node));
+    return resolveHolder(service, left.length > 0 ? left : [self]);
+  }
+
   function holderOf(service: string, isAvoided: (node: string) => boolean = () => false): string {
-    const all = listReady();
-    const usual = holders.get(service) ?? resolveHolder(service, all);
-    holders.set(service, usual);
-    if (!isAvoided(usual)) return usual;
-    const others = all.filter(({ node }) => !isAvoided(node));
-    return resolveHolder(service, others.length > 0 ? others : [self]);
+    const first = nearest(service).find((node) => !isAvoided(node));
+    return first ?? resolveAmong(service, isAvoided);
   }
 
   function nearest(service: string): readonly string[] {
-    const all = listReady();
-    const known = nearestOf.get(service);
+    const count = Math.min(LINKED_SCHEDULERS, listReady().length);
+    const known = drawn.get(service);
     if (known !== undefined) return known;
     const found: string[] = [];
-    while (found.length < LINKED_SCHEDULERS && found.length < all.length) {
-      found.push(holderOf(service, (node) => found.includes(node)));
+    while (found.length < count) {
+      found.push(resolveAmong(service, (node) => found.includes(node)));
     }
-    nearestOf.set(service, found);
+    drawn.set(service, found);
     return found;
   }
 
--- a/src/gossip/members.ts
+++ b/src/gossip/members.ts
@@ -18,11 +18,8 @@
   sequence: number;
 }
 
-/** A word that a member is silent; a greater sequence of the member refutes it. */
-export interface MemberSuspicion extends MemberState {
-  /** The last sequence that was heard. */
-  sequence: number;
-}
+/** Says that a member is silent since it was heard with this sequence; a greater one refutes it. */
+export type MemberSuspicion = MemberState;
 
 /** One member as it is known. */
 export interface Member<State extends MemberState> {
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -1,30 +1,8 @@
 import { expect } from 'chai';
 import { createSilentLog } from '../../src/events/index.js';
-import {
-  createFleet,
-  createFleetHealth,
-  type RegisteredServer,
-  type RegistryChange,
-} from '../../src/fleet/index.js';
+import { createFleet, createFleetHealth } from '../../src/fleet/index.js';
 import { createFakeClock } from '../fixtures/fake-clock.js';
-
-function server(id: string, more: Partial<RegisteredServer> = {}): RegisteredServer {
-  return {
-    id,
-    service: 'pages',
-    address: '127.0.0.1:1',
-    zone: 'a',
-    slots: 4,
-    isLeaving: false,
-    role: undefined,
-    warmUpMs: 0,
-    ...more,
-  };
-}
-
-function change(id: string, revision: number, more?: Partial<RegisteredServer>): RegistryChange {
-  return { id, revision, server: server(id, more) };
-}
+import { change, removal } from '../fixtures/registry.js';
 
 function setUp() {
   const fake = createFakeClock();
@@ -44,7 +22,7 @@
   it('does not bring back a server whose removal is known', () => {
     const { fleet, left } = setUp();
     fleet.learn(change('s', 1), 'store');
-    fleet.learn({ id: 's', revision: 4, server: undefined }, 'peer');
+    fleet.learn(removal('s', 4), 'peer');
     fleet.learn(change('s', 2), 'store');
     expect(fleet.available('pages')).to.deep.equal([]);
     expect(left).to.deep.equal(['s']);
@@ -55,11 +33,11 @@
     fleet.learn(change('s', 1), 'store');
     fleet.storeLost();
     fleet.storeReturned();
-    fleet.learn({ id: 's', revision: 2, server: undefined }, 'store');
+    fleet.learn(removal('s', 2), 'store');
     expect(fleet.revision()).to.equal(2);
     expect(fleet.available('pages')).to.have.length(1);
     // a peer that is told of revision 2 does not ask for it again
-    expect(fleet.changesAfter(1)).to.deep.equal([{ id: 's', revision: 2, server: undefined }]);
+    expect(fleet.changesAfter(1)).to.deep.equal([removal('s', 2)]);
   });
 
   it('gives lapsed entries time to return once the store is back', async () => {
@@ -92,8 +70,8 @@
   it('passes removals on to peers that missed them', () => {
     const { fleet } = setUp();
     fleet.learn(change('s', 1), 'store');
-    fleet.learn({ id: 's', revision: 4, server: undefined }, 'store');
-    expect(fleet.changesAfter(2)).to.deep.equal([{ id: 's', revision: 4, server: undefined }]);
+    fleet.learn(removal('s', 4), 'store');
+    expect(fleet.changesAfter(2)).to.deep.equal([removal('s', 4)]);
   });
 });
 
--- a/test/fleet/lapsed-entries.test.ts
+++ b/test/fleet/lapsed-entries.test.ts
@@ -7,26 +7,9 @@
  */
 import { expect } from 'chai';
 import { createSilentLog } from '../../src/events/index.js';
-import { createFleet, type RegistryChange } from '../../src/fleet/index.js';
+import { createFleet } from '../../src/fleet/index.js';
 import { createFakeClock } from '../fixtures/fake-clock.js';
-
-function change(id: string, revision: number): RegistryChange {
-  const server = {
-    id,
-    service: 'pages',
-    address: '127.0.0.1:1',
-    zone: 'a',
-    slots: 4,
-    isLeaving: false,
-    role: undefined,
-    warmUpMs: 0,
-  };
-  return { id, revision, server };
-}
-
-function removal(id: string, revision: number): RegistryChange {
-  return { id, revision, server: undefined };
-}
+import { change, removal } from '../fixtures/registry.js';
 
 function setUp() {
   const fake = createFakeClock();
