refactor(peers): beliefs apart from links

Change: src/peers/beliefs.ts with states, suspicions, their spreading and the digest; the overlay keeps partners and links; the table of members keeps who is suspected until that changes; terms in place of metaphors.

--- a/src/gossip/members.ts
+++ b/src/gossip/members.ts
@@ -1,7 +1,7 @@
 /**
  * What one process believes of the others of its kind: a pure table of their states, the newest of
  * each. A member counts as alive until somebody who was to hear from it says that it is silent, and
- * again as soon as a newer word of its own arrives; so the cost of knowing all of them goes by what
+ * again as soon as a newer state of its own arrives; so the cost of knowing all of them goes by what
  * changes, not by how many there are. This is the failure detection of "SWIM" with its refutation.
  * Times are on the process's own monotonic clock.
  */
@@ -14,7 +14,7 @@
   node: string;
   /** Differs for each start of the process. */
   incarnation: string;
-  /** Grows with each word of the member on itself. */
+  /** Grows with each state that the member tells of itself. */
   sequence: number;
 }
 
@@ -33,7 +33,7 @@
   /**
    * Takes in a state if it is newer than the known one.
    *
-   * @param isOwnWord whether the member itself said so; then it stands against any hearsay
+   * @param isOwnWord whether the member itself said so; then it counts more than what others tell
    * @returns whether it was newer
    */
   learn: (state: State, isOwnWord?: boolean) => boolean;
@@ -49,6 +49,8 @@
   forget: (now: number, silentMs: number) => void;
   find: (node: string) => Member<State> | undefined;
   isAlive: (node: string) => boolean;
+  /** States of those that are suspected; the same array until it changes. */
+  suspected: () => readonly State[];
   all: () => Member<State>[];
   /** Listed members that are not suspected, ordered by name; the same array until it changes. */
   alive: () => readonly State[];
@@ -65,9 +67,10 @@
   const byNode = new Map<string, Member<State>>();
   const retired = new Set<string>();
   let alive: readonly State[] | undefined;
+  let suspected: readonly State[] | undefined;
 
   function isNewer(state: State, known: Member<State> | undefined, isOwnWord: boolean): boolean {
-    // Hearsay may be older than what it replaces; a member's own word settles which one runs.
+    // What others tell may be older than what it replaces; the member itself knows which one runs.
     if (retired.has(state.incarnation) && !isOwnWord) return false;
     if (known === undefined) return true;
     if (known.state.incarnation !== state.incarnation) return true;
@@ -82,6 +85,19 @@
     }
   }
 
+  function changed(): void {
+    alive = undefined;
+    suspected = undefined;
+  }
+
+  function listSuspected(): State[] {
+    const found: State[] = [];
+    for (const { state, suspectedAt } of byNode.values()) {
+      if (suspectedAt !== undefined) found.push(state);
+    }
+    return found;
+  }
+
   function listAlive(): State[] {
     const found: State[] = [];
     for (const { state, suspectedAt } of byNode.values()) {
@@ -99,7 +115,7 @@
         retire(known.state.incarnation);
       }
       byNode.set(state.node, { state, suspectedAt: undefined });
-      alive = undefined;
+      changed();
       return true;
     },
     refresh(node, sequence) {
@@ -108,7 +124,7 @@
       known.state.sequence = sequence;
       if (known.suspectedAt === undefined) return false;
       known.suspectedAt = undefined;
-      alive = undefined;
+      changed();
       return true;
     },
     suspect({ node, incarnation, sequence }, now) {
@@ -117,12 +133,15 @@
       if (known.state.incarnation !== incarnation || known.state.sequence > sequence) return false;
       known.suspectedAt = now;
       known.state.sequence = sequence;
-      alive = undefined;
+      changed();
       return true;
     },
     forget(now, silentMs) {
-      for (const [node, { suspectedAt }] of byNode) {
-        if (suspectedAt !== undefined && now - suspectedAt > silentMs) byNode.delete(node);
+      for (const { node } of (suspected ??= listSuspected())) {
+        const since = byNode.get(node)?.suspectedAt ?? now;
+        if (now - since <= silentMs) continue;
+        byNode.delete(node);
+        suspected = undefined;
       }
     },
     find: (node) => byNode.get(node),
@@ -130,6 +149,7 @@
       const known = byNode.get(node);
       return known !== undefined && known.suspectedAt === undefined;
     },
+    suspected: () => (suspected ??= listSuspected()),
     all: () => [...byNode.values()],
     alive: () => (alive ??= listAlive()),
   };
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -12,7 +12,7 @@
  * heartbeats and a slow way. */
 const STALE_MS = 900;
 /** A link on which requests were scheduled is idle after so long, in ms: longer than any request goes on
- * without a word on it. */
+ * without a message on it. */
 const IDLE_MS = 60_000;
 /** A link on which none ever was is idle after so long, in ms: time for its ends to become partners. */
 const UNUSED_MS = 5_000;
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -35,7 +35,7 @@
   node: z.string(),
   /** Differs for each start of the process. */
   incarnation: z.string(),
-  /** Grows with each word of the gateway on itself. */
+  /** Grows with each state that the gateway tells of itself. */
   sequence: z.number(),
   /** `host:port` for peers. */
   address: z.string(),
@@ -73,7 +73,7 @@
   fleet: z.number(),
 };
 
-/** A gateway's regular word to its partners. */
+/** A heartbeat between partners. */
 const beatSchema = z.object({
   kind: z.literal('beat'),
   ...versionsFields,
@@ -157,7 +157,7 @@
 export type PeerMessage = z.infer<typeof messageSchema>;
 /** What a gateway says of itself. */
 export type GatewayState = z.infer<typeof gatewayStateSchema>;
-/** A word that a gateway is silent. */
+/** Says that a gateway is silent. */
 export type GatewaySuspicion = z.infer<typeof suspicionSchema>;
 /** How far a gateway knows what the store holds. */
 export type StoreVersions = Omit<z.infer<typeof versionsSchema>, 'kind'>;
--- a/src/peers/news.ts
+++ b/src/peers/news.ts
@@ -6,12 +6,12 @@
 
 /** One thing that partners are to hear. */
 export type PeerNews =
-  { kind: 'state'; word: GatewayState } | { kind: 'suspicion'; word: GatewaySuspicion };
+  { kind: 'state'; record: GatewayState } | { kind: 'suspicion'; record: GatewaySuspicion };
 
 /** How news of gateways relate. */
 export const peerNewsOrder: ItemOrder<PeerNews> = {
-  key: ({ kind, word }) => `${kind}/${word.node}`,
-  age: ({ word }) => word.sequence,
+  key: ({ kind, record }) => `${kind}/${record.node}`,
+  age: ({ record }) => record.sequence,
 };
 
 /**
@@ -24,8 +24,8 @@
   const states: GatewayState[] = [];
   const suspicions: GatewaySuspicion[] = [];
   for (const item of items) {
-    if (item.kind === 'state') states.push(item.word);
-    else suspicions.push(item.word);
+    if (item.kind === 'state') states.push(item.record);
+    else suspicions.push(item.record);
   }
   return { kind, states, suspicions };
 }
--- a/src/peers/overlay.ts
+++ b/src/peers/overlay.ts
@@ -1,25 +1,18 @@
 /**
- * Who else is there, and the way to them. Each gateway exchanges heartbeats with a bounded number of
- * partners, whatever the size of the fleet; what a gateway says of itself, and that one is silent,
- * goes from partner to partner to all. Links to others, as to a scheduler, are made when they are
- * needed. A fleet no larger than the number of partners is a full mesh.
+ * The way to the other gateways. Each exchanges heartbeats with a bounded number of partners, whatever the
+ * size of the fleet, and notices when one of them is silent; what it believes of all (`beliefs.ts`) goes
+ * from partner to partner. Links to others, as to a scheduler, are made when they are needed. A fleet no
+ * larger than the number of partners is a full mesh.
  */
 import type { Log } from '../events/index.js';
-import {
-  choosePeers,
-  createMembers,
-  createOutbox,
-  createPartners,
-  hashName,
-} from '../gossip/index.js';
+import { choosePeers, createPartners } from '../gossip/index.js';
 import type { Clock, RandomSource, Timer } from '../task/index.js';
+import { createBeliefs, type OwnIdentity, type OwnStatus } from './beliefs.js';
 import { createPeerLinks, type LinksFactory } from './links.js';
-import type { GatewayState, GatewaySuspicion, PeerMessage, StoreVersions } from './messages.js';
-import { packNews, peerNewsOrder, type PeerNews } from './news.js';
-import { createPendingSuspicions } from './pending-suspicions.js';
+import type { GatewayState, PeerMessage, StoreVersions } from './messages.js';
 import { createProbing } from './probing.js';
 
-/** Time between two heartbeats, in ms: what a gateway missed must reach it well within the two seconds
+/** Time between two heartbeats, in ms: what a gateway has missed must reach it well within the two seconds
  * that a change may take. */
 const BEAT_MS = 400;
 /** Partners of a gateway in a large fleet, those that chose it included: with half of all gateways lost at
@@ -28,12 +21,8 @@
 /** A partner that was silent for so long is dialled once more, in ms, since a connection may go silent
  * without an error: two heartbeats and a slow way. */
 const REDIAL_MS = 900;
-/** A partner is suspected after so long without a word, in ms: three heartbeats and a slow way. */
+/** A partner is suspected after so long without a message, in ms: three heartbeats and a slow way. */
 const SILENT_MS = 1_500;
-/** Suspected gateways are forgotten after so long, in ms. */
-const FORGET_MS = 60_000;
-/** News that arrives within this time is passed on together, in ms. */
-const GATHER_MS = 20;
 /** Two gateways whose beliefs differ for so long compare them, in ms: news still under way settles most
  * differences by itself. */
 const COMPARE_MS = 1_000;
@@ -42,15 +31,12 @@
 /** Messages that wait for a link at most; a peer that cannot be reached for so many is lost. */
 const MAX_WAITING = 1_000;
 
-/** What a gateway says of itself when it changes. */
-export type OwnStatus = Pick<GatewayState, 'isReady' | 'isFollowing'>;
-
 /** What the overlay needs. */
 export interface OverlayParts {
   clock: Clock;
   random: RandomSource;
   log: Log;
-  self: Omit<GatewayState, 'sequence' | 'isReady' | 'isFollowing'>;
+  self: OwnIdentity;
   status(): OwnStatus;
   versions(): StoreVersions;
   /** Peers to keep a link to though they are no partners. */
@@ -91,34 +77,41 @@
  */
 export function createOverlay(parts: OverlayParts): Overlay {
   const { clock, log, self } = parts;
-  const members = createMembers<GatewayState>();
   const partners = createPartners();
-  const outbox = createOutbox<PeerNews>(() => partners.names(), peerNewsOrder);
-  const pending = createPendingSuspicions();
   const probing = createProbing(clock, parts.random);
   /** Messages for peers to which a link is being made. */
   const waiting = new Map<string, PeerMessage[]>();
-  /** Peers that owe an answer, since when. */
+  /** Peers that have not answered yet, since when. */
   const expecting = new Map<string, number>();
   /** Partners that believe something else, since when. */
   const differing = new Map<string, number>();
   const nobody: readonly GatewayState[] = [];
-  const changes = { found: new Set<string>(), lost: new Set<string>() };
   let chosenOf: readonly GatewayState[] | undefined;
   let chosen = new Set<string>();
-  let digest: { of: readonly GatewayState[]; sequence: number; value: number } | undefined;
-  let sequence = 1;
-  let told: OwnStatus = { isReady: false, isFollowing: false };
   let isIsolated = false;
   let wasIsolated = false;
   let comparedAt = Number.NEGATIVE_INFINITY;
   let tendedAt = clock.now();
   let beatTimer: Timer | undefined;
-  let flushTimer: Timer | undefined;
   let isClosed = false;
 
+  const beliefs = createBeliefs({
+    clock,
+    self,
+    status: () => parts.status(),
+    partners: () => partners.names(),
+    isHeard: wasHeardLately,
+    send(node, message) {
+      links.send(node, message);
+    },
+    lost,
+    learnt(state) {
+      probing.settle(state.address);
+    },
+  });
+  const { members } = beliefs;
   const links = (parts.createLinks ?? createPeerLinks)(clock, {
-    ownState,
+    ownState: beliefs.ownState,
     opened,
     received: receive,
     closed,
@@ -128,39 +121,11 @@
     },
   });
 
-  function ownState(): GatewayState {
-    return { ...self, sequence, ...told };
-  }
-
-  function publish(): void {
-    const { isReady, isFollowing } = parts.status();
-    if (isReady === told.isReady && isFollowing === told.isFollowing) return;
-    told = { isReady, isFollowing };
-    sequence += 1;
-    tell({ kind: 'state', word: ownState() });
-  }
-
-  function tell(item: PeerNews, from?: string): void {
-    outbox.add(item, from);
-    if (isClosed) return;
-    flushTimer ??= clock.after(GATHER_MS, flush);
-  }
-
-  function flush(): void {
-    flushTimer?.cancel();
-    flushTimer = undefined;
-    for (const partner of partners.names()) {
-      const items = outbox.take(partner);
-      if (items.length > 0) links.send(partner, packNews('news', items));
-    }
-  }
-
   function opened(state: GatewayState): void {
     const { node } = state;
     probing.settle(state.address);
     const knewNobody = members.alive().length === 0;
-    takeState(state, node, true);
-    challenge(node);
+    beliefs.meet(state);
     for (const message of waiting.get(node) ?? []) {
       links.send(node, message);
     }
@@ -169,6 +134,17 @@
     if (partners.has(node)) sendBeat(node);
   }
 
+  /** A peer that is believed lost, or the incarnation before of one that is there. */
+  function lost(node: string): void {
+    if (!members.isAlive(node)) {
+      partners.remove(node);
+      waiting.delete(node);
+    }
+    // a link that closes tells the same
+    if (!members.isAlive(node) && links.isLinked(node)) links.drop(node);
+    else parts.lost(node);
+  }
+
   function closed(node: string): void {
     expecting.delete(node);
     differing.delete(node);
@@ -183,16 +159,16 @@
       const { node } = state;
       if (state.address !== address || links.isLinked(node)) continue;
       if (waiting.delete(node)) parts.lost(node);
-      if (isRefused) suspect(state);
+      if (isRefused) beliefs.suspect(state);
     }
   }
 
   function receive(node: string, message: PeerMessage): void {
     expecting.delete(node);
     if (message.kind === 'beat') takeBeat(node, message);
-    else if (message.kind === 'news') takeNews(message, node);
-    else if (message.kind === 'view') takeView(message);
-    else if (message.kind === 'want' && message.what === 'view') sendView(node);
+    else if (message.kind === 'news') beliefs.takeNews(message, node);
+    else if (message.kind === 'view') beliefs.takeView(message);
+    else if (message.kind === 'want' && message.what === 'view') beliefs.sendView(node);
     parts.received(node, message);
   }
 
@@ -203,19 +179,11 @@
       partners.forgive(now);
     }
     partners.heard(node, beat.isChosen, now);
-    challenge(node);
-    if (beat.digest === resolveDigest()) differing.delete(node);
+    beliefs.challenge(node);
+    if (beat.digest === beliefs.digest()) differing.delete(node);
     else noteDifference(node, now);
   }
 
-  /** A gateway that is heard though it is suspected is told so, and stands against it before all. */
-  function challenge(node: string): void {
-    const known = members.find(node);
-    if (known?.suspectedAt === undefined) return;
-    const word = resolveSuspicion(known.state);
-    links.send(node, packNews('news', [{ kind: 'suspicion', word }]));
-  }
-
   function noteDifference(node: string, now: number): void {
     const since = differing.get(node) ?? now;
     differing.set(node, since);
@@ -228,108 +196,11 @@
     links.send(node, { kind: 'want', what: 'view', after: 0 });
   }
 
-  function takeNews(news: PeerMessage & { kind: 'news' }, from: string): void {
-    for (const state of news.states) {
-      takeState(state, from);
-    }
-    for (const suspicion of news.suspicions) {
-      takeSuspicion(suspicion, from);
-    }
-  }
-
-  /** What was asked for is not passed on: whoever lacks it asks as well. */
-  function takeView({ states, suspicions }: PeerMessage & { kind: 'view' }): void {
-    for (const state of states) {
-      if (state.node !== self.node) learn(state, false);
-    }
-    for (const suspicion of suspicions) {
-      takeSuspicion(suspicion);
-    }
-  }
-
-  function sendView(node: string): void {
-    const items: PeerNews[] = [{ kind: 'state', word: ownState() }];
-    for (const { state, suspectedAt } of members.all()) {
-      if (suspectedAt === undefined) items.push({ kind: 'state', word: state });
-      else items.push({ kind: 'suspicion', word: resolveSuspicion(state) });
-    }
-    links.send(node, packNews('view', items));
-  }
-
-  function takeState(state: GatewayState, from: string, isOwnWord = false): void {
-    if (state.node === self.node) {
-      // whoever takes an earlier process for this one hears this one's own word
-      if (state.incarnation !== self.incarnation) tell({ kind: 'state', word: ownState() });
-      return;
-    }
-    const item: PeerNews = { kind: 'state', word: state };
-    if (learn(state, isOwnWord)) tell(item, from);
-    else outbox.heard(item, from);
-  }
-
-  function learn(state: GatewayState, isOwnWord: boolean): boolean {
-    const { node, incarnation } = state;
-    const known = members.find(node);
-    const before = known?.state.incarnation;
-    const wasAlive = members.isAlive(node);
-    if (!members.learn(state, isOwnWord)) return false;
-    pending.refuted(node);
-    probing.settle(state.address);
-    if (!wasAlive) changes.found.add(node);
-    if (before !== undefined && before !== incarnation) parts.lost(node);
-    return true;
-  }
-
-  function takeSuspicion(suspicion: GatewaySuspicion, from?: string): void {
-    const { node, incarnation } = suspicion;
-    if (node === self.node) {
-      if (incarnation === self.incarnation) refute(suspicion);
-      return;
-    }
-    const known = members.find(node);
-    if (known?.state.incarnation !== incarnation) return;
-    const item: PeerNews = { kind: 'suspicion', word: suspicion };
-    if (from !== undefined) outbox.heard(item, from);
-    if (known.suspectedAt !== undefined) return;
-    if (known.state.sequence > suspicion.sequence) {
-      if (from !== undefined) tell({ kind: 'state', word: known.state });
-      return;
-    }
-    if (wasHeardLately(node)) {
-      links.send(node, packNews('news', [item]));
-      return;
-    }
-    if (pending.add(suspicion, clock.now()) && from !== undefined) tell(item, from);
-  }
-
-  /** A greater sequence, told to all, stands against the suspicion. */
-  function refute(suspicion: GatewaySuspicion): void {
-    if (suspicion.sequence < sequence) return;
-    sequence = suspicion.sequence + 1;
-    tell({ kind: 'state', word: ownState() });
-  }
-
   function wasHeardLately(node: string): boolean {
     const heardAt = partners.has(node) ? links.heardAt(node) : undefined;
     return heardAt !== undefined && clock.now() - heardAt < REDIAL_MS;
   }
 
-  function suspect(state: GatewayState): void {
-    const word = resolveSuspicion(state);
-    if (believeLost(word)) tell({ kind: 'suspicion', word });
-  }
-
-  function believeLost(suspicion: GatewaySuspicion): boolean {
-    const { node } = suspicion;
-    if (!members.suspect(suspicion, clock.now())) return false;
-    changes.lost.add(node);
-    partners.remove(node);
-    waiting.delete(node);
-    if (links.isLinked(node)) links.drop(node);
-    else parts.lost(node);
-    return true;
-  }
-
   function tend(): void {
     if (isClosed) return;
     const now = clock.now();
@@ -338,24 +209,21 @@
     tendedAt = now;
     dropSilentLinks(now);
     watchPartners(now);
-    for (const suspicion of pending.takeDue(now)) {
-      believeLost(suspicion);
-    }
+    beliefs.settle(now);
     linkPartners(now);
     probe(now);
     closeIdle();
-    publish();
-    flush();
+    beliefs.publish();
+    beliefs.flush();
     for (const partner of partners.names()) {
       sendBeat(partner);
       partners.told(partner);
     }
-    members.forget(now, FORGET_MS);
     logChanges();
     beatTimer = clock.after(BEAT_MS, tend);
   }
 
-  /** A peer that owes an answer sits behind a connection that has gone silent, or is gone. */
+  /** A peer that does not answer sits behind a connection that has gone silent, or is gone. */
   function dropSilentLinks(now: number): void {
     for (const [node, since] of expecting) {
       if (now - since <= SILENT_MS) continue;
@@ -376,7 +244,7 @@
     for (const node of silent) {
       const state = members.find(node)?.state;
       if (isIsolated || state === undefined) links.drop(node);
-      else suspect(state);
+      else beliefs.suspect(state);
       if (state === undefined) partners.remove(node);
     }
   }
@@ -402,14 +270,14 @@
   }
 
   function probe(now: number): void {
-    const lost: string[] = [];
-    for (const { state, suspectedAt } of members.all()) {
-      // one that is cut off does not know who is lost
-      if (suspectedAt !== undefined || isIsolated) lost.push(state.address);
-    }
+    // one that is cut off does not know who is lost
+    const candidates = isIsolated
+      ? [...members.suspected(), ...members.alive()]
+      : members.suspected();
+    const addresses = candidates.map(({ address }) => address);
     const missing = PARTNERS / 2 - links.nodes().length;
     const alive = members.alive().length;
-    for (const address of probing.choose({ now, missing, alive, lost })) {
+    for (const address of probing.choose({ now, missing, alive, lost: addresses })) {
       links.dial(address);
     }
   }
@@ -425,36 +293,22 @@
 
   function sendBeat(node: string): void {
     const isChosen = partners.isChosen(node);
-    links.send(node, { kind: 'beat', ...parts.versions(), isChosen, digest: resolveDigest() });
-  }
-
-  /** The same in all gateways that believe the same. */
-  function resolveDigest(): number {
-    const of = members.alive();
-    if (digest?.of === of && digest.sequence === sequence) return digest.value;
-    let value = hashState(ownState());
-    for (const state of of) {
-      value = (value + hashState(state)) >>> 0;
-    }
-    digest = { of, sequence, value };
-    return value;
+    links.send(node, { kind: 'beat', ...parts.versions(), isChosen, digest: beliefs.digest() });
   }
 
   function logChanges(): void {
-    const { found, lost } = changes;
-    if (found.size === 0 && lost.size === 0 && isIsolated === wasIsolated) return;
+    const { found, lost } = beliefs.takeChanges();
+    if (found.length === 0 && lost.length === 0 && isIsolated === wasIsolated) return;
     wasIsolated = isIsolated;
     log.write('gatewaysChanged', {
-      found: [...found].slice(0, MAX_LOGGED_NAMES),
-      lost: [...lost].slice(0, MAX_LOGGED_NAMES),
-      foundCount: found.size,
-      lostCount: lost.size,
+      found: found.slice(0, MAX_LOGGED_NAMES),
+      lost: lost.slice(0, MAX_LOGGED_NAMES),
+      foundCount: found.length,
+      lostCount: lost.length,
       alive: members.alive().length,
       links: links.nodes().length,
       isIsolated,
     });
-    found.clear();
-    lost.clear();
   }
 
   function send(node: string, message: PeerMessage): boolean {
@@ -492,22 +346,14 @@
       }
     },
     publish() {
-      publish();
-      flush();
+      beliefs.publish();
+      beliefs.flush();
     },
     close() {
       isClosed = true;
       beatTimer?.cancel();
-      flushTimer?.cancel();
+      beliefs.close();
       links.close();
     },
   };
 }
-
-function hashState({ node, incarnation, sequence }: GatewayState): number {
-  return hashName(`${node}/${incarnation}/${sequence}`);
-}
-
-function resolveSuspicion({ node, incarnation, sequence }: GatewayState): GatewaySuspicion {
-  return { node, incarnation, sequence };
-}
