fix(peers): a gateway is cut off when it has heard nobody, whatever its partners' moments

Cause: cut off was kept as state, set when all partners were past the bound at one look. Change: derived from when anybody was last heard; nobody is judged past that.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -212,6 +212,7 @@
     versions: peering.versions,
     needed: listSchedulers,
     received: peering.received,
+    heardVersions: peering.heardVersions,
     lost: peering.lost,
   });
   const keeper = createRoleKeeper({
--- a/src/gateway/peering.ts
+++ b/src/gateway/peering.ts
@@ -9,6 +9,7 @@
   createRoutesPacker,
   unpackRoutes,
   type Overlay,
+  type GatewayMessage,
   type PeerMessage,
   type RoutesMessage,
   type StoreVersions,
@@ -39,7 +40,9 @@
 
 /** Handles peers' words. */
 export interface Peering {
-  received: (node: string, message: PeerMessage) => void;
+  received: (node: string, message: GatewayMessage) => void;
+  /** A peer has said how far it knows the store. */
+  heardVersions: (node: string, versions: StoreVersions) => void;
   /** A peer was lost: what it had submitted here has ended. */
   lost: (node: string) => void;
   /** How far this gateway knows what the store holds. */
@@ -73,7 +76,7 @@
     });
   }
 
-  function hearVersions(node: string, theirs: StoreVersions): void {
+  function heardVersions(node: string, theirs: StoreVersions): void {
     const relies = parts.followers.mayRely();
     const progress = { now: clock.now(), theirs, own: versions(), relies };
     for (const what of catchUp.choose(progress)) {
@@ -149,11 +152,10 @@
     parts.scheduler(service).finished(id, outcome);
   }
 
-  function receive(node: string, message: PeerMessage): void {
+  function receive(node: string, message: GatewayMessage): void {
     match(message)
-      .with({ kind: 'introduction' }, { kind: 'news' }, { kind: 'view' }, () => undefined)
-      .with({ kind: 'beat' }, { kind: 'versions' }, (versions) => {
-        hearVersions(node, versions);
+      .with({ kind: 'versions' }, (versions) => {
+        heardVersions(node, versions);
       })
       .with({ kind: 'want' }, (want) => {
         give(node, want);
@@ -201,6 +203,7 @@
       submitted.delete(node);
       parts.submitter.lost(node);
     },
+    heardVersions,
     versions,
     announce,
   };
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -155,6 +155,11 @@
 
 /** A message between gateways. */
 export type PeerMessage = z.infer<typeof messageSchema>;
+/** A message that is not for the overlay itself. */
+export type GatewayMessage = Exclude<
+  PeerMessage,
+  { kind: 'introduction' | 'beat' | 'news' | 'view' }
+>;
 /** What a gateway says of itself. */
 export type GatewayState = z.infer<typeof gatewayStateSchema>;
 /** Says that a gateway is silent. */
--- a/src/peers/overlay.ts
+++ b/src/peers/overlay.ts
@@ -9,7 +9,7 @@
 import type { Clock, RandomSource, Timer } from '../task/index.js';
 import { createBeliefs, type OwnIdentity, type OwnStatus } from './beliefs.js';
 import { createPeerLinks, type LinksFactory } from './links.js';
-import type { GatewayState, PeerMessage, StoreVersions } from './messages.js';
+import type { GatewayMessage, GatewayState, PeerMessage, StoreVersions } from './messages.js';
 import { createProbing } from './probing.js';
 
 /** Time between two heartbeats, in ms: what a gateway has missed must reach it well within the two seconds
@@ -26,6 +26,12 @@
 /** Two gateways whose beliefs differ for so long compare them, in ms: news still under way settles most
  * differences by itself. */
 const COMPARE_MS = 1_000;
+/** A gateway that has heard nobody for so long is cut off itself, in ms. Less than a partner may be silent by
+ * more than a heartbeat: else the partners that spoke first before the cut would be suspected. */
+const ALONE_MS = 900;
+/** A timer that fires this much late shows that the process itself stood still, in ms: what was sent to it
+ * meanwhile is read after the timer. */
+const STANDSTILL_MS = 600;
 /** Names of found and lost gateways in one line of the log at most. */
 const MAX_LOGGED_NAMES = 16;
 /** Messages that wait for a link at most; a peer that cannot be reached for so many is lost. */
@@ -41,7 +47,9 @@
   versions(): StoreVersions;
   /** Peers to keep a link to though they are no partners. */
   needed(): Iterable<string>;
-  received(node: string, message: PeerMessage): void;
+  received(node: string, message: GatewayMessage): void;
+  /** A partner's heartbeat said how far it knows the store. */
+  heardVersions(node: string, versions: StoreVersions): void;
   /** The link to a peer was lost, the peer is silent, or another incarnation has taken its place. */
   lost(node: string): void;
   /** Makes links; real ones where absent. */
@@ -59,8 +67,8 @@
   /** Peers believed alive, ordered by name; the same array until it changes. Empty while this gateway
    * hears nobody. */
   peers(): readonly GatewayState[];
-  /** Whether a partner was heard within two heartbeats. */
-  isConnected(): boolean;
+  /** Whether there are partners, and any peer was heard a moment ago. */
+  isConnected: () => boolean;
   /** Sends to a peer, making a link where there is none; false when the peer is not known. */
   send(node: string, message: PeerMessage): boolean;
   /** Sends to all partners. */
@@ -88,7 +96,8 @@
   const nobody: readonly GatewayState[] = [];
   let chosenOf: readonly GatewayState[] | undefined;
   let chosen = new Set<string>();
-  let isIsolated = false;
+  /** When any peer was last heard. */
+  let heardAt = Number.NEGATIVE_INFINITY;
   let wasIsolated = false;
   let comparedAt = Number.NEGATIVE_INFINITY;
   let tendedAt = clock.now();
@@ -163,25 +172,30 @@
     }
   }
 
+  /** One that hears nobody is cut off itself, and knows nothing of the others. */
+  function isIsolated(): boolean {
+    return partners.names().length > 0 && clock.now() - heardAt > ALONE_MS;
+  }
+
   function receive(node: string, message: PeerMessage): void {
+    // whoever was not heard meanwhile has its time anew
+    if (isIsolated()) partners.forgive(clock.now());
+    heardAt = clock.now();
     expecting.delete(node);
     if (message.kind === 'beat') takeBeat(node, message);
     else if (message.kind === 'news') beliefs.takeNews(message, node);
     else if (message.kind === 'view') beliefs.takeView(message);
     else if (message.kind === 'want' && message.what === 'view') beliefs.sendView(node);
-    parts.received(node, message);
+    else if (message.kind !== 'introduction') parts.received(node, message);
   }
 
   function takeBeat(node: string, beat: PeerMessage & { kind: 'beat' }): void {
     const now = clock.now();
-    if (isIsolated) {
-      isIsolated = false;
-      partners.forgive(now);
-    }
     partners.heard(node, beat.isChosen, now);
     beliefs.challenge(node);
     if (beat.digest === beliefs.digest()) differing.delete(node);
     else noteDifference(node, now);
+    parts.heardVersions(node, beat);
   }
 
   function noteDifference(node: string, now: number): void {
@@ -205,7 +219,7 @@
     if (isClosed) return;
     const now = clock.now();
     // what others have sent meanwhile is read after this timer
-    if (now - tendedAt > BEAT_MS + (SILENT_MS - REDIAL_MS)) partners.forgive(now);
+    if (now - tendedAt > BEAT_MS + STANDSTILL_MS) forgiveAll(now);
     tendedAt = now;
     dropSilentLinks(now);
     watchPartners(now);
@@ -237,18 +251,19 @@
       const address = members.find(node)?.state.address;
       if (address !== undefined && links.isLinked(node)) links.dial(address, true);
     }
-    const silent = partners.silent(now, SILENT_MS);
-    const known = partners.names();
-    // one that hears none of its partners is cut off itself, and knows nothing of them
-    isIsolated = known.length > 0 && silent.length === known.length;
-    for (const node of silent) {
+    for (const node of partners.silent(now, SILENT_MS)) {
       const state = members.find(node)?.state;
-      if (isIsolated || state === undefined) links.drop(node);
+      if (isIsolated() || state === undefined) links.drop(node);
       else beliefs.suspect(state);
       if (state === undefined) partners.remove(node);
     }
   }
 
+  function forgiveAll(now: number): void {
+    partners.forgive(now);
+    heardAt = now;
+  }
+
   function linkPartners(now: number): void {
     const alive = members.alive();
     if (alive !== chosenOf) {
@@ -271,7 +286,7 @@
 
   function probe(now: number): void {
     // one that is cut off does not know who is lost
-    const candidates = isIsolated
+    const candidates = isIsolated()
       ? [...members.suspected(), ...members.alive()]
       : members.suspected();
     const addresses = candidates.map(({ address }) => address);
@@ -298,8 +313,9 @@
 
   function logChanges(): void {
     const { found, lost } = beliefs.takeChanges();
-    if (found.length === 0 && lost.length === 0 && isIsolated === wasIsolated) return;
-    wasIsolated = isIsolated;
+    const isAlone = isIsolated();
+    if (found.length === 0 && lost.length === 0 && isAlone === wasIsolated) return;
+    wasIsolated = isAlone;
     log.write('gatewaysChanged', {
       found: found.slice(0, MAX_LOGGED_NAMES),
       lost: lost.slice(0, MAX_LOGGED_NAMES),
@@ -307,7 +323,7 @@
       lostCount: lost.length,
       alive: members.alive().length,
       links: links.nodes().length,
-      isIsolated,
+      isIsolated: isAlone,
     });
   }
 
@@ -335,10 +351,8 @@
       }
       probing.learn(address, isSeed);
     },
-    peers: () => (isIsolated ? nobody : members.alive()),
-    isConnected() {
-      return partners.silent(clock.now(), REDIAL_MS).length < partners.names().length;
-    },
+    peers: () => (isIsolated() ? nobody : members.alive()),
+    isConnected: () => partners.names().length > 0 && !isIsolated(),
     send,
     tellPartners(message) {
       for (const partner of partners.names()) {
--- a/test/peers/links.test.ts
+++ b/test/peers/links.test.ts
@@ -1,12 +1,13 @@
 import { expect } from 'chai';
-import { createOverlay, type Overlay, type PeerMessage } from '../../src/peers/index.js';
+import { createOverlay, type Overlay } from '../../src/peers/index.js';
 import { createSystemClock, createSystemRandom } from '../../src/task/index.js';
 import { createKeptLog, until, type KeptLog } from '../fixtures/gateway.js';
 
 interface Member {
   overlay: Overlay;
   log: KeptLog;
-  received: PeerMessage[];
+  /** Senders of all that was received, heartbeats included. */
+  received: string[];
   lost: string[];
 }
 
@@ -21,7 +22,7 @@
 
   async function join(node: string): Promise<Member> {
     const log = createKeptLog();
-    const received: PeerMessage[] = [];
+    const received: string[] = [];
     const lost: string[] = [];
     // the port is known only once it is taken; the introduction is read when a link is made
     const self = { node, incarnation: `${node}-1`, address: '', front: '', zone: 'a', cores: 1 };
@@ -33,7 +34,8 @@
       status: () => ({ isReady: true, isFollowing: true }),
       versions: () => ({ routes: 1, fleet: 1 }),
       needed: () => [],
-      received: (_node, message) => received.push(message),
+      received: (peer) => received.push(peer),
+      heardVersions: (peer) => received.push(peer),
       lost: (peer) => lost.push(peer),
     });
     await overlay.listen('127.0.0.1', 0);
--- a/test/peers/overlay.test.ts
+++ b/test/peers/overlay.test.ts
@@ -137,6 +137,21 @@
     expect(alone.overlay.peers()).to.have.length(99);
   });
 
+  it('believes all others alive at once when it hears somebody again', () => {
+    for (const seed of [1, 2, 3, 4]) {
+      const network = createPeerNetwork(seed);
+      const [alone] = startAll(network, 100);
+      if (alone === undefined) throw new Error('no gateway');
+      network.advance(8_000);
+      network.control.passes = (from, to) => from !== alone.name && to !== alone.name;
+      network.advance(6_000 + 100 * seed);
+      expect(alone.overlay.peers(), `seed ${seed}`).to.have.length(0);
+      network.control.passes = () => true;
+      while (alone.overlay.peers().length === 0) network.advance(5);
+      expect(alone.overlay.peers(), `seed ${seed}`).to.have.length(99);
+    }
+  });
+
   it('replaces connections that go silent, and loses nobody', () => {
     const network = createPeerNetwork();
     const nodes = startAll(network, 60);
