fix(peers): two heartbeats and a slow way before a gateway takes itself for cut off

Cause: 900 ms are two heartbeats and 100 ms; in a fleet of two a single late heartbeat would have had each serve alone for a moment. Change: 1,050 ms, which still ends before the first partner is suspected (1,500 ms less a heartbeat).

--- a/src/peers/overlay.ts
+++ b/src/peers/overlay.ts
@@ -26,9 +26,10 @@
 /** Two gateways whose beliefs differ for so long compare them, in ms: news still under way settles most
  * differences by itself. */
 const COMPARE_MS = 1_000;
-/** A gateway that has heard nobody for so long is cut off itself, in ms. Less than a partner may be silent by
- * more than a heartbeat: else the partners that spoke first before the cut would be suspected. */
-const ALONE_MS = 900;
+/** A gateway that has heard nobody for so long is cut off itself, in ms: two heartbeats and a slow way. It is
+ * shorter by more than a heartbeat than the time after which a partner is suspected, or those that spoke first
+ * before the cut would be. */
+const ALONE_MS = 1_050;
 /** A timer that fires this much late shows that the process itself stood still, in ms: what was sent to it
  * meanwhile is read after the timer. */
 const STANDSTILL_MS = 600;
