feat(relay): say which request it was where an answer is lost

Cause: the same request comes again under other ids at other gateways; no line told that, nor could the hypotheses 'nobody remembers' and 'the servers end for another reason' be told apart afterwards. Change: lines of lost sends and readings bear a fingerprint of method, host, path with the query, and body.

--- /dev/null
+++ b/src/quarantine/index.ts
@@ -0,0 +1,2 @@
+/** Requests under which backend servers end. */
+export * from './fingerprint.js';
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -12,6 +12,7 @@
 import type { Log } from '../events/index.js';
 import type { SendBudget } from '../limits/send-budget.js';
 import type { GatewayMetrics } from '../metrics/index.js';
+import { createFingerprint } from '../quarantine/index.js';
 import { resolveTarget, type Route, type RoutingReplica } from '../routing/index.js';
 import type { Clock, RandomSource, Timer } from '../task/index.js';
 import type { CallerAnswer } from './caller-answer.js';
@@ -122,6 +123,8 @@
   /** The prompt, where engines serve the request and a scheduler places it. */
   const prompt = engineTerms === undefined ? undefined : head.prompt;
   const giveUp = new AbortController();
+  const { method, path, body } = arrival;
+  const fingerprint = createFingerprint({ method, host: head.host, path, body });
   const progress: Progress = {
     attempts: 0,
     unsent: 0,
@@ -167,6 +170,7 @@
         request: requestId,
         server: server.id,
         outcome: outcome.kind,
+        fingerprint: outcome.kind === 'lost' ? fingerprint.whole() : undefined,
         reason: 'reason' in outcome ? outcome.reason : undefined,
         status: 'status' in outcome ? outcome.status : undefined,
         ms: Math.round(clock.now() - arrivedAt),
@@ -182,10 +186,10 @@
     const all = { ...terms, serverId: resolveName(server), timeLeftMs: endAt - clock.now() };
     return {
       address: server.address,
-      method: arrival.method,
-      path: arrival.path,
-      rawHeaders: protocol.sendHeaders(head, all, arrival.body?.length ?? 0),
-      body: arrival.body,
+      method,
+      path,
+      rawHeaders: protocol.sendHeaders(head, all, body?.length ?? 0),
+      body,
     };
   }
 
@@ -309,6 +313,7 @@
       request: requestId,
       server: placing.server.id,
       outcome: outcome.kind,
+      fingerprint: outcome.kind === 'lost' ? fingerprint.whole() : undefined,
       reason: 'reason' in outcome ? outcome.reason : undefined,
       move: move.kind,
       ms: Math.round(clock.now() - arrivedAt),
--- /dev/null
+++ b/test/quarantine/fingerprint.test.ts
@@ -0,0 +1,36 @@
+import { expect } from 'chai';
+import { createFingerprint, resolveOutline } from '../../src/quarantine/index.js';
+
+const content = {
+  method: 'POST',
+  host: 'desk.example',
+  path: '/once/7?page=2',
+  body: Buffer.from('a body'),
+};
+
+describe('the fingerprint of a request', () => {
+  it('is the same each time that the request comes', () => {
+    const again = { ...content, host: 'Desk.example', body: Buffer.from('a body') };
+    expect(createFingerprint(again).whole()).to.equal(createFingerprint(content).whole());
+  });
+
+  it('differs with the method, the host, the path, the query and the body', () => {
+    const others = [
+      { ...content, method: 'PUT' },
+      { ...content, host: 'other.example' },
+      { ...content, path: '/once/8?page=2' },
+      { ...content, path: '/once/7?page=3' },
+      { ...content, body: Buffer.from('a Body') },
+      { ...content, body: undefined },
+    ];
+    const found = new Set(others.map((other) => createFingerprint(other).whole()));
+    expect([...found, createFingerprint(content).whole()]).to.have.length(others.length + 1);
+  });
+
+  it('begins with its outline, which needs no look at the bytes of the body', () => {
+    const fingerprint = createFingerprint(content);
+    const sameLength = createFingerprint({ ...content, body: Buffer.from('b body') });
+    expect(resolveOutline(fingerprint.whole())).to.equal(fingerprint.outline());
+    expect(sameLength.outline()).to.equal(fingerprint.outline());
+  });
+});
