test(gateway): a request that ends its servers is refused once three have ended (fails)

Symptom: of nine servers nine end, at two gateways, for a plain service, for engines, and where the request may be sent again; the promise is three, and three sends more at most.

--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -28,6 +28,8 @@
   received(): readonly ReceivedRequest[];
   /** Orders so far. */
   orders(): readonly Record<string, unknown>[];
+  /** Whether the process has ended. */
+  hasEnded(): boolean;
   /** Handles that were freed. */
   released(): readonly string[];
   /** Answers the next requests by a script; the sound server goes on after it. */
@@ -41,6 +43,8 @@
   /** Events that each stream has. */
   events?: number;
   role?: 'prefill' | 'decode';
+  /** The process ends, and with it all connections, when it begins to run a request with this body. */
+  endsOn?: string;
   /** Parts of prompts that an engine says it has cached, with their tokens. */
   cached?: readonly (readonly [id: string, tokens: number])[];
 }
@@ -57,6 +61,7 @@
   const released: string[] = [];
   const scripts: ScriptedAnswer[] = [];
   let handles = 0;
+  let ended = false;
 
   function answerRequest(request: ReceivedRequest, response: ServerResponse): void {
     const script = scripts.shift();
@@ -65,9 +70,15 @@
       return;
     }
     const target = request.headers['x-target-instance'];
+    const isReading = request.headers['x-stage'] === 'prefill';
+    if (terms.endsOn !== undefined && request.body.toString() === terms.endsOn && !isReading) {
+      ended = true;
+      void closeServer(server);
+      return;
+    }
     if (target !== undefined && target !== id) {
       response.writeHead(421, { 'X-Instance-Id': id }).end();
-    } else if (request.headers['x-stage'] === 'prefill') {
+    } else if (isReading) {
       handles += 1;
       const body = { kvHandle: `handle-${handles}`, tokens: 1, version: 1 };
       response.writeHead(200, echo(request)).end(JSON.stringify(body));
@@ -126,6 +137,7 @@
     received: () => received,
     orders: () => orders,
     released: () => released,
+    hasEnded: () => ended,
     script(...answers) {
       scripts.push(...answers);
     },
