feat(gateway): see bans and lift them at the metrics address

Cause: a ban that is wrong, or whose request was mended, could only be waited out. Change: GET /bans and DELETE /bans/FINGERPRINT; a lifted ban is lifted in all gateways, its row removed. Test with it.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -35,6 +35,7 @@
   type SchedulingMechanisms,
 } from '../scheduling/index.js';
 import { createGuardedClock, wait, type Clock, type RandomSource } from '../task/index.js';
+import { answerBans } from './answer-bans.js';
 import { resolveFronts } from './directory.js';
 import { createFollowers } from './followers.js';
 import { startFollowing } from './following.js';
@@ -342,7 +343,10 @@
   function startStatusServers(): Promise<Server[]> {
     const pending = [
       startStatusServer(settings.readiness, () => platform.readinessAnswer(isReady())),
-      startStatusServer(settings.metrics, renderMetrics),
+      startStatusServer(
+        settings.metrics,
+        (request) => answerBans(quarantine, request) ?? renderMetrics(request),
+      ),
     ];
     if (settings.directory !== undefined) {
       pending.push(startStatusServer(settings.directory, ({ url = '' }) => answerDirectory(url)));
--- a/test/gateway/requests-that-end-servers.test.ts
+++ b/test/gateway/requests-that-end-servers.test.ts
@@ -131,6 +131,22 @@
     expect(countEnded(pages)).to.equal(before);
   });
 
+  it('runs again once an operator has lifted its ban at any gateway', async () => {
+    await askEverywhere('/once/7', heads);
+    const [first, second] = gateways.map(({ settings }) => settings);
+    const listed = await ask(first?.metrics.port ?? 0, { path: '/bans' });
+    const { bans } = JSON.parse(listed.body) as { bans: { fingerprint: string }[] };
+    const path = `/bans/${bans[0]?.fingerprint ?? ''}`;
+    const lifted = await ask(first?.metrics.port ?? 0, { method: 'DELETE', path });
+    expect([bans.length, lifted.status]).to.deep.equal([1, 200]);
+    const before = countEnded(pages);
+    const question = { method: 'POST', path: '/once/7', headers: heads('again'), body: BODY };
+    await until(async () => (await ask(second?.callers.port ?? 0, question)).status === 502);
+    expect(countEnded(pages)).to.equal(before + 1);
+    const none = await ask(second?.metrics.port ?? 0, { method: 'DELETE', path: '/bans/none' });
+    expect(none.status).to.equal(404);
+  });
+
   /** Requests of which the gateways say that they are banned, and kept as such by the store. */
   function listBanRows(): unknown[] {
     const rows: unknown[] = [];
