fix(roles): a turn to give orders ends with a suspension of its VM

What callers saw: nothing yet; two gateways could order engines at once after one of them had been suspended. Cause: the steady clock does not count the time of a suspension, so the turn of a suspended holder seemed valid after another had taken the right. Change: a turn is over as soon as either clock says so. The time of day jumps, so it ends turns early and never keeps one.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -266,6 +266,7 @@
       table: platform.table,
       era: () => Math.max(platform.table.era?.() ?? 0, resolveEra(fleet.revision())),
       clock,
+      timeOfDay: () => Date.now(),
       log,
       leaseMs: settings.bounds.leaseMs,
     }),
--- a/src/roles/order-lease.ts
+++ b/src/roles/order-lease.ts
@@ -39,6 +39,12 @@
   isValid(): boolean;
 }
 
+/** A moment by both clocks. */
+interface Moment {
+  steadyMs: number;
+  ofDayMs: number;
+}
+
 /** The right to give orders. */
 export interface OrderLease {
   /** Tries to take or renew the right; `undefined` when it is not to be had now. */
@@ -52,6 +58,9 @@
   /** The newest era of the store that is known, from the store or from peers; 0 where it has none. */
   era?: () => number;
   clock: Clock;
+  /** The time of day, in ms since the epoch. It goes on while the VM is suspended, which the steady clock does not see;
+   * it jumps as well, so it may only end a turn early. */
+  timeOfDay: () => number;
   log: Log;
   /** Time for which a holder of orders must be alone, in milliseconds. */
   leaseMs: number;
@@ -71,6 +80,15 @@
   /** The newest era that was seen, since when; at first the one that was there at the start. */
   let known: { era: number; since: number; isFirst: boolean } | undefined;
 
+  function now(): Moment {
+    return { steadyMs: clock.now(), ofDayMs: parts.timeOfDay() };
+  }
+
+  /** By whichever clock more time has passed: a suspension is seen by the time of day alone, its jump back by none. */
+  function elapsedSince({ steadyMs, ofDayMs }: Moment): number {
+    return Math.max(clock.now() - steadyMs, parts.timeOfDay() - ofDayMs);
+  }
+
   function eraNow(): number {
     return parts.era?.() ?? table.era?.() ?? 0;
   }
@@ -90,12 +108,12 @@
    * Takes the right.
    *
    * @param revision of the row as it was read; 0 for none
-   * @param startedAt when that read began; the turn counts from there
+   * @param started when that read began; the turn counts from there
    * @param takenAtMs the store's clock as of that read
    */
   async function take(
     revision: number,
-    startedAt: number,
+    started: Moment,
     takenAtMs?: number,
   ): Promise<OrderTurn | undefined> {
     const era = eraNow();
@@ -110,19 +128,19 @@
     }
     const fence = outcome.revision;
     log.write('roleLeaseTaken', { fence, windowMs, era });
-    turn = { fence, isValid: () => eraNow() === era && clock.now() - startedAt < windowMs };
+    turn = { fence, isValid: () => eraNow() === era && elapsedSince(started) < windowMs };
     return turn;
   }
 
   /** Writes the row, and once more with the time, which only a read of the row tells. */
   async function takeFirst(): Promise<OrderTurn | undefined> {
-    const first = await take(0, clock.now());
+    const first = await take(0, now());
     if (first === undefined) return undefined;
-    const startedAt = clock.now();
+    const started = now();
     const result = await table.get(LEASE_KEY);
     const row = result.isOk() ? result.value : undefined;
     if (row?.readAtMs === undefined) return first;
-    return take(row.revision, startedAt, row.readAtMs);
+    return take(row.revision, started, row.readAtMs);
   }
 
   /** Whether the store's clock alone shows that the last turn and the lease time are over. */
@@ -133,7 +151,7 @@
   return {
     async acquire() {
       if (turn?.isValid() === true) return turn;
-      const startedAt = clock.now();
+      const started = now();
       const result = await table.get(LEASE_KEY);
       if (result.isErr()) {
         log.write('roleLeaseDenied', { reason: result.error.message });
@@ -147,14 +165,14 @@
       if (row === undefined) return takeFirst();
       const { revision, readAtMs } = row;
       const holder = leaseSchema.safeParse(row.value);
-      if (holder.success && holder.data.holder === node) return take(revision, startedAt, readAtMs);
-      if (isLongOver(holder.data?.takenAtMs, readAtMs)) return take(revision, startedAt, readAtMs);
+      if (holder.success && holder.data.holder === node) return take(revision, started, readAtMs);
+      if (isLongOver(holder.data?.takenAtMs, readAtMs)) return take(revision, started, readAtMs);
       if (seen?.revision !== row.revision) {
         seen = { revision: row.revision, at: clock.now() };
         return undefined;
       }
       const isQuiet = clock.now() - seen.at > quietMs;
-      return isQuiet ? take(revision, startedAt, readAtMs) : undefined;
+      return isQuiet ? take(revision, started, readAtMs) : undefined;
     },
   };
 }
--- a/test/gateway/restored-store.test.ts
+++ b/test/gateway/restored-store.test.ts
@@ -64,7 +64,14 @@
     const { clock, advance } = createFakeClock();
     function createLease(node: string) {
       const table = { ...store, get: withoutClock };
-      return createOrderLease({ node, table, clock, log: createSilentLog(), leaseMs: 3_000 });
+      return createOrderLease({
+        node,
+        table,
+        clock,
+        timeOfDay: () => clock.now(),
+        log: createSilentLog(),
+        leaseMs: 3_000,
+      });
     }
     async function withoutClock(key: string) {
       return (await store.get(key)).map((row) => row && { ...row, readAtMs: clock.now() });
--- a/test/roles/roles.test.ts
+++ b/test/roles/roles.test.ts
@@ -67,6 +67,7 @@
         node,
         table,
         clock: fake.clock,
+        timeOfDay: () => fake.clock.now(),
         log: createSilentLog(),
         leaseMs: LEASE_MS,
       });
