test(quarantine): requests that always come together, old resets, and fatal requests in the soak

The soak plays requests that end their servers and a store that is restored; its judge allows six servers under one request (three convict it, three sends may follow).

--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -61,8 +61,6 @@
   dialling: Promise<void> | undefined;
   /** What showed that it has ended. */
   sign: CrashSign | undefined;
-  /** It was reached after the last loss: only a successor shows now that it has ended. */
-  wasReached: boolean;
 }
 
 /**
@@ -90,7 +88,6 @@
       lostAt: clock.now(),
       dialling: undefined,
       sign: undefined,
-      wasReached: false,
     };
     suspicions.set(server.id, created);
     return created;
@@ -107,16 +104,18 @@
   }
 
   async function dial(suspicion: Suspicion<Loss>): Promise<void> {
-    const { lostAt } = suspicion;
+    const count = suspicion.losses.length;
     const answer = await parts.probe.dial(suspicion.server.address);
     if (suspicion.sign !== undefined) return;
     if (answer === 'refused') {
       end(suspicion, 'refused');
       return;
     }
-    suspicion.wasReached = answer === 'open';
+    // whose answer was lost before the server was reached has not ended it
+    const waiting = suspicion.losses.slice(count);
+    if (answer === 'open') suspicion.losses = waiting;
     // what was lost while it was dialled may have been lost after that
-    if (suspicion.lostAt > lostAt) await dial(suspicion);
+    if (waiting.length > 0) await dial(suspicion);
   }
 
   return {
@@ -138,8 +137,7 @@
       forgetOld();
       const suspicion = suspicions.get(id);
       if (suspicion === undefined || suspicion.sign !== undefined) return;
-      if (hasSuccessor) end(suspicion, 'restarted');
-      else if (!suspicion.wasReached) end(suspicion, 'lapsed');
+      if (suspicion.losses.length > 0) end(suspicion, hasSuccessor ? 'restarted' : 'lapsed');
     },
   };
 }
--- a/src/quarantine/messages.ts
+++ b/src/quarantine/messages.ts
@@ -18,14 +18,41 @@
 /** A record as it is told and kept. */
 export type CrashRow = z.infer<typeof crashRowSchema>;
 
+/** A row as it is told, without the names of its fields: a hundred servers that end at once make 1,600 of them. */
+const toldCrashSchema = z.tuple([
+  z.string(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.number(),
+  z.string().optional(),
+]);
+
+type ToldCrash = z.infer<typeof toldCrashSchema>;
+
 export const crashesMessageSchema = z.object({
   kind: z.literal('crashes'),
-  records: z.array(crashRowSchema),
+  records: z.array(toldCrashSchema),
 });
 
 /** What is known of some requests. */
 export type CrashesMessage = z.infer<typeof crashesMessageSchema>;
 
+/** Puts a row into a message. */
+export function encodeCrash(row: CrashRow): ToldCrash {
+  const { fingerprint, cleared, crashes, excused, ageMs, server } = row;
+  const counts: [number, number, number] = [cleared, crashes, excused];
+  const told: ToldCrash = [fingerprint, ...counts, Math.round(ageMs)];
+  if (server !== undefined) told.push(server);
+  return told;
+}
+
+/** Reads a row of a message. */
+export function decodeCrash(told: ToldCrash): CrashRow {
+  const [fingerprint, cleared, crashes, excused, ageMs, server] = told;
+  return { fingerprint, cleared, crashes, excused, ageMs, server };
+}
+
 /**
  * Puts a record into a row.
  *
--- a/src/quarantine/other-causes.ts
+++ b/src/quarantine/other-causes.ts
@@ -5,8 +5,9 @@
  */
 import type { Clock } from '../task/index.js';
 
-/** Ends that come within this time of each other have one cause, in ms: the way of the news, and a busy turn. */
-const SAME_MOMENT_MS = 100;
+/** Ends that come within this time of each other have one cause, in ms: the way of the news. A request that comes again
+ * takes longer than that to end the next server. */
+const SAME_MOMENT_MS = 25;
 
 /** A request that was at work at a server that ended. */
 export interface EndedRun {
@@ -22,8 +23,6 @@
   counted(run: Run): void;
   /** A server ended under a request of another gateway. */
   heard(run: EndedRun): void;
-  /** Servers that have ended at this moment. */
-  count(): number;
 }
 
 interface End {
@@ -85,9 +84,5 @@
       note(run);
       excuseAll();
     },
-    count() {
-      forgetOld();
-      return ends.size;
-    },
   };
 }
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -9,7 +9,14 @@
 import type { Clock, Timer } from '../task/index.js';
 import { createCrashEvidence, type CrashSign, type ServerProbe } from './crash-evidence.js';
 import type { Fingerprint } from './fingerprint.js';
-import { packCrash, unpackCrash, type CrashesMessage, type CrashRow } from './messages.js';
+import {
+  decodeCrash,
+  encodeCrash,
+  packCrash,
+  unpackCrash,
+  type CrashesMessage,
+  type CrashRow,
+} from './messages.js';
 import { createOtherCauses, type EndedRun } from './other-causes.js';
 import {
   createCrashRecords,
@@ -22,10 +29,6 @@
 
 /** Records that change within this time are told together, in ms: a server ends under many requests at once. */
 const GATHER_MS = 5;
-/** Where so many servers end at one moment, nothing that was at work there is told of unless it was suspected before:
- * a lost availability zone would fill every table with the innocent. Two requests that end servers may meet by chance,
- * or as a pair that excuses each other; four do not. */
-const MANY_SERVERS = 4;
 /** A peer whose table differs is sent this gateway's at most so often, in ms: news still under way settles most
  * differences by itself, and one that comes back from a cut has the table with its first heartbeat. */
 const COMPARE_MS = 2_000;
@@ -222,17 +225,13 @@
   }
 
   function tell(): void {
-    const isCommon = otherCauses.count() >= MANY_SERVERS;
     const news: CrashRow[] = [];
     for (const [fingerprint, server] of untold) {
       const record = records.find(fingerprint, clock.now());
-      if (record === undefined) continue;
-      const isExcused = record.crashes === 0 && record.excused > 0;
-      if (isCommon && isExcused) records.forget(fingerprint);
-      else news.push({ ...packCrash(record, clock.now()), server });
+      if (record !== undefined) news.push({ ...packCrash(record, clock.now()), server });
     }
     untold.clear();
-    if (news.length > 0) parts.tellPartners({ kind: 'crashes', records: news });
+    if (news.length > 0) parts.tellPartners({ kind: 'crashes', records: news.map(encodeCrash) });
   }
 
   function clear(record: CrashRecord, by: string): void {
@@ -269,6 +268,7 @@
     present.set(fingerprint, banned);
 
     async function admit(signal: AbortSignal): Promise<Admission> {
+      if (signal.aborted) return 'aborted';
       const known = find(fingerprint);
       if (trial !== undefined || known === undefined || known.crashes === 0) return 'admitted';
       const answer = await trials.ask(service, known.fingerprint, signal);
@@ -310,7 +310,7 @@
     serverGone: evidence.gone,
     learn,
     received(node, message) {
-      if (message.kind === 'crashes') learn(message.records, node);
+      if (message.kind === 'crashes') learn(message.records.map(decodeCrash), node);
       else trials.received(node, message);
     },
     peerLost(node) {
@@ -328,7 +328,7 @@
       if (now < nextAt) return;
       const next = { nextAt: now + pauseMs, pauseMs: Math.min(MAX_COMPARE_MS, 2 * pauseMs) };
       comparisons.set(node, next);
-      const rows = records.list(now).map((record) => packCrash(record, now));
+      const rows = records.list(now).map((record) => encodeCrash(packCrash(record, now)));
       if (rows.length > 0) parts.send(node, { kind: 'crashes', records: rows });
     },
     bans() {
--- a/src/quarantine/records.ts
+++ b/src/quarantine/records.ts
@@ -49,8 +49,6 @@
   find(fingerprint: string, now: number): CrashRecord | undefined;
   /** Takes a record in; tells whether it is news. */
   merge(record: CrashRecord, now: number): boolean;
-  /** Forgets a request of which nobody was told. */
-  forget: (fingerprint: string) => void;
   /** All that is known by now. */
   list(now: number): CrashRecord[];
   /** A number that is the same in all gateways that know the same; 0 where nothing is known. */
@@ -124,7 +122,6 @@
       if (records.size > MAX_RECORDS) makeRoom();
       return records.has(taken.fingerprint);
     },
-    forget: remove,
     list(now) {
       const found: CrashRecord[] = [];
       for (const fingerprint of [...records.keys()]) {
--- a/test/quarantine/fleet.test.ts
+++ b/test/quarantine/fleet.test.ts
@@ -96,6 +96,22 @@
     expect(day.countAnswers('/slow', 'served')).to.equal(1);
   });
 
+  for (const pair of [2, 4, 8]) {
+    it(`bans each of ${pair} fatal requests that always come together`, async () => {
+      const day = createDay(9, { gateways: 3, servers: 40, awayMs: 500 });
+      for (let round = 0; round < 15; round += 1) {
+        for (let index = 0; index < pair; index += 1) {
+          day.ask({ ...fatal, path: `/fatal/${index}` }, day.fleet.gateways[round % 3]);
+        }
+        await day.advance(700);
+      }
+      for (let index = 0; index < pair; index += 1) {
+        const ended = day.fleet.ended.filter(({ path }) => path === `/fatal/${index}`);
+        expect(ended.length).to.be.at.most(MOST_ENDED);
+      }
+    });
+  }
+
   it('tells a gateway that was cut off, with the first heartbeat after it', async () => {
     const day = createDay(5);
     const away = day.fleet.gatewayAt(6);
--- a/tools/soak/controls.ts
+++ b/tools/soak/controls.ts
@@ -58,10 +58,17 @@
   {
     name: 'changed routes are not taken over',
     file: 'src/routing/replica.ts',
-    from: 'if (table.version <= before) return;',
+    from: 'if (!isNewer(document, source)) return;',
     to: 'if (before > 0) return;',
     finds: /changed routes are not in force/,
   },
+  {
+    name: 'no request is refused for the servers that ended under it',
+    file: 'src/quarantine/records.ts',
+    from: 'CRASHES_TO_BAN = 3;',
+    to: 'CRASHES_TO_BAN = 3_000;',
+    finds: /servers ended under/,
+  },
 ];
 
 /**
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -14,6 +14,7 @@
 } from '../../stand-ins/users-platform/index.js';
 import { createSeededRandom, type RandomSource } from '../../src/task/index.js';
 import { ask } from './callers.js';
+import { createFatalCount } from './fatal.js';
 import { createGatewayProcess, type GatewayProcess } from './gateways.js';
 import { judge, type Account } from './judge.js';
 import { startProxy, type Disturbance, type DisturbingProxy } from './proxy.js';
@@ -37,6 +38,12 @@
 /** Requests of each kind to each gateway after that. */
 const CALM_ROUNDS = 5;
 const NOT_FOUND = 404;
+/** Part of the requests that end their servers while faults go on. */
+const FATAL_SHARE = 0.01;
+/** Times that such a request comes to each gateway once all is calm. */
+const FATAL_ROUNDS = 6;
+/** Time after which the operator and the servers have written again what a restored store lacks, in ms. */
+const REWRITE_MS = 1_500;
 
 /** What a run found. */
 export interface SoakResult {
@@ -80,6 +87,9 @@
   const storeProxies: DisturbingProxy[] = [];
   const gateways: GatewayProcess[] = [];
   const pending = new Set<Promise<void>>();
+  const fatal = createFatalCount();
+  const copies = [store.copy()];
+  let configuration: unknown;
   let faults = 0;
   let counter = 0;
   let version = 1;
@@ -107,12 +117,30 @@
 
   /** A server crashes and starts again under its id, at another address. */
   async function restartBackend(): Promise<void> {
-    const [gone] = backends.splice(Math.floor(random.next() * backends.length), 1);
-    if (gone === undefined) return;
+    const gone = pick(backends);
+    if (gone !== undefined) await restart(gone);
+  }
+
+  async function restart(gone: Backend): Promise<void> {
+    const index = backends.indexOf(gone);
+    if (index < 0) return;
+    backends.splice(index, 1);
     await Promise.all([gone.server.close(), gone.proxy.close()]);
     await startBackend(gone.id, gone.service, gone.role);
   }
 
+  /** The store is back from an older copy; what the operator and the servers wrote is written again. */
+  function restoreStore(): void {
+    const copy = pick(copies);
+    if (copy === undefined) return;
+    store.restore(copy);
+    copies.length = 0;
+    setTimeout(() => {
+      store.put('op', 'config', configuration);
+      for (const backend of backends) register(backend, 'ready');
+    }, REWRITE_MS * random.next());
+  }
+
   /** Another writer spoils an entry for a while, or leaves one that never was good. */
   function spoilEntry(): void {
     const spoilt = pick(backends);
@@ -137,6 +165,10 @@
         response.writeHead(200, { 'X-Request-Id': id }).end(JSON.stringify({ kvHandle: id }));
       } else {
         accounts.get(id)?.runs.push(backend.id);
+        if (fatal.ends(request.path)) {
+          track(restart(backend));
+          return;
+        }
         if (random.next() < 0.03) response.socket?.resetAndDestroy();
         else if (backend.service === 'chat') answerStream(random, request, response);
         else answerPage(backend.id, random, request, response);
@@ -157,7 +189,8 @@
   }
 
   function configure(): void {
-    store.put('op', 'config', renderConfiguration(version));
+    configuration = renderConfiguration(version);
+    store.put('op', 'config', configuration);
     version += 1 + Math.floor(random.next() * 5);
   }
 
@@ -183,6 +216,8 @@
 
   async function cause(): Promise<void> {
     faults += 1;
+    copies.push(store.copy());
+    if (random.next() < 0.04) restoreStore();
     const chance = random.next();
     if (chance < 0.3) disturbGateway(pick(gateways));
     else if (chance < 0.5) disturbProxy(pick(storeProxies));
@@ -197,11 +232,12 @@
   async function sendOne(
     gateway: GatewayProcess,
     route: Account['kind'] | 'changed' = pick(['once', 'any', 'stream'] as const) ?? 'any',
+    fatalName?: string,
   ): Promise<SeenStatus> {
     counter += 1;
     const id = `r-${terms.seed}-${counter}`;
     const kind = route === 'changed' ? 'any' : route;
-    const path = `/${route}/${counter}`;
+    const path = fatalName === undefined ? `/${route}/${counter}` : fatal.pathOf(route, fatalName);
     const account: Account = { id, kind, path, answer: undefined, runs: [], events: EVENTS };
     accounts.set(id, account);
     const headers = { ...renderHeaders(id), ...(kind === 'stream' ? renderPrompt(id) : {}) };
@@ -214,7 +250,9 @@
   async function sendAll(until: number): Promise<void> {
     while (performance.now() < until) {
       const gateway = pick(gateways);
-      if (gateway !== undefined) track(sendOne(gateway).then(() => undefined));
+      const fatalName = random.next() < FATAL_SHARE ? 'all-along' : undefined;
+      const route = fatalName === undefined ? undefined : 'any';
+      if (gateway !== undefined) track(sendOne(gateway, route, fatalName).then(() => undefined));
       await pause(REQUEST_MS);
     }
   }
@@ -248,7 +286,8 @@
     const leaving = backends.find(({ service }) => service === 'pages');
     if (leaving === undefined) return ['no server is left'];
     register(leaving, 'draining');
-    store.put('op', 'config', renderConfiguration(version, 'changed'));
+    configuration = renderConfiguration(version, 'changed');
+    store.put('op', 'config', configuration);
     await pause(IN_FORCE_MS);
     const before = leaving.server.received().length;
     const found: string[] = [];
@@ -265,6 +304,18 @@
     return found;
   }
 
+  /** A request that ends its servers is refused everywhere in time; gateways are not disturbed meanwhile. */
+  async function judgeFatal(): Promise<string[]> {
+    const found: string[] = [];
+    for (const route of ['any', 'stream'] as const) {
+      for (let round = 0; round < FATAL_ROUNDS; round += 1) {
+        for (const gateway of gateways) await sendOne(gateway, route, 'in-calm');
+      }
+      found.push(...fatal.judge(fatal.pathOf(route, 'in-calm')));
+    }
+    return found;
+  }
+
   async function close(): Promise<void> {
     await Promise.all(gateways.map((gateway) => gateway.end()));
     const parts = [...backends.flatMap(({ server, proxy }) => [server, proxy]), ...storeProxies];
@@ -305,6 +356,7 @@
   }
   await pause(CONTACT_MS - IN_FORCE_MS);
   broken.push(...(await judgeCalm()));
+  broken.push(...(await judgeFatal()));
   clearInterval(restarts);
   await close();
   let succeeded = 0;
