--- a/src/quarantine/crash-evidence.ts
+++ b/src/quarantine/crash-evidence.ts
@@ -5,10 +5,12 @@
  */
 import type { Log } from '../events/index.js';
 import type { RegisteredServer } from '../fleet/index.js';
-import type { Clock } from '../task/index.js';
+import { wait, type Clock } from '../task/index.js';
 
 /** How long a lost answer waits for evidence, in ms: an entry lapses after some heartbeats of silence. */
 const EVIDENCE_MS = 8_000;
+/** A server that was reached is dialled once more after so long, in ms: one that is just ending may still accept. */
+const RECHECK_MS = 50;
 /** Lost answers of one server that wait at most: more than a server runs at once. */
 const MAX_LOSSES = 256;
 
@@ -103,9 +105,16 @@
     }
   }
 
+  async function dialTwice(address: string): Promise<ProbeAnswer> {
+    const first = await parts.probe.dial(address);
+    if (first !== 'open') return first;
+    await wait(clock, RECHECK_MS);
+    return parts.probe.dial(address);
+  }
+
   async function dial(suspicion: Suspicion<Loss>): Promise<void> {
     const count = suspicion.losses.length;
-    const answer = await parts.probe.dial(suspicion.server.address);
+    const answer = await dialTwice(suspicion.server.address);
     if (suspicion.sign !== undefined) return;
     if (answer === 'refused') {
       end(suspicion, 'refused');
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -123,6 +123,7 @@
 interface Loss {
   fingerprint: Fingerprint;
   known: KnownCrashes;
+  sentAt: number;
   /** The last loss of the same request before this send: it may be counted only after it. */
   before: Loss | undefined;
   counted: number;
@@ -171,7 +172,7 @@
 
   function count(loss: Loss, server: RegisteredServer, sign: CrashSign): void {
     const { known, before } = loss;
-    loss.counted = 1 + Math.max(known.crashes, before?.counted ?? 0);
+    loss.counted = 1 + Math.max(known.crashes, before?.counted ?? 0, countBefore(loss));
     metrics.crashesCounted.inc({ sign });
     const fingerprint = loss.fingerprint.whole();
     const crashes = Math.min(CRASHES_TO_BAN, loss.counted);
@@ -181,6 +182,13 @@
     otherCauses.counted({ server: server.id, fingerprint, crashes, known });
   }
 
+  /** Crashes before a send that were not known here yet when it was sent. */
+  function countBefore({ fingerprint, known, sentAt }: Loss): number {
+    const record = records.find(fingerprint.whole(), clock.now());
+    if (record?.cleared !== known.cleared) return 0;
+    return sentAt > record.at ? record.crashes : 0;
+  }
+
   /** Takes a count back: something else has ended the server. */
   function excuse({ fingerprint, server, known }: CountedRun): void {
     const record = records.find(fingerprint, clock.now());
@@ -284,10 +292,17 @@
       sent(server) {
         const { cleared, crashes, excused } = find(fingerprint) ?? nothingKnown;
         const before = last;
+        const sentAt = clock.now();
         trial?.placed(server.id);
         return {
           lost() {
-            last = { fingerprint, known: { cleared, crashes, excused }, before, counted: 0 };
+            last = {
+              fingerprint,
+              known: { cleared, crashes, excused },
+              sentAt,
+              before,
+              counted: 0,
+            };
             looking = evidence.lost(server, last);
             return looking;
           },
--- a/src/quarantine/records.ts
+++ b/src/quarantine/records.ts
@@ -2,7 +2,7 @@
  * How often servers have ended under which requests: a bounded table that all gateways keep alike. Records merge in
  * any order and any number of times to the same result, so nothing has to be agreed on.
  *
- * A crash counts one more than what was known when the request was sent. So servers that end at one moment, as when
+ * A crash counts one more than those before the request was sent. So servers that end at one moment, as when
  * an availability zone loses its power, count once for a page that is asked for everywhere, while a request that is
  * sent again after its crash was known counts again. A success of the same request sets its count to zero.
  */
--- a/test/quarantine/crash-evidence.test.ts
+++ b/test/quarantine/crash-evidence.test.ts
@@ -2,12 +2,13 @@
 import { createSilentLog } from '../../src/events/index.js';
 import type { RegisteredServer } from '../../src/fleet/index.js';
 import { createCrashEvidence, type ProbeAnswer } from '../../src/quarantine/index.js';
-import { createFakeClock, settle } from '../fixtures/fake-clock.js';
+import { createFakeClock } from '../fixtures/fake-clock.js';
 
 const server = { id: 'server-1', address: '10.0.0.1:80' } as RegisteredServer;
 
+/** A case in which the server is dialled with these answers, each twice where it is reached. */
 function createCase(answers: ProbeAnswer[]) {
-  const { clock, advance } = createFakeClock();
+  const { clock, advance, runUntil } = createFakeClock();
   const confirmed: string[] = [];
   const dialled: string[] = [];
   const evidence = createCrashEvidence<string>({
@@ -23,13 +24,17 @@
       confirmed.push(`${loss} at ${id}: ${sign}`);
     },
   });
-  return { evidence, confirmed, dialled, advance };
+  function lose(what: string): Promise<void> {
+    return runUntil(evidence.lost(server, what));
+  }
+
+  return { evidence, lose, confirmed, dialled, advance, runUntil };
 }
 
 describe('evidence that a server has ended', () => {
   it('is that nobody listens at its address after an answer was lost', async () => {
-    const { evidence, confirmed } = createCase(['refused']);
-    await evidence.lost(server, 'a');
+    const { lose, confirmed } = createCase(['refused']);
+    await lose('a');
     expect(confirmed).to.deep.equal(['a at server-1: refused']);
   });
 
@@ -60,38 +65,49 @@
   ];
   for (const { what, answer, gone, sign } of cases) {
     it(`is ${sign === undefined ? 'not ' : ''}${what}`, async () => {
-      const { evidence, confirmed } = createCase([answer]);
-      await evidence.lost(server, 'a');
+      const { evidence, lose, confirmed } = createCase(
+        answer === 'open' ? ['open', 'open'] : [answer],
+      );
+      await lose('a');
       if (gone !== undefined) evidence.gone(server.id, gone.hasSuccessor);
       expect(confirmed).to.deep.equal(sign === undefined ? [] : [`a at server-1: ${sign}`]);
     });
   }
 
   it('accuses nobody whose answer was lost while the server went on', async () => {
-    const { evidence, confirmed } = createCase(['open', 'refused']);
-    await evidence.lost(server, 'reset');
-    await evidence.lost(server, 'fatal');
+    const { lose, confirmed } = createCase(['open', 'open', 'refused']);
+    await lose('reset');
+    await lose('fatal');
     expect(confirmed).to.deep.equal(['fatal at server-1: refused']);
-    const later = createCase(['open']);
-    await later.evidence.lost(server, 'reset');
+    const later = createCase(['open', 'open']);
+    await later.lose('reset');
     later.evidence.gone(server.id, true);
     expect(later.confirmed).to.deep.equal([]);
   });
 
+  it('is that nobody listens a moment later, where the server is just ending', async () => {
+    const { lose, confirmed } = createCase(['open', 'refused']);
+    await lose('a');
+    expect(confirmed).to.deep.equal(['a at server-1: refused']);
+  });
+
   it('is looked for again where an answer is lost while the server is dialled', async () => {
-    const { evidence, confirmed, dialled, advance } = createCase(['open', 'refused']);
+    const { evidence, confirmed, dialled, advance, runUntil } = createCase([
+      'open',
+      'open',
+      'refused',
+    ]);
     const first = evidence.lost(server, 'a');
     await advance(1);
     void evidence.lost(server, 'b');
-    await first;
-    await settle();
-    expect(dialled).to.have.length(2);
+    await runUntil(first);
+    expect(dialled).to.have.length(3);
     expect(confirmed).to.deep.equal(['b at server-1: refused']);
   });
 
   it('is not that an entry goes long after an answer was lost', async () => {
-    const { evidence, confirmed, advance } = createCase(['silent']);
-    await evidence.lost(server, 'a');
+    const { evidence, lose, confirmed, advance } = createCase(['silent']);
+    await lose('a');
     await advance(20_000);
     evidence.gone(server.id, false);
     expect(confirmed).to.deep.equal([]);
