--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -6,37 +6,22 @@
 import type { Log } from '../events/index.js';
 import type { RegisteredServer } from '../fleet/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
-import type { Clock, Timer } from '../task/index.js';
+import type { Clock } from '../task/index.js';
 import { createCrashEvidence, type CrashSign, type ServerProbe } from './crash-evidence.js';
-import type { Fingerprint } from './fingerprint.js';
-import {
-  decodeCrash,
-  encodeCrash,
-  packCrash,
-  unpackCrash,
-  type CrashesMessage,
-  type CrashRow,
-} from './messages.js';
-import { createOtherCauses, type EndedRun } from './other-causes.js';
 import {
-  createCrashRecords,
-  CRASHES_TO_BAN,
-  MAX_EXCUSED,
-  resolveFadeMs,
-  type CrashRecord,
-} from './records.js';
+  createCrashLedger,
+  type Ban,
+  type CrashLedger,
+  type CrashLedgerParts,
+  type KnownCrashes,
+} from './crash-ledger.js';
+import type { Fingerprint } from './fingerprint.js';
+import type { CrashesMessage } from './messages.js';
+import type { CrashRecord } from './records.js';
 import { createTrials, type Trial, type TrialMessage } from './trials.js';
 
-/** Records that change within this time are told together, in ms: a server ends under many requests at once. */
-const GATHER_MS = 5;
-/** A peer whose table differs is sent this gateway's at most so often, in ms: news still under way settles most
- * differences by itself, and one that comes back from a cut has the table with its first heartbeat. */
-const COMPARE_MS = 2_000;
-/** Where two tables go on differing, as they do once they are full, they are compared ever more rarely, in ms. */
-const MAX_COMPARE_MS = 60_000;
-
 /** What the quarantine needs. */
-export interface QuarantineParts {
+export interface QuarantineParts extends Pick<CrashLedgerParts, 'tellPartners' | 'banChanged'> {
   clock: Clock;
   log: Log;
   metrics: Pick<GatewayMetrics, 'crashesCounted' | 'bans'>;
@@ -44,20 +29,8 @@
   node: string;
   /** The gateway that keeps the desk of a service's trials. */
   deskOf(service: string): string;
-  /** Tells all partners. */
-  tellPartners(message: CrashesMessage): void;
   /** Tells one peer. */
   send(node: string, message: CrashesMessage | TrialMessage): void;
-  /** A request was banned by what this gateway saw, or a ban of its was lifted here: to be kept, or not any more. */
-  banChanged: (fingerprint: string) => void;
-}
-
-/** A request that no server is given any more. */
-export interface Ban {
-  fingerprint: string;
-  crashes: number;
-  /** Time until it is tried once more, in ms. */
-  leftMs: number;
 }
 
 /** One send of a request, or one reading of its prompt. */
@@ -86,7 +59,10 @@
 }
 
 /** Requests under which servers ended. */
-export interface Quarantine {
+export interface Quarantine extends Pick<
+  CrashLedger,
+  'learn' | 'digest' | 'heardDigest' | 'bans' | 'recordOf' | 'lift'
+> {
   /**
    * A request for a service has come.
    *
@@ -95,28 +71,9 @@
   watch(fingerprint: Fingerprint, service: string, banned: () => void): WatchedRequest;
   /** The registry has no entry of a server any more. */
   serverGone: (id: string, hasSuccessor: boolean) => void;
-  /** Takes in what a peer knows, or what is kept on the platform; what is new goes on to partners. */
-  learn: (rows: readonly CrashRow[], source: string) => void;
   received: (node: string, message: CrashesMessage | TrialMessage) => void;
   /** A peer was lost. */
   peerLost: (node: string) => void;
-  /** A number that is the same in all gateways that know the same. */
-  digest: () => number;
-  /** A peer has said its number. */
-  heardDigest: (node: string, digest: number) => void;
-  bans: () => Ban[];
-  /** What is to be kept of a ban; `undefined` where there is none. */
-  recordOf: (fingerprint: string) => CrashRow | undefined;
-  /** An operator lifts a ban, in all gateways; tells whether there was one. */
-  lift: (fingerprint: string) => boolean;
-}
-
-/** What was known of a request when it was sent. */
-type KnownCrashes = Pick<CrashRecord, 'cleared' | 'crashes' | 'excused'>;
-
-/** A crash as it was counted. */
-interface CountedRun extends EndedRun {
-  known: KnownCrashes;
 }
 
 /** A send whose answer was lost. */
@@ -138,14 +95,15 @@
  */
 export function createQuarantine(parts: QuarantineParts): Quarantine {
   const { clock, log, metrics } = parts;
-  const records = createCrashRecords();
+  /** Requests that are here, with what stops each. */
   const present = new Map<Fingerprint, () => void>();
-  /** What partners have not been told yet, with the server whose end changed it. */
-  const untold = new Map<string, string | undefined>();
-  const otherCauses = createOtherCauses<CountedRun>(clock, excuse);
-  /** When a peer whose table differs is next sent this one's. */
-  const comparisons = new Map<string, { nextAt: number; pauseMs: number }>();
-  let timer: Timer | undefined;
+  const ledger = createCrashLedger({
+    ...parts,
+    banned: stopPresent,
+    cleared(fingerprint) {
+      trials.cleared(fingerprint);
+    },
+  });
   const evidence = createCrashEvidence<Loss>({
     clock,
     log,
@@ -160,112 +118,31 @@
     send(peer, message) {
       parts.send(peer, message);
     },
-    rowsOf,
-    learn,
+    rowsOf: ledger.rowsOf,
+    learn: ledger.learn,
   });
 
   /** Bodies are looked at only where a request of the same outline is known. */
   function find(fingerprint: Fingerprint): CrashRecord | undefined {
-    if (!records.mayKnow(fingerprint.outline())) return undefined;
-    return records.find(fingerprint.whole(), clock.now());
+    return ledger.mayKnow(fingerprint.outline()) ? ledger.find(fingerprint.whole()) : undefined;
   }
 
   function count(loss: Loss, server: RegisteredServer, sign: CrashSign): void {
-    const { known, before } = loss;
-    loss.counted = 1 + Math.max(known.crashes, before?.counted ?? 0, countBefore(loss));
+    const { known, sentAt, before } = loss;
     metrics.crashesCounted.inc({ sign });
-    const fingerprint = loss.fingerprint.whole();
-    const crashes = Math.min(CRASHES_TO_BAN, loss.counted);
-    take({ ...known, fingerprint, crashes, at: clock.now() }, { server: server.id, sign });
-    spread(fingerprint, server.id);
-    if (isBan(records.find(fingerprint, clock.now()))) parts.banChanged(fingerprint);
-    otherCauses.counted({ server: server.id, fingerprint, crashes, known });
-  }
-
-  /** Crashes before a send that were not known here yet when it was sent. */
-  function countBefore({ fingerprint, known, sentAt }: Loss): number {
-    const record = records.find(fingerprint.whole(), clock.now());
-    if (record?.cleared !== known.cleared) return 0;
-    return sentAt > record.at ? record.crashes : 0;
-  }
-
-  /** Takes a count back: something else has ended the server. */
-  function excuse({ fingerprint, server, known }: CountedRun): void {
-    const record = records.find(fingerprint, clock.now());
-    if (record === undefined || record.excused >= MAX_EXCUSED) return;
-    if (record.crashes <= known.crashes) return;
-    const { crashes } = known;
-    const [cleared, excused] = [record.cleared + 1, record.excused + 1];
-    const wasBanned = isBan(record);
-    take({ fingerprint, cleared, crashes, excused, at: clock.now() }, { excused: server });
-    if (wasBanned) parts.banChanged(fingerprint);
-  }
-
-  /** Takes a record in, and acts on it where it is news. */
-  function take(record: CrashRecord, source: Record<string, string>): void {
-    const before = records.find(record.fingerprint, clock.now());
-    if (!records.merge(record, clock.now())) return;
-    const { fingerprint, cleared, crashes } = record;
-    const ageMs = Math.round(clock.now() - record.at);
-    log.write('crashesKnown', { fingerprint, crashes, cleared, ageMs, ...source });
-    spread(fingerprint);
-    if (crashes === 0) trials.cleared(fingerprint);
-    if (!isBan(record) || isBan(before)) return;
-    log.write('requestBanned', { fingerprint, crashes, forMs: resolveFadeMs(record, clock.now()) });
-    metrics.bans.inc();
-    stopPresent(fingerprint);
+    loss.counted = ledger.count({
+      fingerprint: loss.fingerprint.whole(),
+      server: server.id,
+      known,
+      sentAt,
+      countedBefore: before?.counted ?? 0,
+    });
   }
 
   /** What waits here, or is under way, is not to end another server. */
   function stopPresent(whole: string): void {
-    const known = records.find(whole, clock.now());
     for (const [fingerprint, banned] of [...present]) {
-      if (known !== undefined && find(fingerprint)?.fingerprint === whole) banned();
-    }
-  }
-
-  function spread(fingerprint: string, server?: string): void {
-    untold.set(fingerprint, server ?? untold.get(fingerprint));
-    timer ??= clock.after(GATHER_MS, () => {
-      timer = undefined;
-      tell();
-    });
-  }
-
-  function tell(): void {
-    const news: CrashRow[] = [];
-    for (const [fingerprint, server] of untold) {
-      const record = records.find(fingerprint, clock.now());
-      if (record !== undefined) news.push({ ...packCrash(record, clock.now()), server });
-    }
-    untold.clear();
-    if (news.length > 0) parts.tellPartners({ kind: 'crashes', records: news.map(encodeCrash) });
-  }
-
-  function clear(record: CrashRecord, by: string): void {
-    const { fingerprint, cleared } = record;
-    const wasBanned = isBan(record);
-    const at = clock.now();
-    take({ fingerprint, cleared: cleared + 1, crashes: 0, excused: 0, at }, { by });
-    if (wasBanned) parts.banChanged(fingerprint);
-  }
-
-  function resolveBan(record: CrashRecord | undefined): Ban | undefined {
-    if (record === undefined || !isBan(record)) return undefined;
-    const { fingerprint, crashes } = record;
-    return { fingerprint, crashes, leftMs: resolveFadeMs(record, clock.now()) };
-  }
-
-  function rowsOf(fingerprint: string): CrashRow[] {
-    const record = records.find(fingerprint, clock.now());
-    return record === undefined ? [] : [packCrash(record, clock.now())];
-  }
-
-  function learn(rows: readonly CrashRow[], source: string): void {
-    for (const row of rows) {
-      take(unpackCrash(row, clock.now()), { source });
-      const { server, fingerprint, crashes } = row;
-      if (server !== undefined) otherCauses.heard({ server, fingerprint, crashes });
+      if (find(fingerprint)?.fingerprint === whole) banned();
     }
   }
 
@@ -286,7 +163,10 @@
     }
 
     return {
-      ban: () => resolveBan(find(fingerprint)),
+      ban() {
+        const known = find(fingerprint);
+        return known === undefined ? undefined : ledger.ban(known.fingerprint);
+      },
       admit,
       beside: () => trial?.beside ?? [],
       sent(server) {
@@ -310,7 +190,7 @@
       },
       succeeded() {
         const known = find(fingerprint);
-        if (known !== undefined && known.crashes > 0) clear(known, 'success');
+        if (known !== undefined && known.crashes > 0) ledger.succeeded(known);
       },
       ended() {
         present.delete(fingerprint);
@@ -321,53 +201,16 @@
   }
 
   return {
+    ...ledger,
     watch,
     serverGone: evidence.gone,
-    learn,
     received(node, message) {
-      if (message.kind === 'crashes') learn(message.records.map(decodeCrash), node);
+      if (message.kind === 'crashes') ledger.received(node, message);
       else trials.received(node, message);
     },
     peerLost(node) {
-      comparisons.delete(node);
+      ledger.peerLost(node);
       trials.lost(node);
     },
-    digest: records.digest,
-    heardDigest(node, digest) {
-      const now = clock.now();
-      if (digest === records.digest()) {
-        comparisons.delete(node);
-        return;
-      }
-      const { nextAt, pauseMs } = comparisons.get(node) ?? { nextAt: now, pauseMs: COMPARE_MS };
-      if (now < nextAt) return;
-      const next = { nextAt: now + pauseMs, pauseMs: Math.min(MAX_COMPARE_MS, 2 * pauseMs) };
-      comparisons.set(node, next);
-      const rows = records.list(now).map((record) => encodeCrash(packCrash(record, now)));
-      if (rows.length > 0) parts.send(node, { kind: 'crashes', records: rows });
-    },
-    bans() {
-      const found: Ban[] = [];
-      for (const record of records.list(clock.now())) {
-        const ban = resolveBan(record);
-        if (ban !== undefined) found.push(ban);
-      }
-      return found;
-    },
-    recordOf(fingerprint) {
-      const record = records.find(fingerprint, clock.now());
-      if (record === undefined || !isBan(record)) return undefined;
-      return packCrash(record, clock.now());
-    },
-    lift(fingerprint) {
-      const record = records.find(fingerprint, clock.now());
-      if (record === undefined || record.crashes === 0) return false;
-      clear(record, 'operator');
-      return true;
-    },
   };
 }
-
-function isBan(record: CrashRecord | undefined): boolean {
-  return record !== undefined && record.crashes >= CRASHES_TO_BAN;
-}
--- a/src/quarantine/records.ts
+++ b/src/quarantine/records.ts
@@ -44,7 +44,7 @@
 /** The table of one gateway. */
 export interface CrashRecords {
   /** Whether a request of this outline may be in the table. */
-  mayKnow(outline: string): boolean;
+  mayKnow: (outline: string) => boolean;
   /** What is known of a request by now; `undefined` for nothing. */
   find(fingerprint: string, now: number): CrashRecord | undefined;
   /** Takes a record in; tells whether it is news. */
