--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -14,7 +14,6 @@
 import { createSendBudget } from '../limits/send-budget.js';
 import type { GatewayMetrics } from '../metrics/index.js';
 import { createOverlay, type Overlay } from '../peers/index.js';
-import { createBanRows, createQuarantine, createTcpProbe } from '../quarantine/index.js';
 import { resolveEra } from '../ports/position.js';
 import type { RowFeed } from '../ports/row-feed.js';
 import type { TableService } from '../ports/table-service.js';
@@ -40,6 +39,7 @@
 import { resolveFronts } from './directory.js';
 import { createFollowers } from './followers.js';
 import { startFollowing } from './following.js';
+import { createKeptQuarantine } from './kept-quarantine.js';
 import { createPeering } from './peering.js';
 import { publishAddress } from './publish-address.js';
 import { createSchedulers } from './schedulers.js';
@@ -155,33 +155,15 @@
     metrics.routesSince.reset();
     metrics.routesSince.set({ version: routes.version() }, Date.now() / 1_000);
   });
-  const quarantine = createQuarantine({
+  const { quarantine, banRows } = createKeptQuarantine({
     clock,
     log,
     metrics,
-    probe: createTcpProbe(),
     node,
-    deskOf: (service) => schedulers.holderOf(service),
-    tellPartners(message) {
-      overlay.tellPartners(message);
-    },
-    send(peer, message) {
-      overlay.send(peer, message);
-    },
-    banChanged: (fingerprint) => {
-      banRows.changed(fingerprint);
-    },
-  });
-  const banRows = createBanRows({
     table: platform.table,
-    clock,
-    log,
     signal: ending.signal,
-    timeOfDay: () => Date.now(),
-    recordOf: quarantine.recordOf,
-    learn(rows) {
-      quarantine.learn(rows, 'platform');
-    },
+    deskOf: (service) => schedulers.holderOf(service),
+    overlay: () => overlay,
   });
   const budget = createSendBudget(
     clock,
--- /dev/null
+++ b/src/gateway/kept-quarantine.ts
@@ -0,0 +1,70 @@
+/**
+ * The quarantine of a gateway, told to its peers, with its bans kept on the platform.
+ */
+import type { Log } from '../events/index.js';
+import type { GatewayMetrics } from '../metrics/index.js';
+import type { Overlay } from '../peers/index.js';
+import type { TableService } from '../ports/table-service.js';
+import {
+  createBanRows,
+  createQuarantine,
+  createTcpProbe,
+  type BanRows,
+  type Quarantine,
+} from '../quarantine/index.js';
+import type { Clock } from '../task/index.js';
+
+/** What it needs. */
+export interface KeptQuarantineParts {
+  clock: Clock;
+  log: Log;
+  metrics: GatewayMetrics;
+  node: string;
+  table: TableService;
+  /** Ends what is still to be written. */
+  signal: AbortSignal;
+  /** The gateway that keeps the desk of a service's trials. */
+  deskOf(service: string): string;
+  overlay(): Pick<Overlay, 'send' | 'tellPartners'>;
+}
+
+/**
+ * Creates the quarantine.
+ *
+ * @param parts the way to peers and to the platform
+ */
+export function createKeptQuarantine(parts: KeptQuarantineParts): {
+  quarantine: Quarantine;
+  banRows: BanRows;
+} {
+  const { clock, log, metrics, node, table, signal } = parts;
+  const quarantine = createQuarantine({
+    clock,
+    log,
+    metrics,
+    probe: createTcpProbe(),
+    node,
+    deskOf: (service) => parts.deskOf(service),
+    tellPartners(message) {
+      parts.overlay().tellPartners(message);
+    },
+    send(peer, message) {
+      parts.overlay().send(peer, message);
+    },
+    banChanged: (fingerprint) => {
+      banRows.changed(fingerprint);
+    },
+  });
+  const banRows = createBanRows({
+    table,
+    clock,
+    log,
+    signal,
+    timeOfDay: () => Date.now(),
+    recordOf: quarantine.recordOf,
+    learn(rows) {
+      quarantine.learn(rows, 'platform');
+    },
+  });
+  return { quarantine, banRows };
+}
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -10,7 +10,8 @@
 import type { Clock } from '../task/index.js';
 import { createCallerAnswer } from './caller-answer.js';
 import type { BackendProtocol } from './protocol.js';
-import { statuses, type Arrival } from './request.js';
+import { statuses } from './ending.js';
+import type { Arrival } from './request.js';
 
 /** Limits before a first configuration is known. */
 const FIRST_LIMITS: CallerLimits = {
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -17,6 +17,7 @@
 import { wait, type Clock, type RandomSource, type Timer } from '../task/index.js';
 import type { CallerAnswer } from './caller-answer.js';
 import type { Connections } from './connections.js';
+import { createEnding, statuses } from './ending.js';
 import { createEnginePlacer, type SchedulerClient } from './engine-placer.js';
 import { startExchange, type OutgoingRequest } from './exchange.js';
 import { resolveHealthOutcome, type ExchangeEnd } from './health-outcome.js';
@@ -27,18 +28,6 @@
 import { createServicePlacer, type ServerLoads } from './service-placer.js';
 import type { WaitRecord } from './wait-record.js';
 
-/** Statuses of the gateway's own answers. */
-export const statuses = {
-  notFound: 404,
-  tooLarge: 413,
-  /** It may have run. */
-  badGateway: 502,
-  /** It did not run and will not. */
-  unavailable: 503,
-  /** The time is over, and it may have run. */
-  gatewayTimeout: 504,
-} as const;
-
 /** Time after which callers are told to come back while there is no configuration yet, in ms. */
 const NOT_READY_RETRY_MS = 300;
 
@@ -150,6 +139,14 @@
   let ban: Ban | undefined;
   const watched = parts.quarantine.watch(fingerprint, service, stopBanned);
 
+  const { refuse, fail, passFailure, end } = createEnding({
+    parts,
+    arrival,
+    service,
+    progress,
+    ban: () => ban,
+  });
+
   const context: PlacingContext = {
     clock,
     protocol,
@@ -371,51 +368,6 @@
     else refuse(reason, DECLINED_RETRY_MS, 0);
   }
 
-  function passFailure(outcome: SendOutcome & { kind: 'failed' }): void {
-    if (progress.isBegun) {
-      fail(statuses.badGateway, 'the continuation failed');
-      return;
-    }
-    answer.begin(outcome.head);
-    answer.write(outcome.body);
-    answer.finish();
-    end('server-failure');
-  }
-
-  function refuse(reason: string, retryAfterMs: number, backlogMs: number): void {
-    if (progress.mayHaveRun) {
-      fail(statuses.badGateway, reason);
-      return;
-    }
-    metrics.refusals.inc({ reason });
-    log.write('requestRefused', {
-      request: requestId,
-      reason,
-      retryAfterMs: Math.round(retryAfterMs),
-      backlogMs: Math.round(backlogMs),
-      attempts: progress.attempts,
-      fingerprint: ban?.fingerprint,
-      crashes: ban?.crashes,
-      ms: Math.round(clock.now() - arrivedAt),
-    });
-    answer.refuse(statuses.unavailable, `not run: ${reason}`, retryAfterMs);
-    end('refused');
-  }
-
-  function fail(status: number, reason: string): void {
-    log.write('requestFailed', {
-      request: requestId,
-      reason,
-      status,
-      attempts: progress.attempts,
-      isBegun: progress.isBegun,
-      ms: Math.round(clock.now() - arrivedAt),
-    });
-    if (progress.isBegun) answer.cut();
-    else answer.refuse(status, `may have run: ${reason}`);
-    end('failed');
-  }
-
   /** Servers ended under the request, here or elsewhere. An answer that has begun to come may come whole, which
    * would clear the request. */
   function stopBanned(): void {
@@ -439,11 +391,6 @@
     else refuse('time limit', DECLINED_RETRY_MS, 0);
   }
 
-  function end(outcome: string): void {
-    metrics.requests.inc({ service, outcome });
-    metrics.duration.observe({ service }, (clock.now() - arrivedAt) / 1_000);
-  }
-
   function startTimer(): Timer {
     return clock.after(endAt - clock.now(), () => {
       timedOut = true;
--- a/tools/soak/controls.ts
+++ b/tools/soak/controls.ts
@@ -29,7 +29,7 @@
   },
   {
     name: 'what may have run is refused as not run',
-    file: 'src/relay/request.ts',
+    file: 'src/relay/ending.ts',
     from: 'badGateway: 502',
     to: 'badGateway: 503',
     finds: /was refused with 503 and ran/,
