fix(quarantine): what else explains an end is judged once it is known what was at work where

Cause: judged at once, a request that ended several servers within some ms was excused by those whose news of it was still to come; and an excuse set the count back to what was known before, over crashes counted since. Change: judged after 25 ms; an excuse takes one crash back.

--- a/src/quarantine/crash-ledger.ts
+++ b/src/quarantine/crash-ledger.ts
@@ -142,8 +142,9 @@
   function excuse({ fingerprint, server, known }: CountedRun): void {
     const record = find(fingerprint);
     if (record === undefined || record.excused >= MAX_EXCUSED) return;
-    if (record.crashes <= known.crashes) return;
-    const { crashes } = known;
+    // it was cleared or excused meanwhile
+    if (record.cleared !== known.cleared || record.crashes === 0) return;
+    const crashes = record.crashes - 1;
     const [cleared, excused] = [record.cleared + 1, record.excused + 1];
     const wasBanned = isBan(record);
     take({ fingerprint, cleared, crashes, excused, at: clock.now() }, { excused: server });
--- a/src/quarantine/other-causes.ts
+++ b/src/quarantine/other-causes.ts
@@ -6,8 +6,11 @@
 import type { Clock } from '../task/index.js';
 
 /** Ends that come within this time of each other have one cause, in ms: the way of the news. A request that comes again
- * takes longer than that to end the next server. */
+ * takes longer than that to end the next server. It is judged after as long, when it is known what was at work where:
+ * judged at once, a request that ended several servers in a row excused itself by those whose news was still to come. */
 const SAME_MOMENT_MS = 25;
+/** Ends are remembered for so long, in ms: until the last run that they may explain was judged, on a busy processor. */
+const MEMORY_MS = 8 * SAME_MOMENT_MS;
 
 /** A request that was at work at a server that ended. */
 export interface EndedRun {
@@ -22,7 +25,7 @@
   /** A server ended under a request of this gateway. */
   counted(run: Run): void;
   /** A server ended under a request of another gateway. */
-  heard(run: EndedRun): void;
+  heard: (run: EndedRun) => void;
 }
 
 interface End {
@@ -42,47 +45,35 @@
   excuse: (run: Run) => void,
 ): OtherCauses<Run> {
   const ends = new Map<string, End>();
-  let open: { run: Run; at: number }[] = [];
 
-  function forgetOld(): void {
-    const before = clock.now() - SAME_MOMENT_MS;
+  function note({ server, fingerprint, crashes }: EndedRun): void {
+    const now = clock.now();
     for (const [id, { at }] of ends) {
-      if (at < before) ends.delete(id);
+      if (now - at > MEMORY_MS) ends.delete(id);
     }
-    open = open.filter(({ at }) => at >= before);
-  }
-
-  function note({ server, fingerprint, crashes }: EndedRun): void {
-    forgetOld();
-    const end: End = ends.get(server) ?? { at: clock.now(), runs: new Map() };
+    const end: End = ends.get(server) ?? { at: now, runs: new Map() };
     ends.set(server, end);
     end.runs.set(fingerprint, crashes);
   }
 
-  function hasOtherCause(run: Run): boolean {
-    for (const [server, { runs }] of ends) {
-      if (server !== run.server && !runs.has(run.fingerprint)) return true;
-      if (server === run.server && Math.max(...runs.values()) > run.crashes) return true;
+  function hasOtherCause(run: Run, countedAt: number): boolean {
+    for (const [server, { at, runs }] of ends) {
+      const isSame = server === run.server;
+      if (isSame && Math.max(...runs.values()) > run.crashes) return true;
+      const isAtOnce = Math.abs(at - countedAt) <= SAME_MOMENT_MS;
+      if (!isSame && isAtOnce && !runs.has(run.fingerprint)) return true;
     }
     return false;
   }
 
-  function excuseAll(): void {
-    const found = open.filter(({ run }) => hasOtherCause(run));
-    if (found.length === 0) return;
-    open = open.filter((one) => !found.includes(one));
-    for (const { run } of found) excuse(run);
-  }
-
   return {
     counted(run) {
       note(run);
-      open.push({ run, at: clock.now() });
-      excuseAll();
-    },
-    heard(run) {
-      note(run);
-      excuseAll();
+      const countedAt = clock.now();
+      clock.after(SAME_MOMENT_MS, () => {
+        if (hasOtherCause(run, countedAt)) excuse(run);
+      });
     },
+    heard: note,
   };
 }
