--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -162,7 +162,7 @@
     node,
     table: platform.table,
     signal: ending.signal,
-    deskOf: (service) => schedulers.holderOf(service),
+    coordinatorOf: (service) => schedulers.holderOf(service),
     overlay: () => overlay,
   });
   const budget = createSendBudget(
--- a/src/gateway/kept-quarantine.ts
+++ b/src/gateway/kept-quarantine.ts
@@ -23,8 +23,8 @@
   table: TableService;
   /** Ends what is still to be written. */
   signal: AbortSignal;
-  /** The gateway that keeps the desk of a service's trials. */
-  deskOf(service: string): string;
+  /** The gateway that coordinates a service's trials. */
+  coordinatorOf(service: string): string;
   overlay(): Pick<Overlay, 'send' | 'tellPartners'>;
 }
 
@@ -44,7 +44,7 @@
     metrics,
     probe: createTcpProbe(),
     node,
-    deskOf: (service) => parts.deskOf(service),
+    coordinatorOf: (service) => parts.coordinatorOf(service),
     tellPartners(message) {
       parts.overlay().tellPartners(message);
     },
--- a/src/quarantine/ban-rows.ts
+++ b/src/quarantine/ban-rows.ts
@@ -16,7 +16,7 @@
 const rowSchema = z.object({
   cleared: z.number(),
   crashes: z.number(),
-  excused: z.number(),
+  discounted: z.number(),
   /** Last crash by the time of day, in ms: only for how long a ban lasts, which seconds do not change. */
   atMs: z.number(),
 });
@@ -73,8 +73,13 @@
     return (parts.recordOf(fingerprint) === undefined) === (record === undefined);
   }
 
-  function createValue({ cleared, crashes, excused, ageMs }: CrashRow): z.infer<typeof rowSchema> {
-    return { cleared, crashes, excused, atMs: Math.round(parts.timeOfDay() - ageMs) };
+  function createValue({
+    cleared,
+    crashes,
+    discounted,
+    ageMs,
+  }: CrashRow): z.infer<typeof rowSchema> {
+    return { cleared, crashes, discounted, atMs: Math.round(parts.timeOfDay() - ageMs) };
   }
 
   async function read(): Promise<boolean> {
--- a/src/quarantine/crash-ledger.ts
+++ b/src/quarantine/crash-ledger.ts
@@ -17,7 +17,7 @@
 import {
   createCrashRecords,
   CRASHES_TO_BAN,
-  MAX_EXCUSED,
+  MAX_DISCOUNTED,
   resolveFadeMs,
   type CrashRecord,
 } from './records.js';
@@ -56,7 +56,7 @@
 }
 
 /** What was known of a request when it was sent. */
-export type KnownCrashes = Pick<CrashRecord, 'cleared' | 'crashes' | 'excused'>;
+export type KnownCrashes = Pick<CrashRecord, 'cleared' | 'crashes' | 'discounted'>;
 
 /** A crash as it was counted. */
 interface CountedRun extends EndedRun {
@@ -111,7 +111,7 @@
   const records = createCrashRecords();
   /** What partners have not been told yet, with the server whose end changed it. */
   const untold = new Map<string, string | undefined>();
-  const otherCauses = createOtherCauses<CountedRun>(clock, excuse);
+  const otherCauses = createOtherCauses<CountedRun>(clock, discount);
   /** When a peer whose table differs is next sent this one's. */
   const comparisons = new Map<string, { nextAt: number; pauseMs: number }>();
   let timer: Timer | undefined;
@@ -139,15 +139,15 @@
   }
 
   /** Takes a count back: something else has ended the server. */
-  function excuse({ fingerprint, server, known }: CountedRun): void {
+  function discount({ fingerprint, server, known }: CountedRun): void {
     const record = find(fingerprint);
-    if (record === undefined || record.excused >= MAX_EXCUSED) return;
-    // it was cleared or excused meanwhile
+    if (record === undefined || record.discounted >= MAX_DISCOUNTED) return;
+    // it was cleared or discounted meanwhile
     if (record.cleared !== known.cleared || record.crashes === 0) return;
     const crashes = record.crashes - 1;
-    const [cleared, excused] = [record.cleared + 1, record.excused + 1];
+    const [cleared, discounted] = [record.cleared + 1, record.discounted + 1];
     const wasBanned = isBan(record);
-    take({ fingerprint, cleared, crashes, excused, at: clock.now() }, { excused: server });
+    take({ fingerprint, cleared, crashes, discounted, at: clock.now() }, { discounted: server });
     if (wasBanned) parts.banChanged(fingerprint);
   }
 
@@ -188,7 +188,7 @@
     const { fingerprint, cleared } = record;
     const wasBanned = isBan(record);
     const at = clock.now();
-    take({ fingerprint, cleared: cleared + 1, crashes: 0, excused: 0, at }, { by });
+    take({ fingerprint, cleared: cleared + 1, crashes: 0, discounted: 0, at }, { by });
     if (wasBanned) parts.banChanged(fingerprint);
   }
 
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -7,5 +7,5 @@
 export * from './quarantine.js';
 export * from './records.js';
 export * from './tcp-probe.js';
-export * from './trial-desk.js';
+export * from './trial-coordinator.js';
 export * from './trials.js';
--- a/src/quarantine/messages.ts
+++ b/src/quarantine/messages.ts
@@ -8,7 +8,7 @@
   fingerprint: z.string(),
   cleared: z.number(),
   crashes: z.number(),
-  excused: z.number().default(0),
+  discounted: z.number().default(0),
   /** Time since the last change, in ms: clocks differ. */
   ageMs: z.number(),
   /** The server whose end was just counted. */
@@ -40,8 +40,8 @@
 
 /** Puts a row into a message. */
 export function encodeCrash(row: CrashRow): ToldCrash {
-  const { fingerprint, cleared, crashes, excused, ageMs, server } = row;
-  const counts: [number, number, number] = [cleared, crashes, excused];
+  const { fingerprint, cleared, crashes, discounted, ageMs, server } = row;
+  const counts: [number, number, number] = [cleared, crashes, discounted];
   const told: ToldCrash = [fingerprint, ...counts, Math.round(ageMs)];
   if (server !== undefined) told.push(server);
   return told;
@@ -49,8 +49,8 @@
 
 /** Reads a row of a message. */
 export function decodeCrash(told: ToldCrash): CrashRow {
-  const [fingerprint, cleared, crashes, excused, ageMs, server] = told;
-  return { fingerprint, cleared, crashes, excused, ageMs, server };
+  const [fingerprint, cleared, crashes, discounted, ageMs, server] = told;
+  return { fingerprint, cleared, crashes, discounted, ageMs, server };
 }
 
 /**
@@ -70,6 +70,6 @@
  * @param now this gateway's clock, in ms
  */
 export function unpackCrash(row: CrashRow, now: number): CrashRecord {
-  const { fingerprint, cleared, crashes, excused, ageMs } = row;
-  return { fingerprint, cleared, crashes, excused, at: now - Math.max(0, ageMs) };
+  const { fingerprint, cleared, crashes, discounted, ageMs } = row;
+  return { fingerprint, cleared, crashes, discounted, at: now - Math.max(0, ageMs) };
 }
--- a/src/quarantine/other-causes.ts
+++ b/src/quarantine/other-causes.ts
@@ -7,7 +7,7 @@
 
 /** Ends that come within this time of each other have one cause, in ms: the way of the news. A request that comes again
  * takes longer than that to end the next server. It is judged after as long, when it is known what was at work where:
- * judged at once, a request that ended several servers in a row excused itself by those whose news was still to come. */
+ * judged at once, a request that ended several servers in a row discounted itself by those whose news was still to come. */
 const SAME_MOMENT_MS = 25;
 /** Ends are remembered for so long, in ms: until the last run that they may explain was judged, on a busy processor. */
 const MEMORY_MS = 8 * SAME_MOMENT_MS;
@@ -38,11 +38,11 @@
  * Creates a memory of no ends.
  *
  * @param clock the gateway's clock
- * @param excuse hears of each request of this gateway that something else explains
+ * @param discount hears of each request of this gateway that something else explains
  */
 export function createOtherCauses<Run extends EndedRun>(
   clock: Clock,
-  excuse: (run: Run) => void,
+  discount: (run: Run) => void,
 ): OtherCauses<Run> {
   const ends = new Map<string, End>();
 
@@ -71,7 +71,7 @@
       note(run);
       const countedAt = clock.now();
       clock.after(SAME_MOMENT_MS, () => {
-        if (hasOtherCause(run, countedAt)) excuse(run);
+        if (hasOtherCause(run, countedAt)) discount(run);
       });
     },
     heard: note,
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -27,8 +27,8 @@
   metrics: Pick<GatewayMetrics, 'crashesCounted' | 'bans'>;
   probe: ServerProbe;
   node: string;
-  /** The gateway that keeps the desk of a service's trials. */
-  deskOf(service: string): string;
+  /** The gateway that coordinates a service's trials. */
+  coordinatorOf(service: string): string;
   /** Tells one peer. */
   send(node: string, message: CrashesMessage | TrialMessage): void;
 }
@@ -86,7 +86,7 @@
   counted: number;
 }
 
-const nothingKnown: KnownCrashes = { cleared: 0, crashes: 0, excused: 0 };
+const nothingKnown: KnownCrashes = { cleared: 0, crashes: 0, discounted: 0 };
 
 /**
  * Creates a quarantine that knows of no request.
@@ -114,7 +114,7 @@
     clock,
     log,
     node: parts.node,
-    deskOf: (service) => parts.deskOf(service),
+    coordinatorOf: (service) => parts.coordinatorOf(service),
     send(peer, message) {
       parts.send(peer, message);
     },
@@ -170,7 +170,7 @@
       admit,
       beside: () => trial?.beside ?? [],
       sent(server) {
-        const { cleared, crashes, excused } = find(fingerprint) ?? nothingKnown;
+        const { cleared, crashes, discounted } = find(fingerprint) ?? nothingKnown;
         const before = last;
         const sentAt = clock.now();
         trial?.placed(server.id);
@@ -178,7 +178,7 @@
           lost() {
             last = {
               fingerprint,
-              known: { cleared, crashes, excused },
+              known: { cleared, crashes, discounted },
               sentAt,
               before,
               counted: 0,
--- a/src/quarantine/records.ts
+++ b/src/quarantine/records.ts
@@ -9,7 +9,7 @@
 import { hashName } from '../gossip/index.js';
 import { resolveOutline } from './fingerprint.js';
 
-/** Crashes, each sent after the one before was known, that convict a request: a second may be chance where servers
+/** Crashes, each sent after the one before was known, after which a request is banned: a second may be chance where servers
  * end often, and each further one takes the answers of all who are served beside it. */
 export const CRASHES_TO_BAN = 3;
 /** A count falls by one after so long without another crash, in ms: callers that repeat a request give up or have
@@ -22,8 +22,8 @@
  * tables send each other's evicted records to and fro, 770 MB a gateway after a hundred servers had ended (60 gateways
  * in virtual time). */
 const MAX_EVICTED = 8 * MAX_RECORDS;
-/** So many crashes of a request are excused at most: two that always come together would excuse each other. */
-export const MAX_EXCUSED = 2;
+/** So many crashes of a request are discounted at most: two that always come together would discount each other. */
+export const MAX_DISCOUNTED = 2;
 /** Two gateways' times of the same crash differ by the way between them; only a greater difference is news, in ms. */
 const SAME_MOMENT_MS = 1_500;
 
@@ -36,7 +36,7 @@
   /** Crashes counted since then. */
   crashes: number;
   /** Crashes that were not counted, since something else explained them. */
-  excused: number;
+  discounted: number;
   /** Last change, on this gateway's clock in ms. */
   at: number;
 }
--- a/src/quarantine/trial-desk.ts
+++ b/src/quarantine/trial-coordinator.ts
@@ -1,7 +1,7 @@
 /**
- * Lets requests under which a server has ended run one at a time. One gateway of the fleet keeps the desk for a
- * service; it knows which of its suspected requests run, and where, so that no two of them share a server while
- * there is another: of two that share one, its end would accuse both.
+ * Lets requests under which a server has ended run one at a time. One gateway of the fleet coordinates the trials of a
+ * service; it knows which of its suspected requests run, and where, so that no two of them share a server while there
+ * is another: of two that share one, its end would count against both.
  */
 
 /** Where a trial was asked for. */
@@ -15,8 +15,8 @@
   fingerprint: string;
 }
 
-/** The trials of the services whose desk is here. */
-export interface TrialDesk {
+/** The trials of the services that this gateway coordinates. */
+export interface TrialCoordinator {
   /** Asks for a trial; tells whether it may begin now. Otherwise it waits for the one before it. */
   ask(claim: TrialClaim): boolean;
   /** A trial runs at a server. */
@@ -35,8 +35,8 @@
   server: string | undefined;
 }
 
-/** Creates a desk without trials. */
-export function createTrialDesk(): TrialDesk {
+/** Creates a coordinator without trials. */
+export function createTrialCoordinator(): TrialCoordinator {
   /** In the order in which they were asked for. */
   const trials = new Map<string, Trial>();
 
--- a/src/quarantine/trials.ts
+++ b/src/quarantine/trials.ts
@@ -1,16 +1,16 @@
 /**
- * Asks for trials of requests under which a server has ended, at the gateway that keeps the desk of their service, and
- * keeps the desk of those services that fall to this one. Nothing is agreed on: where the desk is silent, the request
- * runs all the same, as one more among the few.
+ * Asks for trials of requests under which a server has ended, at the gateway that coordinates those of their service,
+ * and coordinates those of the services that fall to this one. Nothing is agreed on: where the coordinator is silent,
+ * the request runs all the same, as one more among the few.
  */
 import { match } from 'ts-pattern';
 import * as z from 'zod';
 import type { Log } from '../events/index.js';
 import type { Clock, Timer } from '../task/index.js';
 import { crashRowSchema, type CrashRow } from './messages.js';
-import { createTrialDesk, type TrialClaim } from './trial-desk.js';
+import { createTrialCoordinator, type TrialClaim } from './trial-coordinator.js';
 
-/** How long the desk may take to answer, in ms: some ways there and back, and its processor's turn. */
+/** How long the coordinator may take to answer, in ms: some ways there and back, and its processor's turn. */
 const SILENCE_MS = 60;
 /** How long a request waits behind another trial of the same, in ms: a caller that waits for longer is told to come
  * back, by when the trial has shown what the request does. */
@@ -65,8 +65,8 @@
   clock: Clock;
   log: Log;
   node: string;
-  /** The gateway that keeps the desk of a service. */
-  deskOf(service: string): string;
+  /** The gateway that coordinates the trials of a service. */
+  coordinatorOf(service: string): string;
   send(node: string, message: TrialMessage): void;
   /** What is known of a request. */
   rowsOf(fingerprint: string): CrashRow[];
@@ -86,21 +86,21 @@
 
 interface Asked {
   claim: TrialClaim;
-  /** The gateway whose desk was asked. */
+  /** The gateway that was asked. */
   at: string;
   settle: (answer: 'granted' | 'busy' | 'aborted', beside?: readonly string[]) => void;
-  /** The desk has answered that it has the claim. */
+  /** The coordinator has answered that it has the claim. */
   noteQueued: () => void;
 }
 
 /**
  * Creates the trials of a gateway.
  *
- * @param parts the way to the desks
+ * @param parts the way to the coordinators
  */
 export function createTrials(parts: TrialsParts): Trials {
   const { clock, log, node } = parts;
-  const desk = createTrialDesk();
+  const coordinator = createTrialCoordinator();
   const asked = new Map<string, Asked>();
   let counter = 0;
 
@@ -110,7 +110,7 @@
   }
 
   function grant(claim: TrialClaim): void {
-    const beside = desk.serversBeside(claim);
+    const beside = coordinator.serversBeside(claim);
     const known = parts.rowsOf(claim.fingerprint);
     tell(claim.node, { kind: 'trial.granted', id: claim.id, known, beside });
   }
@@ -118,7 +118,7 @@
   function ask(service: string, fingerprint: string, signal: AbortSignal): Promise<TrialAnswer> {
     counter += 1;
     const claim: TrialClaim = { node, id: String(counter), service, fingerprint };
-    const at = parts.deskOf(service);
+    const at = parts.coordinatorOf(service);
     return new Promise((resolve) => {
       let timer: Timer | undefined;
       let isSettled = false;
@@ -183,15 +183,15 @@
     match(message)
       .with({ kind: 'trial.ask' }, ({ id, service, fingerprint }) => {
         const claim: TrialClaim = { node: from, id, service, fingerprint };
-        if (desk.ask(claim)) grant(claim);
+        if (coordinator.ask(claim)) grant(claim);
         else tell(from, { kind: 'trial.queued', id });
       })
       .with({ kind: 'trial.placed' }, ({ id, server }) => {
-        desk.placed(from, id, server);
+        coordinator.placed(from, id, server);
       })
       .with({ kind: 'trial.ended' }, ({ id, known }) => {
         parts.learn(known, from);
-        const next = desk.ended(from, id);
+        const next = coordinator.ended(from, id);
         if (next !== undefined) grant(next);
       })
       .with({ kind: 'trial.queued' }, ({ id }) => {
@@ -213,7 +213,7 @@
       }
     },
     lost(peer) {
-      for (const claim of desk.lost(peer)) grant(claim);
+      for (const claim of coordinator.lost(peer)) grant(claim);
       for (const { at, settle } of [...asked.values()]) {
         if (at === peer) settle('granted');
       }
--- a/test/gateway/requests-that-end-servers.test.ts
+++ b/test/gateway/requests-that-end-servers.test.ts
@@ -23,7 +23,7 @@
 const GATEWAYS = 2;
 const SERVERS = 9;
 const ATTEMPTS = 18;
-/** Servers that may end under one request: three convict it, and no more than three sends may follow. */
+/** Servers that may end under one request: it is banned after three, and no more than three sends may follow. */
 const MOST_ENDED = 6;
 const BODY = 'a request that ends its server';
 
--- a/test/quarantine/crash-evidence.test.ts
+++ b/test/quarantine/crash-evidence.test.ts
@@ -38,7 +38,7 @@
     expect(confirmed).to.deep.equal(['a at server-1: refused']);
   });
 
-  it('accuses all who lost their answers there, also a moment later, with one dial', async () => {
+  it('counts against all who lost their answers there, also a moment later, with one dial', async () => {
     const { evidence, confirmed, dialled } = createCase(['refused']);
     const looks = [evidence.lost(server, 'a'), evidence.lost(server, 'b')];
     await Promise.all(looks);
@@ -74,7 +74,7 @@
     });
   }
 
-  it('accuses nobody whose answer was lost while the server went on', async () => {
+  it('counts against nobody whose answer was lost while the server went on', async () => {
     const { lose, confirmed } = createCase(['open', 'open', 'refused']);
     await lose('reset');
     await lose('fatal');
--- a/test/quarantine/fleet.test.ts
+++ b/test/quarantine/fleet.test.ts
@@ -11,7 +11,7 @@
 /** Drawn fleets; each has servers that end by chance beside requests that end them. */
 const FLEETS = 2_000;
 const SECOND_MS = 1_000;
-/** Servers that may end under one request: three convict it, and no more than three sends may follow. */
+/** Servers that may end under one request: it is banned after three, and no more than three sends may follow. */
 const MOST_ENDED = 6;
 
 function resolvePage(path: string): FleetRequest {
@@ -77,7 +77,7 @@
     expect(day.countAnswers('/page', 'served')).to.equal(7);
   });
 
-  it('keeps two suspected requests off each other, so that one does not accuse the other', async () => {
+  it('keeps two suspected requests off each other, so that the end of one does not count against the other', async () => {
     const day = createDay(4, { gateways: 3, servers: 2, awayMs: 50 });
     const slow = { path: '/slow', runMs: 400, endsServers: false };
     const [first, second] = day.fleet.servers;
@@ -141,7 +141,7 @@
     expect(day.countAnswers('/fatal', 'banned')).to.equal(1);
   });
 
-  it('forgives a request that was answered after all, everywhere', async () => {
+  it('clears a request that was answered after all, everywhere', async () => {
     const day = createDay(7);
     for (let index = 0; index < 3; index += 1) {
       day.ask(resolvePage('/page'), day.fleet.gateways[0]);
@@ -184,7 +184,7 @@
       expect(day.fleet.ended.length, label).to.be.at.most(MOST_ENDED);
       lost += day.countAnswers('/page', 'lost') + day.countAnswers('/own', 'lost');
     }
-    // the fleets have to put the innocent to the test
+    // the fleets have to put requests that end nothing to the test
     expect(lost).to.be.above(FLEETS);
   });
 
--- a/test/quarantine/other-causes.test.ts
+++ b/test/quarantine/other-causes.test.ts
@@ -4,11 +4,11 @@
 
 function createCase() {
   const { clock, advance } = createFakeClock();
-  const excused: string[] = [];
+  const discounted: string[] = [];
   const causes = createOtherCauses<EndedRun>(clock, ({ fingerprint }) => {
-    excused.push(fingerprint);
+    discounted.push(fingerprint);
   });
-  return { causes, excused, advance };
+  return { causes, discounted, advance };
 }
 
 function createRun(fingerprint: string, server: string, crashes = 1): EndedRun {
@@ -17,39 +17,39 @@
 
 describe('what else explains the end of a server', () => {
   it('is the end of another one at the same moment, where the request was not at work', async () => {
-    const { causes, excused, advance } = createCase();
+    const { causes, discounted, advance } = createCase();
     causes.counted(createRun('page', 'one'));
     await advance(10);
     causes.heard(createRun('other', 'two'));
     await advance(100);
-    expect(excused).to.deep.equal(['page']);
+    expect(discounted).to.deep.equal(['page']);
   });
 
   it('is not the end of a server where the request was at work too, though that is heard later', async () => {
-    const { causes, excused, advance } = createCase();
+    const { causes, discounted, advance } = createCase();
     causes.counted(createRun('fatal', 'one'));
     await advance(2);
     causes.heard(createRun('neighbour', 'two'));
     await advance(5);
     causes.heard(createRun('fatal', 'two', 2));
     await advance(100);
-    expect(excused).to.deep.equal([]);
+    expect(discounted).to.deep.equal([]);
   });
 
   it('is not the end of another one a moment later', async () => {
-    const { causes, excused, advance } = createCase();
+    const { causes, discounted, advance } = createCase();
     causes.counted(createRun('fatal', 'one'));
     await advance(60);
     causes.heard(createRun('other', 'two'));
     await advance(100);
-    expect(excused).to.deep.equal([]);
+    expect(discounted).to.deep.equal([]);
   });
 
   it('is a request beside it under which more servers have ended', async () => {
-    const { causes, excused, advance } = createCase();
+    const { causes, discounted, advance } = createCase();
     causes.counted(createRun('page', 'one'));
     causes.heard(createRun('fatal', 'one', 2));
     await advance(100);
-    expect(excused).to.deep.equal(['page']);
+    expect(discounted).to.deep.equal(['page']);
   });
 });
--- a/test/quarantine/records.test.ts
+++ b/test/quarantine/records.test.ts
@@ -9,7 +9,7 @@
 } from '../../src/quarantine/index.js';
 
 function createRecord(more: Partial<CrashRecord> = {}): CrashRecord {
-  return { fingerprint: 'aaaaaaaa-1', cleared: 0, crashes: 1, excused: 0, at: 0, ...more };
+  return { fingerprint: 'aaaaaaaa-1', cleared: 0, crashes: 1, discounted: 0, at: 0, ...more };
 }
 
 describe('records of servers that ended under requests', () => {
@@ -18,7 +18,7 @@
       fingerprint: fc.constantFrom('aaaaaaaa-1', 'aaaaaaaa-2', 'bbbbbbbb-1'),
       cleared: fc.integer({ min: 0, max: 3 }),
       crashes: fc.integer({ min: 0, max: CRASHES_TO_BAN }),
-      excused: fc.constant(0),
+      discounted: fc.constant(0),
       at: fc.constant(0),
     });
     fc.assert(
--- a/test/quarantine/spreading.test.ts
+++ b/test/quarantine/spreading.test.ts
@@ -28,7 +28,7 @@
       metrics: createGatewayMetrics(),
       probe: { dial: () => Promise.resolve('refused') },
       node: node.name,
-      deskOf: () => node.name,
+      coordinatorOf: () => node.name,
       tellPartners(message) {
         node.overlay.tellPartners(message);
       },
--- a/test/quarantine/trials.test.ts
+++ b/test/quarantine/trials.test.ts
@@ -1,50 +1,54 @@
 import { expect } from 'chai';
 import { createSilentLog } from '../../src/events/index.js';
-import { createTrialDesk, createTrials, type TrialMessage } from '../../src/quarantine/index.js';
+import {
+  createTrialCoordinator,
+  createTrials,
+  type TrialMessage,
+} from '../../src/quarantine/index.js';
 import { createFakeClock } from '../fixtures/fake-clock.js';
 
 function createClaim(node: string, id: string, fingerprint = 'f') {
   return { node, id, service: 's', fingerprint };
 }
 
-describe('the desk of trials', () => {
+describe('the coordinator of trials', () => {
   it('lets one request run at a time, and another beside it', () => {
-    const desk = createTrialDesk();
-    expect(desk.ask(createClaim('a', '1'))).to.equal(true);
-    expect(desk.ask(createClaim('b', '1'))).to.equal(false);
-    expect(desk.ask(createClaim('b', '2', 'g'))).to.equal(true);
-    expect(desk.ended('a', '1')).to.deep.equal(createClaim('b', '1'));
-    expect(desk.ended('a', '1')).to.equal(undefined);
+    const coordinator = createTrialCoordinator();
+    expect(coordinator.ask(createClaim('a', '1'))).to.equal(true);
+    expect(coordinator.ask(createClaim('b', '1'))).to.equal(false);
+    expect(coordinator.ask(createClaim('b', '2', 'g'))).to.equal(true);
+    expect(coordinator.ended('a', '1')).to.deep.equal(createClaim('b', '1'));
+    expect(coordinator.ended('a', '1')).to.equal(undefined);
   });
 
   it('names the servers at which others are tried', () => {
-    const desk = createTrialDesk();
-    desk.ask(createClaim('a', '1'));
-    desk.placed('a', '1', 'server-1');
+    const coordinator = createTrialCoordinator();
+    coordinator.ask(createClaim('a', '1'));
+    coordinator.placed('a', '1', 'server-1');
     const other = createClaim('b', '1', 'g');
-    desk.ask(other);
-    expect(desk.serversBeside(other)).to.deep.equal(['server-1']);
-    expect(desk.serversBeside(createClaim('a', '1'))).to.deep.equal([]);
+    coordinator.ask(other);
+    expect(coordinator.serversBeside(other)).to.deep.equal(['server-1']);
+    expect(coordinator.serversBeside(createClaim('a', '1'))).to.deep.equal([]);
   });
 
   it('goes on to the next where the gateway of a trial is lost', () => {
-    const desk = createTrialDesk();
-    desk.ask(createClaim('a', '1'));
-    desk.ask(createClaim('a', '2'));
-    desk.ask(createClaim('b', '1'));
-    expect(desk.lost('a')).to.deep.equal([createClaim('b', '1')]);
+    const coordinator = createTrialCoordinator();
+    coordinator.ask(createClaim('a', '1'));
+    coordinator.ask(createClaim('a', '2'));
+    coordinator.ask(createClaim('b', '1'));
+    expect(coordinator.lost('a')).to.deep.equal([createClaim('b', '1')]);
   });
 });
 
 describe('asking for a trial', () => {
-  function createCase(desk: string) {
+  function createCase(coordinator: string) {
     const { clock, advance, runUntil } = createFakeClock();
     const sent: TrialMessage[] = [];
     const trials = createTrials({
       clock,
       log: createSilentLog(),
       node: 'a',
-      deskOf: () => desk,
+      coordinatorOf: () => coordinator,
       send: (_node, message) => sent.push(message),
       rowsOf: () => [],
       learn: () => undefined,
@@ -54,7 +58,7 @@
 
   const signal = new AbortController().signal;
 
-  it('is answered at once where the desk is here', async () => {
+  it('is answered at once where the coordinator is here', async () => {
     const { trials } = createCase('a');
     const answer = await trials.ask('s', 'f', signal);
     expect(answer.kind).to.equal('granted');
@@ -62,12 +66,12 @@
     expect(trials.size()).to.equal(0);
   });
 
-  it('does not hold a request up where the desk is silent', async () => {
+  it('does not hold a request up where the coordinator is silent', async () => {
     const { trials, runUntil } = createCase('b');
     expect((await runUntil(trials.ask('s', 'f', signal))).kind).to.equal('granted');
   });
 
-  it('does not hold a request up where the desk is lost', async () => {
+  it('does not hold a request up where the coordinator is lost', async () => {
     const { trials } = createCase('b');
     const asking = trials.ask('s', 'f', signal);
     trials.received('b', { kind: 'trial.queued', id: '1' });
--- a/tools/soak/fatal.ts
+++ b/tools/soak/fatal.ts
@@ -4,7 +4,7 @@
 
 /** Marks a request that ends its server, in its path. */
 const MARK = 'fatal-';
-/** Servers that may end under one request: three convict it, and no more than three sends may follow. */
+/** Servers that may end under one request: it is banned after three, and no more than three sends may follow. */
 const MOST_ENDED = 6;
 
 /** Counts servers that ended under requests. */
--- a/tools/soak/gateways.ts
+++ b/tools/soak/gateways.ts
@@ -19,7 +19,7 @@
   readonly host: string;
   readonly frontPort: number;
   readonly readinessPort: number;
-  /** Disturbed since this moment or before, in ms of the steady clock; it excuses its callers. */
+  /** Disturbed since this moment or before, in ms of the steady clock; it discounts its callers. */
   disturbedUntil: number;
   start(): void;
   signal(name: NodeJS.Signals): void;
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -10,7 +10,7 @@
 const REGRESSION_SEEDS: readonly number[] = [
   // every gateway's call for registry changes was swallowed by a silent store, and found out after 9.5 s
   126,
-  // two requests that ended servers excused each other without end, and old resets were counted as ends
+  // two requests that ended servers discounted each other without end, and old resets were counted as ends
   3,
 ];
 
