refactor(gateway): one retry loop for a gateway's row; say which ban's row cannot be read

Cause: writing the address row again had a copy of the loop that writes it first, and a ban's row that cannot be read was passed over without a line. Change: both steps call one loop; the line names the row and why. No other behaviour. Checked: format, types, lint of the two folders, the 20 tests of bans, restored stores and gateways' lives.

--- a/src/gateway/publish-address.ts
+++ b/src/gateway/publish-address.ts
@@ -73,21 +73,20 @@
 
   async function run(): Promise<void> {
     for (const step of [put, readOthers]) {
-      while (!signal.aborted && !withdrawn && !(await step())) {
-        await wait(clock, RETRY_MS);
-      }
+      await repeat(step);
     }
   }
 
-  async function renew(): Promise<void> {
-    while (!signal.aborted && !withdrawn && !(await put())) {
+  /** Takes a step until the store has answered it. */
+  async function repeat(step: () => Promise<boolean>): Promise<void> {
+    while (!signal.aborted && !withdrawn && !(await step())) {
       await wait(clock, RETRY_MS);
     }
   }
 
   return {
     done: run(),
-    renew,
+    renew: () => repeat(put),
     async withdraw() {
       withdrawn = true;
       const outcome = await table.transact({ conditions: [], puts: [], deletes: [key] });
--- a/src/quarantine/ban-rows.ts
+++ b/src/quarantine/ban-rows.ts
@@ -91,7 +91,10 @@
     const records: CrashRow[] = [];
     for (const { key, value } of rows.value) {
       const parsed = rowSchema.safeParse(value);
-      if (!parsed.success) continue;
+      if (!parsed.success) {
+        log.write('banRowFailed', { row: key, reason: z.prettifyError(parsed.error) });
+        continue;
+      }
       const { atMs, ...counts } = parsed.data;
       const ageMs = Math.max(0, parts.timeOfDay() - atMs);
       records.push({ fingerprint: key.slice(PREFIX.length), ...counts, ageMs });
