feat(relay): read and log what servers ask for in their answers

The adapter decodes the three once, for every kind of answer (requests, readings, releases, reports, orders, cache lists); changes are logged (serverSignalled, serverSignalUnreadable) and counted. Nothing goes by them yet.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -108,6 +108,8 @@
   serverAvoided: { id: 7033, level: 'warn', text: 'backend server fails; it is left alone' },
   serverTrusted: { id: 7034, level: 'info', text: 'backend server works again' },
   serverUnreadable: { id: 7035, level: 'warn', text: 'a registry entry cannot be read' },
+  serverSignalled: { id: 7036, level: 'info', text: 'a server asks for less, or not any more' },
+  serverSignalUnreadable: { id: 7037, level: 'warn', text: 'what a server asks for is unreadable' },
   requestPlaced: { id: 7040, level: 'info', text: 'engines chosen for a request' },
   requestSent: { id: 7041, level: 'info', text: 'request sent to a backend server' },
   sendEnded: { id: 7042, level: 'info', text: 'a send ended' },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,6 +4,7 @@
  */
 import { randomUUID } from 'node:crypto';
 import type { Server } from 'node:http';
+import { createBackpressure, type Backpressure } from '../backpressure/index.js';
 import type { BoundedLog } from '../events/index.js';
 import {
   createFleet,
@@ -79,6 +80,8 @@
   table: TableService;
   /** The listener hears each time that the store is back from an older copy. */
   onRestored: (listener: () => void) => void;
+  /** The listener hears what servers ask for in their answers to the platform's own calls. */
+  onSignals: (listener: Backpressure['heard']) => void;
   routes: RowFeed<RoutingDocument>;
   registry: RowFeed<RegistryChange>;
   roleOrders: RoleOrders;
@@ -135,6 +138,8 @@
   const health = createFleetHealth(clock, log);
   const connections = createConnections(limitConnections, clock);
   const loads = createServerLoads(clock);
+  const backpressure = createBackpressure({ log, metrics });
+  platform.onSignals(backpressure.heard);
   const fleet = createFleet(
     clock,
     log,
@@ -144,6 +149,7 @@
       if (successor !== undefined) connections.breakOff(id, resolveAgeMs(successor));
       connections.drop(id);
       health.forget(id);
+      if (isGone) backpressure.forget(id);
       schedulers.forget(id);
     },
     ({ reason }) => {
@@ -273,6 +279,7 @@
     connections,
     budget,
     quarantine,
+    backpressure,
     scheduler: submitter,
     canFinish,
   };
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -167,6 +167,12 @@
       labelNames: ['reason'],
       registers,
     }),
+    signals: new Counter({
+      name: 'reedtally_gateway_server_signals_total',
+      help: 'Times that servers came to ask for something of those that send to them, by what',
+      labelNames: ['signal'],
+      registers,
+    }),
     crashesCounted: new Counter({
       name: 'reedtally_gateway_crashes_counted_total',
       help: 'Requests at work at servers that ended, by what showed the end',
--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -50,6 +50,8 @@
   const excluded: string[] = [];
   let scheduled: ScheduledJob | undefined;
   let kept: ReadPrompt | undefined;
+  /** Who has it. */
+  let keeper: RegisteredServer | undefined;
   let reads = 0;
   let hasRead = false;
 
@@ -138,6 +140,7 @@
       scheduled?.promptRead();
       hasRead = true;
       kept = { address: reading.address, handle: outcome.handle };
+      keeper = reading;
       return placed(generating, kept);
     }
     if (outcome.kind === 'aborted') return { kind: 'aborted' };
@@ -180,7 +183,7 @@
     },
     close() {
       leave();
-      if (kept !== undefined) context.release(kept);
+      if (kept !== undefined && keeper !== undefined) context.release(kept, keeper);
       kept = undefined;
     },
   };
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -6,7 +6,7 @@
 import type { Clock } from '../task/index.js';
 import type { ExchangeReceiver, Exchange } from './exchange.js';
 import type { ExchangeEnd } from './health-outcome.js';
-import type { BackendProtocol, ReadPrompt, SendTerms } from './protocol.js';
+import type { AnswerFacts, BackendProtocol, ReadPrompt, SendTerms } from './protocol.js';
 import type { ReadOutcome } from './read-prompt.js';
 import type { SendOutcome } from './send.js';
 
@@ -64,10 +64,12 @@
   countAttempt(): void;
   /** Whether the route and the budget allow another send; takes it from the budget. */
   mayAskAgain(reason: string): boolean;
-  /** Frees a read prompt that nobody will take. */
-  release(prompt: ReadPrompt): void;
+  /** Frees a read prompt that nobody will take, at the server that has it. */
+  release(prompt: ReadPrompt, server: RegisteredServer): void;
   /** Hears how the reading of the prompt at a server ended. */
   readEnded(server: RegisteredServer, outcome: ReadOutcome): void;
+  /** Hears what the head of a server's answer says. */
+  heard(server: RegisteredServer, facts: AnswerFacts): void;
   /** Takes in what an exchange said of a server. */
   judge(server: RegisteredServer, end: ExchangeEnd, isOtherServer: boolean): void;
 }
--- a/src/relay/protocol.ts
+++ b/src/relay/protocol.ts
@@ -2,6 +2,7 @@
  * What the relay needs to know of how callers and backend servers speak. The adapter to a platform
  * implements it; the relay itself knows no header and no field by name.
  */
+import type { ServerSignals } from '../backpressure/index.js';
 import type { Prompt } from '../scheduling/prompt.js';
 import type { IncomingHead } from './exchange.js';
 
@@ -60,6 +61,8 @@
   /** The incarnation that answered, where it says so. */
   serverId: string | undefined;
   load: ServerLoad | undefined;
+  /** What the server asks of those that send to it. */
+  signals: ServerSignals;
 }
 
 /** How callers and backend servers speak. */
--- a/src/relay/read-prompt.ts
+++ b/src/relay/read-prompt.ts
@@ -46,6 +46,7 @@
         onHead(received) {
           head = received;
           facts = protocol.readAnswer(received);
+          context.heard(server, facts);
         },
         onData(chunk) {
           chunks.push(chunk);
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -3,6 +3,7 @@
  * one of four ways: a server's answer, a refusal (it did not run and will not), a failure (it may
  * have run), or a cut (an answer that was begun cannot be finished).
  */
+import type { Backpressure } from '../backpressure/index.js';
 import {
   resolveName,
   type FleetHealth,
@@ -23,7 +24,13 @@
 import { resolveHealthOutcome, type ExchangeEnd } from './health-outcome.js';
 import { isRepeatable, resolveMove, type Move, type Progress } from './next-move.js';
 import type { PlacedServer, Placer, PlacingContext } from './placer.js';
-import type { BackendProtocol, CallerHead, ReadPrompt, SendTerms } from './protocol.js';
+import type {
+  AnswerFacts,
+  BackendProtocol,
+  CallerHead,
+  ReadPrompt,
+  SendTerms,
+} from './protocol.js';
 import { sendOnce, type SendOutcome } from './send.js';
 import { createServicePlacer, type ServerLoads } from './service-placer.js';
 import type { WaitRecord } from './wait-record.js';
@@ -61,6 +68,7 @@
   connections: Connections;
   budget: SendBudget;
   quarantine: Quarantine;
+  backpressure: Backpressure;
   scheduler: SchedulerClient;
   /**
    * Whether a request can still be finished here, however long it takes.
@@ -190,9 +198,16 @@
         ms: Math.round(clock.now() - arrivedAt),
       });
     },
+    heard,
     judge,
   };
 
+  /** An answer of another incarnation says nothing of the one that was asked. */
+  function heard(server: RegisteredServer, { serverId, signals }: AnswerFacts): void {
+    if (serverId !== undefined && serverId !== resolveName(server)) return;
+    parts.backpressure.heard(server, signals);
+  }
+
   function outgoing(
     server: RegisteredServer,
     terms: Omit<SendTerms, 'serverId' | 'timeLeftMs'>,
@@ -214,25 +229,21 @@
     return isAllowed;
   }
 
-  function release(prompt: ReadPrompt): void {
-    const server = { address: prompt.address, id: prompt.address };
+  function release(prompt: ReadPrompt, server: RegisteredServer): void {
+    const { address } = prompt;
     const { method, path } = protocol.releaseCall(prompt);
     startExchange(
-      {
-        address: server.address,
-        method,
-        path,
-        rawHeaders: ['Host', server.address],
-        body: undefined,
-      },
-      parts.connections.agentFor(server.id),
+      { address, method, path, rawHeaders: ['Host', address], body: undefined },
+      parts.connections.agentFor(address),
       clock,
       {
-        onHead: () => undefined,
+        onHead(head) {
+          heard(server, protocol.readAnswer(head));
+        },
         onData: () => undefined,
         onEnd: () => undefined,
         onLoss({ reason }) {
-          log.write('releaseFailed', { request: requestId, server: server.address, reason });
+          log.write('releaseFailed', { request: requestId, server: server.id, reason });
         },
       },
     );
@@ -291,6 +302,9 @@
         loaded(load) {
           parts.loads.record(server.id, load);
         },
+        heard(facts) {
+          heard(server, facts);
+        },
       },
       protocol,
       clock,
--- a/src/relay/send.ts
+++ b/src/relay/send.ts
@@ -58,6 +58,8 @@
   begun(): void;
   /** Hears of the server's load. */
   loaded(load: ServerLoad): void;
+  /** Hears what the head of the answer says. */
+  heard(facts: AnswerFacts): void;
 }
 
 /**
@@ -87,6 +89,7 @@
         head = received;
         facts = protocol.readAnswer(received);
         if (facts.load !== undefined) send.loaded(facts.load);
+        send.heard(facts);
         const flaw = findFlaw(facts, received, send.requestId);
         if (flaw === undefined) return;
         settle({ kind: 'lost', reason: flaw });
