--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -13,6 +13,8 @@
   body: Buffer;
   /** The peer's port: tells connections apart. */
   connection: number;
+  /** When it came, in ms of the process's steady clock. */
+  at: number;
   /** Whether the peer has closed the connection before the answer was complete. */
   isAbandoned: boolean;
 }
@@ -32,6 +34,10 @@
   hasEnded(): boolean;
   /** Handles that were freed. */
   released(): readonly string[];
+  /** Headers that all its answers have from now on, calls included. */
+  say(headers: Record<string, string>): void;
+  /** Turns all requests away from now on, with these headers; `undefined` ends it. */
+  turnAway(headers: Record<string, string> | undefined): void;
   /** Answers the next requests by a script; the sound server goes on after it. */
   script(...answers: ScriptedAnswer[]): void;
   close(): Promise<void>;
@@ -62,6 +68,8 @@
   const scripts: ScriptedAnswer[] = [];
   let handles = 0;
   let ended = false;
+  let said: Record<string, string> = {};
+  let turningAway: Record<string, string> | undefined;
 
   function answerRequest(request: ReceivedRequest, response: ServerResponse): void {
     const script = scripts.shift();
@@ -76,7 +84,9 @@
       void closeServer(server);
       return;
     }
-    if (target !== undefined && target !== id) {
+    if (turningAway !== undefined) {
+      response.writeHead(503, { ...echo(request), 'X-Not-Executed': '1', ...turningAway }).end();
+    } else if (target !== undefined && target !== id) {
       response.writeHead(421, { 'X-Instance-Id': id }).end();
     } else if (isReading) {
       handles += 1;
@@ -97,6 +107,7 @@
       chunks.push(chunk as Buffer);
     }
     const body = Buffer.concat(chunks);
+    for (const [name, value] of Object.entries(said)) response.setHeader(name, value);
     if (path === '/report') {
       const report = { stage: terms.role ?? 'decode', busy: false, sequence: orders.length };
       response.writeHead(200).end(JSON.stringify(report));
@@ -117,6 +128,7 @@
         headers: message.headers,
         body,
         connection,
+        at: performance.now(),
         isAbandoned: false,
       };
       received.push(request);
@@ -138,6 +150,12 @@
     orders: () => orders,
     released: () => released,
     hasEnded: () => ended,
+    say(headers) {
+      said = headers;
+    },
+    turnAway(headers) {
+      turningAway = headers;
+    },
     script(...answers) {
       scripts.push(...answers);
     },
