fix(gateway): all gateways together keep within the limit that a server names

What callers saw: answers of servers in need became late and were refused, since each limited server went on getting everything (30 requests a second where it took 12).

Cause: a limit is a server's word that ended with the exchange that heard it; it binds the sum of what all gateways send. Now each answer's word is kept by incarnation, told to peers at once (and with the first heartbeat where two differ), and dealt out by one gateway, the one that schedules the service: engines get a placement only within the limit, and servers of plain services a request only with leave from there. Work that the limit leaves no room for goes to other servers; where there is none it is refused at once, with a time to come back that differs for each caller. A gateway that has to send alone keeps to a small share, at drawn moments, so several hundred that do so at once add up to it. Only a good answer without the word ends a limit; one request in 5 s goes to a server that takes none, to learn that.

--- /dev/null
+++ b/src/backpressure/allowances.ts
@@ -0,0 +1,145 @@
+/**
+ * Leave to send single requests to servers of plain services that have named limits, from the gateway that deals these
+ * out. A request for engines needs none: its placement comes from that gateway.
+ */
+import { match } from 'ts-pattern';
+import * as z from 'zod';
+import type { Clock, RandomSource, Timer } from '../task/index.js';
+import { noticeRowSchema, type NoticeRow } from './notices.js';
+import type { SendLimits } from './send-limits.js';
+
+/** How long the dealing gateway may take to answer, in ms: some ways there and back, and its processor's turn. */
+const SILENCE_MS = 40;
+/** After a refusal the server isn't asked for within this, in ms, however soon there may be room. */
+const LEAST_WAIT_MS = 5;
+
+export const allowanceMessageSchemas = [
+  z.object({
+    kind: z.literal('allowance.ask'),
+    id: z.string(),
+    server: z.string(),
+    /** Less urgent requests leave room for one that is more so. */
+    isUrgent: z.boolean(),
+    /** What the server asks for, which the dealing gateway may not have heard yet. */
+    notice: noticeRowSchema.optional(),
+  }),
+  z.object({
+    kind: z.literal('allowance.answer'),
+    id: z.string(),
+    /** Time until it is of use to ask again; 0 where the request may be sent. */
+    waitMs: z.number(),
+  }),
+] as const;
+
+/** What gateways say to each other of single sends. */
+export type AllowanceMessage = z.infer<(typeof allowanceMessageSchemas)[number]>;
+
+/** What allowances need. */
+export interface AllowancesParts {
+  clock: Clock;
+  random: RandomSource;
+  node: string;
+  limits: SendLimits;
+  /** The gateway that deals out the limit of a server. */
+  dealerOf(server: string): string;
+  noticeOf(server: string): NoticeRow | undefined;
+  /** Takes in what a peer has heard. */
+  learn(node: string, notice: NoticeRow): void;
+  /** Sends to a peer; false where there is no way to it. */
+  send(node: string, message: AllowanceMessage): boolean;
+}
+
+/** Leave to send. */
+export interface Allowances {
+  /** Time for which a server takes nothing more from this gateway, as far as it knows, in ms. */
+  msUntilOpen: (server: string) => number;
+  /** Asks for leave to send one request; gives whether it may be sent. */
+  ask: (server: string, isUrgent: boolean) => Promise<boolean>;
+  received(node: string, message: AllowanceMessage): void;
+  /** A peer was lost: what it was asked is decided here. */
+  lost(node: string): void;
+  forget(server: string): void;
+}
+
+interface Asked {
+  dealer: string;
+  settle: (waitMs: number | undefined) => void;
+}
+
+/**
+ * Creates allowances.
+ *
+ * @param parts the limits and the way to the gateways that deal them out
+ */
+export function createAllowances(parts: AllowancesParts): Allowances {
+  const { clock, random, node, limits } = parts;
+  const asked = new Map<string, Asked>();
+  /** Until when each server takes nothing more. */
+  const closedUntil = new Map<string, number>();
+  let counter = 0;
+
+  /** Takes a send out of the limit, or tells how long there is no room. */
+  function decide(server: string, isUrgent: boolean): number {
+    const waitMs = limits.msUntilRoom(server, isUrgent ? 0 : 1);
+    if (waitMs > 0) return waitMs * (1 + random.next());
+    limits.take(server);
+    return 0;
+  }
+
+  function askDealer(dealer: string, server: string, isUrgent: boolean): Promise<number> {
+    counter += 1;
+    const id = `${node}/${counter}`;
+    return new Promise((resolve) => {
+      function settle(waitMs: number | undefined): void {
+        if (!asked.delete(id)) return;
+        timer.cancel();
+        resolve(waitMs ?? decide(server, isUrgent));
+      }
+      asked.set(id, { dealer, settle });
+      const timer: Timer = clock.after(SILENCE_MS, () => {
+        settle(undefined);
+      });
+      const notice = parts.noticeOf(server);
+      const isSent = parts.send(dealer, {
+        kind: 'allowance.ask',
+        id,
+        server,
+        isUrgent,
+        ...(notice && { notice }),
+      });
+      if (!isSent) settle(undefined);
+    });
+  }
+
+  return {
+    msUntilOpen: (server) => Math.max(0, (closedUntil.get(server) ?? 0) - clock.now()),
+    async ask(server, isUrgent) {
+      const dealer = parts.dealerOf(server);
+      const isOwn = dealer === node;
+      const waitMs = await (isOwn ? decide(server, isUrgent) : askDealer(dealer, server, isUrgent));
+      if (waitMs <= 0) return true;
+      closedUntil.set(server, clock.now() + Math.max(LEAST_WAIT_MS, waitMs));
+      return false;
+    },
+    received(from, message) {
+      match(message)
+        .with({ kind: 'allowance.ask' }, ({ id, server, isUrgent, notice }) => {
+          if (notice !== undefined) parts.learn(from, notice);
+          const waitMs = decide(server, isUrgent);
+          parts.send(from, { kind: 'allowance.answer', id, waitMs });
+        })
+        .with({ kind: 'allowance.answer' }, ({ id, waitMs }) => {
+          asked.get(id)?.settle(waitMs);
+        })
+        .exhaustive();
+    },
+    lost(peer) {
+      for (const { dealer, settle } of [...asked.values()]) {
+        if (dealer === peer) settle(undefined);
+      }
+    },
+    forget(server) {
+      closedUntil.delete(server);
+    },
+  };
+}
--- a/src/backpressure/backpressure.ts
+++ b/src/backpressure/backpressure.ts
@@ -1,26 +1,68 @@
 /**
- * What backend servers have asked of those that send to them.
+ * Keeps this gateway to what backend servers ask of those that send to them. What binds all gateways is told to peers at
+ * once, and again with the first heartbeat where two know different things.
  */
 import type { Log } from '../events/index.js';
 import type { RegisteredServer } from '../fleet/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
+import type { Clock, RandomSource } from '../task/index.js';
+import { createAllowances, type AllowanceMessage, type Allowances } from './allowances.js';
+import {
+  createServerNotices,
+  unpackNotice,
+  type NoticeRow,
+  type NoticesMessage,
+  type ServerNotice,
+} from './notices.js';
+import { createSendLimits, type SendLimits } from './send-limits.js';
 import type { ServerSignals } from './signals.js';
 
+/** A peer that knows something else is sent this gateway's table at most so often, in ms: news still under way settles
+ * most differences by itself. */
+const COMPARE_MS = 2_000;
+
 /** What it needs. */
 export interface BackpressureParts {
+  clock: Clock;
+  random: RandomSource;
   log: Log;
   metrics: Pick<GatewayMetrics, 'signals'>;
+  node: string;
+  /** The gateway that deals out the limit of a server. */
+  dealerOf(server: string): string;
+  /** Gateways that are known, this one included. */
+  gateways(): number;
+  /** Tells all partners. */
+  tellPartners(message: NoticesMessage): void;
+  /** Sends to a peer; false where there is no way to it. */
+  send(node: string, message: NoticesMessage | AllowanceMessage): boolean;
 }
 
-/** What servers have asked for. */
-export interface Backpressure {
+/** What servers have asked for, and room for sends to them. */
+export interface Backpressure extends Pick<Allowances, 'msUntilOpen'> {
   /**
    * Takes in what an answer of a server asks for.
    *
    * @param server the incarnation that answered
    * @param signals what it asks for
+   * @param isSound whether it is a good answer to a request: only that ends a limit which it doesn't name
+   */
+  heard: (server: RegisteredServer, signals: ServerSignals, isSound: boolean) => void;
+  /** Room within the limits, for placements and for callers that are turned away. */
+  limits: SendLimits;
+  /**
+   * Asks for leave to send one request to a server of a plain service.
+   *
+   * @param server the incarnation
+   * @param isUrgent whether it may take the last room
    */
-  heard: (server: RegisteredServer, signals: ServerSignals) => void;
+  allow: Allowances['ask'];
+  received(node: string, message: NoticesMessage | AllowanceMessage): void;
+  /** A number that is the same in all gateways that know the same. */
+  digest: () => number;
+  /** A peer has said its number. */
+  heardDigest: (node: string, digest: number) => void;
+  peerLost(node: string): void;
   /** A server is gone. */
   forget(id: string): void;
 }
@@ -28,12 +70,32 @@
 /**
  * Creates a record of nothing.
  *
- * @param parts who hears of changes
+ * @param parts the way to peers, and who hears of changes
  */
 export function createBackpressure(parts: BackpressureParts): Backpressure {
-  const { log, metrics } = parts;
-  /** By incarnation, what it said last. */
-  const known = new Map<string, string>();
+  const { clock, random, log, metrics, node } = parts;
+  const notices = createServerNotices();
+  const limits = createSendLimits({
+    clock,
+    random,
+    limitOf: notices.limitOf,
+    isDealer: (server) => parts.dealerOf(server) === node,
+    gateways: () => parts.gateways(),
+  });
+  const allowances = createAllowances({
+    clock,
+    random,
+    node,
+    limits,
+    dealerOf: (server) => parts.dealerOf(server),
+    noticeOf: (server) => notices.rowOf(server, clock.now()),
+    learn(from, row) {
+      learn(unpackNotice(row, clock.now()), from);
+    },
+    send: (to, message) => parts.send(to, message),
+  });
+  /** When each peer was last sent the whole table. */
+  const comparedAt = new Map<string, number>();
 
   function noteUnreadable({ id }: RegisteredServer, { unreadable }: ServerSignals): void {
     for (const { signal, text } of unreadable) {
@@ -42,20 +104,69 @@
     }
   }
 
+  /** Takes a notice in, and tells others where it is news. */
+  function learn(notice: ServerNotice, source: string): boolean {
+    const { server, limitPerS, at } = notice;
+    if (!notices.learn(notice, source !== 'server')) return false;
+    const ageMs = Math.round(clock.now() - at);
+    log.write('serverSignalled', { server, limitPerS, source, ageMs });
+    if (limitPerS !== undefined) metrics.signals.inc({ signal: 'limit' });
+    return true;
+  }
+
+  function tell(rows: readonly NoticeRow[]): void {
+    if (rows.length > 0) parts.tellPartners({ kind: 'notices', rows: [...rows] });
+  }
+
+  /** The dealing gateway needs it first, and may be no partner. */
+  function tellDealer(server: string, rows: readonly NoticeRow[]): void {
+    const dealer = parts.dealerOf(server);
+    if (dealer !== node) parts.send(dealer, { kind: 'notices', rows: [...rows] });
+  }
+
   return {
-    heard(server, signals) {
+    limits,
+    msUntilOpen: allowances.msUntilOpen,
+    allow: allowances.ask,
+    heard(server, signals, isSound) {
       noteUnreadable(server, signals);
-      const { isLeaving, pauseMs, limitPerS } = signals;
-      const said = `${isLeaving}/${pauseMs ?? ''}/${limitPerS ?? ''}`;
-      if (said === (known.get(server.id) ?? 'false//')) return;
-      known.set(server.id, said);
-      log.write('serverSignalled', { server: server.id, isLeaving, pauseMs, limitPerS });
-      if (isLeaving) metrics.signals.inc({ signal: 'leaving' });
-      if (pauseMs !== undefined) metrics.signals.inc({ signal: 'pause' });
-      if (limitPerS !== undefined) metrics.signals.inc({ signal: 'limit' });
+      const { id } = server;
+      const { limitPerS } = signals;
+      if (limitPerS === undefined && (!isSound || notices.limitOf(id) === undefined)) return;
+      if (!learn({ server: id, limitPerS, at: clock.now() }, 'server')) return;
+      const row = notices.rowOf(id, clock.now());
+      if (row === undefined) return;
+      tellDealer(id, [row]);
+      tell([row]);
+    },
+    received(from, message) {
+      if (message.kind !== 'notices') {
+        allowances.received(from, message);
+        return;
+      }
+      const news: NoticeRow[] = [];
+      for (const row of message.rows) {
+        if (learn(unpackNotice(row, clock.now()), from)) news.push(row);
+      }
+      tell(news);
+    },
+    digest: notices.digest,
+    heardDigest(from, digest) {
+      const now = clock.now();
+      if (digest === notices.digest()) return;
+      if (now - (comparedAt.get(from) ?? Number.NEGATIVE_INFINITY) < COMPARE_MS) return;
+      comparedAt.set(from, now);
+      const rows = notices.rows(now);
+      if (rows.length > 0) parts.send(from, { kind: 'notices', rows });
+    },
+    peerLost(peer) {
+      comparedAt.delete(peer);
+      allowances.lost(peer);
     },
     forget(id) {
-      known.delete(id);
+      notices.forget(id);
+      limits.forget(id);
+      allowances.forget(id);
     },
   };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -4,7 +4,7 @@
  */
 import { randomUUID } from 'node:crypto';
 import type { Server } from 'node:http';
-import { createBackpressure, type Backpressure } from '../backpressure/index.js';
+import { createBackpressure, type ServerSignals } from '../backpressure/index.js';
 import type { BoundedLog } from '../events/index.js';
 import {
   createFleet,
@@ -81,7 +81,7 @@
   /** The listener hears each time that the store is back from an older copy. */
   onRestored: (listener: () => void) => void;
   /** The listener hears what servers ask for in their answers to the platform's own calls. */
-  onSignals: (listener: Backpressure['heard']) => void;
+  onSignals: (listener: (server: RegisteredServer, signals: ServerSignals) => void) => void;
   routes: RowFeed<RoutingDocument>;
   registry: RowFeed<RegistryChange>;
   roleOrders: RoleOrders;
@@ -138,8 +138,22 @@
   const health = createFleetHealth(clock, log);
   const connections = createConnections(limitConnections, clock);
   const loads = createServerLoads(clock);
-  const backpressure = createBackpressure({ log, metrics });
-  platform.onSignals(backpressure.heard);
+  const backpressure = createBackpressure({
+    clock,
+    random,
+    log,
+    metrics,
+    node,
+    dealerOf: (server) => schedulers.holderOf(fleet.find(server)?.service ?? ''),
+    gateways: () => overlay.peers().length + 1,
+    tellPartners(message) {
+      overlay.tellPartners(message);
+    },
+    send: (peer, message) => overlay.send(peer, message),
+  });
+  platform.onSignals((server, signals) => {
+    backpressure.heard(server, signals, false);
+  });
   const fleet = createFleet(
     clock,
     log,
@@ -192,6 +206,7 @@
       fleet.available(service).filter(({ id }) => health.isUsable(id) && !keeper.isChanging(id)),
     cacheTokens: (service) => findService(service)?.engine?.cacheTokens ?? 0,
     caches: platform.caches,
+    limits: backpressure.limits,
     mechanisms,
   });
   const submitter = createJobSubmitter({
@@ -219,6 +234,7 @@
     scheduler: schedulers.local,
     followers,
     quarantine,
+    backpressure,
     parseRoutes: (text) => platform.parseRoutes(text),
   });
   const overlay: Overlay = createOverlay({
@@ -238,8 +254,11 @@
       isFollowing: watch.isReached() && followers.isFollower(),
     }),
     versions: peering.versions,
-    crashDigest: quarantine.digest,
-    heardCrashDigest: quarantine.heardDigest,
+    digests: () => ({ crashes: quarantine.digest(), notices: backpressure.digest() }),
+    heardDigests(peer, { crashes, notices }) {
+      quarantine.heardDigest(peer, crashes);
+      backpressure.heardDigest(peer, notices);
+    },
     needed: listSchedulers,
     received: peering.received,
     heardVersions: peering.heardVersions,
--- a/src/gateway/peering.ts
+++ b/src/gateway/peering.ts
@@ -3,6 +3,7 @@
  * them to a peer that asks, asks for those that it lacks, and carries requests to and from schedulers.
  */
 import { match } from 'ts-pattern';
+import type { Backpressure } from '../backpressure/index.js';
 import type { Log } from '../events/index.js';
 import type { Fleet, HealthOutcome } from '../fleet/index.js';
 import {
@@ -35,6 +36,7 @@
   submitter: JobSubmitter;
   scheduler(service: string): Scheduler;
   quarantine: Pick<Quarantine, 'received' | 'peerLost'>;
+  backpressure: Pick<Backpressure, 'received' | 'peerLost'>;
   followers: Pick<Followers, 'isLargeFleet' | 'mayRely'>;
   /** Decodes routes that a peer passed on; `undefined` when they cannot be read. */
   parseRoutes(text: string): RoutingDocument | undefined;
@@ -193,6 +195,14 @@
           parts.quarantine.received(node, told);
         },
       )
+      .with(
+        { kind: 'notices' },
+        { kind: 'allowance.ask' },
+        { kind: 'allowance.answer' },
+        (told) => {
+          parts.backpressure.received(node, told);
+        },
+      )
       .with({ kind: 'job.queued' }, { kind: 'job.placed' }, { kind: 'job.declined' }, (answer) => {
         parts.submitter.answered(node, answer);
       })
@@ -216,6 +226,7 @@
       submitted.delete(node);
       parts.submitter.lost(node);
       parts.quarantine.peerLost(node);
+      parts.backpressure.peerLost(node);
     },
     heardVersions,
     versions,
--- a/src/gateway/schedulers.ts
+++ b/src/gateway/schedulers.ts
@@ -2,6 +2,7 @@
  * The schedulers of a gateway, one for each service, and the choice of the gateway that schedules a
  * service for all.
  */
+import type { SendLimits } from '../backpressure/index.js';
 import type { Log } from '../events/index.js';
 import type { RegisteredServer } from '../fleet/index.js';
 import type { GatewayState } from '../peers/index.js';
@@ -33,6 +34,8 @@
   /** Tokens that the cache of one engine holds. */
   cacheTokens(service: string): number;
   caches: CacheLists;
+  /** Room within the limits that engines have named. */
+  limits: SendLimits;
   mechanisms: SchedulingMechanisms;
 }
 
@@ -123,6 +126,7 @@
         engines: () => parts.engines(service),
         cacheTokens: () => parts.cacheTokens(service),
         caches: parts.caches,
+        limits: parts.limits,
       });
       byService.set(service, created);
       return created;
--- a/src/limits/token-bucket.ts
+++ b/src/limits/token-bucket.ts
@@ -7,8 +7,12 @@
 export interface TokenBucket {
   /** Takes up to `most`, but nothing when there is less than `least`. @returns what was taken */
   take(least: number, most: number, now: number): number;
+  /** Takes `amount` whether it is there or not; what is missing is a debt. */
+  draw(amount: number, now: number): void;
   /** Time until `amount` can be taken. */
   waitMs(amount: number, now: number): number;
+  /** What can be taken now; negative for a debt. */
+  level(now: number): number;
 }
 
 /** A bucket's size and rate. */
@@ -20,14 +24,19 @@
 const MS_PER_SECOND = 1_000;
 
 /**
- * Creates a full bucket.
+ * Creates a bucket.
  *
  * @param terms its size and rate
  * @param now the time on the clock that is used with it
+ * @param startLevel what is in it; it is full where absent
  */
-export function createTokenBucket(terms: BucketTerms, now: number): TokenBucket {
+export function createTokenBucket(
+  terms: BucketTerms,
+  now: number,
+  startLevel = terms.size,
+): TokenBucket {
   const { perSecond, size } = terms;
-  let level = size;
+  let level = Math.min(size, startLevel);
   let filledAt = now;
 
   function fill(at: number): void {
@@ -45,6 +54,14 @@
       level -= taken;
       return taken;
     },
+    draw(amount, at) {
+      fill(at);
+      level -= amount;
+    },
+    level(at) {
+      fill(at);
+      return level;
+    },
     waitMs(amount, at) {
       fill(at);
       const missing = Math.min(amount, size) - level;
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -4,6 +4,7 @@
  */
 import { Packr } from 'msgpackr';
 import * as z from 'zod';
+import { allowanceMessageSchemas, noticesMessageSchema } from '../backpressure/index.js';
 import { healthOutcomeSchema } from '../fleet/health.js';
 import { crashesMessageSchema } from '../quarantine/messages.js';
 import { trialMessageSchemas } from '../quarantine/trials.js';
@@ -85,6 +86,8 @@
   digest: z.number(),
   /** Of what the sender knows of requests under which servers ended. */
   crashDigest: z.number().default(0),
+  /** Of what the sender knows that servers ask of all gateways. */
+  noticeDigest: z.number().default(0),
 });
 /** Said as soon as a version is new. */
 const versionsSchema = z.object({ kind: z.literal('versions'), ...versionsFields });
@@ -149,6 +152,8 @@
   fleetSchema,
   crashesMessageSchema,
   ...trialMessageSchemas,
+  noticesMessageSchema,
+  ...allowanceMessageSchemas,
   submitSchema,
   adoptSchema,
   queuedSchema,
--- a/src/peers/overlay.ts
+++ b/src/peers/overlay.ts
@@ -38,6 +38,14 @@
 /** Messages that wait for a link at most; a peer that cannot be reached for so many is lost. */
 const MAX_WAITING = 1_000;
 
+/** Numbers that are the same in all gateways that know the same. */
+export interface KnowledgeDigests {
+  /** Of requests under which servers ended. */
+  crashes: number;
+  /** Of what servers ask of all gateways. */
+  notices: number;
+}
+
 /** What the overlay needs. */
 export interface OverlayParts {
   clock: Clock;
@@ -46,15 +54,14 @@
   self: OwnIdentity;
   status(): OwnStatus;
   versions(): StoreVersions;
-  /** A number that is the same in all gateways that know the same of requests under which servers ended. */
-  crashDigest(): number;
+  digests(): KnowledgeDigests;
   /** Peers to keep a link to though they are no partners. */
   needed(): Iterable<string>;
   received(node: string, message: GatewayMessage): void;
   /** A partner's heartbeat said how far it knows the store. */
   heardVersions(node: string, versions: StoreVersions): void;
-  /** A partner's heartbeat said its number. */
-  heardCrashDigest(node: string, digest: number): void;
+  /** A partner's heartbeat said its digests. */
+  heardDigests(node: string, digests: KnowledgeDigests): void;
   /** The link to a peer was lost, the peer is silent, or another incarnation has taken its place. */
   lost(node: string): void;
   /** Makes links; real ones where absent. */
@@ -201,7 +208,7 @@
     if (beat.digest === beliefs.digest()) differing.delete(node);
     else noteDifference(node, now);
     parts.heardVersions(node, beat);
-    parts.heardCrashDigest(node, beat.crashDigest);
+    parts.heardDigests(node, { crashes: beat.crashDigest, notices: beat.noticeDigest });
   }
 
   function noteDifference(node: string, now: number): void {
@@ -314,12 +321,14 @@
 
   function sendBeat(node: string): void {
     const isChosen = partners.isChosen(node);
+    const { crashes, notices } = parts.digests();
     links.send(node, {
       kind: 'beat',
       ...parts.versions(),
       isChosen,
       digest: beliefs.digest(),
-      crashDigest: parts.crashDigest(),
+      crashDigest: crashes,
+      noticeDigest: notices,
     });
   }
 
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -4,7 +4,7 @@
 import type { RegisteredServer } from '../fleet/index.js';
 import type { WatchedSend } from '../quarantine/index.js';
 import type { Clock } from '../task/index.js';
-import type { ExchangeReceiver, Exchange } from './exchange.js';
+import type { ExchangeReceiver, Exchange, IncomingHead } from './exchange.js';
 import type { ExchangeEnd } from './health-outcome.js';
 import type { AnswerFacts, BackendProtocol, ReadPrompt, SendTerms } from './protocol.js';
 import type { ReadOutcome } from './read-prompt.js';
@@ -69,7 +69,7 @@
   /** Hears how the reading of the prompt at a server ended. */
   readEnded(server: RegisteredServer, outcome: ReadOutcome): void;
   /** Hears what the head of a server's answer says. */
-  heard(server: RegisteredServer, facts: AnswerFacts): void;
+  heard(server: RegisteredServer, head: IncomingHead, facts: AnswerFacts): void;
   /** Takes in what an exchange said of a server. */
   judge(server: RegisteredServer, end: ExchangeEnd, isOtherServer: boolean): void;
 }
--- a/src/relay/read-prompt.ts
+++ b/src/relay/read-prompt.ts
@@ -46,7 +46,7 @@
         onHead(received) {
           head = received;
           facts = protocol.readAnswer(received);
-          context.heard(server, facts);
+          context.heard(server, received, facts);
         },
         onData(chunk) {
           chunks.push(chunk);
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -20,7 +20,7 @@
 import type { Connections } from './connections.js';
 import { createEnding, statuses } from './ending.js';
 import { createEnginePlacer, type SchedulerClient } from './engine-placer.js';
-import { startExchange, type OutgoingRequest } from './exchange.js';
+import { startExchange, type IncomingHead, type OutgoingRequest } from './exchange.js';
 import { resolveHealthOutcome, type ExchangeEnd } from './health-outcome.js';
 import { isRepeatable, resolveMove, type Move, type Progress } from './next-move.js';
 import type { PlacedServer, Placer, PlacingContext } from './placer.js';
@@ -31,7 +31,7 @@
   ReadPrompt,
   SendTerms,
 } from './protocol.js';
-import { sendOnce, type SendOutcome } from './send.js';
+import { isSuccess, sendOnce, type SendOutcome } from './send.js';
 import { createServicePlacer, type ServerLoads } from './service-placer.js';
 import type { WaitRecord } from './wait-record.js';
 
@@ -203,9 +203,12 @@
   };
 
   /** An answer of another incarnation says nothing of the one that was asked. */
-  function heard(server: RegisteredServer, { serverId, signals }: AnswerFacts): void {
+  function heard(server: RegisteredServer, head: IncomingHead, facts: AnswerFacts): void {
+    const { serverId, signals } = facts;
     if (serverId !== undefined && serverId !== resolveName(server)) return;
-    parts.backpressure.heard(server, signals);
+    const isOurs = facts.requestId === undefined || facts.requestId === requestId;
+    const isSound = isOurs && isSuccess(head.status) && !facts.isDeclined;
+    parts.backpressure.heard(server, signals, isSound);
   }
 
   function outgoing(
@@ -238,7 +241,7 @@
       clock,
       {
         onHead(head) {
-          heard(server, protocol.readAnswer(head));
+          heard(server, head, protocol.readAnswer(head));
         },
         onData: () => undefined,
         onEnd: () => undefined,
@@ -264,6 +267,8 @@
       loads: parts.loads,
       avoided: watched.beside(),
       random: parts.random,
+      isUrgent: route.rank === 0,
+      backpressure: parts.backpressure,
     }));
   }
 
@@ -302,8 +307,8 @@
         loaded(load) {
           parts.loads.record(server.id, load);
         },
-        heard(facts) {
-          heard(server, facts);
+        heard(head, facts) {
+          heard(server, head, facts);
         },
       },
       protocol,
--- a/src/relay/send.ts
+++ b/src/relay/send.ts
@@ -59,7 +59,7 @@
   /** Hears of the server's load. */
   loaded(load: ServerLoad): void;
   /** Hears what the head of the answer says. */
-  heard(facts: AnswerFacts): void;
+  heard(head: IncomingHead, facts: AnswerFacts): void;
 }
 
 /**
@@ -89,7 +89,7 @@
         head = received;
         facts = protocol.readAnswer(received);
         if (facts.load !== undefined) send.loaded(facts.load);
-        send.heard(facts);
+        send.heard(received, facts);
         const flaw = findFlaw(facts, received, send.requestId);
         if (flaw === undefined) return;
         settle({ kind: 'lost', reason: flaw });
@@ -231,6 +231,7 @@
   return undefined;
 }
 
-function isSuccess(status: number): boolean {
+/** Whether an answer's status says that the request was served. */
+export function isSuccess(status: number): boolean {
   return status >= 200 && status < 300;
 }
--- a/src/relay/service-placer.ts
+++ b/src/relay/service-placer.ts
@@ -2,6 +2,7 @@
  * Finds servers for requests to plain services: the least busy one by what it last said of its load
  * and what this gateway has under way there; of equals, one in the gateway's availability zone.
  */
+import type { Backpressure } from '../backpressure/index.js';
 import type { FleetHealth, RegisteredServer } from '../fleet/index.js';
 import type { Clock, RandomSource } from '../task/index.js';
 import type { Placer, Placing } from './placer.js';
@@ -58,6 +59,9 @@
 
 /** What the placer of one request goes by. */
 export interface ServicePlacing {
+  /** Whether it may take the last room at a server that has named a limit. */
+  isUrgent: boolean;
+  backpressure: Pick<Backpressure, 'limits' | 'msUntilOpen' | 'allow'>;
   servers: readonly RegisteredServer[];
   zone: string;
   health: FleetHealth;
@@ -75,11 +79,12 @@
 export function createServicePlacer(look: () => ServicePlacing): Placer {
   const tried = new Set<string>();
 
-  function choose({ servers, zone, health, loads, avoided, random }: ServicePlacing) {
+  function choose(placing: ServicePlacing): RegisteredServer | undefined {
+    const { servers, zone, health, loads, avoided, random, backpressure } = placing;
     let best: RegisteredServer | undefined;
     let bestRank = Number.POSITIVE_INFINITY;
     for (const server of servers) {
-      if (tried.has(server.id)) continue;
+      if (tried.has(server.id) || backpressure.msUntilOpen(server.id) > 0) continue;
       const isFit = health.isUsable(server.id) && !avoided.includes(server.id);
       const reluctance = isFit ? 0 : Number.MAX_SAFE_INTEGER / 2;
       const distance = server.zone === zone ? 0 : ZONE_PREFERENCE;
@@ -91,21 +96,38 @@
     return best;
   }
 
-  return {
-    place(): Promise<Placing> {
+  /** Chooses a server, and has its limit leave room for the request where it has named one. */
+  async function find(): Promise<RegisteredServer | undefined> {
+    for (;;) {
       const placing = look();
+      const { backpressure, isUrgent } = placing;
       const server = choose(placing);
-      if (server === undefined) {
-        return Promise.resolve({
-          kind: 'refused',
-          reason: 'no-server',
-          retryAfterMs: RETRY_AFTER_MS,
-          backlogMs: 0,
-        });
-      }
+      if (server === undefined) return undefined;
+      const isLimited = backpressure.limits.isLimited(server.id);
+      if (!isLimited || (await backpressure.allow(server.id, isUrgent))) return server;
+    }
+  }
+
+  function refuse(): Placing {
+    const { servers, backpressure, random } = look();
+    let openMs = Number.POSITIVE_INFINITY;
+    for (const { id } of servers) {
+      const untilOpenMs = backpressure.msUntilOpen(id);
+      if (untilOpenMs > 0) openMs = Math.min(openMs, untilOpenMs);
+    }
+    // callers that find no room at one moment don't come back at one moment
+    const roomMs = Number.isFinite(openMs) ? openMs * (1 + random.next()) : 0;
+    const retryAfterMs = Math.max(RETRY_AFTER_MS, roomMs);
+    return { kind: 'refused', reason: 'no-server', retryAfterMs, backlogMs: 0 };
+  }
+
+  return {
+    async place(): Promise<Placing> {
+      const server = await find();
+      if (server === undefined) return refuse();
       tried.add(server.id);
-      placing.loads.started(server.id);
-      return Promise.resolve({ kind: 'placed', server, source: undefined, urgency: undefined });
+      look().loads.started(server.id);
+      return { kind: 'placed', server, source: undefined, urgency: undefined };
     },
     begun() {
       // the server's load is told by its answer
--- a/src/scheduling/candidates.ts
+++ b/src/scheduling/candidates.ts
@@ -3,6 +3,7 @@
  * to and fro between the two. Where nothing seems sound, the judgement is more likely wrong than all
  * engines are.
  */
+import type { SendLimits } from '../backpressure/index.js';
 import type { EngineRole, RegisteredServer } from '../fleet/index.js';
 import type { EngineWatch } from './engine-watch.js';
 import type { Job } from './job.js';
@@ -12,6 +13,7 @@
   /** Engines of the service that take requests now. */
   engines(): readonly RegisteredServer[];
   watch: EngineWatch;
+  limits: SendLimits;
   /** Requests that an engine was given or that wait for it. */
   inUse(id: string): number;
 }
@@ -23,6 +25,8 @@
   mayRead(id: string, job: Job): boolean;
   /** An engine of the service by its id. */
   find(id: string): RegisteredServer | undefined;
+  /** The engine that generates whose limit leaves room first, of those that leave none now. */
+  firstLimited(job: Job): string | undefined;
 }
 
 /**
@@ -31,7 +35,7 @@
  * @param parts the engines and how they fare
  */
 export function createCandidates(parts: CandidatesParts): Candidates {
-  const { watch } = parts;
+  const { watch, limits } = parts;
 
   /** Engines of a role that seem sound, for all and for the gateway that asks. */
   function listSound(job: Job, role: EngineRole): RegisteredServer[] {
@@ -47,11 +51,18 @@
   function listFit(job: Job, role: EngineRole): RegisteredServer[] {
     const fit: RegisteredServer[] = [];
     for (const engine of parts.engines()) {
-      if (engine.role === role && !job.excluded.includes(engine.id)) fit.push(engine);
+      if (engine.role !== role || job.excluded.includes(engine.id)) continue;
+      // prompts can wait for an engine that reads; what was read has to go on at once
+      if (role === 'prefill' || hasRoom(engine.id, job)) fit.push(engine);
     }
     return fit;
   }
 
+  /** Whether a limit leaves room; the last of it is left to the most urgent. */
+  function hasRoom(id: string, job: Job): boolean {
+    return limits.msUntilRoom(id, job.rank === 0 ? 0 : 1) === 0;
+  }
+
   function list(job: Job, role: EngineRole): RegisteredServer[] {
     const sound = listSound(job, role);
     return sound.length > 0 ? sound : listFit(job, role);
@@ -65,6 +76,18 @@
       }
       return false;
     },
+    firstLimited(job) {
+      let first: string | undefined;
+      let leastMs = Number.POSITIVE_INFINITY;
+      for (const { id, role } of parts.engines()) {
+        if (role !== 'decode' || job.excluded.includes(id)) continue;
+        const untilRoomMs = limits.msUntilRoom(id);
+        if (!limits.isLimited(id) || untilRoomMs >= leastMs) continue;
+        first = id;
+        leastMs = untilRoomMs;
+      }
+      return first;
+    },
     find(id) {
       for (const engine of parts.engines()) {
         if (engine.id === id) return engine;
--- a/src/scheduling/options.ts
+++ b/src/scheduling/options.ts
@@ -2,6 +2,7 @@
  * Where a prompt could be read, and what that would mean: by each engine that reads for others, and by
  * each that generates, where those that generate there already do not pause for too long.
  */
+import type { SendLimits } from '../backpressure/index.js';
 import type { RegisteredServer } from '../fleet/index.js';
 import type { Clock } from '../task/index.js';
 import type { Prospect } from './admission.js';
@@ -36,6 +37,7 @@
   candidates: Candidates;
   engines: KnownEngines;
   generators: GeneratingEngines;
+  limits: SendLimits;
 }
 
 /** Lists where prompts could be read. */
@@ -60,7 +62,7 @@
  * @param parts the engines and what is known of them
  */
 export function createOptions(parts: OptionsParts): Options {
-  const { clock, paces, mechanisms, candidates, engines, generators } = parts;
+  const { clock, paces, mechanisms, candidates, engines, generators, limits } = parts;
 
   function list(entry: Entry, generating: readonly RegisteredServer[], restMs: number): Option[] {
     const { job } = entry;
@@ -86,12 +88,13 @@
     const newcomer = { ...entry, isLate: false, expectMs: () => readMs };
     const distanceMs = server.zone === entry.job.zone ? 0 : OTHER_ZONE_MS;
     // while nothing is known, what was given counts instead of what it takes
+    const untilRoomMs = limits.msUntilRoom(server.id, queue.count());
     const probeMs = paces.isKnown() ? 0 : PROBE_MS * (engine.reads.count() + queue.count());
     return {
       server,
       engine,
       isDirect: false,
-      waitMs: startsInMs + queue.aheadMs(newcomer),
+      waitMs: Math.max(untilRoomMs, startsInMs + queue.aheadMs(newcomer)),
       readMs,
       weighedReadMs: mechanisms.cacheAffinity ? readMs : 0,
       restMs,
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -7,6 +7,7 @@
  * better (`admission.ts`). The engine that generates is chosen when reading starts. Everything here is
  * soft state: a scheduler that starts anew knows the fleet within a second, since reads are short.
  */
+import type { SendLimits } from '../backpressure/index.js';
 import type { Log } from '../events/index.js';
 import type { HealthOutcome, RegisteredServer } from '../fleet/index.js';
 import type { Clock, Timer } from '../task/index.js';
@@ -39,6 +40,8 @@
   /** Tokens that the cache of one engine holds. */
   cacheTokens(): number;
   caches: CacheLists;
+  /** Room within the limits that engines have named. */
+  limits: SendLimits;
 }
 
 /** Places the requests of one service. */
@@ -81,7 +84,7 @@
  * @param parts the engines and the terms
  */
 export function createScheduler(parts: SchedulerParts): Scheduler {
-  const { clock, log, paces, mechanisms } = parts;
+  const { clock, log, paces, mechanisms, limits } = parts;
   const entries = new Map<string, Entry>();
   /** Engines that are to get the next read once they have nearly done the present one. */
   const wakeUps = new Map<string, Timer>();
@@ -91,7 +94,7 @@
   /** Reads of requests that can be on time. */
   const punctualWork = createRecentWork();
   const generatingLoad = createGeneratingLoad();
-  const candidates = createCandidates({ engines: () => parts.engines(), watch, inUse });
+  const candidates = createCandidates({ engines: () => parts.engines(), watch, limits, inUse });
   const engines = createKnownEngines({
     log,
     paces,
@@ -99,7 +102,15 @@
     caches: mechanisms.cacheLists ? parts.caches : undefined,
     find: (id) => candidates.find(id),
   });
-  const options = createOptions({ clock, paces, mechanisms, candidates, engines, generators });
+  const options = createOptions({
+    clock,
+    paces,
+    mechanisms,
+    candidates,
+    engines,
+    generators,
+    limits,
+  });
 
   /** Requests that an engine was given or that wait for it. */
   function inUse(id: string): number {
@@ -136,7 +147,7 @@
     entry.readBy = entry.submittedAt + byMs;
     const choices = options.list(entry, generating, restMs);
     if (choices.length === 0) {
-      decline(entry, 'no-engine', NO_ENGINE_RETRY_MS, 0);
+      declineWithoutEngine(entry);
       return;
     }
     const spentMs = clock.now() - entry.submittedAt;
@@ -201,6 +212,13 @@
     decline(entry, 'cannot-be-on-time', NO_ENGINE_RETRY_MS, backlogMs);
   }
 
+  /** Where limits leave no room, each caller is told another time, so that they don't come back together. */
+  function declineWithoutEngine(entry: Entry): void {
+    const limited = candidates.firstLimited(entry.job);
+    const untilRoomMs = limited === undefined ? 0 : limits.msUntilReturn(limited);
+    decline(entry, 'no-engine', Math.max(NO_ENGINE_RETRY_MS, untilRoomMs), 0);
+  }
+
   function decline(
     entry: Entry,
     reason: DeclineReason,
@@ -234,15 +252,20 @@
 
   /** Whether an engine is to get another read now. While paces are unknown, one read probes. */
   function hasRoom(engine: EngineModel): boolean {
+    if (limits.msUntilRoom(engine.id) > 0) return false;
     if (engine.reads.count() === 0) return true;
     return paces.isKnown() && engine.reads.remainingMs(clock.now()) < COMMITTED_MS;
   }
 
-  /** Looks again once the present read has nearly ended. */
+  /** Looks again once the present read has nearly ended, and the engine's limit leaves room. */
   function wakeUp(engine: EngineModel): void {
     wakeUps.get(engine.id)?.cancel();
-    const delayMs = engine.reads.remainingMs(clock.now()) - COMMITTED_MS;
-    if (!paces.isKnown() || delayMs < 0) return;
+    const untilRoomMs = limits.msUntilRoom(engine.id);
+    const untilReadMs = paces.isKnown()
+      ? engine.reads.remainingMs(clock.now()) - COMMITTED_MS
+      : Number.NEGATIVE_INFINITY;
+    const delayMs = Math.max(untilRoomMs, untilReadMs);
+    if (delayMs < 0 || (delayMs === 0 && untilReadMs < 0)) return;
     const timer = clock.after(delayMs + 1, () => {
       advance(engine);
     });
@@ -281,7 +304,7 @@
     const { job } = entry;
     const fit = candidates.list(job, 'decode');
     const generator = generators.choose(fit, zone, job.rank, options.busyMs);
-    if (generator === undefined) decline(entry, 'no-engine', NO_ENGINE_RETRY_MS, 0);
+    if (generator === undefined) declineWithoutEngine(entry);
     return generator;
   }
 
@@ -329,6 +352,8 @@
     const { job } = entry;
     entry.placement = placement;
     entry.placedAt = clock.now();
+    if (placement.reader !== undefined) limits.take(placement.reader);
+    limits.take(placement.generator);
     entry.expiry?.cancel();
     generators.start(placement.generator, job.rank, job.prompt.tokens);
     noteLoad();
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -51,6 +51,8 @@
   role?: 'prefill' | 'decode';
   /** The process ends, and with it all connections, when it begins to run a request with this body. */
   endsOn?: string;
+  /** Time that an engine takes to read a prompt, in ms; twice as long where it generates. */
+  readMs?: number;
   /** Parts of prompts that an engine says it has cached, with their tokens. */
   cached?: readonly (readonly [id: string, tokens: number])[];
 }
@@ -61,7 +63,7 @@
  * @param terms what the server is
  */
 export async function startServerStandIn(terms: ServerStandInTerms): Promise<ServerStandIn> {
-  const { id } = terms;
+  const { id, readMs = 0 } = terms;
   const received: ReceivedRequest[] = [];
   const orders: Record<string, unknown>[] = [];
   const released: string[] = [];
@@ -100,6 +102,12 @@
     }
   }
 
+  /** Time that reading a request's prompt takes; none where another engine has read it. */
+  function resolveReadMs({ headers }: ReceivedRequest): number {
+    if (headers['x-stage'] === 'prefill') return readMs;
+    return headers['x-kv-source'] === undefined ? 2 * readMs : 0;
+  }
+
   async function receive(message: IncomingMessage, response: ServerResponse): Promise<void> {
     const { method = '', url: path = '' } = message;
     const chunks: Buffer[] = [];
@@ -135,7 +143,9 @@
       response.on('close', () => {
         if (!response.writableFinished) request.isAbandoned = true;
       });
-      answerRequest(request, response);
+      const delayMs = resolveReadMs(request);
+      if (delayMs === 0) answerRequest(request, response);
+      else setTimeout(answerRequest, delayMs, request, response);
     }
   }
 
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -1,4 +1,5 @@
 import { expect } from 'chai';
+import { unlimited } from '../../src/backpressure/index.js';
 import { createSilentLog } from '../../src/events/index.js';
 import type { RegisteredServer } from '../../src/fleet/index.js';
 import { Ok } from 'ts-results-es';
@@ -95,6 +96,7 @@
     engines: () => fleet,
     cacheTokens: () => 100_000,
     caches: { list: ({ id }) => Promise.resolve(Ok(cached[id] ?? [])) },
+    limits: unlimited,
   });
   const decisions = new Map<string, Decision>();
   function submit(submitted: Job): Decision | undefined {
--- a/tools/replay/replay.ts
+++ b/tools/replay/replay.ts
@@ -3,6 +3,7 @@
  * product's own, the engines are emulated. Callers that are turned away come back once, as told.
  */
 import { Ok } from 'ts-results-es';
+import { unlimited } from '../../src/backpressure/index.js';
 import { createSilentLog } from '../../src/events/index.js';
 import type { RegisteredServer } from '../../src/fleet/index.js';
 import {
@@ -88,6 +89,7 @@
       engines: listServers,
       cacheTokens: () => fleet.cacheTokens,
       caches: { list: ({ id }) => Promise.resolve(Ok(engines.get(id)?.cached() ?? [])) },
+      limits: unlimited,
     });
   }
 
