fix(gateway): a server that says in an answer that it leaves gets nothing more from any gateway

What callers saw: requests ran at a server that was about to end, and were lost with it where it ended first.

Cause: the gateways went by the registry alone, and by its copy at the time of placing. While the store was away, a server's own word was the only one there was; it ended with the exchange that heard it. Now such an incarnation is retired by the gateway that hears it in any answer (success, failure, refusal, head of a stream, reading, call), which tells all others; it stays so when its entry lapses and returns, or is known only later. Right before each request goes out, on a kept connection or a new one, one check asks whether its server still takes any; what is held back goes to another one without cost, and a prompt that was read stays where it is meanwhile.

--- a/src/backpressure/backpressure.ts
+++ b/src/backpressure/backpressure.ts
@@ -34,6 +34,8 @@
   gateways(): number;
   /** Tells all partners. */
   tellPartners(message: NoticesMessage): void;
+  /** A server has come to be known to leave. */
+  left(server: string): void;
   /** Sends to a peer; false where there is no way to it. */
   send(node: string, message: NoticesMessage | AllowanceMessage): boolean;
 }
@@ -104,16 +106,26 @@
     }
   }
 
-  /** Takes a notice in, and tells others where it is news. */
+  /** Takes a notice in; tells whether it is news. */
   function learn(notice: ServerNotice, source: string): boolean {
-    const { server, limitPerS, at } = notice;
+    const { server, isLeaving, limitPerS, at } = notice;
+    const wasLeaving = notices.isLeaving(server);
     if (!notices.learn(notice, source !== 'server')) return false;
     const ageMs = Math.round(clock.now() - at);
-    log.write('serverSignalled', { server, limitPerS, source, ageMs });
+    log.write('serverSignalled', { server, isLeaving, limitPerS, source, ageMs });
     if (limitPerS !== undefined) metrics.signals.inc({ signal: 'limit' });
+    if (!isLeaving || wasLeaving) return true;
+    metrics.signals.inc({ signal: 'leaving' });
+    parts.left(server);
     return true;
   }
 
+  /** Whether an answer says something that binds all, or ends a limit. */
+  function isNotice(id: string, { isLeaving, limitPerS }: ServerSignals, isSound: boolean) {
+    if (isLeaving || limitPerS !== undefined) return true;
+    return isSound && notices.limitOf(id) !== undefined;
+  }
+
   function tell(rows: readonly NoticeRow[]): void {
     if (rows.length > 0) parts.tellPartners({ kind: 'notices', rows: [...rows] });
   }
@@ -131,9 +143,9 @@
     heard(server, signals, isSound) {
       noteUnreadable(server, signals);
       const { id } = server;
-      const { limitPerS } = signals;
-      if (limitPerS === undefined && (!isSound || notices.limitOf(id) === undefined)) return;
-      if (!learn({ server: id, limitPerS, at: clock.now() }, 'server')) return;
+      if (!isNotice(id, signals, isSound)) return;
+      const { isLeaving, limitPerS } = signals;
+      if (!learn({ server: id, isLeaving, limitPerS, at: clock.now() }, 'server')) return;
       const row = notices.rowOf(id, clock.now());
       if (row === undefined) return;
       tellDealer(id, [row]);
--- a/src/backpressure/notices.ts
+++ b/src/backpressure/notices.ts
@@ -16,6 +16,8 @@
 export interface ServerNotice {
   /** The incarnation. */
   server: string;
+  /** It takes nothing new until it is gone. */
+  isLeaving: boolean;
   /** Requests a second; `undefined` where it names no limit any more. */
   limitPerS: number | undefined;
   /** When its answer said so, on this gateway's clock in ms. */
@@ -24,6 +26,7 @@
 
 export const noticeRowSchema = z.object({
   server: z.string(),
+  isLeaving: z.boolean().default(false),
   limitPerS: z.number().nonnegative().optional(),
   /** Time since the answer, in ms. */
   ageMs: z.number(),
@@ -48,6 +51,7 @@
 /** The table of one gateway. */
 export interface ServerNotices {
   limitOf: (server: string) => number | undefined;
+  isLeaving: (server: string) => boolean;
   /**
    * Takes an answer in.
    *
@@ -73,21 +77,27 @@
     return Math.abs(after - before) > TOLD_SHARE * before;
   }
 
-  function pack({ server, limitPerS, at }: Entry, now: number): NoticeRow {
-    return { server, ageMs: now - at, ...(limitPerS !== undefined && { limitPerS }) };
+  function pack({ server, isLeaving, limitPerS, at }: Entry, now: number): NoticeRow {
+    return { server, isLeaving, ageMs: now - at, ...(limitPerS !== undefined && { limitPerS }) };
   }
 
   return {
     limitOf: (server) => entries.get(server)?.limitPerS,
+    isLeaving: (server) => entries.get(server)?.isLeaving === true,
     learn(notice, isTold) {
-      const { server, limitPerS, at } = notice;
+      const { server } = notice;
       const known = entries.get(server);
-      if (known !== undefined && at <= known.at) return false;
-      if (known === undefined && limitPerS === undefined) return false;
+      const isLeaving = notice.isLeaving || known?.isLeaving === true;
+      const hasLeft = isLeaving && known?.isLeaving !== true;
+      // an incarnation that leaves doesn't come back, whichever answer comes last
+      const latest = known !== undefined && notice.at <= known.at ? known : notice;
+      if (latest === known && !hasLeft) return false;
+      const { limitPerS, at } = latest;
+      if (known === undefined && limitPerS === undefined && !isLeaving) return false;
       const hasChanged = isNews(known?.toldPerS, limitPerS);
       const toldPerS = isTold || hasChanged ? limitPerS : known?.toldPerS;
-      entries.set(server, { ...notice, toldPerS });
-      return hasChanged;
+      entries.set(server, { server, isLeaving, limitPerS, at, toldPerS });
+      return hasChanged || hasLeft;
     },
     rows(now) {
       const found: NoticeRow[] = [];
@@ -103,8 +113,9 @@
     },
     digest() {
       let sum = 0;
-      for (const { server, toldPerS } of entries.values()) {
-        if (toldPerS !== undefined) sum = (sum + hashName(`${server}/${toldPerS}`)) >>> 0;
+      for (const { server, isLeaving, toldPerS } of entries.values()) {
+        if (!isLeaving && toldPerS === undefined) continue;
+        sum = (sum + hashName(`${server}/${isLeaving}/${toldPerS ?? ''}`)) >>> 0;
       }
       return sum;
     },
@@ -120,6 +131,7 @@
  * @param row a peer's
  * @param now this gateway's clock, in ms
  */
-export function unpackNotice({ server, limitPerS, ageMs }: NoticeRow, now: number): ServerNotice {
-  return { server, limitPerS, at: now - Math.max(0, ageMs) };
+export function unpackNotice(row: NoticeRow, now: number): ServerNotice {
+  const { server, isLeaving, limitPerS, ageMs } = row;
+  return { server, isLeaving, limitPerS, at: now - Math.max(0, ageMs) };
 }
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -26,6 +26,10 @@
  * interval between two words of a peer. */
 const REMOVAL_MEMORY_MS = 60_000;
 
+/** How long an incarnation that leaves is remembered whether or not it has an entry, in ms: an entry may lapse and come
+ * back, and peers tell of servers before the registry does. */
+const RETIRED_MEMORY_MS = 10 * 60_000;
+
 /** Where a change was learnt from. */
 export type FleetSource = 'store' | 'peer' | 'server';
 
@@ -51,6 +55,8 @@
   /** The store answers again after an outage. */
   storeReturned(): void;
   find(id: string): RegisteredServer | undefined;
+  /** Whether a server takes new requests. */
+  isAvailable(id: string): boolean;
   /** Servers of a service that take new requests, ordered by id. */
   available(service: string): readonly RegisteredServer[];
   /** Changes after a revision, for a peer that is behind. */
@@ -98,6 +104,8 @@
   let lostAtRevision: number | undefined;
   /** Entries of this revision or an older one may have lapsed in the last outage. */
   let lapsedUpTo = 0;
+  /** When each incarnation that leaves by its own word was known to. */
+  const retiredAt = new Map<string, number>();
   /** Removals that wait for the end of the grace period. */
   const lapsed = new Map<string, RegistryChange>();
 
@@ -161,7 +169,7 @@
     entries.set(change.id, {
       change,
       learntAt: clock.now(),
-      isRetired: isSame && known?.isRetired === true,
+      isRetired: server !== undefined && retiredAt.has(server.id),
     });
     if (before !== undefined) names.delete(before.id);
     if (server !== undefined) names.set(server.id, change.id);
@@ -201,6 +209,9 @@
   }
 
   function forgetOld(): void {
+    for (const [id, at] of retiredAt) {
+      if (!names.has(id) && at < clock.now() - RETIRED_MEMORY_MS) retiredAt.delete(id);
+    }
     const before = clock.now() - REMOVAL_MEMORY_MS;
     for (const [name, entry] of entries) {
       if (entry.change.server === undefined && entry.learntAt < before) entries.delete(name);
@@ -237,6 +248,7 @@
     },
     retire(id, reason) {
       const entry = findEntry(id);
+      retiredAt.set(id, clock.now());
       if (entry === undefined || entry.isRetired) return;
       entry.isRetired = true;
       byService.clear();
@@ -250,6 +262,10 @@
       startGrace(lostAtRevision ?? newest);
     },
     find: (id) => findEntry(id)?.change.server,
+    isAvailable(id) {
+      const entry = findEntry(id);
+      return entry !== undefined && isAvailable(entry);
+    },
     available(service) {
       const known = byService.get(service);
       if (known !== undefined) return known;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -146,6 +146,9 @@
     node,
     dealerOf: (server) => schedulers.holderOf(fleet.find(server)?.service ?? ''),
     gateways: () => overlay.peers().length + 1,
+    left(server) {
+      fleet.retire(server, 'the server says that it leaves');
+    },
     tellPartners(message) {
       overlay.tellPartners(message);
     },
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -173,6 +173,12 @@
       labelNames: ['signal'],
       registers,
     }),
+    withheld: new Counter({
+      name: 'reedtally_gateway_sends_withheld_total',
+      help: 'Sends that were not made since the server wanted nothing, by why',
+      labelNames: ['reason'],
+      registers,
+    }),
     crashesCounted: new Counter({
       name: 'reedtally_gateway_crashes_counted_total',
       help: 'Requests at work at servers that ended, by what showed the end',
--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -108,14 +108,20 @@
       return { kind: 'refused', reason, retryAfterMs, backlogMs };
     }
     const { reader, generator, expectedReadMs } = decision.placement;
-    const generating = context.find(generator);
+    const generating = findOpen(generator);
     if (generating === undefined) return exclude(generator);
     if (reader === undefined) return placed(generating, kept);
-    const reading = context.find(reader);
+    const reading = findOpen(reader);
     if (reading === undefined) return exclude(reader);
     return readAt(reading, generating, resolveReadLimit(expectedReadMs));
   }
 
+  /** An engine of a placement, unless it has come to want nothing since. */
+  function findOpen(id: string): RegisteredServer | undefined {
+    const server = context.find(id);
+    return server === undefined || context.barrier(server) !== undefined ? undefined : server;
+  }
+
   /** How long a read may take: of an engine whose pace is unknown, as long as it can be of use. */
   function resolveReadLimit(expectedMs: number | undefined): number {
     if (expectedMs === undefined) return context.timeLeftMs() * UNKNOWN_READ_SHARE;
@@ -141,6 +147,8 @@
       hasRead = true;
       kept = { address: reading.address, handle: outcome.handle };
       keeper = reading;
+      // the prompt stays where it is until another engine generates from it
+      if (findOpen(generating.id) === undefined) return exclude(generating.id);
       return placed(generating, kept);
     }
     if (outcome.kind === 'aborted') return { kind: 'aborted' };
@@ -153,7 +161,7 @@
   ): Promise<Placing> | Placing {
     excluded.push(reading.id);
     leave(outcome.kind);
-    const isFree = outcome.kind === 'unsent';
+    const isFree = outcome.kind === 'unsent' || outcome.kind === 'withheld';
     if (!isFree) context.countAttempt();
     const isOver = reads >= MAX_READS || (!isFree && !context.mayAskAgain('read'));
     return isOver ? refuseUnread() : place();
@@ -176,7 +184,8 @@
     },
     sent(placed, outcome) {
       // a server that did not run the request has left the prompt where it was
-      const isLeft = outcome.kind === 'unsent' || outcome.kind === 'declined';
+      const { kind } = outcome;
+      const isLeft = kind === 'unsent' || kind === 'withheld' || kind === 'declined';
       if (!isLeft) kept = undefined;
       if (outcome.kind !== 'finished') excluded.push(placed.server.id);
       leave(outcome.kind);
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -22,6 +22,8 @@
   /** Names and values by turns, as on the wire. */
   rawHeaders: readonly string[];
   body: Buffer | undefined;
+  /** Asked right before it goes out: why the server wants nothing now, if so. */
+  barrier?: (() => string | undefined) | undefined;
 }
 
 /** The head of an answer. */
@@ -36,6 +38,8 @@
 export interface ExchangeLoss {
   /** False only if the server provably received nothing of the request. */
   sent: boolean;
+  /** The server wants nothing now, so nothing was sent. */
+  isWithheld: boolean;
   /** True when this end gave up. */
   aborted: boolean;
   reason: string;
@@ -94,10 +98,22 @@
     if (finished) return;
     finished = true;
     connectTimer.cancel();
-    receiver.onLoss({ sent, aborted: false, reason });
+    receiver.onLoss({ sent, isWithheld: false, aborted: false, reason });
+  }
+
+  /** A request may have waited for its connection while the server came to want nothing. */
+  function withhold(): boolean {
+    const reason = request.barrier?.();
+    if (reason === undefined || finished) return false;
+    finished = true;
+    connectTimer.cancel();
+    receiver.onLoss({ sent: false, isWithheld: true, aborted: false, reason });
+    outgoing.destroy();
+    return true;
   }
 
   function connected(): void {
+    if (withhold()) return;
     sent = true;
     connectTimer.cancel();
   }
--- a/src/relay/health-outcome.ts
+++ b/src/relay/health-outcome.ts
@@ -23,6 +23,6 @@
     .with('lost', () => 'failed')
     .with('overdue', () => 'silent')
     .with('unsent', () => 'unreachable')
-    .with('aborted', () => undefined)
+    .with('aborted', 'withheld', () => undefined)
     .exhaustive();
 }
--- a/src/relay/next-move.ts
+++ b/src/relay/next-move.ts
@@ -50,28 +50,32 @@
     return progress.mayHaveRun ? { kind: 'fail', reason } : { kind: 'refuse', reason };
   }
 
-  return match<SendOutcome, Move>(outcome)
-    .with({ kind: 'finished' }, () => ({ kind: 'done' }))
-    .with({ kind: 'aborted' }, () => ({ kind: 'stop' }))
-    .with({ kind: 'unsent' }, ({ reason }) => {
-      if (progress.unsent >= MAX_UNSENT) return giveUp(reason);
-      return { kind: 'again', costs: false, reason: 'unsent' };
-    })
-    .with({ kind: 'declined' }, () => {
-      if (!hasAttempts) return giveUp('declined by the server');
-      return { kind: 'again', costs: true, reason: 'declined' };
-    })
-    .with({ kind: 'failed' }, ({ head }) => {
-      const isPassing = head.status >= 500 && mayRepeat && hasAttempts;
-      if (!isPassing || progress.isBegun) return { kind: 'pass-failure' };
-      return { kind: 'again', costs: true, reason: 'failed' };
-    })
-    .with({ kind: 'lost' }, { kind: 'overdue' }, ({ kind, reason }) => {
-      const canContinue = !progress.isBegun || (route.isStream && route.isResumable);
-      if (!mayRepeat || !hasAttempts || !canContinue) return { kind: 'fail', reason };
-      return { kind: 'again', costs: true, reason: kind };
-    })
-    .exhaustive();
+  return (
+    match<SendOutcome, Move>(outcome)
+      .with({ kind: 'finished' }, () => ({ kind: 'done' }))
+      .with({ kind: 'aborted' }, () => ({ kind: 'stop' }))
+      .with({ kind: 'unsent' }, ({ reason }) => {
+        if (progress.unsent >= MAX_UNSENT) return giveUp(reason);
+        return { kind: 'again', costs: false, reason: 'unsent' };
+      })
+      // its placer looks elsewhere, and says so where nothing is left
+      .with({ kind: 'withheld' }, () => ({ kind: 'again', costs: false, reason: 'withheld' }))
+      .with({ kind: 'declined' }, () => {
+        if (!hasAttempts) return giveUp('declined by the server');
+        return { kind: 'again', costs: true, reason: 'declined' };
+      })
+      .with({ kind: 'failed' }, ({ head }) => {
+        const isPassing = head.status >= 500 && mayRepeat && hasAttempts;
+        if (!isPassing || progress.isBegun) return { kind: 'pass-failure' };
+        return { kind: 'again', costs: true, reason: 'failed' };
+      })
+      .with({ kind: 'lost' }, { kind: 'overdue' }, ({ kind, reason }) => {
+        const canContinue = !progress.isBegun || (route.isStream && route.isResumable);
+        if (!mayRepeat || !hasAttempts || !canContinue) return { kind: 'fail', reason };
+        return { kind: 'again', costs: true, reason: kind };
+      })
+      .exhaustive()
+  );
 }
 
 /** Whether a request of a route may run again after it may have run. */
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -50,6 +50,8 @@
   aimLeftMs(): number;
   timeLeftMs(): number;
   find(id: string): RegisteredServer | undefined;
+  /** Why a server is to get nothing now, if so. */
+  barrier(server: RegisteredServer): string | undefined;
   /** Servers of the service that this gateway leaves alone for now. */
   avoided(): string[];
   /** Starts an exchange for this request with a server. */
--- a/src/relay/read-prompt.ts
+++ b/src/relay/read-prompt.ts
@@ -13,6 +13,8 @@
   | { kind: 'read'; handle: string }
   | { kind: 'declined'; status: number }
   | { kind: 'unsent'; reason: string }
+  /** Nothing was sent, since the engine wants nothing now. */
+  | { kind: 'withheld'; reason: string }
   | { kind: 'lost'; reason: string }
   /** Nothing came back within the time that such a reading may take; the engine was let go. */
   | { kind: 'overdue'; reason: string }
@@ -55,7 +57,9 @@
           settle(judgeAnswer());
         },
         onLoss(loss) {
-          settle({ kind: loss.sent ? 'lost' : 'unsent', reason: loss.reason });
+          const { reason } = loss;
+          if (loss.isWithheld) settle({ kind: 'withheld', reason });
+          else settle({ kind: loss.sent ? 'lost' : 'unsent', reason });
         },
       },
     );
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -167,6 +167,7 @@
     aimLeftMs: () => route.aimMs - (clock.now() - arrivedAt),
     timeLeftMs: () => endAt - clock.now(),
     find: (id) => parts.fleet.find(id),
+    barrier,
     avoided() {
       const found = [...watched.beside()];
       for (const { id } of parts.fleet.available(service)) {
@@ -222,9 +223,15 @@
       path,
       rawHeaders: protocol.sendHeaders(head, all, body?.length ?? 0),
       body,
+      barrier: () => barrier(server),
     };
   }
 
+  /** Why a server is to get nothing now: the one check that all sends pass, whoever placed them. */
+  function barrier({ id }: RegisteredServer): string | undefined {
+    return parts.fleet.isAvailable(id) ? undefined : 'the server leaves';
+  }
+
   function spend(reason: string): boolean {
     const isAllowed = parts.budget.spend(service);
     if (isAllowed) metrics.retries.inc({ reason });
@@ -327,6 +334,10 @@
 
   /** Takes in how a send ended. */
   function count(outcome: SendOutcome): void {
+    if (outcome.kind === 'withheld') {
+      metrics.withheld.inc({ reason: outcome.reason });
+      return;
+    }
     if (outcome.kind === 'unsent') {
       progress.unsent += 1;
       return;
--- a/src/relay/send.ts
+++ b/src/relay/send.ts
@@ -30,6 +30,8 @@
   | { kind: 'declined'; status: number; isOtherServer: boolean }
   /** The server received nothing. */
   | { kind: 'unsent'; reason: string }
+  /** Nothing was sent, since the server wants nothing now. */
+  | { kind: 'withheld'; reason: string }
   /** The request may have run; there is no whole answer. */
   | { kind: 'lost'; reason: string }
   /** The request may have run; the server was let go because no answer began in time. */
@@ -105,7 +107,8 @@
         finish();
       },
       onLoss(loss) {
-        if (!loss.sent) settle({ kind: 'unsent', reason: loss.reason });
+        if (loss.isWithheld) settle({ kind: 'withheld', reason: loss.reason });
+        else if (!loss.sent) settle({ kind: 'unsent', reason: loss.reason });
         else if (facts?.isDeclined === true) settleDeclined();
         else settle({ kind: 'lost', reason: loss.reason });
       },
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -5,6 +5,9 @@
 import { createServer, type IncomingMessage, type ServerResponse } from 'node:http';
 import { addressOf, closeServer, listen } from './store.js';
 
+/** Paths that are no requests of callers. */
+const CALLS = /^\/(report|kv-list|order|kv-handle\/.*)$/;
+
 /** A request as the server received it. */
 export interface ReceivedRequest {
   method: string;
@@ -34,8 +37,10 @@
   hasEnded(): boolean;
   /** Handles that were freed. */
   released(): readonly string[];
-  /** Headers that all its answers have from now on, calls included. */
+  /** Headers that all its answers to requests have from now on. */
   say(headers: Record<string, string>): void;
+  /** Headers that all its answers to reports, lists, orders and releases have from now on. */
+  sayInCalls(headers: Record<string, string>): void;
   /** Turns all requests away from now on, with these headers; `undefined` ends it. */
   turnAway(headers: Record<string, string> | undefined): void;
   /** Answers the next requests by a script; the sound server goes on after it. */
@@ -71,6 +76,7 @@
   let handles = 0;
   let ended = false;
   let said: Record<string, string> = {};
+  let saidInCalls: Record<string, string> = {};
   let turningAway: Record<string, string> | undefined;
 
   function answerRequest(request: ReceivedRequest, response: ServerResponse): void {
@@ -115,7 +121,9 @@
       chunks.push(chunk as Buffer);
     }
     const body = Buffer.concat(chunks);
-    for (const [name, value] of Object.entries(said)) response.setHeader(name, value);
+    const isCall = CALLS.test(path);
+    const headers = Object.entries(isCall ? saidInCalls : said);
+    for (const [name, value] of headers) response.setHeader(name, value);
     if (path === '/report') {
       const report = { stage: terms.role ?? 'decode', busy: false, sequence: orders.length };
       response.writeHead(200).end(JSON.stringify(report));
@@ -163,6 +171,9 @@
     say(headers) {
       said = headers;
     },
+    sayInCalls(headers) {
+      saidInCalls = headers;
+    },
     turnAway(headers) {
       turningAway = headers;
     },
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -19,6 +19,23 @@
     expect(fleet.available('pages')).to.deep.equal([]);
   });
 
+  it('keeps a server that says itself that it leaves away when its entry lapses and returns', () => {
+    const { fleet } = setUp();
+    fleet.learn(change('s', 1), 'store');
+    fleet.retire('s', 'the server says that it leaves');
+    fleet.learn(removal('s', 2), 'store');
+    fleet.learn(change('s', 3), 'store');
+    expect(fleet.available('pages')).to.deep.equal([]);
+  });
+
+  it('keeps a server away of which peers said that it leaves before its entry came', () => {
+    const { fleet } = setUp();
+    fleet.retire('s', 'the server says that it leaves');
+    fleet.learn(change('s', 1), 'store');
+    expect(fleet.available('pages')).to.deep.equal([]);
+    expect(fleet.isAvailable('s')).to.equal(false);
+  });
+
   it('does not bring back a server whose removal is known', () => {
     const { fleet, left } = setUp();
     fleet.learn(change('s', 1), 'store');
--- a/test/gateway/leaving-servers.test.ts
+++ b/test/gateway/leaving-servers.test.ts
@@ -1,6 +1,7 @@
 // A server said in all its answers that it leaves, and went on getting 5 to 12 requests a second for twelve seconds, until
 // the registry said so as well: the store was away ("storeLost" at all gateways), and no gateway read what the server said.
 import { expect } from 'chai';
+import type { ScriptedAnswer } from '../../stand-ins/users-platform/index.js';
 import { until, type GatewayFixture } from '../fixtures/gateway.js';
 import {
   GATEWAYS,
@@ -8,6 +9,14 @@
   type SignallingFleet,
 } from '../fixtures/signalling-fleet.js';
 
+const failing: ScriptedAnswer = (request, response) => {
+  const id = String(request.headers['x-request-id']);
+  response.writeHead(500, { 'X-Request-Id': id, 'X-Server-Signature': 's' }).end('broken');
+};
+const full: ScriptedAnswer = (_request, response) => {
+  response.writeHead(503, { 'X-Not-Executed': '1' }).end();
+};
+
 describe('a server that says in its answers that it leaves', () => {
   let fleet: SignallingFleet;
 
@@ -16,15 +25,29 @@
   });
   afterEach(() => fleet.close());
 
-  const answers: readonly [answer: string, id: string, path: string][] = [
+  const answers: readonly [answer: string, id: string, path: string, script?: ScriptedAnswer][] = [
     ['a success', 'p0', '/any/7'],
     ['the head of a stream', 'g0', '/single/7'],
     ['the answer to a reading', 'r0', '/single/7'],
+    ['a failure', 'p0', '/any/7', failing],
+    ['a refusal', 'p0', '/any/7', full],
   ];
-  for (const [answer, id, path] of answers) {
+  it('gets nothing more from any gateway where its answer to a call says so', async () => {
+    const engine = await fleet.addEngine('g2', { 'Server-Leaving': '1' });
+    await until(async () => {
+      await fleet.askOften('/single/7', 3);
+      return fleet.gateways.every((gateway) => hasRetired(gateway, 'g2'));
+    });
+    const before = engine.received().length;
+    await fleet.askOften('/single/7', 12);
+    expect(engine.received().length).to.equal(before);
+  }).timeout(8_000);
+
+  for (const [answer, id, path, script] of answers) {
     it(`gets nothing more from any gateway where ${answer} says so`, async () => {
       const server = fleet.serverOf(id);
       server.say({ 'Server-Leaving': '1' });
+      if (script !== undefined) server.script(script);
       await fleet.askUntilReached([server], path);
       const before = server.received().length;
       await fleet.askOften(path, 12, 0);
