fix(gateway): a server that has asked a gateway for rest gets nothing from it meanwhile

What callers saw: 503 after a first try at a server that had said that it takes nothing for 3 s, again and again.

Cause: the time in the server's refusal was not read. Three declines in a row made a gateway avoid the server for half a second, which is a preference: where no other seemed sound it was used all the same, and the scheduling gateway, which had not been asked, placed there for the one that had. Now the rest is kept by incarnation and closes every way out: placers leave the server out, jobs name it as excluded, the check right before each send holds back what was under way, and reports, lists, orders and releases wait too. Where all servers rest, the caller is told when the first is back, spread by a quarter.

--- a/src/backpressure/backpressure.ts
+++ b/src/backpressure/backpressure.ts
@@ -14,6 +14,7 @@
   type NoticesMessage,
   type ServerNotice,
 } from './notices.js';
+import { createPauses } from './pauses.js';
 import { createSendLimits, type SendLimits } from './send-limits.js';
 import type { ServerSignals } from './signals.js';
 
@@ -41,7 +42,7 @@
 }
 
 /** What servers have asked for, and room for sends to them. */
-export interface Backpressure extends Pick<Allowances, 'msUntilOpen'> {
+export interface Backpressure {
   /**
    * Takes in what an answer of a server asks for.
    *
@@ -50,6 +51,12 @@
    * @param isSound whether it is a good answer to a request: only that ends a limit which it doesn't name
    */
   heard: (server: RegisteredServer, signals: ServerSignals, isSound: boolean) => void;
+  /** Time until a server may be sent anything after it has asked this gateway for rest, in ms. */
+  msUntilRested: (server: string) => number;
+  /** Servers that have asked this gateway for rest. */
+  resting: () => string[];
+  /** Time until a server of a plain service is worth choosing, by its limit and its rest, in ms. */
+  msUntilOpen(server: string): number;
   /** Room within the limits, for placements and for callers that are turned away. */
   limits: SendLimits;
   /**
@@ -77,6 +84,7 @@
 export function createBackpressure(parts: BackpressureParts): Backpressure {
   const { clock, random, log, metrics, node } = parts;
   const notices = createServerNotices();
+  const pauses = createPauses(clock, random);
   const limits = createSendLimits({
     clock,
     random,
@@ -106,6 +114,12 @@
     }
   }
 
+  function notePause(server: string, { pauseMs }: ServerSignals): void {
+    if (pauseMs === undefined || pauses.ask(server, pauseMs)) return;
+    metrics.signals.inc({ signal: 'pause' });
+    log.write('serverSignalled', { server, pauseMs, source: 'server' });
+  }
+
   /** Takes a notice in; tells whether it is news. */
   function learn(notice: ServerNotice, source: string): boolean {
     const { server, isLeaving, limitPerS, at } = notice;
@@ -138,11 +152,14 @@
 
   return {
     limits,
-    msUntilOpen: allowances.msUntilOpen,
+    msUntilRested: pauses.msLeft,
+    resting: pauses.list,
+    msUntilOpen: (server) => Math.max(pauses.msLeft(server), allowances.msUntilOpen(server)),
     allow: allowances.ask,
     heard(server, signals, isSound) {
       noteUnreadable(server, signals);
       const { id } = server;
+      notePause(id, signals);
       if (!isNotice(id, signals, isSound)) return;
       const { isLeaving, limitPerS } = signals;
       if (!learn({ server: id, isLeaving, limitPerS, at: clock.now() }, 'server')) return;
@@ -177,6 +194,7 @@
     },
     forget(id) {
       notices.forget(id);
+      pauses.forget(id);
       limits.forget(id);
       allowances.forget(id);
     },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -38,6 +38,7 @@
 import { createGuardedClock, wait, type Clock, type RandomSource } from '../task/index.js';
 import { answerBans } from './answer-bans.js';
 import { resolveFronts } from './directory.js';
+import { createEngineCalls } from './engine-calls.js';
 import { createFollowers } from './followers.js';
 import { startFollowing } from './following.js';
 import { createKeptQuarantine } from './kept-quarantine.js';
@@ -200,6 +201,7 @@
   const guardedClock = createGuardedClock(clock, (error) => {
     log.write('decisionFailed', { step: 'timer', reason: String(error) });
   });
+  const engineCalls = createEngineCalls(platform, backpressure);
   const schedulers = createSchedulers({
     clock: guardedClock,
     log,
@@ -208,7 +210,7 @@
     engines: (service) =>
       fleet.available(service).filter(({ id }) => health.isUsable(id) && !keeper.isChanging(id)),
     cacheTokens: (service) => findService(service)?.engine?.cacheTokens ?? 0,
-    caches: platform.caches,
+    caches: engineCalls.caches,
     limits: backpressure.limits,
     mechanisms,
   });
@@ -280,7 +282,7 @@
       log,
       leaseMs: settings.bounds.leaseMs,
     }),
-    orders: platform.roleOrders,
+    orders: engineCalls.roleOrders,
     services: ownServices,
     engines: (service) => fleet.available(service),
     generatingLoad: (service) => schedulers.local(service).generatingLoad(),
--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -82,7 +82,7 @@
           timeLeftMs: context.timeLeftMs(),
           isReturn: context.isReturn,
           isRead: kept !== undefined,
-          excluded: [...excluded],
+          excluded: [...excluded, ...context.resting()],
           avoided: context.avoided(),
         },
         (decision) => {
@@ -104,7 +104,10 @@
     const decision = await submit();
     if (context.signal.aborted) return { kind: 'aborted' };
     if (decision.kind === 'declined') {
-      const { reason, retryAfterMs, backlogMs } = decision;
+      const { reason, backlogMs } = decision;
+      // engines that rest were left out
+      const untilRestedMs = reason === 'no-engine' ? context.msUntilRested() : 0;
+      const retryAfterMs = Math.max(decision.retryAfterMs, untilRestedMs);
       return { kind: 'refused', reason, retryAfterMs, backlogMs };
     }
     const { reader, generator, expectedReadMs } = decision.placement;
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -168,6 +168,8 @@
     timeLeftMs: () => endAt - clock.now(),
     find: (id) => parts.fleet.find(id),
     barrier,
+    resting: () => parts.backpressure.resting(),
+    msUntilRested: () => leastUntilRestedMs(),
     avoided() {
       const found = [...watched.beside()];
       for (const { id } of parts.fleet.available(service)) {
@@ -229,7 +231,18 @@
 
   /** Why a server is to get nothing now: the one check that all sends pass, whoever placed them. */
   function barrier({ id }: RegisteredServer): string | undefined {
-    return parts.fleet.isAvailable(id) ? undefined : 'the server leaves';
+    if (!parts.fleet.isAvailable(id)) return 'the server leaves';
+    return parts.backpressure.msUntilRested(id) > 0 ? 'the server rests' : undefined;
+  }
+
+  /** Time until the first of the service's servers that rest takes requests again, in ms; 0 where none rests. */
+  function leastUntilRestedMs(): number {
+    let leastMs = Number.POSITIVE_INFINITY;
+    for (const { id } of parts.fleet.available(service)) {
+      const leftMs = parts.backpressure.msUntilRested(id);
+      if (leftMs > 0) leastMs = Math.min(leastMs, leftMs);
+    }
+    return Number.isFinite(leastMs) ? leastMs : 0;
   }
 
   function spend(reason: string): boolean {
@@ -241,6 +254,12 @@
 
   function release(prompt: ReadPrompt, server: RegisteredServer): void {
     const { address } = prompt;
+    if (parts.backpressure.msUntilRested(server.id) > 0) {
+      const reason = 'the server rests; it drops the prompt by itself';
+      log.write('releaseFailed', { request: requestId, server: server.id, reason });
+      return;
+    }
+    parts.backpressure.limits.take(server.id);
     const { method, path } = protocol.releaseCall(prompt);
     startExchange(
       { address, method, path, rawHeaders: ['Host', address], body: undefined },
--- a/src/relay/service-placer.ts
+++ b/src/relay/service-placer.ts
@@ -18,6 +18,9 @@
 /** Time after which a caller is told to come back where no server can take its request, in ms. */
 const RETRY_AFTER_MS = 200;
 
+/** Part of that time that is added at random where servers name limits or rest. */
+const RETURN_SPREAD = 0.25;
+
 /** What gateways know of how busy servers are. */
 export interface ServerLoads {
   record(id: string, load: ServerLoad): void;
@@ -116,7 +119,7 @@
       if (untilOpenMs > 0) openMs = Math.min(openMs, untilOpenMs);
     }
     // callers that find no room at one moment don't come back at one moment
-    const roomMs = Number.isFinite(openMs) ? openMs * (1 + random.next()) : 0;
+    const roomMs = Number.isFinite(openMs) ? openMs * (1 + RETURN_SPREAD * random.next()) : 0;
     const retryAfterMs = Math.max(RETRY_AFTER_MS, roomMs);
     return { kind: 'refused', reason: 'no-server', retryAfterMs, backlogMs: 0 };
   }
--- a/test/gateway/server-pauses.test.ts
+++ b/test/gateway/server-pauses.test.ts
@@ -19,6 +19,7 @@
   const resting: readonly [what: string, id: string, path: string][] = [
     ['a server of a plain service', 'p0', '/any/7'],
     ['an engine that generates', 'g0', '/single/7'],
+    ['an engine that reads prompts', 'r0', '/single/7'],
   ];
   for (const [what, id, path] of resting) {
     it(`gets nothing from it for so long, and requests again after that, as ${what}`, async () => {
