test(soak): servers that name limits, ask for rest and leave

While faults go on, servers ask for less by a draw of its own, so that seeds draw the same faults as before; once all is calm, three of them ask for less at the same time and are judged from their side. Control: a gateway that hears nothing is found out (limit, rest and leaving).

--- a/tools/soak/controls.ts
+++ b/tools/soak/controls.ts
@@ -69,6 +69,13 @@
     to: 'CRASHES_TO_BAN = 3_000;',
     finds: /servers ended under/,
   },
+  {
+    name: 'nothing is heard of what servers ask for',
+    file: 'src/backpressure/backpressure.ts',
+    from: 'noteUnreadable(server, signals);',
+    to: 'return;',
+    finds: /in a window of its limit|after it said it left|in its rest/,
+  },
 ];
 
 /**
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -13,6 +13,7 @@
   type StoreStandIn,
 } from '../../stand-ins/users-platform/index.js';
 import { createSeededRandom, type RandomSource } from '../../src/task/index.js';
+import { createAskingServers, type Asks } from './asking.js';
 import { ask } from './callers.js';
 import { createFatalCount } from './fatal.js';
 import { createGatewayProcess, type GatewayProcess } from './gateways.js';
@@ -38,6 +39,10 @@
 /** Requests of each kind to each gateway after that. */
 const CALM_ROUNDS = 5;
 const NOT_FOUND = 404;
+/** How long servers ask for less once all is calm, in ms: longer than the time for which their limits are counted. */
+const ASKING_MS = 5_500;
+/** What servers ask for while faults go on. */
+const ASKS: readonly Asks[] = [{ limitPerS: 5 }, { restS: 1 }, { isLeaving: true }];
 /** Part of the requests that end their servers while faults go on. */
 const FATAL_SHARE = 0.01;
 /** Times that such a request comes to each gateway once all is calm. */
@@ -88,6 +93,11 @@
   const gateways: GatewayProcess[] = [];
   const pending = new Set<Promise<void>>();
   const fatal = createFatalCount();
+  const asking = createAskingServers();
+  /** The gateway to which each request was sent. */
+  const sentTo = new Map<string, string>();
+  /** Apart from the faults, which a seed draws as before. */
+  const askingRandom = createSeededRandom(terms.seed);
   const copies = [store.copy()];
   let configuration: unknown;
   let faults = 0;
@@ -141,6 +151,18 @@
     }, REWRITE_MS * random.next());
   }
 
+  /** A server asks for less for a while, or leaves and starts again. */
+  function askForLess(): void {
+    const server = backends[Math.floor(askingRandom.next() * backends.length)];
+    const asks = ASKS[Math.floor(askingRandom.next() * ASKS.length)];
+    if (server === undefined || asks === undefined) return;
+    asking.set(server.id, asks);
+    setTimeout(() => {
+      asking.set(server.id, undefined);
+      if (asks.isLeaving === true) track(restart(server));
+    }, FAULT_MS * 4);
+  }
+
   /** Another writer spoils an entry for a while, or leaves one that never was good. */
   function spoilEntry(): void {
     const spoilt = pick(backends);
@@ -157,9 +179,11 @@
     const answer: ScriptedAnswer = (request, response) => {
       backend.server.script(answer);
       const id = String(request.headers['x-request-id']);
+      const asked = asking.arrived(backend.id, sentTo.get(id) ?? '');
+      for (const [name, value] of Object.entries(asked)) response.setHeader(name, value);
       if (request.headers['x-target-instance'] !== backend.id) {
         response.writeHead(421, { 'X-Instance-Id': backend.id }).end();
-      } else if (random.next() < 0.03) {
+      } else if (asking.isResting(backend.id) || random.next() < 0.03) {
         response.writeHead(503, { 'X-Not-Executed': '1' }).end();
       } else if (request.headers['x-stage'] === 'prefill') {
         response.writeHead(200, { 'X-Request-Id': id }).end(JSON.stringify({ kvHandle: id }));
@@ -240,6 +264,7 @@
     const path = fatalName === undefined ? `/${route}/${counter}` : fatal.pathOf(route, fatalName);
     const account: Account = { id, kind, path, answer: undefined, runs: [], events: EVENTS };
     accounts.set(id, account);
+    sentTo.set(id, gateway.node);
     const headers = { ...renderHeaders(id), ...(kind === 'stream' ? renderPrompt(id) : {}) };
     const { host, frontPort: port } = gateway;
     const timeoutMs = PATIENCE_MS + 500;
@@ -269,6 +294,13 @@
     }
   }
 
+  async function askForLessAll(until: number): Promise<void> {
+    while (performance.now() < until) {
+      askForLess();
+      await pause(FAULT_MS * 3);
+    }
+  }
+
   /** Asks a gateway until it serves; false when it does not in time. */
   async function serves(gateway: GatewayProcess): Promise<boolean> {
     const until = performance.now() + SETTLE_MS;
@@ -304,6 +336,23 @@
     return found;
   }
 
+  /** Servers that ask for less get less, from gateways that are not disturbed meanwhile. */
+  async function judgeAsking(): Promise<string[]> {
+    asking.judge();
+    for (const asks of [{ limitPerS: 4 }, { isLeaving: true }, { restS: 2 }]) {
+      await addBackend('pages');
+      const server = backends.at(-1);
+      if (server !== undefined) asking.set(server.id, asks);
+    }
+    const until = performance.now() + ASKING_MS;
+    while (performance.now() < until) {
+      for (const gateway of gateways) track(sendOne(gateway, 'any').then(() => undefined));
+      await pause(REQUEST_MS * GATEWAYS);
+    }
+    await Promise.all(pending);
+    return asking.judge();
+  }
+
   /** A request that ends its servers is refused everywhere in time; gateways are not disturbed meanwhile. */
   async function judgeFatal(): Promise<string[]> {
     const found: string[] = [];
@@ -347,7 +396,7 @@
       gateway.start();
     }
   }, FAULT_MS);
-  await Promise.all([sendAll(until), causeAll(until)]);
+  await Promise.all([sendAll(until), causeAll(until), askForLessAll(until)]);
   await Promise.all(pending);
   await pause(FAULT_MS * 4);
   store.setFault('none');
@@ -356,6 +405,7 @@
   }
   await pause(CONTACT_MS - IN_FORCE_MS);
   broken.push(...(await judgeCalm()));
+  broken.push(...(await judgeAsking()));
   broken.push(...(await judgeFatal()));
   clearInterval(restarts);
   await close();
