fix(backpressure): a garbled limit doesn't end the one in force; a silent dealing gateway doesn't close a server for long

A good answer whose limit can't be read counted as one without a limit, so the server got everything until its next answer; now only an answer that names none ends it. Where the gateway that deals a limit out was silent for 40 ms, the others closed the server for as long as their own small share asked for; now for half a second at most, after which they ask again. Besides: a pause of no time is none, a call's answer by another incarnation says nothing of the one that was asked, readings that were held back are counted, and of two words of one moment a gateway's own goes first.

--- a/src/backpressure/allowances.ts
+++ b/src/backpressure/allowances.ts
@@ -10,6 +10,8 @@
 
 /** How long the dealing gateway may take to answer, in ms: some ways there and back, and its processor's turn. */
 const SILENCE_MS = 40;
+/** A server is closed for at most so long where the dealing gateway was silent, in ms: it may be back. */
+const MAX_SILENT_WAIT_MS = 500;
 /** After a refusal the server isn't asked for within this, in ms, however soon there may be room. */
 const LEAST_WAIT_MS = 5;
 
@@ -93,7 +95,7 @@
       function settle(waitMs: number | undefined): void {
         if (!asked.delete(id)) return;
         timer.cancel();
-        resolve(waitMs ?? decide(server, isUrgent));
+        resolve(waitMs ?? Math.min(MAX_SILENT_WAIT_MS, decide(server, isUrgent)));
       }
       asked.set(id, { dealer, settle });
       const timer: Timer = clock.after(SILENCE_MS, () => {
--- a/src/backpressure/backpressure.ts
+++ b/src/backpressure/backpressure.ts
@@ -115,7 +115,7 @@
   }
 
   function notePause(server: string, { pauseMs }: ServerSignals): void {
-    if (pauseMs === undefined || pauses.ask(server, pauseMs)) return;
+    if (pauseMs === undefined || pauseMs === 0 || pauses.ask(server, pauseMs)) return;
     metrics.signals.inc({ signal: 'pause' });
     log.write('serverSignalled', { server, pauseMs, source: 'server' });
   }
@@ -135,9 +135,12 @@
   }
 
   /** Whether an answer says something that binds all, or ends a limit. */
-  function isNotice(id: string, { isLeaving, limitPerS }: ServerSignals, isSound: boolean) {
+  function isNotice(id: string, signals: ServerSignals, isSound: boolean): boolean {
+    const { isLeaving, limitPerS, unreadable } = signals;
     if (isLeaving || limitPerS !== undefined) return true;
-    return isSound && notices.limitOf(id) !== undefined;
+    // a limit that can't be read is still one
+    const isOver = isSound && !unreadable.some(({ signal }) => signal === 'limit');
+    return isOver && notices.limitOf(id) !== undefined;
   }
 
   function tell(rows: readonly NoticeRow[]): void {
--- a/src/backpressure/notices.ts
+++ b/src/backpressure/notices.ts
@@ -90,7 +90,9 @@
       const isLeaving = notice.isLeaving || known?.isLeaving === true;
       const hasLeft = isLeaving && known?.isLeaving !== true;
       // an incarnation that leaves doesn't come back, whichever answer comes last
-      const latest = known !== undefined && notice.at <= known.at ? known : notice;
+      const isOlder =
+        known !== undefined && (isTold ? notice.at <= known.at : notice.at < known.at);
+      const latest = isOlder ? known : notice;
       if (latest === known && !hasLeft) return false;
       const { limitPerS, at } = latest;
       if (known === undefined && limitPerS === undefined && !isLeaving) return false;
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -191,6 +191,7 @@
     mayAskAgain: (reason) => progress.attempts < route.maxAttempts && spend(reason),
     release,
     readEnded(server, outcome) {
+      if (outcome.kind === 'withheld') metrics.withheld.inc({ reason: outcome.reason });
       log.write('promptRead', {
         request: requestId,
         server: server.id,
--- /dev/null
+++ b/test/backpressure/backpressure.test.ts
@@ -0,0 +1,94 @@
+import { expect } from 'chai';
+import { createBackpressure, noSignals } from '../../src/backpressure/index.js';
+import { createSilentLog } from '../../src/events/index.js';
+import type { RegisteredServer } from '../../src/fleet/index.js';
+import { createGatewayMetrics } from '../../src/metrics/index.js';
+import { createSeededRandom } from '../../src/task/index.js';
+import { createFakeClock } from '../fixtures/fake-clock.js';
+
+const server: RegisteredServer = {
+  id: 's@1',
+  bornAtMs: 1,
+  service: 'pages',
+  address: '127.0.0.1:1',
+  zone: 'zone',
+  slots: 8,
+  isLeaving: false,
+  role: undefined,
+  warmUpMs: 0,
+};
+
+function setUp(dealer = 'self') {
+  const { clock, advance, runUntil } = createFakeClock();
+  const left: string[] = [];
+  const backpressure = createBackpressure({
+    clock,
+    random: createSeededRandom(1),
+    log: createSilentLog(),
+    metrics: createGatewayMetrics(),
+    node: 'self',
+    dealerOf: () => dealer,
+    gateways: () => 7,
+    left: (id) => left.push(id),
+    tellPartners: () => undefined,
+    send: () => true,
+  });
+  return { backpressure, advance, runUntil, left };
+}
+
+describe('what a gateway has heard of a server', () => {
+  it('keeps a limit over errors, refusals and words that cannot be read', () => {
+    const { backpressure } = setUp();
+    backpressure.heard(server, { ...noSignals, limitPerS: 4 }, true);
+    backpressure.heard(server, noSignals, false);
+    const unreadable = [{ signal: 'limit' as const, text: '4, 4' }];
+    backpressure.heard(server, { ...noSignals, unreadable }, true);
+    expect(backpressure.limits.isLimited(server.id)).to.equal(true);
+    backpressure.heard(server, noSignals, true);
+    expect(backpressure.limits.isLimited(server.id)).to.equal(false);
+  });
+
+  it('does not let an older word of a peer undo a newer one', async () => {
+    const { backpressure, advance } = setUp();
+    await advance(1_000);
+    backpressure.heard(server, { ...noSignals, limitPerS: 4 }, true);
+    const rows = [{ server: server.id, isLeaving: false, ageMs: 300 }];
+    backpressure.received('peer', { kind: 'notices', rows });
+    expect(backpressure.limits.isLimited(server.id)).to.equal(true);
+    await advance(1_000);
+    backpressure.received('peer', { kind: 'notices', rows });
+    expect(backpressure.limits.isLimited(server.id)).to.equal(false);
+  });
+
+  it('takes a server for leaving for good, whichever word comes last', () => {
+    const { backpressure, left } = setUp();
+    backpressure.heard(server, { ...noSignals, isLeaving: true }, true);
+    backpressure.heard(server, noSignals, true);
+    const rows = [{ server: server.id, isLeaving: false, ageMs: 0 }];
+    backpressure.received('peer', { kind: 'notices', rows });
+    expect(left).to.deep.equal([server.id]);
+    expect(backpressure.digest()).to.not.equal(0);
+  });
+
+  it('says nothing of another incarnation', () => {
+    const { backpressure } = setUp();
+    backpressure.heard(server, { ...noSignals, limitPerS: 4, pauseMs: 500 }, false);
+    expect(backpressure.limits.isLimited('s@2')).to.equal(false);
+    expect(backpressure.msUntilRested('s@2')).to.equal(0);
+  });
+
+  it('makes a pause no longer than a minute, and none of no time', () => {
+    const { backpressure } = setUp();
+    backpressure.heard(server, { ...noSignals, pauseMs: 0 }, false);
+    expect(backpressure.resting()).to.deep.equal([]);
+    backpressure.heard(server, { ...noSignals, pauseMs: 3e10 }, false);
+    expect(backpressure.msUntilRested(server.id)).to.be.within(59_000, 61_000);
+  });
+
+  it('closes a server only briefly where the gateway that deals out its limit is silent', async () => {
+    const { backpressure, runUntil } = setUp('other');
+    backpressure.heard(server, { ...noSignals, limitPerS: 0.5 }, true);
+    expect(await runUntil(backpressure.allow(server.id, true))).to.equal(false);
+    expect(backpressure.msUntilOpen(server.id)).to.be.within(1, 500);
+  });
+});
