--- /dev/null
+++ b/src/relay/release-prompt.ts
@@ -0,0 +1,64 @@
+/**
+ * Frees a prompt that was read and that nobody will generate from, so that its engine has the memory back at once.
+ */
+import type { Log } from '../events/index.js';
+import type { Backpressure } from '../backpressure/index.js';
+import type { RegisteredServer } from '../fleet/index.js';
+import type { Clock } from '../task/index.js';
+import type { Connections } from './connections.js';
+import { startExchange } from './exchange.js';
+import type { BackendProtocol, ReadPrompt } from './protocol.js';
+import type { ServerGate } from './server-gate.js';
+
+/** What it needs. */
+export interface ReleaseParts {
+  clock: Clock;
+  log: Log;
+  protocol: BackendProtocol;
+  connections: Connections;
+  backpressure: Pick<Backpressure, 'limits'>;
+  gate: ServerGate;
+  requestId: string | undefined;
+}
+
+/**
+ * Frees a prompt.
+ *
+ * @param parts the way to the engine
+ * @param prompt where it is
+ * @param server the engine that has it
+ */
+export function releasePrompt(
+  parts: ReleaseParts,
+  prompt: ReadPrompt,
+  server: RegisteredServer,
+): void {
+  const { clock, log, protocol, gate, requestId } = parts;
+  const { address } = prompt;
+
+  function noteFailure(reason: string): void {
+    log.write('releaseFailed', { request: requestId, server: server.id, reason });
+  }
+
+  if (gate.isResting(server)) {
+    noteFailure('the server rests; it drops the prompt by itself');
+    return;
+  }
+  parts.backpressure.limits.take(server.id);
+  const { method, path } = protocol.releaseCall(prompt);
+  startExchange(
+    { address, method, path, rawHeaders: ['Host', address], body: undefined },
+    parts.connections.agentFor(address),
+    clock,
+    {
+      onHead(head) {
+        gate.heard(server, head, protocol.readAnswer(head));
+      },
+      onData: () => undefined,
+      onEnd: () => undefined,
+      onLoss({ reason }) {
+        noteFailure(reason);
+      },
+    },
+  );
+}
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -20,18 +20,14 @@
 import type { Connections } from './connections.js';
 import { createEnding, statuses } from './ending.js';
 import { createEnginePlacer, type SchedulerClient } from './engine-placer.js';
-import { startExchange, type IncomingHead, type OutgoingRequest } from './exchange.js';
+import { startExchange, type OutgoingRequest } from './exchange.js';
 import { resolveHealthOutcome, type ExchangeEnd } from './health-outcome.js';
 import { isRepeatable, resolveMove, type Move, type Progress } from './next-move.js';
 import type { PlacedServer, Placer, PlacingContext } from './placer.js';
-import type {
-  AnswerFacts,
-  BackendProtocol,
-  CallerHead,
-  ReadPrompt,
-  SendTerms,
-} from './protocol.js';
-import { isSuccess, sendOnce, type SendOutcome } from './send.js';
+import type { BackendProtocol, CallerHead, SendTerms } from './protocol.js';
+import { releasePrompt } from './release-prompt.js';
+import { sendOnce, type SendOutcome } from './send.js';
+import { createServerGate } from './server-gate.js';
 import { createServicePlacer, type ServerLoads } from './service-placer.js';
 import type { WaitRecord } from './wait-record.js';
 
@@ -155,6 +151,13 @@
     ban: () => ban,
   });
 
+  const gate = createServerGate({
+    fleet: parts.fleet,
+    backpressure: parts.backpressure,
+    service,
+    requestId,
+  });
+
   const context: PlacingContext = {
     clock,
     protocol,
@@ -167,9 +170,9 @@
     aimLeftMs: () => route.aimMs - (clock.now() - arrivedAt),
     timeLeftMs: () => endAt - clock.now(),
     find: (id) => parts.fleet.find(id),
-    barrier,
+    barrier: gate.barrier,
     resting: () => parts.backpressure.resting(),
-    msUntilRested: () => leastUntilRestedMs(),
+    msUntilRested: gate.msUntilRested,
     avoided() {
       const found = [...watched.beside()];
       for (const { id } of parts.fleet.available(service)) {
@@ -189,7 +192,9 @@
       progress.attempts += 1;
     },
     mayAskAgain: (reason) => progress.attempts < route.maxAttempts && spend(reason),
-    release,
+    release(prompt, server) {
+      releasePrompt({ ...parts, gate, requestId }, prompt, server);
+    },
     readEnded(server, outcome) {
       if (outcome.kind === 'withheld') metrics.withheld.inc({ reason: outcome.reason });
       log.write('promptRead', {
@@ -202,19 +207,10 @@
         ms: Math.round(clock.now() - arrivedAt),
       });
     },
-    heard,
+    heard: gate.heard,
     judge,
   };
 
-  /** An answer of another incarnation says nothing of the one that was asked. */
-  function heard(server: RegisteredServer, head: IncomingHead, facts: AnswerFacts): void {
-    const { serverId, signals } = facts;
-    if (serverId !== undefined && serverId !== resolveName(server)) return;
-    const isOurs = facts.requestId === undefined || facts.requestId === requestId;
-    const isSound = isOurs && isSuccess(head.status) && !facts.isDeclined;
-    parts.backpressure.heard(server, signals, isSound);
-  }
-
   function outgoing(
     server: RegisteredServer,
     terms: Omit<SendTerms, 'serverId' | 'timeLeftMs'>,
@@ -226,26 +222,10 @@
       path,
       rawHeaders: protocol.sendHeaders(head, all, body?.length ?? 0),
       body,
-      barrier: () => barrier(server),
+      barrier: () => gate.barrier(server),
     };
   }
 
-  /** Why a server is to get nothing now: the one check that all sends pass, whoever placed them. */
-  function barrier({ id }: RegisteredServer): string | undefined {
-    if (!parts.fleet.isAvailable(id)) return 'the server leaves';
-    return parts.backpressure.msUntilRested(id) > 0 ? 'the server rests' : undefined;
-  }
-
-  /** Time until the first of the service's servers that rest takes requests again, in ms; 0 where none rests. */
-  function leastUntilRestedMs(): number {
-    let leastMs = Number.POSITIVE_INFINITY;
-    for (const { id } of parts.fleet.available(service)) {
-      const leftMs = parts.backpressure.msUntilRested(id);
-      if (leftMs > 0) leastMs = Math.min(leastMs, leftMs);
-    }
-    return Number.isFinite(leastMs) ? leastMs : 0;
-  }
-
   function spend(reason: string): boolean {
     const isAllowed = parts.budget.spend(service);
     if (isAllowed) metrics.retries.inc({ reason });
@@ -253,32 +233,6 @@
     return isAllowed;
   }
 
-  function release(prompt: ReadPrompt, server: RegisteredServer): void {
-    const { address } = prompt;
-    if (parts.backpressure.msUntilRested(server.id) > 0) {
-      const reason = 'the server rests; it drops the prompt by itself';
-      log.write('releaseFailed', { request: requestId, server: server.id, reason });
-      return;
-    }
-    parts.backpressure.limits.take(server.id);
-    const { method, path } = protocol.releaseCall(prompt);
-    startExchange(
-      { address, method, path, rawHeaders: ['Host', address], body: undefined },
-      parts.connections.agentFor(address),
-      clock,
-      {
-        onHead(head) {
-          heard(server, head, protocol.readAnswer(head));
-        },
-        onData: () => undefined,
-        onEnd: () => undefined,
-        onLoss({ reason }) {
-          log.write('releaseFailed', { request: requestId, server: server.id, reason });
-        },
-      },
-    );
-  }
-
   function judge(server: RegisteredServer, end: ExchangeEnd, isOtherServer: boolean): void {
     if (isOtherServer) parts.fleet.retire(server.id, 'another incarnation has its address');
     const outcome = resolveHealthOutcome(end);
@@ -335,7 +289,7 @@
           parts.loads.record(server.id, load);
         },
         heard(head, facts) {
-          heard(server, head, facts);
+          gate.heard(server, head, facts);
         },
       },
       protocol,
--- /dev/null
+++ b/src/relay/server-gate.ts
@@ -0,0 +1,67 @@
+/**
+ * What a request's gateway knows of whether servers want anything: the one check that all sends pass, whoever placed
+ * them, and what answers say for it.
+ */
+import type { Backpressure } from '../backpressure/index.js';
+import { resolveName, type Fleet, type RegisteredServer } from '../fleet/index.js';
+import type { IncomingHead } from './exchange.js';
+import type { AnswerFacts } from './protocol.js';
+import { isSuccess } from './send.js';
+
+/** What the gate goes by. */
+export interface ServerGateParts {
+  fleet: Fleet;
+  backpressure: Backpressure;
+  /** The service of the request. */
+  service: string;
+  /** The caller's id of the request. */
+  requestId: string | undefined;
+}
+
+/** Whether servers want anything. */
+export interface ServerGate {
+  /** Why a server is to get nothing now, if so. */
+  barrier: (server: RegisteredServer) => string | undefined;
+  isResting(server: RegisteredServer): boolean;
+  /** Time until the first of the service's servers that rest takes requests again, in ms; 0 where none rests. */
+  msUntilRested: () => number;
+  /** Takes in what the head of an answer says of its server. */
+  heard: (server: RegisteredServer, head: IncomingHead, facts: AnswerFacts) => void;
+}
+
+/**
+ * Creates the gate of one request.
+ *
+ * @param parts what is known of servers
+ */
+export function createServerGate(parts: ServerGateParts): ServerGate {
+  const { fleet, backpressure, service, requestId } = parts;
+
+  function isResting({ id }: RegisteredServer): boolean {
+    return backpressure.msUntilRested(id) > 0;
+  }
+
+  return {
+    barrier(server) {
+      if (!fleet.isAvailable(server.id)) return 'the server leaves';
+      return isResting(server) ? 'the server rests' : undefined;
+    },
+    isResting,
+    msUntilRested() {
+      let leastMs = Number.POSITIVE_INFINITY;
+      for (const { id } of fleet.available(service)) {
+        const leftMs = backpressure.msUntilRested(id);
+        if (leftMs > 0) leastMs = Math.min(leastMs, leftMs);
+      }
+      return Number.isFinite(leastMs) ? leastMs : 0;
+    },
+    heard(server, head, facts) {
+      const { serverId, signals } = facts;
+      // an answer of another incarnation says nothing of the one that was asked
+      if (serverId !== undefined && serverId !== resolveName(server)) return;
+      const isOurs = facts.requestId === undefined || facts.requestId === requestId;
+      const isSound = isOurs && isSuccess(head.status) && !facts.isDeclined;
+      backpressure.heard(server, signals, isSound);
+    },
+  };
+}
