--- a/src/backpressure/allowances.ts
+++ b/src/backpressure/allowances.ts
@@ -1,6 +1,6 @@
 /**
- * Leave to send single requests to servers of plain services that have named limits, from the gateway that deals these
- * out. A request for engines needs none: its placement comes from that gateway.
+ * Leave to send single requests to servers of plain services that have named limits, from the gateway that allocates
+ * these. A request for engines needs none: its placement comes from that gateway.
  */
 import { match } from 'ts-pattern';
 import * as z from 'zod';
@@ -8,9 +8,9 @@
 import { noticeRowSchema, type NoticeRow } from './notices.js';
 import type { SendLimits } from './send-limits.js';
 
-/** How long the dealing gateway may take to answer, in ms: some ways there and back, and its processor's turn. */
+/** How long the allocating gateway may take to answer, in ms: some ways there and back, and its processor's turn. */
 const SILENCE_MS = 40;
-/** A server is closed for at most so long where the dealing gateway was silent, in ms: it may be back. */
+/** A server is closed for at most so long where the allocating gateway was silent, in ms: it may be back. */
 const MAX_SILENT_WAIT_MS = 500;
 /** After a refusal the server isn't asked for within this, in ms, however soon there may be room. */
 const LEAST_WAIT_MS = 5;
@@ -22,7 +22,7 @@
     server: z.string(),
     /** Less urgent requests leave room for one that is more so. */
     isUrgent: z.boolean(),
-    /** What the server asks for, which the dealing gateway may not have heard yet. */
+    /** What the server asks for, which the allocating gateway may not have heard yet. */
     notice: noticeRowSchema.optional(),
   }),
   z.object({
@@ -42,8 +42,8 @@
   random: RandomSource;
   node: string;
   limits: SendLimits;
-  /** The gateway that deals out the limit of a server. */
-  dealerOf(server: string): string;
+  /** The gateway that allocates the limit of a server. */
+  allocatorOf(server: string): string;
   noticeOf(server: string): NoticeRow | undefined;
   /** Takes in what a peer has heard. */
   learn(node: string, notice: NoticeRow): void;
@@ -64,14 +64,14 @@
 }
 
 interface Asked {
-  dealer: string;
+  allocator: string;
   settle: (waitMs: number | undefined) => void;
 }
 
 /**
  * Creates allowances.
  *
- * @param parts the limits and the way to the gateways that deal them out
+ * @param parts the limits and the way to the gateways that allocate them
  */
 export function createAllowances(parts: AllowancesParts): Allowances {
   const { clock, random, node, limits } = parts;
@@ -88,7 +88,7 @@
     return 0;
   }
 
-  function askDealer(dealer: string, server: string, isUrgent: boolean): Promise<number> {
+  function askAllocator(allocator: string, server: string, isUrgent: boolean): Promise<number> {
     counter += 1;
     const id = `${node}/${counter}`;
     return new Promise((resolve) => {
@@ -97,12 +97,12 @@
         timer.cancel();
         resolve(waitMs ?? Math.min(MAX_SILENT_WAIT_MS, decide(server, isUrgent)));
       }
-      asked.set(id, { dealer, settle });
+      asked.set(id, { allocator, settle });
       const timer: Timer = clock.after(SILENCE_MS, () => {
         settle(undefined);
       });
       const notice = parts.noticeOf(server);
-      const isSent = parts.send(dealer, {
+      const isSent = parts.send(allocator, {
         kind: 'allowance.ask',
         id,
         server,
@@ -116,9 +116,11 @@
   return {
     msUntilOpen: (server) => Math.max(0, (closedUntil.get(server) ?? 0) - clock.now()),
     async ask(server, isUrgent) {
-      const dealer = parts.dealerOf(server);
-      const isOwn = dealer === node;
-      const waitMs = await (isOwn ? decide(server, isUrgent) : askDealer(dealer, server, isUrgent));
+      const allocator = parts.allocatorOf(server);
+      const isOwn = allocator === node;
+      const waitMs = await (isOwn
+        ? decide(server, isUrgent)
+        : askAllocator(allocator, server, isUrgent));
       if (waitMs <= 0) return true;
       closedUntil.set(server, clock.now() + Math.max(LEAST_WAIT_MS, waitMs));
       return false;
@@ -136,8 +138,8 @@
         .exhaustive();
     },
     lost(peer) {
-      for (const { dealer, settle } of [...asked.values()]) {
-        if (dealer === peer) settle(undefined);
+      for (const { allocator, settle } of [...asked.values()]) {
+        if (allocator === peer) settle(undefined);
       }
     },
     forget(server) {
--- a/src/backpressure/backpressure.ts
+++ b/src/backpressure/backpressure.ts
@@ -29,8 +29,8 @@
   log: Log;
   metrics: Pick<GatewayMetrics, 'signals'>;
   node: string;
-  /** The gateway that deals out the limit of a server. */
-  dealerOf(server: string): string;
+  /** The gateway that allocates the limit of a server. */
+  allocatorOf(server: string): string;
   /** Gateways that are known, this one included. */
   gateways(): number;
   /** Tells all partners. */
@@ -51,11 +51,11 @@
    * @param isSound whether it is a good answer to a request: only that ends a limit which it doesn't name
    */
   heard: (server: RegisteredServer, signals: ServerSignals, isSound: boolean) => void;
-  /** Time until a server may be sent anything after it has asked this gateway for rest, in ms. */
-  msUntilRested: (server: string) => number;
-  /** Servers that have asked this gateway for rest. */
-  resting: () => string[];
-  /** Time until a server of a plain service is worth choosing, by its limit and its rest, in ms. */
+  /** Time until a server may be sent anything after it has asked this gateway to pause, in ms. */
+  msUntilResumed: (server: string) => number;
+  /** Servers that have asked this gateway to pause. */
+  paused: () => string[];
+  /** Time until a server of a plain service is worth choosing, by its limit and its pause, in ms. */
   msUntilOpen(server: string): number;
   /** Room within the limits, for placements and for callers that are turned away. */
   limits: SendLimits;
@@ -89,7 +89,7 @@
     clock,
     random,
     limitOf: notices.limitOf,
-    isDealer: (server) => parts.dealerOf(server) === node,
+    isAllocator: (server) => parts.allocatorOf(server) === node,
     gateways: () => parts.gateways(),
   });
   const allowances = createAllowances({
@@ -97,7 +97,7 @@
     random,
     node,
     limits,
-    dealerOf: (server) => parts.dealerOf(server),
+    allocatorOf: (server) => parts.allocatorOf(server),
     noticeOf: (server) => notices.rowOf(server, clock.now()),
     learn(from, row) {
       learn(unpackNotice(row, clock.now()), from);
@@ -147,16 +147,16 @@
     if (rows.length > 0) parts.tellPartners({ kind: 'notices', rows: [...rows] });
   }
 
-  /** The dealing gateway needs it first, and may be no partner. */
-  function tellDealer(server: string, rows: readonly NoticeRow[]): void {
-    const dealer = parts.dealerOf(server);
-    if (dealer !== node) parts.send(dealer, { kind: 'notices', rows: [...rows] });
+  /** The allocating gateway needs it first, and may be no partner. */
+  function tellAllocator(server: string, rows: readonly NoticeRow[]): void {
+    const allocator = parts.allocatorOf(server);
+    if (allocator !== node) parts.send(allocator, { kind: 'notices', rows: [...rows] });
   }
 
   return {
     limits,
-    msUntilRested: pauses.msLeft,
-    resting: pauses.list,
+    msUntilResumed: pauses.msLeft,
+    paused: pauses.list,
     msUntilOpen: (server) => Math.max(pauses.msLeft(server), allowances.msUntilOpen(server)),
     allow: allowances.ask,
     heard(server, signals, isSound) {
@@ -168,7 +168,7 @@
       if (!learn({ server: id, isLeaving, limitPerS, at: clock.now() }, 'server')) return;
       const row = notices.rowOf(id, clock.now());
       if (row === undefined) return;
-      tellDealer(id, [row]);
+      tellAllocator(id, [row]);
       tell([row]);
     },
     received(from, message) {
--- a/src/backpressure/pauses.ts
+++ b/src/backpressure/pauses.ts
@@ -1,5 +1,5 @@
 /**
- * Servers that have asked this gateway for rest when they turned one of its requests away. It binds this gateway alone;
+ * Servers that have asked this gateway to pause when they turned one of its requests away. It binds this gateway alone;
  * others are asked by themselves.
  */
 import type { Clock, RandomSource } from '../task/index.js';
@@ -10,13 +10,13 @@
 /** Part of a pause that is added at random, so that gateways that were asked together don't come back together. */
 const SPREAD_SHARE = 0.1;
 
-/** Servers that rest. */
+/** Servers that asked this gateway to pause. */
 export interface Pauses {
-  /** A server has asked for rest; tells whether it rested already. */
+  /** A server has asked for a pause; tells whether one was in force already. */
   ask(server: string, pauseMs: number): boolean;
   /** Time until the server may be sent anything, in ms. */
   msLeft: (server: string) => number;
-  /** Servers that rest now. */
+  /** Servers with a pause in force. */
   list: () => string[];
   forget(server: string): void;
 }
@@ -40,10 +40,10 @@
 
   return {
     ask(server, pauseMs) {
-      const isResting = msLeft(server) > 0;
+      const isPaused = msLeft(server) > 0;
       const lastsMs = Math.min(MAX_PAUSE_MS, pauseMs * (1 + SPREAD_SHARE * random.next()));
       until.set(server, Math.max(until.get(server) ?? 0, clock.now() + lastsMs));
-      return isResting;
+      return isPaused;
     },
     msLeft,
     list: () => [...until.keys()].filter((server) => msLeft(server) > 0),
--- a/src/backpressure/send-limits.ts
+++ b/src/backpressure/send-limits.ts
@@ -1,6 +1,6 @@
 /**
  * Keeps sends to servers within the limits that these have named, for all gateways together. The limit of a server is
- * dealt out by one gateway, the one that schedules its service; any other that has to send by itself, since that one is
+ * allocated by one gateway, the one that schedules its service; any other that has to send by itself, since that one is
  * silent, keeps to a small part of it.
  */
 import { createTokenBucket, type BucketTerms, type TokenBucket } from '../limits/token-bucket.js';
@@ -12,7 +12,7 @@
 const BURST_MS = 250;
 /** The same at least, in requests: one is left to the more urgent. */
 const LEAST_BURST = 2;
-/** Part of a limit that all gateways together take which don't deal it out. */
+/** Part of a limit that all gateways together take which don't allocate it. */
 const ALONE_SHARE = 0.25;
 /** Callers that come back for room are spread over at most so long, in ms: within that the load is another one. */
 const MAX_RETURN_MS = 2_000;
@@ -24,8 +24,8 @@
   random: RandomSource;
   /** The limit that a server has named, in requests a second. */
   limitOf(server: string): number | undefined;
-  /** Whether this gateway deals out the limit of a server. */
-  isDealer(server: string): boolean;
+  /** Whether this gateway allocates the limit of a server. */
+  isAllocator(server: string): boolean;
   /** Gateways that are known, this one included. */
   gateways(): number;
 }
@@ -60,7 +60,7 @@
 /**
  * Creates room for sends.
  *
- * @param parts the limits and who deals them out
+ * @param parts the limits and who allocates them
  */
 export function createSendLimits(parts: SendLimitsParts): SendLimits {
   const { clock, random } = parts;
@@ -95,7 +95,7 @@
     return Math.max(0, pace.aloneAt - now);
   }
 
-  function msUntilDealt({ bucket, terms }: Pace, amount: number): number {
+  function msUntilAllocated({ bucket, terms }: Pace, amount: number): number {
     const beyond = Math.max(0, amount - terms.size);
     const waitMs = bucket.waitMs(amount - beyond, clock.now());
     return waitMs + (beyond * MS_PER_SECOND) / terms.perSecond;
@@ -104,7 +104,7 @@
   function msUntilRoom(server: string, ahead = 0): number {
     const pace = find(server);
     if (pace === undefined) return 0;
-    if (parts.isDealer(server)) return msUntilDealt(pace, ahead + 1);
+    if (parts.isAllocator(server)) return msUntilAllocated(pace, ahead + 1);
     return msUntilAlone(pace) + ahead * aloneIntervalMs(pace);
   }
 
@@ -114,7 +114,7 @@
     take(server) {
       const pace = find(server);
       if (pace === undefined) return;
-      if (parts.isDealer(server)) pace.bucket.draw(1, clock.now());
+      if (parts.isAllocator(server)) pace.bucket.draw(1, clock.now());
       else pace.aloneAt = Math.max(clock.now(), pace.aloneAt) + aloneIntervalMs(pace);
     },
     msUntilReturn(server) {
--- a/src/gateway/engine-calls.ts
+++ b/src/gateway/engine-calls.ts
@@ -1,12 +1,12 @@
 /**
- * Calls to engines that wait for the rest that these have asked for.
+ * Calls to engines that wait for the pauses that these have asked for.
  */
 import { Err } from 'ts-results-es';
 import type { Backpressure } from '../backpressure/index.js';
 import type { RoleOrders } from '../roles/index.js';
 import type { CacheLists } from '../scheduling/index.js';
 
-const RESTING = 'the engine has asked for rest';
+const PAUSED = 'the engine has asked for a pause';
 
 /** Calls to engines. */
 export interface EngineCalls {
@@ -15,32 +15,32 @@
 }
 
 /**
- * Makes calls only to engines that don't rest.
+ * Makes calls only to engines that haven't asked for a pause.
  *
  * @param calls the platform's
- * @param backpressure knows which engines rest
+ * @param backpressure knows which engines asked for a pause
  */
 export function createEngineCalls(
   { roleOrders, caches }: EngineCalls,
-  backpressure: Pick<Backpressure, 'msUntilRested'>,
+  backpressure: Pick<Backpressure, 'msUntilResumed'>,
 ): EngineCalls {
-  function isResting(id: string): boolean {
-    return backpressure.msUntilRested(id) > 0;
+  function isPaused(id: string): boolean {
+    return backpressure.msUntilResumed(id) > 0;
   }
 
   return {
     roleOrders: {
       async state(server) {
-        return isResting(server.id) ? Err(RESTING) : roleOrders.state(server);
+        return isPaused(server.id) ? Err(PAUSED) : roleOrders.state(server);
       },
       async order(server, order) {
-        if (isResting(server.id)) return { kind: 'refused', status: 0 };
+        if (isPaused(server.id)) return { kind: 'refused', status: 0 };
         return roleOrders.order(server, order);
       },
     },
     caches: {
       async list(server) {
-        return isResting(server.id) ? Err(RESTING) : caches.list(server);
+        return isPaused(server.id) ? Err(PAUSED) : caches.list(server);
       },
     },
   };
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -145,7 +145,7 @@
     log,
     metrics,
     node,
-    dealerOf: (server) => schedulers.holderOf(fleet.find(server)?.service ?? ''),
+    allocatorOf: (server) => schedulers.holderOf(fleet.find(server)?.service ?? ''),
     gateways: () => overlay.peers().length + 1,
     left(server) {
       fleet.retire(server, 'the server says that it leaves');
--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -82,7 +82,7 @@
           timeLeftMs: context.timeLeftMs(),
           isReturn: context.isReturn,
           isRead: kept !== undefined,
-          excluded: [...excluded, ...context.resting()],
+          excluded: [...excluded, ...context.paused()],
           avoided: context.avoided(),
         },
         (decision) => {
@@ -105,9 +105,9 @@
     if (context.signal.aborted) return { kind: 'aborted' };
     if (decision.kind === 'declined') {
       const { reason, backlogMs } = decision;
-      // engines that rest were left out
-      const untilRestedMs = reason === 'no-engine' ? context.msUntilRested() : 0;
-      const retryAfterMs = Math.max(decision.retryAfterMs, untilRestedMs);
+      // engines that asked for a pause were left out
+      const untilResumedMs = reason === 'no-engine' ? context.msUntilResumed() : 0;
+      const retryAfterMs = Math.max(decision.retryAfterMs, untilResumedMs);
       return { kind: 'refused', reason, retryAfterMs, backlogMs };
     }
     const { reader, generator, expectedReadMs } = decision.placement;
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -52,10 +52,10 @@
   find(id: string): RegisteredServer | undefined;
   /** Why a server is to get nothing now, if so. */
   barrier(server: RegisteredServer): string | undefined;
-  /** Servers that have asked this gateway for rest. */
-  resting(): readonly string[];
-  /** Time until the first of the service's servers that rest takes requests again, in ms; 0 where none rests. */
-  msUntilRested(): number;
+  /** Servers that have asked this gateway to pause. */
+  paused(): readonly string[];
+  /** Time until the first pause that the service's servers asked for is over, in ms; 0 where there is none. */
+  msUntilResumed(): number;
   /** Servers of the service that this gateway leaves alone for now. */
   avoided(): string[];
   /** Starts an exchange for this request with a server. */
--- a/src/relay/release-prompt.ts
+++ b/src/relay/release-prompt.ts
@@ -40,8 +40,8 @@
     log.write('releaseFailed', { request: requestId, server: server.id, reason });
   }
 
-  if (gate.isResting(server)) {
-    noteFailure('the server rests; it drops the prompt by itself');
+  if (gate.isPaused(server)) {
+    noteFailure('the server asked for a pause; it drops the prompt by itself');
     return;
   }
   parts.backpressure.limits.take(server.id);
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -171,8 +171,8 @@
     timeLeftMs: () => endAt - clock.now(),
     find: (id) => parts.fleet.find(id),
     barrier: gate.barrier,
-    resting: () => parts.backpressure.resting(),
-    msUntilRested: gate.msUntilRested,
+    paused: () => parts.backpressure.paused(),
+    msUntilResumed: gate.msUntilResumed,
     avoided() {
       const found = [...watched.beside()];
       for (const { id } of parts.fleet.available(service)) {
--- a/src/relay/server-gate.ts
+++ b/src/relay/server-gate.ts
@@ -22,9 +22,9 @@
 export interface ServerGate {
   /** Why a server is to get nothing now, if so. */
   barrier: (server: RegisteredServer) => string | undefined;
-  isResting(server: RegisteredServer): boolean;
-  /** Time until the first of the service's servers that rest takes requests again, in ms; 0 where none rests. */
-  msUntilRested: () => number;
+  isPaused(server: RegisteredServer): boolean;
+  /** Time until the first pause that the service's servers asked for is over, in ms; 0 where there is none. */
+  msUntilResumed: () => number;
   /** Takes in what the head of an answer says of its server. */
   heard: (server: RegisteredServer, head: IncomingHead, facts: AnswerFacts) => void;
 }
@@ -37,20 +37,20 @@
 export function createServerGate(parts: ServerGateParts): ServerGate {
   const { fleet, backpressure, service, requestId } = parts;
 
-  function isResting({ id }: RegisteredServer): boolean {
-    return backpressure.msUntilRested(id) > 0;
+  function isPaused({ id }: RegisteredServer): boolean {
+    return backpressure.msUntilResumed(id) > 0;
   }
 
   return {
     barrier(server) {
       if (!fleet.isAvailable(server.id)) return 'the server leaves';
-      return isResting(server) ? 'the server rests' : undefined;
+      return isPaused(server) ? 'the server asked for a pause' : undefined;
     },
-    isResting,
-    msUntilRested() {
+    isPaused,
+    msUntilResumed() {
       let leastMs = Number.POSITIVE_INFINITY;
       for (const { id } of fleet.available(service)) {
-        const leftMs = backpressure.msUntilRested(id);
+        const leftMs = backpressure.msUntilResumed(id);
         if (leftMs > 0) leastMs = Math.min(leastMs, leftMs);
       }
       return Number.isFinite(leastMs) ? leastMs : 0;
--- a/src/relay/service-placer.ts
+++ b/src/relay/service-placer.ts
@@ -18,7 +18,7 @@
 /** Time after which a caller is told to come back where no server can take its request, in ms. */
 const RETRY_AFTER_MS = 200;
 
-/** Part of that time that is added at random where servers name limits or rest. */
+/** Part of that time that is added at random where servers named limits or asked for a pause. */
 const RETURN_SPREAD = 0.25;
 
 /** What gateways know of how busy servers are. */
--- a/test/backpressure/backpressure.test.ts
+++ b/test/backpressure/backpressure.test.ts
@@ -18,7 +18,7 @@
   warmUpMs: 0,
 };
 
-function setUp(dealer = 'self') {
+function setUp(allocator = 'self') {
   const { clock, advance, runUntil } = createFakeClock();
   const left: string[] = [];
   const backpressure = createBackpressure({
@@ -27,7 +27,7 @@
     log: createSilentLog(),
     metrics: createGatewayMetrics(),
     node: 'self',
-    dealerOf: () => dealer,
+    allocatorOf: () => allocator,
     gateways: () => 7,
     left: (id) => left.push(id),
     tellPartners: () => undefined,
@@ -74,18 +74,18 @@
     const { backpressure } = setUp();
     backpressure.heard(server, { ...noSignals, limitPerS: 4, pauseMs: 500 }, false);
     expect(backpressure.limits.isLimited('s@2')).to.equal(false);
-    expect(backpressure.msUntilRested('s@2')).to.equal(0);
+    expect(backpressure.msUntilResumed('s@2')).to.equal(0);
   });
 
   it('makes a pause no longer than a minute, and none of no time', () => {
     const { backpressure } = setUp();
     backpressure.heard(server, { ...noSignals, pauseMs: 0 }, false);
-    expect(backpressure.resting()).to.deep.equal([]);
+    expect(backpressure.paused()).to.deep.equal([]);
     backpressure.heard(server, { ...noSignals, pauseMs: 3e10 }, false);
-    expect(backpressure.msUntilRested(server.id)).to.be.within(59_000, 61_000);
+    expect(backpressure.msUntilResumed(server.id)).to.be.within(59_000, 61_000);
   });
 
-  it('closes a server only briefly where the gateway that deals out its limit is silent', async () => {
+  it('closes a server only briefly where the gateway that allocates its limit is silent', async () => {
     const { backpressure, runUntil } = setUp('other');
     backpressure.heard(server, { ...noSignals, limitPerS: 0.5 }, true);
     expect(await runUntil(backpressure.allow(server.id, true))).to.equal(false);
--- a/test/backpressure/fleet.test.ts
+++ b/test/backpressure/fleet.test.ts
@@ -26,7 +26,7 @@
   without: NonNullable<LimitedFleetTerms['without']>,
   finds: readonly RegExp[],
 ][] = [
-  ['one-dealer', [/in a window/]],
+  ['one-allocator', [/in a window/]],
   ['hearing', [/in a window/, /in its rest/, /while it left/]],
 ];
 
@@ -120,14 +120,14 @@
     }
   });
 
-  it('holds while the gateway that deals the limit out is cut off, and after it is back', async () => {
+  it('holds while the gateway that allocates the limit is cut off, and after it is back', async () => {
     const day = createDay(2, { gateways: 19, servers: 1 });
     const server = day.serverAt(0);
     await day.load(150, 500);
     day.fleet.name(server, 8);
     await day.load(150, 3_000);
-    const [dealer] = day.fleet.gateways;
-    if (dealer !== undefined) day.fleet.cut(dealer, 5_000);
+    const [allocator] = day.fleet.gateways;
+    if (allocator !== undefined) day.fleet.cut(allocator, 5_000);
     await day.load(150, 12_000);
     expect(countInWindow(server.arrivals)).to.be.at.most(resolveAllowed(8));
   });
--- a/tools/replay/replay.ts
+++ b/tools/replay/replay.ts
@@ -108,7 +108,7 @@
         clock: time,
         random: createSeededRandom(seed),
         limitOf: (engine) => limitsPerS.get(engine),
-        isDealer: () => true,
+        isAllocator: () => true,
         gateways: () => 1,
       }),
     });
--- a/tools/soak/asking.ts
+++ b/tools/soak/asking.ts
@@ -28,7 +28,7 @@
   /** A request of a gateway has come; gives what the answer's head says. */
   arrived(server: string, gateway: string): Record<string, string>;
   /** Whether a server turns requests away. */
-  isResting(server: string): boolean;
+  isPaused(server: string): boolean;
   /** What is broken, of what was asked for since the last judgement. */
   judge(): string[];
 }
@@ -93,7 +93,7 @@
       else if (!toldAt.has(gateway)) toldAt.set(gateway, performance.now());
       return renderHeaders(asks);
     },
-    isResting: (server) => asking.get(server)?.asks.restS !== undefined,
+    isPaused: (server) => asking.get(server)?.asks.restS !== undefined,
     judge() {
       for (const [server, known] of asking) close(server, known);
       asking.clear();
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -183,7 +183,7 @@
       for (const [name, value] of Object.entries(asked)) response.setHeader(name, value);
       if (request.headers['x-target-instance'] !== backend.id) {
         response.writeHead(421, { 'X-Instance-Id': backend.id }).end();
-      } else if (asking.isResting(backend.id) || random.next() < 0.03) {
+      } else if (asking.isPaused(backend.id) || random.next() < 0.03) {
         response.writeHead(503, { 'X-Not-Executed': '1' }).end();
       } else if (request.headers['x-stage'] === 'prefill') {
         response.writeHead(200, { 'X-Request-Id': id }).end(JSON.stringify({ kvHandle: id }));
