feat(relay): log each decision of the retry budget, and write the log within 100 ms

No line told what a retry was charged to, so that a budget begun anew, a late send and an uncharged send looked the same.

--- a/src/events/bounded-log.ts
+++ b/src/events/bounded-log.ts
@@ -18,8 +18,8 @@
 const MAX_WAITING_BYTES = 1_048_576;
 /** Bytes that are gathered for one write. */
 const WRITE_BYTES = 8_192;
-/** Longest time that a line waits to be written, in ms. */
-const FLUSH_MS = 1_000;
+/** Longest time that a line waits to be written, in ms: what a killed process leaves out of its log. */
+const FLUSH_MS = 100;
 /** Time between two words on lines left out, in ms. */
 const DROPPED_WORD_MS = 5_000;
 
--- a/src/limits/send-budget.ts
+++ b/src/limits/send-budget.ts
@@ -28,6 +28,20 @@
   hasLeft(service: string): boolean;
   /** Takes one send beyond the first; false if none is left in this window. */
   spend(service: string): boolean;
+  /** What the last decision went by. */
+  state(service: string): SendBudgetState;
+}
+
+/** The state of a budget for one service. */
+export interface SendBudgetState {
+  /** Requests in the window. */
+  earned: number;
+  /** Sends beyond the first in the window. */
+  spent: number;
+  /** Gateways between which the allowance is divided. */
+  gateways: number;
+  /** How long this gateway has kept the budget, in milliseconds. */
+  ageMs: number;
 }
 
 /** Times of events within the last window. */
@@ -49,6 +63,7 @@
   gateways: () => number,
 ): SendBudget {
   const windows = new Map<string, Window>();
+  const createdAt = clock.now();
 
   function windowOf(service: string): Window {
     const known = windows.get(service) ?? { earned: [], spent: [] };
@@ -59,10 +74,14 @@
     return known;
   }
 
+  function resolveGateways(): number {
+    return Math.max(MIN_GATEWAYS, gateways());
+  }
+
   function hasLeft(service: string): boolean {
     const { earned, spent } = windowOf(service);
     const { allowance, ratio } = terms();
-    const part = allowance / Math.max(MIN_GATEWAYS, gateways());
+    const part = allowance / resolveGateways();
     return spent.length + 1 <= USED_SHARE * (ratio * earned.length + part);
   }
 
@@ -76,6 +95,15 @@
       windowOf(service).spent.push(clock.now());
       return true;
     },
+    state(service) {
+      const { earned, spent } = windowOf(service);
+      return {
+        earned: earned.length,
+        spent: spent.length,
+        gateways: resolveGateways(),
+        ageMs: Math.round(clock.now() - createdAt),
+      };
+    },
   };
 }
 
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -242,6 +242,8 @@
     const isAllowed = parts.budget.spend(service);
     if (isAllowed) metrics.retries.inc({ reason });
     else metrics.refusals.inc({ reason: 'retry-budget' });
+    const state = parts.budget.state(service);
+    log.write('retryDecided', { request: requestId, service, reason, isAllowed, ...state });
     return isAllowed;
   }
 
