fix(peers): a gateway that is cut off or starts goes on dividing what the fleet shares

What callers and servers see: while gateways are cut off from each other, retries of a service exceed the fleet's bound, and servers with a limit or a number of connections get more than their share.

Cause: whoever hears nobody took itself for a fleet of one (of eight for retries), so each of them took the whole, or an eighth, of what all share. Now the gateways last known, those lost within a minute and addresses that have not answered yet count on; the retry allowance waits until the number has not grown for a second.

'counts all gateways on while one is isolated' had 1 in place of 30 by peers().

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -145,7 +145,7 @@
     metrics,
     node,
     allocatorOf: (server) => schedulers.holderOf(fleet.find(server)?.service ?? ''),
-    gateways: () => overlay.peers().length + 1,
+    gateways: () => overlay.knownGateways(),
     serverLeaving(server) {
       fleet.retire(server, 'the server announced that it is leaving');
     },
@@ -195,7 +195,8 @@
       allowance: settings.bounds.retryAllowance,
       windowMs: settings.bounds.retryWindowMs,
     }),
-    () => overlay.peers().length + 1,
+    // nothing of the allowance until the number is known
+    () => overlay.fleetSize() ?? Number.POSITIVE_INFINITY,
   );
   const guardedClock = createGuardedClock(clock, (error) => {
     log.write('decisionFailed', { step: 'timer', reason: String(error) });
@@ -323,7 +324,7 @@
   function limitConnections(id: string): number {
     const service = fleet.find(id)?.service ?? '';
     const all = findService(service)?.maxConnections ?? MIN_CONNECTIONS;
-    const part = Math.floor((all * CONNECTION_SHARE) / (overlay.peers().length + 1));
+    const part = Math.floor((all * CONNECTION_SHARE) / overlay.knownGateways());
     return Math.max(MIN_CONNECTIONS, part);
   }
 
--- a/src/peers/discovery.ts
+++ b/src/peers/discovery.ts
@@ -17,6 +17,8 @@
   addAddress(address: string, isSeed: boolean): void;
   /** Removes an address that is now known as a peer's or as this gateway's own. */
   removeAddress(address: string): void;
+  /** Number of addresses at which no gateway has answered yet. */
+  count(): number;
   /**
    * Chooses addresses to dial now.
    *
@@ -76,6 +78,7 @@
     removeAddress(address) {
       addresses.delete(address);
     },
+    count: () => addresses.size,
     chooseAddresses({ now, missing, alive, lost }) {
       removeExpired(now);
       const candidates = [...new Set([...addresses.keys(), ...lost])];
--- a/src/peers/overlay.ts
+++ b/src/peers/overlay.ts
@@ -11,6 +11,7 @@
 import { createPeerLinks, type LinksFactory } from './links.js';
 import type { GatewayMessage, GatewayState, PeerMessage, StoreVersions } from './messages.js';
 import { createDiscovery } from './discovery.js';
+import { createFleetSize } from './fleet-size.js';
 
 /** Heartbeat interval, in ms. A missed update must arrive well within the two seconds allowed for a change. */
 const HEARTBEAT_MS = 400;
@@ -78,6 +79,11 @@
   /** Peers believed alive, ordered by name; the same array until it changes. Empty while this gateway is
    * isolated. */
   peers(): readonly GatewayState[];
+  /** Number of gateways that may run, this one and addresses without an answer yet included. Unlike the peers, they
+   * count on while this gateway is isolated. */
+  knownGateways: () => number;
+  /** The same with lost gateways, for what all must not exceed together; `undefined` while it grows. */
+  fleetSize: () => number | undefined;
   /** Whether there are partners and this gateway is not isolated. */
   isConnected: () => boolean;
   /** Sends to a peer, opening a link if needed; false if the peer is unknown, lost or its queue is full. */
@@ -130,6 +136,7 @@
     },
   });
   const { members } = membership;
+  const fleetSize = createFleetSize(clock, () => countKnown() + members.suspected().length);
   const links = (parts.createLinks ?? createPeerLinks)(clock, {
     ownState: membership.ownState,
     opened,
@@ -141,6 +148,10 @@
     },
   });
 
+  function countKnown(): number {
+    return 1 + members.alive().length + discovery.count();
+  }
+
   function opened(state: GatewayState): void {
     const { node } = state;
     discovery.removeAddress(state.address);
@@ -242,6 +253,7 @@
     linkPartners(now);
     discoverPeers(now);
     closeIdle();
+    fleetSize.settled();
     membership.publish();
     membership.flush();
     for (const partner of partners.names()) {
@@ -375,6 +387,8 @@
       discovery.addAddress(address, isSeed);
     },
     peers: () => (isIsolated() ? noPeers : members.alive()),
+    knownGateways: countKnown,
+    fleetSize: fleetSize.settled,
     isConnected: () => partners.names().length > 0 && !isIsolated(),
     send,
     broadcast(message) {
--- a/test/peers/overlay.test.ts
+++ b/test/peers/overlay.test.ts
@@ -137,6 +137,29 @@
     expect(alone.overlay.peers()).to.have.length(99);
   });
 
+  it('counts all gateways on while one is isolated, so that it does not take the share of all', () => {
+    const network = createPeerNetwork();
+    const [alone] = startAll(network, 30);
+    if (alone === undefined) throw new Error('no gateway');
+    network.advance(8_000);
+    network.control.passes = (from, to) => from !== alone.name && to !== alone.name;
+    network.advance(6_000);
+    expect(alone.overlay.peers()).to.have.length(0);
+    expect(alone.overlay.knownGateways()).to.equal(30);
+    expect(alone.overlay.fleetSize()).to.equal(30);
+  });
+
+  it('counts a lost gateway in the size of the fleet for a while', () => {
+    const network = createPeerNetwork();
+    const [gone, other] = startAll(network, 30);
+    if (gone === undefined || other === undefined) throw new Error('no gateway');
+    network.advance(8_000);
+    network.kill(gone, 'killed');
+    network.advance(8_000);
+    expect(other.overlay.peers()).to.have.length(28);
+    expect(other.overlay.fleetSize()).to.equal(30);
+  });
+
   it('lists all peers as soon as an isolated gateway receives a message again', () => {
     for (const seed of [1, 2, 3, 4]) {
       const network = createPeerNetwork(seed);
--- a/test/retries/fleet-budget.test.ts
+++ b/test/retries/fleet-budget.test.ts
@@ -27,7 +27,7 @@
   const budget = createSendBudget(
     view.clock,
     () => bound,
-    () => view.reachablePeers() + 1,
+    () => (view.hasFoundPeers() ? view.largestFleet() : Number.POSITIVE_INFINITY),
   );
   return {
     requestReceived() {
