fix(retries): a process that starts has no retry credit it has not earned

What callers see: on a service that turns requests away, gateways that restart sent up to twice the retries that it allows, so a fleet that was restarted in an overload made the overload worse.

Cause: the budget was a window in each process's memory that began at its most generous. Each start had a whole part of the allowance again (5 retries), and what the process before had spent, also of ten seconds' earnings, was forgotten. Class: state for a bound over time that is lost with its process and begins full.

Change: src/retries in place of src/limits/send-budget.ts. A request earns 0.8 of the ratio for a quarter of the window, each fraction is spent once; half of the allowance accrues in a window, the other half is the most that can be saved; both start at zero. So retries in any window are at most ratio x 0.8 x the requests of 1.25 windows + 0.9 x the allowance, whoever restarts, and nothing has to be known of former processes. What was paid and not sent is refunded, and what waited for long is paid anew at the send, so charges and arrivals agree.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -11,7 +11,6 @@
   type RegisteredServer,
   type RegistryChange,
 } from '../fleet/index.js';
-import { createSendBudget } from '../limits/send-budget.js';
 import type { GatewayMetrics } from '../metrics/index.js';
 import { createOverlay, type Overlay } from '../peers/index.js';
 import { resolveEra } from '../ports/position.js';
@@ -26,6 +25,7 @@
   type BackendProtocol,
   type RelayParts,
 } from '../relay/index.js';
+import { createRetryBudget } from '../retries/index.js';
 import { createOrderLease, createRoleController, type RoleOrders } from '../roles/index.js';
 import { createRoutingReplica, type RoutingDocument, type Service } from '../routing/index.js';
 import {
@@ -188,15 +188,14 @@
     coordinatorOf: (service) => schedulers.holderOf(service),
     overlay: () => overlay,
   });
-  const budget = createSendBudget(
+  const budget = createRetryBudget(
     clock,
     () => ({
       ratio: settings.bounds.retryRatio,
       allowance: settings.bounds.retryAllowance,
       windowMs: settings.bounds.retryWindowMs,
     }),
-    // nothing of the allowance until the number is known
-    () => overlay.fleetSize() ?? Number.POSITIVE_INFINITY,
+    () => overlay.fleetSize(),
   );
   const guardedClock = createGuardedClock(clock, (error) => {
     log.write('decisionFailed', { step: 'timer', reason: String(error) });
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -141,6 +141,11 @@
       labelNames: ['reason'],
       registers,
     }),
+    retriesRefunded: new Counter({
+      name: 'reedtally_gateway_retries_refunded_total',
+      help: 'Sends after the first that were paid from the retry budget and not made',
+      registers,
+    }),
     firstByte: new Histogram({
       name: 'reedtally_gateway_first_byte_seconds',
       help: 'Time from the head of a request to the first byte of its answer, by service',
--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -4,7 +4,7 @@
  */
 import type { RegisteredServer } from '../fleet/index.js';
 import type { Decision, Job, Prompt, ScheduledJob } from '../scheduling/index.js';
-import { resolveHealthOutcome, type ExchangeOutcome } from './health-outcome.js';
+import { hasReachedServer, resolveHealthOutcome, type ExchangeOutcome } from './health-outcome.js';
 import type { PlacedServer, PlacementResult, PlacementContext, Placer } from './placer.js';
 import type { PrefilledPrompt } from './protocol.js';
 import { runPrefill, type PrefillOutcome } from './prefill.js';
@@ -143,6 +143,7 @@
   ): Promise<PlacementResult> {
     // a further prefill after a successful one takes from the retry budget
     if (hasPrefilled && !context.mayRetry('read')) return refusePrefill();
+    if (!context.renewPermits()) return refusePrefill();
     prefills += 1;
     const outcome = await runPrefill(context, engine, timeoutMs);
     if (outcome.kind === 'read') {
@@ -164,9 +165,9 @@
   ): Promise<PlacementResult> | PlacementResult {
     excluded.push(engine.id);
     endJob(outcome.kind);
-    const isFree = outcome.kind === 'unsent' || outcome.kind === 'withheld';
-    if (!isFree) context.countAttempt();
-    const isOver = prefills >= MAX_PREFILLS || (!isFree && !context.mayRetry('read'));
+    const isArrived = hasReachedServer(outcome.kind);
+    if (isArrived) context.countAttempt();
+    const isOver = prefills >= MAX_PREFILLS || (isArrived && !context.mayRetry('read'));
     return isOver ? refusePrefill() : place();
   }
 
@@ -188,7 +189,7 @@
     sendEnded(placed, outcome) {
       // a generator that did not run the request has not fetched the prefilled prompt
       const { kind } = outcome;
-      const isUnused = kind === 'unsent' || kind === 'withheld' || kind === 'declined';
+      const isUnused = kind === 'declined' || !hasReachedServer(kind);
       if (!isUnused) prefilled = undefined;
       if (outcome.kind !== 'finished') excluded.push(placed.server.id);
       endJob(outcome.kind);
--- a/src/relay/health-outcome.ts
+++ b/src/relay/health-outcome.ts
@@ -23,6 +23,13 @@
     .with('lost', () => 'failed')
     .with('overdue', () => 'silent')
     .with('unsent', () => 'unreachable')
-    .with('aborted', 'withheld', () => undefined)
+    .with('aborted', 'withheld', 'unpaid', () => undefined)
     .exhaustive();
 }
+
+/** Whether an exchange reached its server, or may have. */
+export function hasReachedServer(outcome: ExchangeOutcome): boolean {
+  return match(outcome)
+    .with('unsent', 'withheld', 'unpaid', () => false)
+    .otherwise(() => true);
+}
--- a/src/relay/next-step.ts
+++ b/src/relay/next-step.ts
@@ -59,6 +59,7 @@
       })
       // needs no limit: the placer refuses the request once no server is left
       .with({ kind: 'withheld' }, () => ({ kind: 'again', costs: false, reason: 'withheld' }))
+      .with({ kind: 'unpaid' }, ({ reason }) => giveUp(reason))
       .with({ kind: 'declined' }, () => {
         if (!hasAttempts) return giveUp('declined by the server');
         return { kind: 'again', costs: true, reason: 'declined' };
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -74,6 +74,8 @@
   countAttempt(): void;
   /** Whether the route and the retry budget allow another send; if so, takes it from the budget. */
   mayRetry(reason: string): boolean;
+  /** Renews what pays for the next send, right before it; false if the budget is spent meanwhile. */
+  renewPermits(): boolean;
   /** Releases an unused prefilled prompt at the server that holds it. */
   release(prompt: PrefilledPrompt, server: RegisteredServer): void;
   /** Called when a prefill at a server has ended. */
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -11,9 +11,9 @@
   type RegisteredServer,
 } from '../fleet/index.js';
 import type { Log } from '../events/index.js';
-import type { SendBudget } from '../limits/send-budget.js';
 import type { GatewayMetrics } from '../metrics/index.js';
 import { createFingerprint, type Ban, type Quarantine } from '../quarantine/index.js';
+import type { RetryBudget } from '../retries/index.js';
 import { chooseTarget, type Route, type RoutingReplica } from '../routing/index.js';
 import { wait, type Clock, type RandomSource, type Timer } from '../task/index.js';
 import type { CallerAnswer } from './caller-answer.js';
@@ -21,11 +21,12 @@
 import { createResponder, statuses } from './responder.js';
 import { createEnginePlacer, type SchedulerClient } from './engine-placer.js';
 import { startExchange, type OutgoingRequest } from './exchange.js';
-import { resolveHealthOutcome, type ExchangeOutcome } from './health-outcome.js';
+import { hasReachedServer, resolveHealthOutcome, type ExchangeOutcome } from './health-outcome.js';
 import { isRepeatable, resolveNextStep, type NextStep, type Progress } from './next-step.js';
 import type { PlacedServer, Placer, PlacementContext } from './placer.js';
 import type { BackendProtocol, CallerHead, SendTerms } from './protocol.js';
 import { releasePrompt } from './release-prompt.js';
+import { createRequestRetries } from './request-retries.js';
 import { sendOnce, type SendOutcome } from './send.js';
 import { createServerGate } from './server-gate.js';
 import { createServicePlacer, type ServerLoads } from './service-placer.js';
@@ -46,6 +47,12 @@
 /** Retry-After while the same request is on trial at another server, in ms. */
 const TRIAL_RETRY_MS = 300;
 
+/** Why a request ends without a retry that the route would allow. */
+const SPENT_REASON = 'the retry budget is spent';
+
+/** The outcome of a send that could not be paid for. */
+const unpaid: SendOutcome = { kind: 'unpaid', reason: SPENT_REASON };
+
 /** What all requests of a gateway share. */
 export interface RelayParts {
   clock: Clock;
@@ -61,7 +68,7 @@
   loads: ServerLoads;
   callerRetries: CallerRetries;
   connections: Connections;
-  budget: SendBudget;
+  budget: RetryBudget;
   quarantine: Quarantine;
   backpressure: Backpressure;
   scheduler: SchedulerClient;
@@ -159,6 +166,8 @@
     ban: () => ban,
   });
 
+  const retries = createRequestRetries({ ...parts, service, requestId });
+
   const gate = createServerGate({
     fleet: parts.fleet,
     backpressure: parts.backpressure,
@@ -199,11 +208,13 @@
     countAttempt() {
       progress.attempts += 1;
     },
-    mayRetry: (reason) => progress.attempts < route.maxAttempts && spend(reason),
+    mayRetry: (reason) => progress.attempts < route.maxAttempts && retries.pay(reason),
+    renewPermits: retries.renew,
     release(prompt, server) {
       releasePrompt({ ...parts, gate, requestId }, prompt, server);
     },
     prefillEnded(server, outcome) {
+      if (hasReachedServer(outcome.kind)) retries.arrived({ isPrefilled: outcome.kind === 'read' });
       if (outcome.kind === 'withheld') metrics.withheld.inc({ reason: outcome.reason });
       log.write('promptRead', {
         request: requestId,
@@ -238,15 +249,6 @@
     };
   }
 
-  function spend(reason: string): boolean {
-    const isAllowed = parts.budget.spend(service);
-    if (isAllowed) metrics.retries.inc({ reason });
-    else metrics.refusals.inc({ reason: 'retry-budget' });
-    const state = parts.budget.state(service);
-    log.write('retryDecided', { request: requestId, service, reason, isAllowed, ...state });
-    return isAllowed;
-  }
-
   function recordHealth(
     server: RegisteredServer,
     exchangeOutcome: ExchangeOutcome,
@@ -330,15 +332,11 @@
 
   /** Updates the request's progress after a send. */
   function updateProgress(outcome: SendOutcome): void {
-    if (outcome.kind === 'withheld') {
-      metrics.withheld.inc({ reason: outcome.reason });
-      return;
-    }
-    if (outcome.kind === 'unsent') {
-      progress.unsent += 1;
-      return;
-    }
+    if (outcome.kind === 'withheld') metrics.withheld.inc({ reason: outcome.reason });
+    if (outcome.kind === 'unsent') progress.unsent += 1;
+    if (!hasReachedServer(outcome.kind)) return;
     progress.attempts += 1;
+    retries.arrived({ isPrefilled: false });
     if (outcome.kind !== 'declined') progress.mayHaveRun = true;
   }
 
@@ -357,7 +355,7 @@
       refuse(placed.reason, placed.retryAfterMs, placed.backlogMs);
       return false;
     }
-    const outcome = await send(placed, placer);
+    const outcome = retries.renew() ? await send(placed, placer) : unpaid;
     updateProgress(outcome);
     placer.sendEnded(placed, outcome);
     recordHealth(placed.server, outcome.kind, outcome.kind === 'declined' && outcome.isOtherServer);
@@ -376,8 +374,8 @@
 
   function take(step: NextStep, outcome: SendOutcome): boolean {
     if (step.kind === 'again') {
-      if (!step.costs || spend(step.reason)) return true;
-      endWithoutRetry(outcome, 'the retry budget is spent');
+      if (!step.costs || retries.pay(step.reason)) return true;
+      endWithoutRetry(outcome, SPENT_REASON);
       return false;
     }
     if (step.kind === 'pass-failure' && outcome.kind === 'failed') forwardFailure(outcome);
@@ -436,7 +434,7 @@
         refuse('stopping', STOPPING_RETRY_MS, 0);
         return;
       }
-      parts.budget.earn(service);
+      parts.budget.requestReceived(service);
       const timer = startTimer();
       const placer = createPlacer();
       function abort(): void {
@@ -452,6 +450,7 @@
         timer.cancel();
         callerRequest.callerLeft.removeEventListener('abort', abort);
         placer.close();
+        retries.close();
       }
     },
   };
--- a/src/relay/send.ts
+++ b/src/relay/send.ts
@@ -27,6 +27,8 @@
   | { kind: 'unsent'; reason: string }
   /** Nothing was sent, because the server is leaving or has asked for a pause. */
   | { kind: 'withheld'; reason: string }
+  /** Nothing was sent, because the credit that had paid for the retry has expired. */
+  | { kind: 'unpaid'; reason: string }
   /** The request may have run; there is no complete answer. */
   | { kind: 'lost'; reason: string }
   /** The request may have run; the exchange was aborted because no answer began in time. */
--- a/test/retries/fleet-budget.test.ts
+++ b/test/retries/fleet-budget.test.ts
@@ -1,12 +1,11 @@
 // Guards against more retries than the fleet's bound where gateways restart, alone or all together, again and again.
 import { expect } from 'chai';
-import { createSendBudget } from '../../src/limits/send-budget.js';
+import { createRetryBudget } from '../../src/retries/index.js';
 import { createSeededRandom } from '../../src/task/index.js';
+import { findBrokenWindow, type FleetBound } from '../../tools/common/retry-bound.js';
 import {
-  findBrokenWindow,
   gatewayFaults,
   playHistory,
-  type FleetBound,
   type GatewayView,
   type ProcessBudget,
 } from './fleet-history.js';
@@ -24,16 +23,19 @@
 ];
 
 function createProcessBudget(view: GatewayView): ProcessBudget {
-  const budget = createSendBudget(
+  const budget = createRetryBudget(
     view.clock,
     () => bound,
-    () => (view.hasFoundPeers() ? view.largestFleet() : Number.POSITIVE_INFINITY),
+    () => (view.hasFoundPeers() ? view.largestFleet() : undefined),
   );
   return {
     requestReceived() {
-      budget.earn('chat');
+      budget.requestReceived('chat');
+    },
+    pay() {
+      const permit = budget.take('chat');
+      return permit && { maySend: permit.renew };
     },
-    pay: () => (budget.spend('chat') ? { maySend: () => true } : undefined),
     lend: () => false,
   };
 }
--- a/test/retries/fleet-history.ts
+++ b/test/retries/fleet-history.ts
@@ -1,8 +1,9 @@
 /**
  * Drawn histories of a fleet whose gateways retry failing requests while they are killed, cut off, frozen and
- * replaced, in virtual time; and a judge that counts every window as the fleet's bound does.
+ * replaced, in virtual time.
  */
 import type { Clock, RandomSource } from '../../src/task/index.js';
+import type { FleetBound, FleetRecord } from '../../tools/common/retry-bound.js';
 
 /** Length of a history, in ms. */
 const HISTORY_MS = 45_000;
@@ -13,13 +14,6 @@
 /** Retries of one request at most. */
 const MAX_RETRIES = 2;
 
-/** The bound on retries, for all gateways together. */
-export interface FleetBound {
-  ratio: number;
-  allowance: number;
-  windowMs: number;
-}
-
 /** What a gateway's budget may go by. */
 export interface GatewayView {
   clock: Clock;
@@ -62,12 +56,6 @@
   random: RandomSource;
 }
 
-/** Times at which things happened in a history, in ms, in order. */
-export interface FleetRecord {
-  requests: number[];
-  retries: number[];
-}
-
 interface Process {
   startedAt: number;
   foundAt: number;
@@ -313,51 +301,6 @@
   return record;
 }
 
-/** A window with more retries than allowed. */
-export interface BrokenWindow {
-  fromMs: number;
-  retries: number;
-  allowed: number;
-}
-
-/**
- * Finds the window that exceeds its bound most. A window's requests are those in it, in the one before it or in the
- * one half a window before it, whichever has most.
- */
-export function findBrokenWindow(
-  record: FleetRecord,
-  { ratio, allowance, windowMs }: FleetBound,
-): BrokenWindow | undefined {
-  let worst: BrokenWindow | undefined;
-  let worstExcess = 0;
-  for (const fromMs of record.retries) {
-    const retries = countBetween(record.retries, fromMs, fromMs + windowMs);
-    const starts = [fromMs, fromMs - windowMs, fromMs - windowMs / 2];
-    const counts = starts.map((start) => countBetween(record.requests, start, start + windowMs));
-    const allowed = ratio * Math.max(...counts) + allowance;
-    if (retries - allowed <= worstExcess) continue;
-    worstExcess = retries - allowed;
-    worst = { fromMs, retries, allowed };
-  }
-  return worst;
-}
-
-function countBetween(times: readonly number[], from: number, to: number): number {
-  return findFirst(times, (at) => at > to) - findFirst(times, (at) => at >= from);
-}
-
-/** Index of the first time that a condition holds for; it holds for all later ones. */
-function findFirst(times: readonly number[], holds: (at: number) => boolean): number {
-  let low = 0;
-  let high = times.length;
-  while (low < high) {
-    const middle = (low + high) >> 1;
-    if (holds(times[middle] ?? 0)) high = middle;
-    else low = middle + 1;
-  }
-  return low;
-}
-
 const noBudget: ProcessBudget = {
   requestReceived: () => undefined,
   pay: () => undefined,
