--- a/tools/soak/controls.ts
+++ b/tools/soak/controls.ts
@@ -76,6 +76,13 @@
     to: 'return;',
     finds: /in a window of its limit|after it said it left|in its rest/,
   },
+  {
+    name: 'each start of a gateway begins a full retry budget',
+    file: 'src/retries/credit.ts',
+    from: 'let saved = 0;',
+    to: 'let saved = 10;',
+    finds: /retries in a window/,
+  },
 ];
 
 /**
--- a/tools/soak/gateways.ts
+++ b/tools/soak/gateways.ts
@@ -5,6 +5,7 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { retryBound } from './retries.js';
 
 const FRONT_PORT = 18_144;
 const READINESS_PORT = 18_140;
@@ -101,9 +102,9 @@
     `provider.address=${store}`,
     `bounds.graceS=${GRACE_S}`,
     'bounds.leaseMs=3000',
-    'bounds.retryBudgetRatio=0.2',
-    'bounds.retrySlack=58',
-    'bounds.budgetWindowS=10',
+    `bounds.retryBudgetRatio=${retryBound.ratio}`,
+    `bounds.retrySlack=${retryBound.allowance}`,
+    `bounds.budgetWindowS=${retryBound.windowMs / 1_000}`,
     'bounds.ttl_max_s=5',
   ].join('\n');
 }
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -18,6 +18,7 @@
 import { createFatalCount } from './fatal.js';
 import { createGatewayProcess, type GatewayProcess } from './gateways.js';
 import { judge, type Account } from './judge.js';
+import { createRetryCount } from './retries.js';
 import { startProxy, type Disturbance, type DisturbingProxy } from './proxy.js';
 
 const BUILT_PROGRAM = 'dist/platform/main.js';
@@ -41,6 +42,8 @@
 const NOT_FOUND = 404;
 /** How long servers ask for less once all is calm, in ms: longer than the time for which their limits are counted. */
 const ASKING_MS = 5_500;
+/** Part of the requests that servers turn away while they refuse. */
+const REFUSED_SHARE = 0.7;
 /** What servers ask for while faults go on. */
 const ASKS: readonly Asks[] = [{ limitPerS: 5 }, { restS: 1 }, { isLeaving: true }];
 /** Part of the requests that end their servers while faults go on. */
@@ -94,6 +97,9 @@
   const pending = new Set<Promise<void>>();
   const fatal = createFatalCount();
   const asking = createAskingServers();
+  const retries = createRetryCount();
+  /** Until when servers turn most requests away, in ms of the steady clock. */
+  let refusingUntil = 0;
   /** The gateway to which each request was sent. */
   const sentTo = new Map<string, string>();
   /** Apart from the faults, which a seed draws as before. */
@@ -181,11 +187,17 @@
       const id = String(request.headers['x-request-id']);
       const asked = asking.arrived(backend.id, sentTo.get(id) ?? '');
       for (const [name, value] of Object.entries(asked)) response.setHeader(name, value);
-      if (request.headers['x-target-instance'] !== backend.id) {
+      const isPrefill = request.headers['x-stage'] === 'prefill';
+      const isRefusing = performance.now() < refusingUntil && askingRandom.next() < REFUSED_SHARE;
+      const isOther = request.headers['x-target-instance'] !== backend.id;
+      const isTurnedAway =
+        !isOther && (isRefusing || asking.isPaused(backend.id) || random.next() < 0.03);
+      retries.arrived(backend.service, id, isPrefill && !isTurnedAway && !isOther);
+      if (isOther) {
         response.writeHead(421, { 'X-Instance-Id': backend.id }).end();
-      } else if (asking.isPaused(backend.id) || random.next() < 0.03) {
+      } else if (isTurnedAway) {
         response.writeHead(503, { 'X-Not-Executed': '1' }).end();
-      } else if (request.headers['x-stage'] === 'prefill') {
+      } else if (isPrefill) {
         response.writeHead(200, { 'X-Request-Id': id }).end(JSON.stringify({ kvHandle: id }));
       } else {
         accounts.get(id)?.runs.push(backend.id);
@@ -265,6 +277,7 @@
     const account: Account = { id, kind, path, answer: undefined, runs: [], events: EVENTS };
     accounts.set(id, account);
     sentTo.set(id, gateway.node);
+    retries.requested(kind === 'stream' ? 'chat' : 'pages');
     const headers = { ...renderHeaders(id), ...(kind === 'stream' ? renderPrompt(id) : {}) };
     const { host, frontPort: port } = gateway;
     const timeoutMs = PATIENCE_MS + 500;
@@ -297,6 +310,7 @@
   async function askForLessAll(until: number): Promise<void> {
     while (performance.now() < until) {
       askForLess();
+      if (askingRandom.next() < 0.5) refusingUntil = performance.now() + FAULT_MS * 4;
       await pause(FAULT_MS * 3);
     }
   }
@@ -409,6 +423,7 @@
   broken.push(...(await judgeFatal()));
   clearInterval(restarts);
   await close();
+  broken.push(...retries.judge());
   let succeeded = 0;
   for (const account of accounts.values()) {
     if (account.answer?.status === 200) succeeded += 1;
