--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -142,7 +142,7 @@
     timeoutMs: number,
   ): Promise<PlacementResult> {
     // a further prefill after a successful one takes from the retry budget
-    if (hasPrefilled && !context.mayRetry('read')) return refusePrefill();
+    if (hasPrefilled && !(await context.mayRetry('read'))) return refusePrefill();
     if (!context.renewPermits()) return refusePrefill();
     prefills += 1;
     const outcome = await runPrefill(context, engine, timeoutMs);
@@ -159,16 +159,17 @@
     return afterFailedPrefill(engine, outcome);
   }
 
-  function afterFailedPrefill(
+  async function afterFailedPrefill(
     engine: RegisteredServer,
     outcome: Exclude<PrefillOutcome, { kind: 'read' | 'aborted' }>,
-  ): Promise<PlacementResult> | PlacementResult {
+  ): Promise<PlacementResult> {
     excluded.push(engine.id);
     endJob(outcome.kind);
     const isArrived = hasReachedServer(outcome.kind);
     if (isArrived) context.countAttempt();
-    const isOver = prefills >= MAX_PREFILLS || (isArrived && !context.mayRetry('read'));
-    return isOver ? refusePrefill() : place();
+    if (prefills >= MAX_PREFILLS) return refusePrefill();
+    if (isArrived && !(await context.mayRetry('read'))) return refusePrefill();
+    return place();
   }
 
   function refusePrefill(): PlacementResult {
--- a/test/gateway/followers.test.ts
+++ b/test/gateway/followers.test.ts
@@ -16,6 +16,7 @@
     front: '',
     zone: 'a',
     cores: coresOf(node),
+    lendsRetries: true,
     isReady: true,
     isFollowing,
   };
@@ -41,7 +42,13 @@
       isConnected,
     }));
   const peers = others.map((name) => peer(name, createBeforeFollowing(name).isFollower()));
-  return createFollowers(() => ({ node, cores: coresOf(node), peers, isConnected }));
+  return createFollowers(() => ({
+    node,
+    cores: coresOf(node),
+    lendsRetries: true,
+    peers,
+    isConnected,
+  }));
 }
 
 describe('the gateways that follow the store', () => {
--- a/test/peers/membership.test.ts
+++ b/test/peers/membership.test.ts
@@ -13,10 +13,11 @@
   front: 'self',
   zone: 'a',
   cores: 1,
+  lendsRetries: true,
 };
 
 function stateOf(node: string, sequence: number, incarnation = `${node}-1`): GatewayState {
-  const rest = { address: node, front: node, zone: 'a', cores: 1 };
+  const rest = { address: node, front: node, zone: 'a', cores: 1, lendsRetries: true };
   return { node, incarnation, sequence, ...rest, isReady: true, isFollowing: false };
 }
 
--- a/test/retries/budget.test.ts
+++ b/test/retries/budget.test.ts
@@ -11,7 +11,13 @@
   function createCase(count = GATEWAYS) {
     const { clock, advance } = createFakeClock();
     const state: { gateways: number | undefined } = { gateways: count };
-    const create = () => createRetryBudget(clock, bound, () => state.gateways);
+    const create = () =>
+      createRetryBudget({
+        clock,
+        bound,
+        gateways: () => state.gateways,
+        borrow: () => Promise.resolve(false),
+      });
     return { create, advance, state, budget: create() };
   }
 
--- a/test/retries/fleet-budget.test.ts
+++ b/test/retries/fleet-budget.test.ts
@@ -23,11 +23,12 @@
 ];
 
 function createProcessBudget(view: GatewayView): ProcessBudget {
-  const budget = createRetryBudget(
-    view.clock,
-    () => bound,
-    () => (view.hasFoundPeers() ? view.largestFleet() : undefined),
-  );
+  const budget = createRetryBudget({
+    clock: view.clock,
+    bound: () => bound,
+    gateways: () => (view.hasFoundPeers() ? view.largestFleet() : undefined),
+    borrow: () => Promise.resolve(false),
+  });
   return {
     requestReceived() {
       budget.requestReceived('chat');
@@ -36,7 +37,7 @@
       const permit = budget.take('chat');
       return permit && { maySend: permit.renew };
     },
-    lend: () => false,
+    lend: () => budget.take('chat') !== undefined,
   };
 }
 
