--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -25,7 +25,7 @@
   type BackendProtocol,
   type RelayParts,
 } from '../relay/index.js';
-import { createLoans, createRetryBudget } from '../retries/index.js';
+import { createRetryBudget } from '../retries/index.js';
 import { createOrderLease, createRoleController, type RoleOrders } from '../roles/index.js';
 import { createRoutingReplica, type RoutingDocument, type Service } from '../routing/index.js';
 import {
@@ -188,24 +188,15 @@
     coordinatorOf: (service) => schedulers.holderOf(service),
     overlay: () => overlay,
   });
-  const budget = createRetryBudget({
+  const budget = createRetryBudget(
     clock,
-    bound: () => ({
+    () => ({
       ratio: settings.bounds.retryRatio,
       allowance: settings.bounds.retryAllowance,
       windowMs: settings.bounds.retryWindowMs,
     }),
-    gateways: () => overlay.fleetSize(),
-    borrow: (service) => loans.borrow(service),
-  });
-  const loans = createLoans({
-    clock,
-    random,
-    node,
-    lenders: () => overlay.lenders(),
-    lend: (service) => budget.take(service) !== undefined,
-    send: (peer, message) => overlay.send(peer, message),
-  });
+    () => overlay.fleetSize(),
+  );
   const guardedClock = createGuardedClock(clock, (error) => {
     log.write('decisionFailed', { step: 'timer', reason: String(error) });
   });
@@ -250,7 +241,6 @@
     followers,
     quarantine,
     backpressure,
-    loans,
     parseRoutes: (text) => platform.parseRoutes(text),
   });
   const overlay: Overlay = createOverlay({
@@ -264,7 +254,6 @@
       front: formatAddress(settings.callers),
       zone,
       cores: settings.cores,
-      lendsRetries: true,
     },
     status: () => ({
       isReady: isReady(),
--- a/src/gateway/peering.ts
+++ b/src/gateway/peering.ts
@@ -17,7 +17,6 @@
 } from '../peers/index.js';
 import type { RoutingDocument, RoutingReplica } from '../routing/index.js';
 import type { Quarantine } from '../quarantine/index.js';
-import type { Loans } from '../retries/index.js';
 import type { Decision, JobSubmitter, Job, Scheduler } from '../scheduling/index.js';
 import type { Clock, Timer } from '../task/index.js';
 import { createCatchUp } from './catch-up.js';
@@ -38,7 +37,6 @@
   scheduler(service: string): Scheduler;
   quarantine: Pick<Quarantine, 'received' | 'peerLost'>;
   backpressure: Pick<Backpressure, 'received' | 'peerLost'>;
-  loans: Pick<Loans, 'received' | 'peerLost'>;
   followers: Pick<Followers, 'isLargeFleet' | 'mayRelyOnPeers'>;
   /** Decodes routes relayed by a peer; `undefined` if they are invalid. */
   parseRoutes(text: string): RoutingDocument | undefined;
@@ -204,9 +202,6 @@
           parts.backpressure.received(node, backpressureMessage);
         },
       )
-      .with({ kind: 'retry.ask' }, { kind: 'retry.answer' }, (loanMessage) => {
-        parts.loans.received(node, loanMessage);
-      })
       .with({ kind: 'job.queued' }, { kind: 'job.placed' }, { kind: 'job.declined' }, (answer) => {
         parts.submitter.answerReceived(node, answer);
       })
@@ -234,7 +229,6 @@
       parts.submitter.peerLost(node);
       parts.quarantine.peerLost(node);
       parts.backpressure.peerLost(node);
-      parts.loans.peerLost(node);
     },
     versionsReceived,
     versions,
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -7,7 +7,6 @@
 import { allowanceMessageSchemas, noticesMessageSchema } from '../backpressure/index.js';
 import { healthOutcomeSchema } from '../fleet/health.js';
 import { crashesMessageSchema } from '../quarantine/messages.js';
-import { loanMessageSchemas } from '../retries/loans.js';
 import { trialMessageSchemas } from '../quarantine/trials.js';
 import { routesMessageSchema } from './routes-message.js';
 import { jobSchema, placementSchema } from '../scheduling/job.js';
@@ -52,8 +51,6 @@
   isReady: z.boolean(),
   /** Follows the store directly, and the store answers. */
   isFollowing: z.boolean(),
-  /** Answers requests for loans of retries. */
-  lendsRetries: z.boolean().default(false),
 });
 
 const suspicionSchema = z.object({
@@ -157,7 +154,6 @@
   ...trialMessageSchemas,
   noticesMessageSchema,
   ...allowanceMessageSchemas,
-  ...loanMessageSchemas,
   submitSchema,
   adoptSchema,
   queuedSchema,
--- a/src/peers/overlay.ts
+++ b/src/peers/overlay.ts
@@ -79,8 +79,6 @@
   /** Peers believed alive, ordered by name; the same array until it changes. Empty while this gateway is
    * isolated. */
   peers(): readonly GatewayState[];
-  /** Partners that lend retries. */
-  lenders: () => readonly string[];
   /** Number of gateways that may run, this one and addresses without an answer yet included. Unlike the peers, they
    * count on while this gateway is isolated. */
   knownGateways: () => number;
@@ -389,8 +387,6 @@
       discovery.addAddress(address, isSeed);
     },
     peers: () => (isIsolated() ? noPeers : members.alive()),
-    lenders: () =>
-      partners.names().filter((node) => members.find(node)?.state.lendsRetries === true),
     knownGateways: countKnown,
     fleetSize: fleetSize.settled,
     isConnected: () => partners.names().length > 0 && !isIsolated(),
--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -142,7 +142,7 @@
     timeoutMs: number,
   ): Promise<PlacementResult> {
     // a further prefill after a successful one takes from the retry budget
-    if (hasPrefilled && !(await context.mayRetry('read'))) return refusePrefill();
+    if (hasPrefilled && !context.mayRetry('read')) return refusePrefill();
     if (!context.renewPermits()) return refusePrefill();
     prefills += 1;
     const outcome = await runPrefill(context, engine, timeoutMs);
@@ -159,17 +159,16 @@
     return afterFailedPrefill(engine, outcome);
   }
 
-  async function afterFailedPrefill(
+  function afterFailedPrefill(
     engine: RegisteredServer,
     outcome: Exclude<PrefillOutcome, { kind: 'read' | 'aborted' }>,
-  ): Promise<PlacementResult> {
+  ): Promise<PlacementResult> | PlacementResult {
     excluded.push(engine.id);
     endJob(outcome.kind);
     const isArrived = hasReachedServer(outcome.kind);
     if (isArrived) context.countAttempt();
-    if (prefills >= MAX_PREFILLS) return refusePrefill();
-    if (isArrived && !(await context.mayRetry('read'))) return refusePrefill();
-    return place();
+    const isOver = prefills >= MAX_PREFILLS || (isArrived && !context.mayRetry('read'));
+    return isOver ? refusePrefill() : place();
   }
 
   function refusePrefill(): PlacementResult {
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -73,7 +73,7 @@
   /** Counts a send towards the route's limit. */
   countAttempt(): void;
   /** Whether the route and the retry budget allow another send; if so, takes it from the budget. */
-  mayRetry(reason: string): Promise<boolean>;
+  mayRetry(reason: string): boolean;
   /** Renews what pays for the next send, right before it; false if the budget is spent meanwhile. */
   renewPermits(): boolean;
   /** Releases an unused prefilled prompt at the server that holds it. */
--- a/src/relay/request-retries.ts
+++ b/src/relay/request-retries.ts
@@ -17,7 +17,7 @@
 /** The retries of one request. */
 export interface RequestRetries extends Pick<RetryCharges, 'arrived' | 'renew'> {
   /** Pays for one more send; false if the budget is spent. */
-  pay(reason: string): Promise<boolean>;
+  pay(reason: string): boolean;
   /** Refunds what was paid and not used, at the end of the request. */
   close(): void;
 }
@@ -31,8 +31,8 @@
   const { log, metrics, budget, service, requestId } = parts;
   const charges = createRetryCharges();
   return {
-    async pay(reason) {
-      const permit = await budget.acquire(service);
+    pay(reason) {
+      const permit = budget.take(service);
       const isAllowed = permit !== undefined;
       if (isAllowed) charges.hold(permit);
       if (isAllowed) metrics.retries.inc({ reason });
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -208,7 +208,7 @@
     countAttempt() {
       progress.attempts += 1;
     },
-    mayRetry: async (reason) => progress.attempts < route.maxAttempts && retries.pay(reason),
+    mayRetry: (reason) => progress.attempts < route.maxAttempts && retries.pay(reason),
     renewPermits: retries.renew,
     release(prompt, server) {
       releasePrompt({ ...parts, gate, requestId }, prompt, server);
@@ -372,9 +372,9 @@
     return take(step, outcome);
   }
 
-  async function take(step: NextStep, outcome: SendOutcome): Promise<boolean> {
+  function take(step: NextStep, outcome: SendOutcome): boolean {
     if (step.kind === 'again') {
-      if (!step.costs || (await retries.pay(step.reason))) return true;
+      if (!step.costs || retries.pay(step.reason)) return true;
       endWithoutRetry(outcome, SPENT_REASON);
       return false;
     }
--- a/src/retries/budget.ts
+++ b/src/retries/budget.ts
@@ -9,15 +9,11 @@
   type RetryCredit,
   type RetryPayment,
 } from './credit.js';
-import type { Loans } from './loans.js';
 
 /** Age of a permit from which its payment is renewed at the send, in ms; retries that wait for long would
  * otherwise add to those of a later window. */
 const RENEW_AFTER_MS = 100;
 
-/** Age up to which a borrowed permit can be used, in ms. */
-const BORROWED_TTL_MS = 1_000;
-
 /** Permission to send one retry. */
 export interface RetryPermit {
   /** Renews the payment right before the send; false if the credit has expired and there is no other. */
@@ -44,30 +40,21 @@
   hasLeft(service: string): boolean;
   /** Pays for one retry; `undefined` if the budget is spent. */
   take(service: string): RetryPermit | undefined;
-  /** Pays for one retry, from a partner's credit if the own one is spent; `undefined` if neither is left. */
-  acquire(service: string): Promise<RetryPermit | undefined>;
   state(service: string): RetryBudgetState;
 }
 
-/** Dependencies of a budget. */
-export interface RetryBudgetParts {
-  /** The gateway's clock. */
-  clock: Clock;
-  /** The current bound for all gateways. */
-  bound: () => RetryBound;
-  /** Number of gateways that share the bound; `undefined` while that is not known. */
-  gateways: () => number | undefined;
-  /** Asks partners to pay for a retry. */
-  borrow: Loans['borrow'];
-}
-
 /**
  * Creates a budget.
  *
- * @param parts the bound and what is known of the gateways that share it
+ * @param clock the gateway's clock
+ * @param bound the current bound for all gateways
+ * @param gateways number of gateways that share the bound; `undefined` while that is not known
  */
-export function createRetryBudget(parts: RetryBudgetParts): RetryBudget {
-  const { clock, bound, gateways } = parts;
+export function createRetryBudget(
+  clock: Clock,
+  bound: () => RetryBound,
+  gateways: () => number | undefined,
+): RetryBudget {
   const credits = new Map<string, RetryCredit>();
   const createdAt = clock.now();
 
@@ -98,31 +85,15 @@
     };
   }
 
-  /** Refunding it gives nothing back, since the partner's credit may have expired. */
-  function createBorrowedPermit(): RetryPermit {
-    const borrowedAt = clock.now();
-    return {
-      refund: () => undefined,
-      renew: () => clock.now() - borrowedAt < BORROWED_TTL_MS,
-    };
-  }
-
-  function take(service: string): RetryPermit | undefined {
-    const credit = creditOf(service);
-    const payment = credit.pay();
-    return payment && createPermit(credit, payment);
-  }
-
   return {
     requestReceived(service) {
       creditOf(service).earn();
     },
     hasLeft: (service) => creditOf(service).available() >= 1,
-    take,
-    async acquire(service) {
-      const own = take(service);
-      if (own !== undefined) return own;
-      return (await parts.borrow(service)) ? createBorrowedPermit() : undefined;
+    take(service) {
+      const credit = creditOf(service);
+      const payment = credit.pay();
+      return payment && createPermit(credit, payment);
     },
     state(service) {
       return {
--- a/test/gateway/followers.test.ts
+++ b/test/gateway/followers.test.ts
@@ -16,7 +16,6 @@
     front: '',
     zone: 'a',
     cores: coresOf(node),
-    lendsRetries: true,
     isReady: true,
     isFollowing,
   };
@@ -42,13 +41,7 @@
       isConnected,
     }));
   const peers = others.map((name) => peer(name, createBeforeFollowing(name).isFollower()));
-  return createFollowers(() => ({
-    node,
-    cores: coresOf(node),
-    lendsRetries: true,
-    peers,
-    isConnected,
-  }));
+  return createFollowers(() => ({ node, cores: coresOf(node), peers, isConnected }));
 }
 
 describe('the gateways that follow the store', () => {
--- a/test/peers/links.test.ts
+++ b/test/peers/links.test.ts
@@ -25,8 +25,7 @@
     const received: string[] = [];
     const lost: string[] = [];
     // the address is set below, once the port is known and before any introduction is sent
-    const place = { address: '', front: '', zone: 'a' };
-    const self = { node, incarnation: `${node}-1`, ...place, cores: 1, lendsRetries: true };
+    const self = { node, incarnation: `${node}-1`, address: '', front: '', zone: 'a', cores: 1 };
     const overlay = createOverlay({
       clock: createSystemClock(),
       random: createSystemRandom(),
--- a/test/peers/membership.test.ts
+++ b/test/peers/membership.test.ts
@@ -13,11 +13,10 @@
   front: 'self',
   zone: 'a',
   cores: 1,
-  lendsRetries: true,
 };
 
 function stateOf(node: string, sequence: number, incarnation = `${node}-1`): GatewayState {
-  const rest = { address: node, front: node, zone: 'a', cores: 1, lendsRetries: true };
+  const rest = { address: node, front: node, zone: 'a', cores: 1 };
   return { node, incarnation, sequence, ...rest, isReady: true, isFollowing: false };
 }
 
--- a/test/retries/budget.test.ts
+++ b/test/retries/budget.test.ts
@@ -11,13 +11,7 @@
   function createCase(count = GATEWAYS) {
     const { clock, advance } = createFakeClock();
     const state: { gateways: number | undefined } = { gateways: count };
-    const create = () =>
-      createRetryBudget({
-        clock,
-        bound,
-        gateways: () => state.gateways,
-        borrow: () => Promise.resolve(false),
-      });
+    const create = () => createRetryBudget(clock, bound, () => state.gateways);
     return { create, advance, state, budget: create() };
   }
 
--- a/test/retries/fleet-budget.test.ts
+++ b/test/retries/fleet-budget.test.ts
@@ -23,12 +23,11 @@
 ];
 
 function createProcessBudget(view: GatewayView): ProcessBudget {
-  const budget = createRetryBudget({
-    clock: view.clock,
-    bound: () => bound,
-    gateways: () => (view.hasFoundPeers() ? view.largestFleet() : undefined),
-    borrow: () => Promise.resolve(false),
-  });
+  const budget = createRetryBudget(
+    view.clock,
+    () => bound,
+    () => (view.hasFoundPeers() ? view.largestFleet() : undefined),
+  );
   return {
     requestReceived() {
       budget.requestReceived('chat');
@@ -37,7 +36,7 @@
       const permit = budget.take('chat');
       return permit && { maySend: permit.renew };
     },
-    lend: () => budget.take('chat') !== undefined,
+    lend: () => false,
   };
 }
 
