--- /dev/null
+++ b/tools/soak/answers.ts
@@ -0,0 +1,42 @@
+/**
+ * Answers of the soak's servers, some of which break off.
+ */
+import { sign, writeEvents, type ScriptedAnswer } from '../../stand-ins/users-platform/index.js';
+import type { RandomSource } from '../../src/task/index.js';
+
+/** Events that a whole stream has. */
+export const EVENTS = 5;
+/** Part of the pages that break off in their body. */
+const BROKEN_PAGE_SHARE = 0.03;
+/** Part of the streams that break off after their second event. */
+const BROKEN_STREAM_SHARE = 0.05;
+
+/** Writes a page, which at times breaks off. */
+export function answerPage(
+  id: string,
+  random: RandomSource,
+  request: Parameters<ScriptedAnswer>[0],
+  response: Parameters<ScriptedAnswer>[1],
+): void {
+  const body = `${id} answers ${request.path}`;
+  response.writeHead(200, sign(request, id));
+  if (random.next() >= BROKEN_PAGE_SHARE) {
+    response.end(body);
+    return;
+  }
+  response.write(body.slice(0, 5), () => response.destroy());
+}
+
+/** Writes a stream, which at times breaks off after its second event. */
+export function answerStream(
+  random: RandomSource,
+  request: Parameters<ScriptedAnswer>[0],
+  response: Parameters<ScriptedAnswer>[1],
+): void {
+  if (random.next() >= BROKEN_STREAM_SHARE || request.headers['last-event-id'] !== undefined) {
+    writeEvents(request, response, EVENTS);
+    return;
+  }
+  response.writeHead(200, { ...sign(request, ''), 'Content-Type': 'text/event-stream' });
+  response.write('id: 1\ndata: part 1\n\nid: 2\ndata: part 2\n\n', () => response.destroy());
+}
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -6,15 +6,15 @@
 import {
   startServerStandIn,
   startStoreStandIn,
-  writeEvents,
-  sign,
   type ScriptedAnswer,
   type ServerStandIn,
   type StoreStandIn,
 } from '../../stand-ins/users-platform/index.js';
 import { createSeededRandom, type RandomSource } from '../../src/task/index.js';
+import { answerPage, answerStream, EVENTS } from './answers.js';
 import { createAskingServers, type Asks } from './asking.js';
 import { ask } from './callers.js';
+import { PATIENCE_MS, renderConfiguration, renderHeaders, renderPrompt } from './configuration.js';
 import { createFatalCount } from './fatal.js';
 import { createGatewayProcess, type GatewayProcess } from './gateways.js';
 import { judge, type Account } from './judge.js';
@@ -23,15 +23,12 @@
 
 const BUILT_PROGRAM = 'dist/platform/main.js';
 const GATEWAYS = 3;
-const EVENTS = 5;
 /** Time between two requests, in ms. */
 const REQUEST_MS = 12;
 /** Time between two faults, in ms; each lasts up to three times as long, so that they overlap. */
 const FAULT_MS = 350;
 /** Longest time for a start or for the calm at the end, in ms. */
 const SETTLE_MS = 15_000;
-/** How long a caller waits, in ms. */
-const PATIENCE_MS = 1_500;
 
 /** Time without disturbance after which the rules hold again, in ms, as the users' pages have it. */
 const CONTACT_MS = 3_000;
@@ -440,35 +437,6 @@
   });
 }
 
-function answerPage(
-  id: string,
-  random: RandomSource,
-  request: Parameters<ScriptedAnswer>[0],
-  response: Parameters<ScriptedAnswer>[1],
-): void {
-  const body = `${id} answers ${request.path}`;
-  response.writeHead(200, sign(request, id));
-  if (random.next() >= 0.03) {
-    response.end(body);
-    return;
-  }
-  response.write(body.slice(0, 5), () => response.destroy());
-}
-
-/** Writes a stream, which at times breaks off after its second event. */
-function answerStream(
-  random: RandomSource,
-  request: Parameters<ScriptedAnswer>[0],
-  response: Parameters<ScriptedAnswer>[1],
-): void {
-  if (random.next() >= 0.05 || request.headers['last-event-id'] !== undefined) {
-    writeEvents(request, response, EVENTS);
-    return;
-  }
-  response.writeHead(200, { ...sign(request, ''), 'Content-Type': 'text/event-stream' });
-  response.write('id: 1\ndata: part 1\n\nid: 2\ndata: part 2\n\n', () => response.destroy());
-}
-
 function disturbStore(store: StoreStandIn, random: RandomSource): void {
   const faults = ['busy', 'silent', 'answers-lost'] as const;
   store.setFault(faults[Math.floor(random.next() * faults.length)] ?? 'busy');
@@ -477,49 +445,3 @@
     store.compact();
   }, FAULT_MS * 2);
 }
-
-function renderHeaders(id: string): Record<string, string> {
-  const deadline = String(PATIENCE_MS);
-  return { Host: 'soak.example', 'X-Request-Id': id, 'X-Request-Deadline-Ms': deadline };
-}
-
-function renderPrompt(id: string): Record<string, string> {
-  return { 'X-Model': 'm', 'X-Token-Count': '3000,50', 'X-Prompt-Prefix': `aa:2000,${id}:1000` };
-}
-
-/** The operator's configuration; with a route more where that is named. */
-function renderConfiguration(version: number, more?: string): unknown {
-  const common = { hostname: 'soak.example', timeoutMs: PATIENCE_MS, targetLatencyMs: 500 };
-  const route = (name: string, more: Record<string, unknown>) => ({
-    ...common,
-    name,
-    pathPrefix: `/${name}/`,
-    backend: 'pages',
-    ...more,
-  });
-  return {
-    version,
-    routes: [
-      route('once', { kind: 'non_idempotent', maxAttempts: 1 }),
-      route('any', { kind: 'idempotent', maxAttempts: 2 }),
-      ...(more === undefined ? [] : [route(more, { kind: 'idempotent', maxAttempts: 2 })]),
-      route('stream', {
-        kind: 'streaming',
-        backend: 'chat',
-        resumable: true,
-        sessionAffinity: true,
-        maxAttempts: 2,
-      }),
-    ],
-    services: [
-      { name: 'pages', maxConnections: 200 },
-      { name: 'chat', maxConnections: 200, engine: { slots: 64, kvCapacity: 100_000 } },
-    ],
-    limits: {
-      maxHeaderBytes: 16_384,
-      maxBodyBytes: 100_000,
-      headerTimeoutMs: 3_000,
-      idleTimeoutMs: 15_000,
-    },
-  };
-}
