--- a/test/peers/overlay.test.ts
+++ b/test/peers/overlay.test.ts
@@ -149,6 +149,32 @@
     expect(alone.overlay.fleetSize()).to.equal(30);
   });
 
+  it('divides no more than the whole while gateways start, are cut in halves and restart', () => {
+    const network = createPeerNetwork();
+    const nodes = startAll(network, 100);
+    let largestSum = 0;
+    function advance(durationMs: number): void {
+      for (let elapsedMs = 0; elapsedMs < durationMs; elapsedMs += 100) {
+        network.advance(100);
+        const sizes = listLive(network.nodes).map(({ overlay }) => overlay.fleetSize());
+        const parts = sizes.map((size) => (size === undefined ? 0 : 1 / size));
+        largestSum = Math.max(
+          largestSum,
+          parts.reduce((sum, part) => sum + part, 0),
+        );
+      }
+    }
+    advance(8_000);
+    const isFirstHalf = (name: string) => nodes.findIndex((node) => node.name === name) < 50;
+    network.control.passes = (from, to) => isFirstHalf(from) === isFirstHalf(to);
+    advance(10_000);
+    network.control.passes = () => true;
+    advance(6_000);
+    for (const node of nodes.slice(0, 40)) restart(network, node);
+    advance(8_000);
+    expect(largestSum).to.be.within(0.9, 1.000_001);
+  });
+
   it('counts a lost gateway in the size of the fleet for a while', () => {
     const network = createPeerNetwork();
     const [gone, other] = startAll(network, 30);
