fix(peers): connections are divided by the gateways alive, also while one is isolated

The first form of the mend counted addresses without an answer and so left gateways fewer connections to servers beside restarts. They count for the retry allowance alone now.

--- a/src/peers/overlay.ts
+++ b/src/peers/overlay.ts
@@ -79,10 +79,11 @@
   /** Peers believed alive, ordered by name; the same array until it changes. Empty while this gateway is
    * isolated. */
   peers(): readonly GatewayState[];
-  /** Number of gateways that may run, this one and addresses without an answer yet included. Unlike the peers, they
-   * count on while this gateway is isolated. */
+  /** Number of gateways believed alive, this one included. Unlike the peers, they count on while this gateway is
+   * isolated. */
   knownGateways: () => number;
-  /** The same with lost gateways, for what all must not exceed together; `undefined` while it grows. */
+  /** Number of gateways that may run, for what all must not exceed together: lost ones and addresses without an
+   * answer yet count as well; `undefined` while it grows. */
   fleetSize: () => number | undefined;
   /** Whether there are partners and this gateway is not isolated. */
   isConnected: () => boolean;
@@ -136,7 +137,10 @@
     },
   });
   const { members } = membership;
-  const fleetSize = createFleetSize(clock, () => countKnown() + members.suspected().length);
+  const fleetSize = createFleetSize(
+    clock,
+    () => countAlive() + members.suspected().length + discovery.count(),
+  );
   const links = (parts.createLinks ?? createPeerLinks)(clock, {
     ownState: membership.ownState,
     opened,
@@ -148,8 +152,8 @@
     },
   });
 
-  function countKnown(): number {
-    return 1 + members.alive().length + discovery.count();
+  function countAlive(): number {
+    return 1 + members.alive().length;
   }
 
   function opened(state: GatewayState): void {
@@ -387,7 +391,7 @@
       discovery.addAddress(address, isSeed);
     },
     peers: () => (isIsolated() ? noPeers : members.alive()),
-    knownGateways: countKnown,
+    knownGateways: countAlive,
     fleetSize: fleetSize.settled,
     isConnected: () => partners.names().length > 0 && !isIsolated(),
     send,
--- a/test/peers/overlay.test.ts
+++ b/test/peers/overlay.test.ts
@@ -175,6 +175,14 @@
     expect(largestSum).to.be.within(0.9, 1.000_001);
   });
 
+  it('counts addresses without an answer in the size of the fleet alone', () => {
+    const network = createPeerNetwork();
+    const { overlay } = network.start(nameOf(0), [nameOf(0), nameOf(1), nameOf(2)]);
+    network.advance(8_000);
+    expect(overlay.knownGateways()).to.equal(1);
+    expect(overlay.fleetSize()).to.equal(3);
+  });
+
   it('counts a lost gateway in the size of the fleet for a while', () => {
     const network = createPeerNetwork();
     const [gone, other] = startAll(network, 30);
