refactor(test): the drawn histories run on the stepped clock, and their judge has controls

Now they use the clock that the networks of peers use, a slot that is replaced twice is no longer taken for another, and two controls must be found broken: a budget that counts only the gateways that it hears, and one that a start gives credit.

The draws differ from those of before.

--- a/test/retries/fleet-budget.test.ts
+++ b/test/retries/fleet-budget.test.ts
@@ -1,5 +1,6 @@
 // Guards against more retries than the fleet's bound where gateways restart, alone or all together, again and again.
 import { expect } from 'chai';
+import { createRetryCredit } from '../../src/retries/credit.js';
 import { createRetryBudget } from '../../src/retries/index.js';
 import { createSeededRandom } from '../../src/task/index.js';
 import { findBrokenWindow, type FleetBound } from '../../tools/common/retry-bound.js';
@@ -22,12 +23,13 @@
   { name: 'hundreds of gateways', sizes: [195, 410], requestsPerSecond: 1_200, histories: 8 },
 ];
 
-function createProcessBudget(view: GatewayView): ProcessBudget {
-  const budget = createRetryBudget(
-    view.clock,
-    () => bound,
-    () => (view.hasFoundPeers() ? view.largestFleet() : undefined),
-  );
+type BudgetFactory = (view: GatewayView) => ProcessBudget;
+
+function createProcessBudget(
+  view: GatewayView,
+  gateways = () => (view.hasFoundPeers() ? view.largestFleet() : undefined),
+): ProcessBudget {
+  const budget = createRetryBudget(view.clock, () => bound, gateways);
   return {
     requestReceived() {
       budget.requestReceived('chat');
@@ -36,28 +38,58 @@
       const permit = budget.take('chat');
       return permit && { maySend: permit.renew };
     },
-    lend: () => false,
   };
 }
 
-function findBroken(gateways: number, requestsPerSecond: number, histories: number): string[] {
+/** As if nobody counted on while they are not heard. */
+function createForgetfulBudget(view: GatewayView): ProcessBudget {
+  return createProcessBudget(view, () => view.reachablePeers() + 1);
+}
+
+/** As if each start gave what a process can save up at most. */
+function createGenerousBudget(view: GatewayView): ProcessBudget {
+  const gateways = () => view.largestFleet();
+  const credit = createRetryCredit(view.clock, () => bound, gateways, -bound.windowMs);
+  return {
+    requestReceived() {
+      credit.earn();
+    },
+    pay: () => credit.pay() && { maySend: () => true },
+  };
+}
+
+function findBroken(
+  gateways: number,
+  { requestsPerSecond, histories }: { requestsPerSecond: number; histories: number },
+  createBudget: BudgetFactory,
+): string[] {
   const broken: string[] = [];
   for (let seed = 1; seed <= histories; seed += 1) {
     const random = createSeededRandom(seed);
     const history = { faults: gatewayFaults, gateways, requestsPerSecond, random };
-    const window = findBrokenWindow(playHistory(history, bound, createProcessBudget), bound);
+    const window = findBrokenWindow(playHistory(history, createBudget), bound);
     if (window === undefined) continue;
     const { fromMs, retries, allowed } = window;
-    broken.push(`${gateways}, seed ${seed}, at ${Math.round(fromMs)} ms: ${retries} of ${allowed}`);
+    broken.push(`${gateways}, seed ${seed}, at ${fromMs} ms: ${retries} of ${allowed}`);
   }
   return broken;
 }
 
 describe('the retry budget of a fleet', () => {
-  for (const { name, sizes, requestsPerSecond, histories } of fleets) {
+  for (const { name, sizes, ...terms } of fleets) {
     it(`holds in every window while ${name} restart, are cut off or freeze`, () => {
-      const broken = sizes.flatMap((size) => findBroken(size, requestsPerSecond, histories));
+      const broken = sizes.flatMap((size) => findBroken(size, terms, createProcessBudget));
       expect(broken.length, broken.slice(0, 5).join('; ')).to.equal(0);
     }).timeout(TIMEOUT_MS);
   }
+
+  it('is found broken where a gateway counts only those that it hears', () => {
+    const terms = { requestsPerSecond: 200, histories: 40 };
+    expect(findBroken(30, terms, createForgetfulBudget)).not.to.deep.equal([]);
+  }).timeout(TIMEOUT_MS);
+
+  it('is found broken where a start gives credit', () => {
+    const terms = { requestsPerSecond: 50, histories: 40 };
+    expect(findBroken(6, terms, createGenerousBudget)).not.to.deep.equal([]);
+  }).timeout(TIMEOUT_MS);
 });
--- a/test/retries/fleet-history.ts
+++ b/test/retries/fleet-history.ts
@@ -3,7 +3,8 @@
  * replaced, in virtual time.
  */
 import type { Clock, RandomSource } from '../../src/task/index.js';
-import type { FleetBound, FleetRecord } from '../../tools/common/retry-bound.js';
+import type { FleetRecord } from '../../tools/common/retry-bound.js';
+import { createSteppedClock } from '../fixtures/peer-network.js';
 
 /** Length of a history, in ms. */
 const HISTORY_MS = 45_000;
@@ -17,7 +18,6 @@
 /** What a gateway's budget may go by. */
 export interface GatewayView {
   clock: Clock;
-  bound: FleetBound;
   /** Other gateways that it reaches; it finds them some time after its start. */
   reachablePeers(): number;
   /** Whether it has ever found the others. */
@@ -31,8 +31,6 @@
   requestReceived(): void;
   /** Pays for a retry; `undefined` if the budget is spent. */
   pay(): PaidRetry | undefined;
-  /** Pays for a retry of another gateway. */
-  lend(): boolean;
 }
 
 /** A retry that is paid and not sent yet. */
@@ -57,7 +55,7 @@
 }
 
 interface Process {
-  startedAt: number;
+  /** When it finds the others, in ms. */
   foundAt: number;
   budget: ProcessBudget;
   isRunning: boolean;
@@ -71,64 +69,68 @@
   frozenUntil: number;
 }
 
-interface Event {
-  at: number;
-  action: () => void;
+/** How requests come and fail in one history. */
+interface Load {
+  /** Part of the mean rate by which the rate swings, and how long a swing takes in ms. */
+  swing: number;
+  periodMs: number;
+  /** Longest time that a retry waits before it is sent, in ms. */
+  maxWaitMs: number;
+  /** Part of the requests that fail while the outage lasts, and its times in ms. */
+  failShare: number;
+  outageFrom: number;
+  outageUntil: number;
 }
 
+/** Part of the requests that fail outside of the outage. */
+const USUAL_FAIL_SHARE = 0.002;
+
 /** Plays a history and records what reached the service. */
 export function playHistory(
   history: FleetHistory,
-  bound: FleetBound,
   createBudget: (view: GatewayView) => ProcessBudget,
 ): FleetRecord {
   const { random } = history;
-  const events = createEventQueue();
+  const { clock, advance } = createSteppedClock();
   const record: FleetRecord = { requests: [], retries: [] };
   const slots: Slot[] = [];
-  let now = 0;
-  const clock: Clock = {
-    now: () => now,
-    after: () => ({ cancel: () => undefined }),
-  };
+  const load = drawLoad();
 
   function between(least: number, most: number): number {
     return least + (most - least) * random.next();
   }
 
   function startProcess(slot: () => Slot): Process {
-    const startedAt = now;
-    const foundAt = now + between(20, MAX_DISCOVERY_MS);
+    const foundAt = clock.now() + between(20, MAX_DISCOVERY_MS);
     const view: GatewayView = {
       clock,
-      bound,
       reachablePeers: () => countReachable(slot()),
-      hasFoundPeers: () => now >= foundAt,
+      hasFoundPeers: () => clock.now() >= foundAt,
       largestFleet: () => slots.length,
     };
-    return { startedAt, foundAt, budget: createBudget(view), isRunning: true };
+    return { foundAt, budget: createBudget(view), isRunning: true };
   }
 
   function countReachable(slot: Slot): number {
-    if (now < slot.process.foundAt || isIsolated(slot)) return 0;
+    if (clock.now() < slot.process.foundAt || isIsolated(slot)) return 0;
     return slots.filter((other) => other !== slot && isReachable(other)).length;
   }
 
   function isReachable(slot: Slot): boolean {
-    return slot.process.isRunning && !isCut(slot) && now >= slot.frozenUntil;
+    return slot.process.isRunning && !isCut(slot) && clock.now() >= slot.frozenUntil;
   }
 
   function isCut(slot: Slot): boolean {
-    return now >= slot.cutAt && now < slot.cutUntil;
+    return clock.now() >= slot.cutAt && clock.now() < slot.cutUntil;
   }
 
   function isIsolated(slot: Slot): boolean {
-    return isCut(slot) && now - slot.cutAt > ISOLATED_AFTER_MS;
+    return isCut(slot) && clock.now() - slot.cutAt > ISOLATED_AFTER_MS;
   }
 
   function addSlot(): Slot {
     const slot: Slot = {
-      process: { startedAt: 0, foundAt: 0, budget: noBudget, isRunning: false },
+      process: { foundAt: 0, budget: noBudget, isRunning: false },
       cutAt: 0,
       cutUntil: 0,
       frozenUntil: 0,
@@ -156,41 +158,43 @@
   function killFor(share: number, downMs: number): void {
     for (const slot of pick(share)) {
       kill(slot);
-      events.add(now + downMs, () => {
+      clock.after(downMs, () => {
         restart(slot);
       });
     }
   }
 
   function roll(gapMs: number): void {
-    let at = now;
-    for (const slot of [...slots]) {
-      events.add(at, () => {
+    let delayMs = 0;
+    for (const slot of slots) {
+      clock.after(delayMs, () => {
         kill(slot);
       });
-      events.add(at + 400, () => {
+      clock.after(delayMs + 400, () => {
         restart(slot);
       });
-      at += gapMs;
+      delayMs += gapMs;
     }
   }
 
   function cut(share: number, forMs: number): void {
     for (const slot of pick(share)) {
-      slot.cutAt = now;
-      slot.cutUntil = now + forMs;
+      slot.cutAt = clock.now();
+      slot.cutUntil = clock.now() + forMs;
     }
   }
 
   function freeze(share: number, forMs: number): void {
-    for (const slot of pick(share)) slot.frozenUntil = now + forMs;
+    for (const slot of pick(share)) slot.frozenUntil = clock.now() + forMs;
   }
 
   function replace(share: number): void {
     for (const slot of pick(share)) {
       kill(slot);
-      events.add(now + 1_000, () => {
-        slots.splice(slots.indexOf(slot), 1);
+      clock.after(1_000, () => {
+        const index = slots.indexOf(slot);
+        if (index < 0) return;
+        slots.splice(index, 1);
         addSlot();
       });
     }
@@ -208,7 +212,7 @@
     const fault = history.faults[Math.floor(random.next() * history.faults.length)];
     let at = between(11_000, 25_000);
     for (let time = 0; time < times; time += 1) {
-      events.add(at, () => {
+      clock.after(at, () => {
         if (fault === 'kill') killFor(share, between(200, 600));
         else if (fault === 'roll' && time === 0) roll(Math.min(1_500, 15_000 / slots.length));
         else if (fault === 'cut') cut(share, between(500, 5_000));
@@ -219,135 +223,71 @@
     }
   }
 
-  function drawOutage(): (at: number) => number {
-    const share = between(0.2, 1);
-    const beginsAt = between(8_000, 16_000);
-    const endsAt = beginsAt + between(4_000, 25_000);
-    return (at) => (at >= beginsAt && at < endsAt ? share : 0.002);
+  function drawLoad(): Load {
+    const outageFrom = between(8_000, 16_000);
+    return {
+      swing: between(0, 0.4),
+      periodMs: between(3_000, 15_000),
+      maxWaitMs: random.next() < 0.5 ? 0 : between(100, 1_500),
+      failShare: between(0.2, 1),
+      outageFrom,
+      outageUntil: outageFrom + between(4_000, 25_000),
+    };
   }
 
   function drawRequests(): void {
-    const swing = between(0, 0.4);
-    const periodMs = between(3_000, 15_000);
-    const waitsMs = random.next() < 0.5 ? 0 : between(100, 1_500);
-    const failShare = drawOutage();
     let at = 0;
     while (at < HISTORY_MS) {
-      const rate =
-        history.requestsPerSecond * (1 + swing * Math.sin((at / periodMs) * 2 * Math.PI));
+      const swing = load.swing * Math.sin((at / load.periodMs) * 2 * Math.PI);
+      const rate = history.requestsPerSecond * (1 + swing);
       at += (-Math.log(1 - random.next()) * 1_000) / rate;
-      events.add(at, () => {
-        receive(waitsMs, failShare);
-      });
+      clock.after(at, receive);
     }
   }
 
-  function receive(waitsMs: number, failShare: (at: number) => number): void {
-    record.requests.push(now);
+  function receive(): void {
+    record.requests.push(clock.now());
     const slot = slots[Math.floor(random.next() * slots.length)];
     if (!slot?.process.isRunning) return;
     const { process } = slot;
-    if (now < slot.frozenUntil) {
-      events.add(slot.frozenUntil, () => {
-        serve(slot, process, waitsMs, failShare);
+    const frozenMs = slot.frozenUntil - clock.now();
+    if (frozenMs <= 0) serve(slot, process);
+    else
+      clock.after(frozenMs, () => {
+        serve(slot, process);
       });
-      return;
-    }
-    serve(slot, process, waitsMs, failShare);
   }
 
-  function serve(
-    slot: Slot,
-    process: Process,
-    waitsMs: number,
-    failShare: (at: number) => number,
-  ): void {
+  function serve(slot: Slot, process: Process): void {
     if (!process.isRunning) return;
     process.budget.requestReceived();
-    retry(slot, process, 0, waitsMs, failShare);
+    retry(slot, process, MAX_RETRIES);
   }
 
-  function retry(
-    slot: Slot,
-    process: Process,
-    retries: number,
-    waitsMs: number,
-    failShare: (at: number) => number,
-  ): void {
-    if (retries >= MAX_RETRIES || random.next() >= failShare(now)) return;
-    const paid = process.budget.pay() ?? borrow(slot);
+  function retry(slot: Slot, process: Process, left: number): void {
+    if (left === 0 || !fails()) return;
+    const paid = process.budget.pay();
     if (paid === undefined) return;
-    events.add(now + 1 + waitsMs * random.next(), () => {
-      if (!process.isRunning || now < slot.frozenUntil || !paid.maySend()) return;
-      record.retries.push(now);
-      retry(slot, process, retries + 1, waitsMs, failShare);
+    clock.after(1 + load.maxWaitMs * random.next(), () => {
+      if (!process.isRunning || clock.now() < slot.frozenUntil || !paid.maySend()) return;
+      record.retries.push(clock.now());
+      retry(slot, process, left - 1);
     });
   }
 
-  function borrow(slot: Slot): PaidRetry | undefined {
-    if (countReachable(slot) === 0) return undefined;
-    const lender = slots[Math.floor(random.next() * slots.length)];
-    if (!lender || lender === slot || !isReachable(lender)) return undefined;
-    return lender.process.budget.lend() ? { maySend: () => true } : undefined;
+  function fails(): boolean {
+    const isOutage = clock.now() >= load.outageFrom && clock.now() < load.outageUntil;
+    return random.next() < (isOutage ? load.failShare : USUAL_FAIL_SHARE);
   }
 
   for (let index = 0; index < history.gateways; index += 1) addSlot();
   drawRequests();
   drawFaults();
-  for (let next = events.take(); next !== undefined; next = events.take()) {
-    now = Math.max(now, next.at);
-    next.action();
-  }
+  advance(HISTORY_MS);
   return record;
 }
 
 const noBudget: ProcessBudget = {
   requestReceived: () => undefined,
   pay: () => undefined,
-  lend: () => false,
 };
-
-/** Events in the order of their times. */
-function createEventQueue() {
-  const heap: Event[] = [];
-
-  function timeAt(index: number): number {
-    return heap[index]?.at ?? Number.POSITIVE_INFINITY;
-  }
-
-  /** Moves an event up from an index while it is earlier than its parent. */
-  function raise(event: Event, from: number): void {
-    let index = from;
-    while (index > 0 && event.at < timeAt((index - 1) >> 1)) {
-      const parent = (index - 1) >> 1;
-      heap.splice(index, 1, ...heap.slice(parent, parent + 1));
-      index = parent;
-    }
-    heap[index] = event;
-  }
-
-  /** Moves an event down from the root while one of its children is earlier. */
-  function lower(event: Event): void {
-    let index = 0;
-    for (;;) {
-      const left = 2 * index + 1;
-      const least = timeAt(left + 1) < timeAt(left) ? left + 1 : left;
-      if (timeAt(least) >= event.at) break;
-      heap.splice(index, 1, ...heap.slice(least, least + 1));
-      index = least;
-    }
-    heap[index] = event;
-  }
-
-  return {
-    add(at: number, action: () => void): void {
-      raise({ at, action }, heap.length);
-    },
-    take(): Event | undefined {
-      const first = heap[0];
-      const last = heap.pop();
-      if (heap.length > 0 && last !== undefined) lower(last);
-      return first;
-    },
-  };
-}
