refactor(router): a place is told to holders by one function

Placement by a holder, without one and by each node alone copied the same eight fields of the place and its request, one of them with the weight beside. Behaviour is as before.

--- a/src/router/baselines/baseline-placement.ts
+++ b/src/router/baselines/baseline-placement.ts
@@ -6,7 +6,7 @@
 import type { EngineGroup } from '../../configuration/objects.js';
 import { createRefusal, type Failure } from '../../errors/index.js';
 import type { Vm } from '../../ports/index.js';
-import type { PlacesInUse } from '../in-use.js';
+import { resolvePlaceInUse, type PlacesInUse } from '../in-use.js';
 import type { Place, Placement, PlacementRequest } from '../placement.js';
 import type { LoadTracker } from './load-tracker.js';
 import type { ServerPick } from './server-picks.js';
@@ -51,16 +51,7 @@
       waitedMs: 0,
     };
     loadTracker.recordStart(chosen.id);
-    inUse.add({
-      permitId: place.permitId,
-      requestId: request.requestId,
-      shard: place.shard,
-      server: place.server,
-      team: request.team,
-      class: request.class,
-      promptTokens: request.promptTokens,
-      expectedOutputTokens: request.expectedOutputTokens,
-    });
+    inUse.add(resolvePlaceInUse(place, request));
     return Promise.resolve(Ok(place));
   }
 
--- a/src/router/direct-placement.ts
+++ b/src/router/direct-placement.ts
@@ -7,7 +7,7 @@
 import { createRefusal, type Failure } from '../errors/index.js';
 import type { Vm } from '../ports/index.js';
 import type { RandomSource } from '../task/index.js';
-import type { PlacesInUse } from './in-use.js';
+import { resolvePlaceInUse, type PlacesInUse } from './in-use.js';
 import type { Place, Placement, PlacementRequest } from './placement.js';
 import type { ServerAvailability } from './server-availability.js';
 
@@ -67,16 +67,7 @@
       address: chosen.address,
       waitedMs: 0,
     };
-    inUse.add({
-      permitId: place.permitId,
-      requestId: request.requestId,
-      shard: place.shard,
-      server: place.server,
-      team: request.team,
-      class: request.class,
-      promptTokens: request.promptTokens,
-      expectedOutputTokens: request.expectedOutputTokens,
-    });
+    inUse.add(resolvePlaceInUse(place, request));
     return Ok(place);
   }
 
--- a/src/router/holder-placement.ts
+++ b/src/router/holder-placement.ts
@@ -11,7 +11,7 @@
 import type { ShardHolder } from '../permits/index.js';
 import type { KnownHolder, Shard } from '../shards/index.js';
 import type { Clock } from '../task/index.js';
-import type { PlacesInUse } from './in-use.js';
+import { resolvePlaceInUse, type PlacesInUse } from './in-use.js';
 import type { Place, PlaceEnd, Placement, PlaceProgress, PlacementRequest } from './placement.js';
 
 /** Waits for a holder's answer until this long after the first token was due. */
@@ -166,17 +166,7 @@
   ): Result<Place, Failure> {
     return match(answer)
       .with({ kind: 'permit.granted' }, ({ permit }): Result<Place, Failure> => {
-        inUse.add({
-          permitId: permit.permitId,
-          requestId: request.requestId,
-          shard: permit.shard,
-          server: permit.server,
-          team: request.team,
-          class: request.class,
-          promptTokens: request.promptTokens,
-          expectedOutputTokens: request.expectedOutputTokens,
-          weight: request.weight,
-        });
+        inUse.add({ ...resolvePlaceInUse(permit, request), weight: request.weight });
         metrics.permitWait.observe({ class: request.class }, permit.waitedMs / 1_000);
         return Ok(permit);
       })
--- a/src/router/in-use.ts
+++ b/src/router/in-use.ts
@@ -3,6 +3,7 @@
  * holder learns what its predecessor granted, and a lost release does not leak a place.
  */
 import type { PermitAdoption } from '../links/index.js';
+import type { Place, PlacementRequest } from './placement.js';
 
 export type PlaceInUse = PermitAdoption['permits'][number] & { shard: string };
 
@@ -16,6 +17,19 @@
   byShard(): Map<string, PlaceInUse[]>;
 }
 
+/**
+ * The place of a request as holders are told of it.
+ *
+ * @param place where the request runs
+ * @param request the request
+ */
+export function resolvePlaceInUse(place: Place, request: PlacementRequest): PlaceInUse {
+  const { permitId, shard, server } = place;
+  const { requestId, team, promptTokens, expectedOutputTokens } = request;
+  const counted = { requestId, team, class: request.class, promptTokens, expectedOutputTokens };
+  return { permitId, shard, server, ...counted };
+}
+
 /** Creates an empty set of places. */
 export function createPlacesInUse(): PlacesInUse {
   const places = new Map<string, PlaceInUse>();
