refactor(retries): one check of whether a retry can be paid

hasLeft and pay compared the credit with one retry by two tolerances; both go by canPay now, so that a slow server is given up for a retry exactly where one can be paid. RequestRetries.arrived has no result that nobody read.

--- a/src/relay/request-retries.ts
+++ b/src/relay/request-retries.ts
@@ -3,7 +3,7 @@
  */
 import type { Log } from '../events/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
-import { createRetryCharges, type RetryBudget, type RetryCharges } from '../retries/index.js';
+import { createRetryCharges, type ArrivedSend, type RetryBudget } from '../retries/index.js';
 
 /** What paying for a request's retries needs. */
 export interface RequestRetriesParts {
@@ -15,9 +15,13 @@
 }
 
 /** The retries of one request. */
-export interface RequestRetries extends Pick<RetryCharges, 'arrived' | 'renew'> {
+export interface RequestRetries {
   /** Pays for one more send; false if the budget is spent. */
   pay(reason: string): boolean;
+  /** Renews what pays for the next send; false if the credit has expired and there is no other. */
+  renew: () => boolean;
+  /** Records a send that reached a server. */
+  arrived(send: ArrivedSend): void;
   /** Refunds what was paid and not used, at the end of the request. */
   close(): void;
 }
@@ -51,9 +55,7 @@
     },
     renew: charges.renew,
     arrived(send) {
-      const isPaid = charges.arrived(send);
-      if (!isPaid) log.write('retryUnpaid', { request: requestId, service });
-      return isPaid;
+      if (!charges.arrived(send)) log.write('retryUnpaid', { request: requestId, service });
     },
     close() {
       metrics.retriesRefunded.inc(charges.close());
--- a/src/retries/budget.ts
+++ b/src/retries/budget.ts
@@ -89,7 +89,7 @@
     requestReceived(service) {
       creditOf(service).earn();
     },
-    hasLeft: (service) => creditOf(service).available() >= 1,
+    hasLeft: (service) => creditOf(service).canPay(),
     take(service) {
       const credit = creditOf(service);
       const payment = credit.pay();
--- a/src/retries/credit.ts
+++ b/src/retries/credit.ts
@@ -53,6 +53,8 @@
   refund(payment: RetryPayment): void;
   /** Retries that can be paid now, in fractions too. */
   available(): number;
+  /** Whether a retry can be paid now. */
+  canPay(): boolean;
 }
 
 /**
@@ -125,13 +127,17 @@
     return sumEarned() + saved;
   }
 
+  function canPay(): boolean {
+    return available() >= 1 - EPSILON;
+  }
+
   return {
     earn() {
       update();
       earned.push({ at: clock.now(), amount: EARNED_SHARE * bound().ratio });
     },
     pay() {
-      if (available() < 1 - EPSILON) return undefined;
+      if (!canPay()) return undefined;
       const fromEarned = Math.min(1, sumEarned());
       const allowance = 1 - fromEarned;
       saved = Math.max(0, saved - allowance);
@@ -143,5 +149,6 @@
       update();
     },
     available,
+    canPay,
   };
 }
