refactor(peers,fleet): taking note of the fleet's size is a command; comments of the fleet in plain terms

The heartbeat asked for the number and dropped it, so that growth between two questions was seen; it calls observe for that now. Five comments of src/fleet had phrases and a story in place of terms and purposes. Behaviour is as before.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -18,16 +18,16 @@
 import type { Clock } from '../task/index.js';
 import type { RegisteredServer, RegistryChange, UnusableEntry } from './server.js';
 
-/** How long a removed entry may take to return once the store is back, in ms: the platform says
- * about two seconds; a little is added for the way through the store. */
+/** Time within which a removed entry may return once the store is back, in ms: the two seconds that the platform
+ * promises, and the delay of a change in the store. */
 const RETURN_GRACE_MS = 2_200;
 
-/** How long removals are remembered for peers that missed them, in ms: well beyond the longest
- * interval between two words of a peer. */
+/** Retention of removals for peers that missed them, in ms; longer than any interval between messages of a live
+ * peer. */
 const REMOVAL_MEMORY_MS = 60_000;
 
-/** How long an incarnation that leaves is remembered whether or not it has an entry, in ms: an entry may lapse and come
- * back, and peers tell of servers before the registry does. */
+/** Retention of incarnations that leave, in ms, whether or not they have an entry: an entry may lapse and return, and
+ * peers report servers before the registry does. */
 const RETIRED_MEMORY_MS = 10 * 60_000;
 
 /** Where a change was learnt from. */
@@ -104,7 +104,7 @@
   let lostAtRevision: number | undefined;
   /** Entries of this revision or an older one may have lapsed in the last outage. */
   let lapsedUpTo = 0;
-  /** When each incarnation that leaves by its own word was known to. */
+  /** When each incarnation announced that it leaves. */
   const retiredAt = new Map<string, number>();
   /** Removals that wait for the end of the grace period. */
   const lapsed = new Map<string, RegistryChange>();
@@ -128,7 +128,8 @@
     apply(change, known, source);
   }
 
-  /** Otherwise a server that left just after the store's return got requests for three seconds more. */
+  /** Whether the removal of an entry may be a lapse. All others apply at once: a server that leaves just after the
+   * store's return must get no more requests. */
   function mayReturn(known: Entry | undefined): boolean {
     if (known === undefined || clock.now() >= graceUntil) return false;
     return known.change.revision <= lapsedUpTo;
@@ -182,7 +183,7 @@
     forgetOld();
   }
 
-  /** An entry that stays unusable is written of once, however often it is written. */
+  /** Logs a change; an entry that stays unusable is logged once, however often it is written. */
   function note(
     change: RegistryChange,
     known: RegistryChange | undefined,
--- a/src/peers/fleet-size.ts
+++ b/src/peers/fleet-size.ts
@@ -11,6 +11,8 @@
 
 /** The number of gateways. */
 export interface FleetSize {
+  /** Takes note of the number now; one that grew unseen would not be withheld. */
+  observe: () => void;
   /** The number, this gateway included; `undefined` while it grows. */
   settled: () => number | undefined;
 }
@@ -24,11 +26,17 @@
 export function createFleetSize(clock: Clock, count: () => number): FleetSize {
   let size = 0;
   let grownAt = clock.now();
+
+  function observe(): void {
+    const counted = count();
+    if (counted > size) grownAt = clock.now();
+    size = counted;
+  }
+
   return {
+    observe,
     settled() {
-      const counted = count();
-      if (counted > size) grownAt = clock.now();
-      size = counted;
+      observe();
       return clock.now() - grownAt < SETTLE_MS ? undefined : size;
     },
   };
--- a/src/peers/overlay.ts
+++ b/src/peers/overlay.ts
@@ -257,7 +257,7 @@
     linkPartners(now);
     discoverPeers(now);
     closeIdle();
-    fleetSize.settled();
+    fleetSize.observe();
     membership.publish();
     membership.flush();
     for (const partner of partners.names()) {
