feat(scheduling): log lines of declined and queued requests with their size and the estimate that decided

The line of a refusal had neither the size of the prompt nor its rank nor any of the figures of the decision, so that the three hypotheses on large prompts left unserved could not be told apart. requestDeclined and requestQueued have them now, requestPlaced has rank and retry. A counter of ended requests by service, outcome and size (powers of 4 tokens) shows the same on the metrics address without a log.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -120,6 +120,8 @@
   releaseFailed: { id: 7047, level: 'info', text: 'a prompt read in vain was not freed' },
   requestMalformed: { id: 7048, level: 'info', text: 'bytes of a caller were no request' },
   retryDecided: { id: 7049, level: 'info', text: 'a retry was allowed or denied by the budget' },
+  requestQueued: { id: 7056, level: 'info', text: 'request queued although it will be late' },
+  requestDeclined: { id: 7057, level: 'info', text: 'scheduler declined a request' },
   retryUnpaid: { id: 7055, level: 'error', text: 'a retry was sent that nothing had paid for' },
   schedulerChanged: { id: 7050, level: 'info', text: 'another gateway schedules a service' },
   engineCacheListed: { id: 7052, level: 'info', text: 'an engine said what it has cached' },
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -129,6 +129,12 @@
       labelNames: ['service', 'outcome'],
       registers,
     }),
+    prompts: new Counter({
+      name: 'reedtally_gateway_prompts_total',
+      help: 'Requests with a prompt ended, by service, outcome and the least power of 4 tokens that holds it',
+      labelNames: ['service', 'outcome', 'tokens'],
+      registers,
+    }),
     refusals: new Counter({
       name: 'reedtally_gateway_refusals_total',
       help: 'Requests that were not run, by reason',
--- a/src/relay/responder.ts
+++ b/src/relay/responder.ts
@@ -99,8 +99,20 @@
 
   function recordOutcome(outcome: string): void {
     metrics.requests.inc({ service, outcome });
+    const tokens = callerRequest.head.prompt?.tokens;
+    if (tokens !== undefined)
+      metrics.prompts.inc({ service, outcome, tokens: resolveSize(tokens) });
     metrics.duration.observe({ service }, (clock.now() - arrivedAt) / 1_000);
   }
 
   return { forwardFailure, refuse, fail, recordOutcome };
 }
+
+/** Smallest and largest power of 4 that a prompt's size is told in; larger prompts count as the last. */
+const SIZE_EXPONENTS = { least: 4, most: 10 } as const;
+
+/** The least power of 4 that is not below a number of tokens, within bounds. */
+function resolveSize(tokens: number): number {
+  const exponent = Math.ceil(Math.log2(Math.max(1, tokens)) / 2);
+  return 4 ** Math.min(SIZE_EXPONENTS.most, Math.max(SIZE_EXPONENTS.least, exponent));
+}
--- a/src/scheduling/admission.ts
+++ b/src/scheduling/admission.ts
@@ -27,7 +27,8 @@
 export type Admission<Option extends PrefillEstimate> =
   | { kind: 'punctual'; option: Option }
   | { kind: 'late'; option: Option }
-  | { kind: 'declined'; retryAfterMs: number; backlogMs: number };
+  /** `option` is the cheapest one. */
+  | { kind: 'declined'; option: Option | undefined; retryAfterMs: number; backlogMs: number };
 
 /** The request's side of the decision. */
 export interface AdmissionTerms {
@@ -62,7 +63,7 @@
   const eligible = terms.mayBeLate ? options.filter((option) => meetsDeadline(option, terms)) : [];
   const late = findCheapest(eligible, (option) => costOf(option, terms) + option.lateBacklogMs);
   if (late !== undefined) return { kind: 'late', option: late };
-  return resolveDecline(options, terms);
+  return { option: best, ...resolveDecline(options, terms) };
 }
 
 /**
@@ -132,7 +133,7 @@
 function resolveDecline(
   options: readonly PrefillEstimate[],
   { objectiveLeftMs, timeLeftMs, marginMs, spareCapacity }: AdmissionTerms,
-): Admission<never> {
+): Omit<Admission<never> & { kind: 'declined' }, 'option'> {
   let backlogMs = Number.POSITIVE_INFINITY;
   let excessMs = Number.POSITIVE_INFINITY;
   for (const option of options) {
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -8,7 +8,7 @@
  * scheduler rebuilds it from the requests that follow.
  */
 import type { SendLimits } from '../backpressure/index.js';
-import type { Log } from '../events/index.js';
+import type { EventFields, Log } from '../events/index.js';
 import type { HealthOutcome, RegisteredServer } from '../fleet/index.js';
 import type { Clock, Timer } from '../task/index.js';
 import {
@@ -16,6 +16,7 @@
   resolveLateFirstTokenMs,
   resolveFirstTokenMs,
   resolveRetryAfterMs,
+  type AdmissionTerms,
 } from './admission.js';
 import type { CacheInventory } from './cached-parts.js';
 import { createCandidates } from './candidates.js';
@@ -27,7 +28,11 @@
 import type { Decision, DeclineReason, EnginePlacement, Job } from './job.js';
 import { createEngineStates } from './engine-states.js';
 import { createLatencyMargin } from './latency-margin.js';
-import { createPrefillOptions, resolveTransferWork } from './prefill-options.js';
+import {
+  createPrefillOptions,
+  resolveTransferWork,
+  type PrefillOption,
+} from './prefill-options.js';
 import type { LatencyModels } from './latency-models.js';
 import {
   COMMITTED_MS,
@@ -163,15 +168,23 @@
     }
     const elapsedMs = clock.now() - tracked.submittedAt;
     const spare = spareCapacity();
-    const admission = resolveAdmission(prefillOptions, {
+    const terms: AdmissionTerms = {
       objectiveLeftMs: job.aimLeftMs - elapsedMs,
       timeLeftMs: job.timeLeftMs - elapsedMs,
       marginMs: marginMs(job),
       mayBeLate: job.isReturn || mechanisms.lateFirstAttempts,
       spareCapacity: spare,
-    });
+    };
+    const admission = resolveAdmission(prefillOptions, terms);
     if (admission.kind === 'declined') {
-      decline(tracked, 'cannot-be-on-time', admission.retryAfterMs, admission.backlogMs);
+      const { retryAfterMs, backlogMs, option } = admission;
+      decline(
+        tracked,
+        'cannot-be-on-time',
+        retryAfterMs,
+        backlogMs,
+        describeEstimate(option, terms),
+      );
       return;
     }
     const { option } = admission;
@@ -179,6 +192,11 @@
     if (admission.kind === 'late') {
       markLate(tracked);
       tracked.expectedFirstTokenAt = clock.now() + resolveLateFirstTokenMs(option, spare);
+      log.write('requestQueued', {
+        ...describeJob(job),
+        ...describeEstimate(option, terms),
+        predictedMs: Math.round(tracked.expectedFirstTokenAt - tracked.submittedAt),
+      });
     }
     if (option.isLocal) placeLocally(tracked, option.server);
     else enqueue(tracked, option.engine);
@@ -219,7 +237,11 @@
 
   function declineExpired(tracked: TrackedJob): void {
     const backlogMs = tracked.engine?.prefills.remainingMs(clock.now()) ?? 0;
-    decline(tracked, 'cannot-be-on-time', NO_ENGINE_RETRY_MS, backlogMs);
+    decline(tracked, 'cannot-be-on-time', NO_ENGINE_RETRY_MS, backlogMs, {
+      server: tracked.engine?.id,
+      prefillMs: Math.round(tracked.prefillMs()),
+      predictedMs: Math.round(tracked.expectedFirstTokenAt - tracked.submittedAt),
+    });
   }
 
   /** Declines with a Retry-After; with rate limits, each caller gets a different one. */
@@ -239,9 +261,17 @@
     reason: DeclineReason,
     retryAfterMs: number,
     backlogMs: number,
+    estimate: EventFields = {},
   ): void {
     tracked.expiryTimer?.cancel();
     jobs.delete(tracked.job.id);
+    log.write('requestDeclined', {
+      ...describeJob(tracked.job),
+      ...estimate,
+      reason,
+      retryAfterMs: Math.round(retryAfterMs),
+      waitedMs: Math.round(clock.now() - tracked.submittedAt),
+    });
     tracked.onDecision({ kind: 'declined', reason, retryAfterMs, backlogMs });
   }
 
@@ -377,9 +407,8 @@
     decodeEngines.start(placement.generator, job.rank, job.prompt.tokens);
     observeDecodeLoad();
     log.write('requestPlaced', {
-      request: job.requestId,
+      ...describeJob(job),
       ...placement,
-      tokens: job.prompt.tokens,
       outputTokens: job.prompt.maxOutputTokens,
       isLate: tracked.isLate,
       marginMs: Math.round(marginMs(job)),
@@ -477,5 +506,29 @@
   };
 }
 
+/** What log lines say of a request. */
+function describeJob(job: Job): EventFields {
+  const { requestId, rank, prompt, isReturn } = job;
+  return { request: requestId, rank, tokens: prompt.tokens, isReturn };
+}
+
+/** What log lines say of the estimate that decided on a request; times in milliseconds. */
+function describeEstimate(option: PrefillOption | undefined, terms: AdmissionTerms): EventFields {
+  if (option === undefined) return {};
+  return {
+    server: option.server.id,
+    isLocal: option.isLocal,
+    prefillMs: Math.round(option.prefillMs),
+    queueDelayMs: Math.round(option.queueDelayMs),
+    lateBacklogMs: Math.round(option.lateBacklogMs),
+    handoffMs: Math.round(option.handoffMs),
+    delaysOthers: option.delaysOthers,
+    marginMs: Math.round(terms.marginMs),
+    spareCapacity: Number(terms.spareCapacity.toFixed(3)),
+    objectiveLeftMs: Math.round(terms.objectiveLeftMs),
+    timeLeftMs: Math.round(terms.timeLeftMs),
+  };
+}
+
 /** A late request's deadline has to allow this multiple of the estimated prefill time. */
 const DEADLINE_PREFILL_FACTOR = 2;
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { unlimited } from '../../src/backpressure/index.js';
-import { createSilentLog } from '../../src/events/index.js';
+import { createSilentLog, type EventFields, type EventName } from '../../src/events/index.js';
 import type { RegisteredServer } from '../../src/fleet/index.js';
 import { Ok } from 'ts-results-es';
 import {
@@ -88,9 +88,14 @@
   cached: Readonly<Record<string, readonly CachedPart[]>> = {},
 ) {
   const fake = createFakeClock();
+  const lines: { event: EventName; fields: EventFields }[] = [];
   const scheduler = createScheduler({
     clock: fake.clock,
-    log: createSilentLog(),
+    log: {
+      write(event, fields = {}) {
+        lines.push({ event, fields });
+      },
+    },
     mechanisms: { ...allMechanisms, ...mechanisms },
     latencyModels,
     engines: () => fleet,
@@ -113,7 +118,7 @@
     } while (decisions.has(submitted.at(-1)?.id ?? ''));
     return submitted;
   }
-  return { ...fake, scheduler, submit, decisions, submitUntilOneWaits };
+  return { ...fake, scheduler, submit, decisions, submitUntilOneWaits, lines };
 }
 
 function placementOf(decision: Decision | undefined) {
@@ -280,6 +285,28 @@
     expect(late?.kind === 'declined' && late.retryAfterMs).to.be.above(300);
   });
 
+  it('logs the size of a declined request and the estimate that decided', () => {
+    const { submit, lines } = setUp(ONE_PREFILL_ENGINE, ON_TIME_ONLY);
+    const declined = job({ aimLeftMs: 20, rank: 2 });
+    submit(declined);
+    const line = lines.find(({ event }) => event === 'requestDeclined');
+    expect(line?.fields).to.include({
+      request: declined.id,
+      rank: 2,
+      tokens: 6_000,
+      isReturn: false,
+      reason: 'cannot-be-on-time',
+      server: 'r1',
+      prefillMs: 24,
+      queueDelayMs: 0,
+      lateBacklogMs: 0,
+      spareCapacity: 1,
+      objectiveLeftMs: 20,
+      timeLeftMs: 2_000,
+      delaysOthers: false,
+    });
+  });
+
   it('admits requests again after a period of many late ones', async () => {
     const { submit, scheduler, advance } = setUp(ONE_PREFILL_ENGINE, ON_TIME_ONLY);
     for (let index = 0; index < 80; index += 1) {
