--- a/tools/replay/replay.ts
+++ b/tools/replay/replay.ts
@@ -40,9 +40,18 @@
   failed: number;
 }
 
+/** One request that was asked for. */
+export interface Asked {
+  kind: string;
+  tokens: number;
+  /** Answered in whole before its deadline, on time or late. */
+  isServed: boolean;
+}
+
 /** What a play gave. */
 export interface Outcome {
   byKind: Map<string, Tally>;
+  asked: Asked[];
   /** When each engine got its requests, in ms. */
   arrivals: Map<string, number[]>;
 }
@@ -67,6 +76,7 @@
   const engines = new Map<string, EmulatedEngine>();
   const byKind = new Map<string, Tally>();
   const arrivals = new Map<string, number[]>();
+  const askedById = new Map<string, Asked>();
   /** Limits that engines name, in requests a second. */
   const limitsPerS = new Map<string, number>();
   let latencyModels: LatencyModels = createLatencyModels();
@@ -181,7 +191,7 @@
     tallyOf(arrival.kind.name).failed += 1;
   }
 
-  function createWatch({ atMs, kind }: Arrival, job: string) {
+  function createWatch({ id, atMs, kind }: Arrival, job: string) {
     let firstAt = Number.POSITIVE_INFINITY;
     return {
       begun() {
@@ -192,7 +202,10 @@
         scheduler.finished(job, 'good');
         const tally = tallyOf(kind.name);
         const isOnTime = firstAt - atMs <= kind.aimMs && longestPauseMs <= kind.pauseMs;
-        if (time.now() - atMs > kind.deadlineMs) tally.failed += 1;
+        const asked = askedById.get(id);
+        const isServed = time.now() - atMs <= kind.deadlineMs;
+        if (asked !== undefined) asked.isServed = isServed;
+        if (!isServed) tally.failed += 1;
         else if (isOnTime) tally.onTime += 1;
         else tally.late += 1;
       },
@@ -238,12 +251,14 @@
   }
   for (const arrival of listArrivals(pattern, seed)) {
     time.after(arrival.atMs, () => {
-      tallyOf(arrival.kind.name).asked += 1;
+      const { id, kind, prompt } = arrival;
+      tallyOf(kind.name).asked += 1;
+      askedById.set(id, { kind: kind.name, tokens: prompt.tokens, isServed: false });
       ask(arrival, 0);
     });
   }
   await time.runUntil(pattern.seconds * MS_PER_SECOND + END_MS);
-  return { byKind, arrivals };
+  return { byKind, asked: [...askedById.values()], arrivals };
 }
 
 /**
@@ -262,3 +277,23 @@
   }
   return asked === 0 ? 1 : onTime / asked;
 }
+
+/**
+ * Share of the requests of a kind that were served, of those in a range of its sizes.
+ *
+ * @param outcomes what plays gave
+ * @param kind the kind
+ * @param from where the range begins, as a share of the requests in order of their size; 0 for the smallest
+ * @param to where it ends
+ */
+export function resolveServedShare(
+  outcomes: readonly Outcome[],
+  kind: string,
+  from = 0,
+  to = 1,
+): number {
+  const ofKind = outcomes.flatMap(({ asked }) => asked.filter((one) => one.kind === kind));
+  ofKind.sort((left, right) => left.tokens - right.tokens);
+  const range = ofKind.slice(Math.round(from * ofKind.length), Math.round(to * ofKind.length));
+  return range.length === 0 ? 1 : range.filter(({ isServed }) => isServed).length / range.length;
+}
