--- a/src/scheduling/tracked-job.ts
+++ b/src/scheduling/tracked-job.ts
@@ -55,6 +55,7 @@
     reroutes: 0,
     rank: job.rank,
     isLate: false,
+    isReserved: false,
     dueAt: now,
     prefillEstimateMs: 0,
     prefillMs: () => tracked.prefillEstimateMs,
