--- a/src/scheduling/admission.ts
+++ b/src/scheduling/admission.ts
@@ -4,12 +4,7 @@
  * queued for spare capacity if that is likely to become available before its deadline, and is
  * otherwise shed at once with a Retry-After.
  */
-import {
-  ENGINE_TIME_WEIGHT,
-  LATE_SHARE,
-  LATE_SAFETY_FACTOR,
-  MAX_ENGINE_TIME_WEIGHT,
-} from './policy.js';
+import { ENGINE_TIME_WEIGHT, LATE_SAFETY_FACTOR, MAX_ENGINE_TIME_WEIGHT } from './policy.js';
 
 /** Estimates for prefilling a prompt at one engine; times in milliseconds. */
 export interface PrefillEstimate {
@@ -26,15 +21,12 @@
   delaysOthers: boolean;
   /** Work queued at the engine for requests that will miss their objective. */
   lateBacklogMs: number;
-  /** That part of it which has reservations. */
-  reservedBacklogMs: number;
 }
 
 /** The decision on a request. */
 export type Admission<Option extends PrefillEstimate> =
   | { kind: 'punctual'; option: Option }
   | { kind: 'late'; option: Option }
-  | { kind: 'reserved'; option: Option }
   /** `option` is the cheapest one. */
   | { kind: 'declined'; option: Option | undefined; retryAfterMs: number; backlogMs: number };
 
@@ -47,8 +39,6 @@
   /** Margin added to latency estimates, in milliseconds. */
   marginMs: number;
   mayBeLate: boolean;
-  /** Prompts of its size are admitted less often than others. */
-  isBehind: boolean;
   /** Share of the engines' time that requests within their objective leave. */
   spareCapacity: number;
 }
@@ -70,14 +60,6 @@
 ): Admission<Option> {
   const best = findCheapest(options, (option) => costOf(option, terms));
   if (best !== undefined && meetsObjective(best, terms)) return { kind: 'punctual', option: best };
-  if (terms.mayBeLate && terms.isBehind) {
-    const reservable = options.filter((option) => mayReserve(option, terms));
-    const reserved = findCheapest(
-      reservable,
-      (option) => costOf(option, terms) + option.reservedBacklogMs,
-    );
-    if (reserved !== undefined) return { kind: 'reserved', option: reserved };
-  }
   const eligible = terms.mayBeLate ? options.filter((option) => meetsDeadline(option, terms)) : [];
   const late = findCheapest(eligible, (option) => costOf(option, terms) + option.lateBacklogMs);
   if (late !== undefined) return { kind: 'late', option: late };
@@ -115,22 +97,6 @@
   return LATE_SAFETY_FACTOR * expectedMs + terms.marginMs <= terms.timeLeftMs;
 }
 
-/** Whether an engine can serve a request before its deadline in the share that is reserved. */
-function mayReserve(option: PrefillEstimate, terms: AdmissionTerms): boolean {
-  const expectedMs = resolveReservedFirstTokenMs(option, terms.spareCapacity);
-  return RESERVED_SAFETY_FACTOR * expectedMs + terms.marginMs <= terms.timeLeftMs;
-}
-
-/** Estimated time to the first token of a request with a reservation, in milliseconds. */
-export function resolveReservedFirstTokenMs(
-  { reservedBacklogMs, prefillMs, handoffMs }: PrefillEstimate,
-  spareCapacity: number,
-): number {
-  return (reservedBacklogMs + prefillMs) / Math.max(LATE_SHARE, spareCapacity) + handoffMs;
-}
-
-const RESERVED_SAFETY_FACTOR = 1;
-
 /** Estimated time to the first token of a request that uses spare capacity, in milliseconds. */
 export function resolveLateFirstTokenMs(option: PrefillEstimate, spareCapacity: number): number {
   const { queueDelayMs, lateBacklogMs, prefillMs, handoffMs } = option;
--- a/src/scheduling/engine-model.ts
+++ b/src/scheduling/engine-model.ts
@@ -3,7 +3,6 @@
  * relative to the other engines of the service.
  */
 import type { EngineRole } from '../fleet/index.js';
-import { createBackgroundPrefill } from './background-prefill.js';
 import { createCacheModel } from './cache-model.js';
 import type { CachedPart } from './cached-parts.js';
 import { resolvePrefillWork, type Work } from './latency-model.js';
@@ -24,7 +23,7 @@
 /** Model of one engine. */
 export interface EngineModel {
   readonly id: string;
-  /** Prefills that have been assigned to the engine and have not ended, but for late ones. */
+  /** Prefills that have been assigned to the engine and have not ended. */
   readonly prefills: SerialWork;
   /** KV cache transfers from prefill engines to this one. */
   readonly transfers: SerialWork;
@@ -35,22 +34,7 @@
    * ended.
    */
   recentLocalPrefillMs(now: number, windowMs: number): number;
-  startPrefill(
-    job: string,
-    role: EngineRole,
-    prompt: Prompt,
-    now: number,
-    lateShare?: number,
-  ): void;
-  /** Starts the prefill of a late prompt, which runs while the engine has no others. */
-  startBackgroundPrefill(job: string, prompt: Prompt, now: number, isReserved: boolean): void;
-  hasReserved(): boolean;
-  /** Whether a late prompt is being prefilled. */
-  hasBackgroundPrefill(): boolean;
-  /** Estimated work that is left of it, in milliseconds. */
-  backgroundMs(now: number): number;
-  /** For how long other prompts have to be held back for it, in milliseconds. */
-  holdMs(now: number): number;
+  startPrefill(job: string, role: EngineRole, prompt: Prompt, now: number): void;
   /** Ends a prefill; only a complete one is used as a sample. */
   endPrefill(job: string, isComplete: boolean, now: number): void;
   /** Starts the transfer of a prompt's KV cache to the engine. */
@@ -85,14 +69,6 @@
   /** Recently started local prefills, the oldest first. */
   let localPrefills: { startedAt: number; expectedMs: number }[] = [];
   let slowdown = 1;
-  const background = createBackgroundPrefill();
-  let backgroundAt = 0;
-
-  /** Credits the background prefill with the time since the last change in which the engine was idle. */
-  function updateBackground(now: number): void {
-    if (prefills.count() === 0) background.progressed(now - backgroundAt);
-    backgroundAt = now;
-  }
 
   function resolveWork(prompt: Prompt): Work {
     const uncached = cache.uncachedTokens(prompt);
@@ -128,34 +104,15 @@
       }
       return sum;
     },
-    startPrefill(job, role, prompt, now, lateShare = 0) {
+    startPrefill(job, role, prompt, now) {
       const work = resolveWork(prompt);
       cache.recordUse(prompt);
       prefillWork.set(job, { role, work });
       const expectedMs = estimateMs(role, work);
-      updateBackground(now);
-      background.preceded(expectedMs, lateShare);
       prefills.start(job, expectedMs, now);
       if (role === 'decode') localPrefills.push({ startedAt: now, expectedMs });
     },
-    hasReserved: () => background.isReserved(),
-    startBackgroundPrefill(job, prompt, now, isReserved) {
-      updateBackground(now);
-      background.start(job, estimateMs('prefill', resolveWork(prompt)), isReserved);
-      cache.recordUse(prompt);
-    },
-    hasBackgroundPrefill: () => background.isRunning(),
-    backgroundMs(now) {
-      updateBackground(now);
-      return background.remainingMs();
-    },
-    holdMs(now) {
-      updateBackground(now);
-      return background.holdMs();
-    },
     endPrefill(job, isComplete, now) {
-      updateBackground(now);
-      if (background.end(job)) return;
       const tookMs = prefills.end(job, now);
       const prefill = prefillWork.get(job);
       prefillWork.delete(job);
--- a/src/scheduling/engine-states.ts
+++ b/src/scheduling/engine-states.ts
@@ -72,10 +72,7 @@
       queues.set(id, created);
       return created;
     },
-    requestCount: (id) =>
-      (models.get(id)?.prefills.count() ?? 0) +
-      (models.get(id)?.hasBackgroundPrefill() === true ? 1 : 0) +
-      (queues.get(id)?.count() ?? 0),
+    requestCount: (id) => (models.get(id)?.prefills.count() ?? 0) + (queues.get(id)?.count() ?? 0),
     forget(id) {
       models.delete(id);
       queues.delete(id);
--- a/src/scheduling/job.ts
+++ b/src/scheduling/job.ts
@@ -46,8 +46,6 @@
   /** Estimated time until the prefill engine has finished the prefill, including queued ones, in
    * milliseconds; absent without latency samples. */
   expectedReadMs: z.number().optional(),
-  /** The prefill engine is to prefer other prompts. */
-  isBackground: z.boolean().optional(),
 });
 
 /** The engines assigned to a request. */
--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -80,5 +80,3 @@
  * could make every request late; with none admitted as on time, no observation would reduce the
  * margin again. */
 export const MAX_MARGIN_SHARE = 0.25;
-/** Share of a prefill engine's time that late prompts are due while there are any. */
-export const LATE_SHARE = 0.5;
--- a/src/scheduling/prefill-options.ts
+++ b/src/scheduling/prefill-options.ts
@@ -14,12 +14,7 @@
 import type { EngineStates } from './engine-states.js';
 import type { Work } from './latency-model.js';
 import type { LatencyModels } from './latency-models.js';
-import {
-  LATE_SHARE,
-  OTHER_ZONE_PENALTY_MS,
-  STALL_SHARE,
-  type SchedulingMechanisms,
-} from './policy.js';
+import { OTHER_ZONE_PENALTY_MS, STALL_SHARE, type SchedulingMechanisms } from './policy.js';
 
 /** Penalty per assigned prefill while there are no latency samples, in ms. It has to exceed the zone
  * penalty, so that the first prefills are spread over all engines. */
@@ -105,10 +100,7 @@
     const queue = engineStates.queue(server.id);
     const startsInMs = engine.prefills.remainingMs(clock.now());
     const prefillMs = engine.estimatePrefillMs('prefill', tracked.job.prompt);
-    const newcomer = { ...tracked, isLate: false, isReserved: false, prefillMs: () => prefillMs };
-    const isShared = engine.hasReserved() || queue.reservedWorkMs() > 0;
-    const aheadMs =
-      engine.holdMs(clock.now()) + queue.workAheadMs(newcomer) / (isShared ? 1 - LATE_SHARE : 1);
+    const newcomer = { ...tracked, isLate: false, prefillMs: () => prefillMs };
     const zonePenaltyMs = server.zone === tracked.job.zone ? 0 : OTHER_ZONE_PENALTY_MS;
     const untilRoomMs = limits.msUntilRoom(server.id, queue.count());
     // without samples the estimates are 0, so the number of prefills stands in for their duration
@@ -119,14 +111,13 @@
       server,
       engine,
       isLocal: false,
-      queueDelayMs: Math.max(untilRoomMs, startsInMs + aheadMs),
+      queueDelayMs: Math.max(untilRoomMs, startsInMs + queue.workAheadMs(newcomer)),
       prefillMs,
       scoredPrefillMs: mechanisms.cacheAffinity ? prefillMs : 0,
       handoffMs,
       penaltyMs: zonePenaltyMs + probePenaltyMs,
       delaysOthers: queue.wouldDelay(newcomer, startsInMs, clock.now()),
-      lateBacklogMs: engine.backgroundMs(clock.now()) + queue.lateWorkMs(),
-      reservedBacklogMs: engine.backgroundMs(clock.now()) + queue.reservedWorkMs(),
+      lateBacklogMs: queue.lateWorkMs(),
     };
   }
 
@@ -144,7 +135,6 @@
       penaltyMs: server.zone === job.zone ? 0 : OTHER_ZONE_PENALTY_MS,
       delaysOthers: false,
       lateBacklogMs: 0,
-      reservedBacklogMs: 0,
     };
   }
 
--- a/src/scheduling/prefill-queue.ts
+++ b/src/scheduling/prefill-queue.ts
@@ -9,8 +9,6 @@
   dueAt: number;
   /** The request waits although it will miss its objective. */
   isLate: boolean;
-  /** The request is late and has been promised a share of the engine's time. */
-  isReserved: boolean;
   /** Rank of its route; 0 is the most urgent. */
   rank: number;
   /** Estimated prefill time, in milliseconds. */
@@ -25,15 +23,11 @@
   takePunctual(): Item | undefined;
   /** Removes and returns the next late prompt. */
   takeLate(): Item | undefined;
-  /** Removes and returns the next late prompt with a reservation. */
-  takeReserved(): Item | undefined;
   count(): number;
   /** Prefill time of the prompts ahead of a new one, in milliseconds. */
   workAheadMs(newcomer: WaitingPrompt): number;
   /** Prefill time of all late prompts, in milliseconds. */
   lateWorkMs(): number;
-  /** Prefill time of the late prompts with a reservation, in milliseconds. */
-  reservedWorkMs(): number;
   /**
    * Whether a new prompt would make a waiting one of the same or a more urgent rank miss its objective.
    *
@@ -63,7 +57,6 @@
     },
     takePunctual: () => punctual.shift(),
     takeLate: () => late.shift(),
-    takeReserved: () => (late[0]?.isReserved === true ? late.shift() : undefined),
     count: () => punctual.length + late.length,
     workAheadMs(newcomer) {
       let sum = 0;
@@ -78,14 +71,6 @@
       for (const item of late) sum += item.prefillMs();
       return sum;
     },
-    reservedWorkMs() {
-      let sum = 0;
-      for (const item of late) {
-        if (!item.isReserved) break;
-        sum += item.prefillMs();
-      }
-      return sum;
-    },
     wouldDelay(newcomer, startsInMs, now) {
       let endsAt = now + startsInMs;
       const newcomerMs = newcomer.prefillMs();
@@ -104,7 +89,5 @@
  * prompts first and delay all others.
  */
 function isBefore(item: WaitingPrompt, other: WaitingPrompt | undefined): boolean {
-  if (other === undefined) return false;
-  if (item.isReserved !== other.isReserved) return item.isReserved;
-  return item.dueAt < other.dueAt;
+  return other !== undefined && item.dueAt < other.dueAt;
 }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -14,7 +14,6 @@
 import {
   resolveAdmission,
   resolveLateFirstTokenMs,
-  resolveReservedFirstTokenMs,
   resolveFirstTokenMs,
   resolveRetryAfterMs,
   type AdmissionTerms,
@@ -38,12 +37,10 @@
 import {
   COMMITTED_MS,
   LATE_SAFETY_FACTOR,
-  LATE_SHARE,
   MAX_MARGIN_SHARE,
   type SchedulingMechanisms,
 } from './policy.js';
 import type { PrefillQueue } from './prefill-queue.js';
-import { createSizeShares } from './size-shares.js';
 import { createRecentLoad, resolveSpareCapacity } from './recent-load.js';
 
 /** Dependencies of a scheduler. */
@@ -106,7 +103,6 @@
   /** Prefills of requests that can meet their objective. */
   const punctualLoad = createRecentLoad();
   const decodeLoad = createDecodeLoad();
-  const sizeShares = createSizeShares();
   const candidates = createCandidates({
     engines: () => parts.engines(),
     monitor,
@@ -138,7 +134,6 @@
   function submit(job: Job, onDecision: (decision: Decision) => void): void {
     const tracked = createTrackedJob(job, clock.now(), onDecision);
     jobs.set(job.id, tracked);
-    sizeShares.submitted(job.rank, job.prompt.tokens, clock.now());
     if (job.isRead) placeForDecode(tracked);
     else route(tracked);
   }
@@ -179,7 +174,6 @@
       marginMs: marginMs(job),
       mayBeLate: job.isReturn || mechanisms.lateFirstAttempts,
       spareCapacity: spare,
-      isBehind: sizeShares.isBehind(job.rank, job.prompt.tokens, clock.now()),
     };
     const admission = resolveAdmission(prefillOptions, terms);
     if (admission.kind === 'declined') {
@@ -195,16 +189,12 @@
     }
     const { option } = admission;
     tracked.expectedFirstTokenAt = clock.now() + resolveFirstTokenMs(option);
-    sizeShares.admitted(job.rank, job.prompt.tokens, clock.now());
-    if (admission.kind !== 'punctual') {
+    if (admission.kind === 'late') {
       markLate(tracked);
-      tracked.isReserved = admission.kind === 'reserved';
-      const resolveMs = tracked.isReserved ? resolveReservedFirstTokenMs : resolveLateFirstTokenMs;
-      tracked.expectedFirstTokenAt = clock.now() + resolveMs(option, spare);
+      tracked.expectedFirstTokenAt = clock.now() + resolveLateFirstTokenMs(option, spare);
       log.write('requestQueued', {
         ...describeJob(job),
         ...describeEstimate(option, terms),
-        isReserved: tracked.isReserved,
         predictedMs: Math.round(tracked.expectedFirstTokenAt - tracked.submittedAt),
       });
     }
@@ -231,9 +221,7 @@
    */
   function scheduleExpiry(tracked: TrackedJob): void {
     const maxWaitMs = LATE_SAFETY_FACTOR * (tracked.expectedFirstTokenAt - clock.now());
-    const waitMs = tracked.isReserved
-      ? msUntilLatestStart(tracked)
-      : Math.min(msUntilLatestStart(tracked), Math.max(0, maxWaitMs));
+    const waitMs = Math.min(msUntilLatestStart(tracked), Math.max(0, maxWaitMs));
     tracked.expiryTimer = clock.after(Math.max(0, waitMs), () => {
       if (tracked.stage !== 'waiting' || !jobs.has(tracked.job.id)) return;
       leaveQueue(tracked);
@@ -290,33 +278,26 @@
   /** Starts queued prefills while the engine can take more. */
   function startPrefills(engine: EngineModel): void {
     const queue = engineStates.queue(engine.id);
-    let next = takeNext(engine, queue);
-    while (next !== undefined) {
-      next.prefillEstimateMs = engine.estimatePrefillMs('prefill', next.job.prompt);
-      if (isTooLate(next)) postpone(next, engine);
-      else if (candidates.mayPrefill(engine.id, next.job) || next.reroutes >= MAX_REROUTES)
-        startPrefill(next, engine);
-      else reroute(next);
-      next = takeNext(engine, queue);
+    while (hasRoom(engine)) {
+      const tracked = queue.takePunctual() ?? takeLate(engine, queue);
+      if (tracked === undefined) return;
+      tracked.prefillEstimateMs = engine.estimatePrefillMs('prefill', tracked.job.prompt);
+      if (isTooLate(tracked)) postpone(tracked, engine);
+      else if (candidates.mayPrefill(engine.id, tracked.job) || tracked.reroutes >= MAX_REROUTES)
+        startPrefill(tracked, engine);
+      else reroute(tracked);
     }
     if (queue.count() > 0) scheduleNextPrefill(engine);
   }
 
-  /** Takes the next prompt that the engine can start; late ones start one at a time. */
-  function takeNext(engine: EngineModel, queue: PrefillQueue<TrackedJob>): TrackedJob | undefined {
-    if (limits.msUntilRoom(engine.id) > 0) return undefined;
-    const reserved = engine.hasBackgroundPrefill() ? undefined : queue.takeReserved();
-    if (reserved !== undefined) return reserved;
-    if (!hasRoom(engine)) return undefined;
-    const punctual = queue.takePunctual();
-    if (punctual !== undefined || engine.prefills.count() > 0 || engine.hasBackgroundPrefill())
-      return punctual;
-    return queue.takeLate();
+  /** Late requests start only on an idle engine, since prefills are not interrupted. */
+  function takeLate(engine: EngineModel, queue: PrefillQueue<TrackedJob>): TrackedJob | undefined {
+    return engine.prefills.count() === 0 ? queue.takeLate() : undefined;
   }
 
   /** Whether an engine can take another prefill; without latency samples, one at a time. */
   function hasRoom(engine: EngineModel): boolean {
-    if (engine.holdMs(clock.now()) > 0) return false;
+    if (limits.msUntilRoom(engine.id) > 0) return false;
     if (engine.prefills.count() === 0) return true;
     return latencyModels.hasSamples() && engine.prefills.remainingMs(clock.now()) < COMMITTED_MS;
   }
@@ -328,7 +309,7 @@
     const untilPrefillEndMs = latencyModels.hasSamples()
       ? engine.prefills.remainingMs(clock.now()) - COMMITTED_MS
       : Number.NEGATIVE_INFINITY;
-    const delayMs = Math.max(untilRoomMs, untilPrefillEndMs, engine.holdMs(clock.now()));
+    const delayMs = Math.max(untilRoomMs, untilPrefillEndMs);
     if (delayMs < 0 || (delayMs === 0 && untilPrefillEndMs < 0)) return;
     const timer = clock.after(delayMs + 1, () => {
       startPrefills(engine);
@@ -349,10 +330,7 @@
     }
     markLate(tracked);
     const queue = engineStates.queue(engine.id);
-    const workAheadMs =
-      engine.prefills.remainingMs(clock.now()) +
-      engine.backgroundMs(clock.now()) +
-      queue.lateWorkMs();
+    const workAheadMs = engine.prefills.remainingMs(clock.now()) + queue.lateWorkMs();
     tracked.expectedFirstTokenAt =
       clock.now() + workAheadMs / spareCapacity() + tracked.prefillMs();
     queue.add(tracked);
@@ -382,25 +360,10 @@
     if (decodeEngine === undefined) return;
     tracked.stage = 'reading';
     if (!tracked.isLate) punctualLoad.record(tracked.prefillMs(), clock.now());
-    if (tracked.isReserved)
-      engine.startBackgroundPrefill(job.id, job.prompt, clock.now(), tracked.isReserved);
-    else {
-      const isShared = engine.hasReserved() || engineStates.queue(engine.id).reservedWorkMs() > 0;
-      engine.startPrefill(job.id, 'prefill', job.prompt, clock.now(), isShared ? LATE_SHARE : 0);
-    }
-    place(tracked, {
-      reader: engine.id,
-      generator: decodeEngine.id,
-      expectedReadMs: expectedReadMs(tracked, engine),
-      isBackground: tracked.isReserved,
-    });
-  }
-
-  /** Estimated time until the engine has finished a prefill that has been started. */
-  function expectedReadMs(tracked: TrackedJob, engine: EngineModel): number | undefined {
-    if (!latencyModels.hasSamples()) return undefined;
-    if (!tracked.isReserved) return engine.prefills.remainingMs(clock.now());
-    return engine.prefills.remainingMs(clock.now()) + tracked.prefillMs() / LATE_SHARE;
+    engine.startPrefill(job.id, 'prefill', job.prompt, clock.now());
+    const hasSamples = latencyModels.hasSamples();
+    const expectedReadMs = hasSamples ? engine.prefills.remainingMs(clock.now()) : undefined;
+    place(tracked, { reader: engine.id, generator: decodeEngine.id, expectedReadMs });
   }
 
   function placeLocally(tracked: TrackedJob, server: RegisteredServer): void {
@@ -448,7 +411,6 @@
       ...placement,
       outputTokens: job.prompt.maxOutputTokens,
       isLate: tracked.isLate,
-      isReserved: tracked.isReserved,
       marginMs: Math.round(marginMs(job)),
       predictedMs: Math.round(tracked.expectedFirstTokenAt - tracked.submittedAt),
       waitedMs: Math.round(clock.now() - tracked.submittedAt),
--- a/src/scheduling/tracked-job.ts
+++ b/src/scheduling/tracked-job.ts
@@ -55,7 +55,6 @@
     reroutes: 0,
     rank: job.rank,
     isLate: false,
-    isReserved: false,
     dueAt: now,
     prefillEstimateMs: 0,
     prefillMs: () => tracked.prefillEstimateMs,
--- a/test/scheduling/admission.test.ts
+++ b/test/scheduling/admission.test.ts
@@ -2,14 +2,7 @@
 import { resolveAdmission, type PrefillEstimate } from '../../src/scheduling/admission.js';
 
 function createEstimate(more: Partial<PrefillEstimate>): PrefillEstimate {
-  const none = {
-    queueDelayMs: 0,
-    prefillMs: 0,
-    handoffMs: 0,
-    penaltyMs: 0,
-    lateBacklogMs: 0,
-    reservedBacklogMs: 0,
-  };
+  const none = { queueDelayMs: 0, prefillMs: 0, handoffMs: 0, penaltyMs: 0, lateBacklogMs: 0 };
   return { ...none, scoredPrefillMs: more.prefillMs ?? 0, delaysOthers: false, ...more };
 }
 
@@ -21,7 +14,6 @@
   timeLeftMs: 3_000,
   marginMs: 0,
   mayBeLate: true,
-  isBehind: false,
   spareCapacity: 1,
 };
 
--- a/tools/replay/emulated-engine.ts
+++ b/tools/replay/emulated-engine.ts
@@ -11,8 +11,6 @@
 
 /** An engine that generates reads so many times as slowly. */
 const GENERATING_SLOWDOWN = 2;
-/** Pieces of a prompt are so many times as large where an engine only prefills. */
-const PREFILL_CHUNKS = 4;
 
 /** What becomes of a stream. */
 export interface StreamWatch {
@@ -25,8 +23,7 @@
 export interface EmulatedEngine {
   readonly id: string;
   readonly role: 'prefill' | 'decode';
-  /** Prefills a prompt, in the background if it is to yield to all others. */
-  read(prompt: Prompt, isBackground: boolean, done: () => void): void;
+  read(prompt: Prompt, done: () => void): void;
   /** Fetches a prompt that was read elsewhere, then generates. */
   fetch(prompt: Prompt, watch: StreamWatch): void;
   /** Reads a prompt between tokens, then generates. */
@@ -44,11 +41,6 @@
   watch: StreamWatch;
 }
 
-interface Prefill {
-  leftMs: number;
-  done: () => void;
-}
-
 interface Reading {
   leftMs: number;
   prompt: Prompt;
@@ -73,9 +65,7 @@
   const held = new Map<string, CachedPart>();
   const streams = new Set<Stream>();
   const readings: Reading[] = [];
-  const prefills: Prefill[] = [];
-  const background: Prefill[] = [];
-  let isPrefilling = false;
+  let freeAt = 0;
   let linkFreeAt = 0;
   let stepping = false;
   let ended = false;
@@ -130,27 +120,6 @@
     });
   }
 
-  /** Prefills a piece of the first prompt; those in the background wait for all others. */
-  function startPiece(): void {
-    const queue = prefills.length > 0 ? prefills : background;
-    const [first] = queue;
-    if (isPrefilling || first === undefined) return;
-    isPrefilling = true;
-    const pieceMs = Math.min(
-      first.leftMs,
-      (PREFILL_CHUNKS * fleet.chunkTokens) / fleet.tokensPerMs,
-    );
-    after(pieceMs, () => {
-      isPrefilling = false;
-      first.leftMs -= pieceMs;
-      if (first.leftMs <= 0) {
-        queue.shift();
-        first.done();
-      }
-      startPiece();
-    });
-  }
-
   function finishChunk(reading: Reading, readMs: number): void {
     reading.leftMs -= readMs;
     if (reading.leftMs > 0) return;
@@ -175,10 +144,11 @@
   return {
     id,
     role,
-    read(prompt, isBackground, done) {
-      (isBackground ? background : prefills).push({ leftMs: resolveReadMs(prompt), done });
+    read(prompt, done) {
+      const readMs = resolveReadMs(prompt);
       keep(prompt);
-      startPiece();
+      freeAt = Math.max(freeAt, clock.now()) + readMs;
+      after(freeAt - clock.now(), done);
     },
     fetch(prompt, watch) {
       keep(prompt);
--- a/tools/replay/replay.ts
+++ b/tools/replay/replay.ts
@@ -164,7 +164,7 @@
         });
       return;
     }
-    const { reader, generator, isBackground } = decision.placement;
+    const { reader, generator } = decision.placement;
     const generating = engines.get(generator);
     if (generating === undefined) {
       fail(arrival, job);
@@ -177,7 +177,7 @@
       return;
     }
     noteArrival(reader);
-    engines.get(reader)?.read(arrival.prompt, isBackground === true, () => {
+    engines.get(reader)?.read(arrival.prompt, () => {
       time.after(WAY_MS, () => {
         noteArrival(generator);
         scheduler.prefillCompleted(job);
