fix(scheduling): a prefill has the time that it takes without cached parts before it is given up

What callers saw: a long prompt was cut off while its engine was still prefilling it, and began anew elsewhere or was refused.

Cause: the time limit of a prefill followed from the estimate with the parts that the scheduler takes for cached. An engine may have evicted them, and has prompts of an earlier scheduler. A short prompt hardly differs; one of 40,000 tokens takes 0.9 s where 0.09 s were expected and 0.43 s allowed.

Most limits lay below the time of the uncached prompt, or of one ahead of it.

Change: the placement tells the time of the assigned prefills as if nothing were cached. The test failed before.

--- a/src/scheduling/engine-model.ts
+++ b/src/scheduling/engine-model.ts
@@ -29,6 +29,8 @@
   readonly transfers: SerialWork;
   /** Estimated time to prefill a prompt, in milliseconds; 0 without samples. */
   estimatePrefillMs(role: EngineRole, prompt: Prompt): number;
+  /** Estimated time of the assigned prefills if nothing of their prompts is cached, in milliseconds. */
+  uncachedPrefillsMs(): number;
   /**
    * Estimated time of local prefills that ran within the latest `windowMs` milliseconds or have not
    * ended.
@@ -47,6 +49,8 @@
 interface Prefill {
   role: EngineRole;
   work: Work;
+  /** Estimated time if nothing of the prompt is cached. */
+  uncachedMs: number;
 }
 
 /**
@@ -80,6 +84,11 @@
     return (isTypical ? 1 : slowdown) * latencyModels.estimatePrefillMs(role, work);
   }
 
+  /** The cache model may be wrong, since engines evict parts without a report. */
+  function estimateUncachedMs(role: EngineRole, prompt: Prompt): number {
+    return estimateMs(role, resolvePrefillWork(prompt.tokens, 0));
+  }
+
   function observe({ role, work }: Prefill, tookMs: number): void {
     const typicalMs = latencyModels.estimatePrefillMs(role, work);
     if (typicalMs >= MIN_SAMPLE_MS) {
@@ -94,6 +103,13 @@
     prefills,
     transfers,
     estimatePrefillMs: (role, prompt) => estimateMs(role, resolveWork(prompt)),
+    uncachedPrefillsMs() {
+      let sum = 0;
+      for (const { uncachedMs } of prefillWork.values()) {
+        sum += uncachedMs;
+      }
+      return sum;
+    },
     recentLocalPrefillMs(now, windowMs) {
       localPrefills = localPrefills.filter(
         (prefill) => prefill.startedAt + prefill.expectedMs > now - windowMs,
@@ -107,7 +123,7 @@
     startPrefill(job, role, prompt, now) {
       const work = resolveWork(prompt);
       cache.recordUse(prompt);
-      prefillWork.set(job, { role, work });
+      prefillWork.set(job, { role, work, uncachedMs: estimateUncachedMs(role, prompt) });
       const expectedMs = estimateMs(role, work);
       prefills.start(job, expectedMs, now);
       if (role === 'decode') localPrefills.push({ startedAt: now, expectedMs });
--- a/src/scheduling/job.ts
+++ b/src/scheduling/job.ts
@@ -43,8 +43,8 @@
   reader: z.string().optional(),
   /** The decode engine. */
   generator: z.string(),
-  /** Estimated time until the prefill engine has finished the prefill, including queued ones, in
-   * milliseconds; absent without latency samples. */
+  /** Estimated time until the prefill engine has finished the prefill and those assigned before it, if
+   * nothing of them is cached, in milliseconds; absent without latency samples. */
   expectedReadMs: z.number().optional(),
 });
 
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -361,8 +361,7 @@
     tracked.stage = 'reading';
     if (!tracked.isLate) punctualLoad.record(tracked.prefillMs(), clock.now());
     engine.startPrefill(job.id, 'prefill', job.prompt, clock.now());
-    const hasSamples = latencyModels.hasSamples();
-    const expectedReadMs = hasSamples ? engine.prefills.remainingMs(clock.now()) : undefined;
+    const expectedReadMs = latencyModels.hasSamples() ? engine.uncachedPrefillsMs() : undefined;
     place(tracked, { reader: engine.id, generator: decodeEngine.id, expectedReadMs });
   }
 
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -157,6 +157,17 @@
     expect([...prefillEngines]).to.deep.equal(['r1']);
   });
 
+  it('expects a prefill to take as long as without cached parts, which engines may have evicted', async () => {
+    const { submit, scheduler, advance } = setUp(ONE_PREFILL_ENGINE, NO_LOCAL_PREFILL);
+    const first = job();
+    const uncachedMs = placementOf(submit(first))?.expectedReadMs ?? 0;
+    await advance(24);
+    scheduler.prefillCompleted(first.id);
+    scheduler.firstTokenReceived(first.id);
+    const cachedMs = placementOf(submit(job()))?.expectedReadMs ?? 0;
+    expect(cachedMs).to.be.closeTo(uncachedMs, 1);
+  });
+
   it('spreads prompts without shared parts over engines', () => {
     const { submit } = setUp();
     const prefillEngines = [submit(job({}, 'x')), submit(job({}, 'y'))].map(placementOf);
