fix(scheduling): long prompts whose size is behind have a turn reserved

What callers saw: the largest tenth of a kind of request was served less than half as often as the kind, refused at first sight as cannot-be-on-time.

Cause: admission asks whether a prompt fits into what others leave, and has no memory of whom it refused. A prompt that takes a large part of its objective, or more than all of it, fits only while engines are nearly idle; any queue of short ones is refilled by short ones. As a late request it waits for an idle engine, promised nothing, behind all that come later.

Change: the scheduler counts, by rank and class of size (the largest tenth, the fifth below it, the rest), how often requests are served relative to all. A request of a class that is behind, and that is not among the costliest of its class, is queued for a later objective, 0.6 of the time until its deadline. It has its turn then like any other; who comes later and would delay it goes elsewhere. Surplus from times with room for all is held against a class within bounds only; a scheduler that starts knows nothing and gives room at once.

--- a/src/scheduling/admission.ts
+++ b/src/scheduling/admission.ts
@@ -66,6 +66,21 @@
   return { option: best, ...resolveDecline(options, terms) };
 }
 
+/**
+ * Chooses the engine at which a request is queued for a later objective than its own, as the terms
+ * state it; `undefined` if none can meet that without delaying others.
+ *
+ * @param options engines that could prefill its prompt, estimated for the later objective
+ * @param terms the later objective, and the request's margin
+ */
+export function resolveReservation<Option extends PrefillEstimate>(
+  options: readonly Option[],
+  terms: AdmissionTerms,
+): Option | undefined {
+  const eligible = options.filter((option) => meetsObjective(option, terms));
+  return findCheapest(eligible, (option) => costOf(option, terms));
+}
+
 /**
  * Retry-After for a caller: early enough that a retry can still be served before the deadline.
  *
--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -21,6 +21,8 @@
   cacheLists: boolean;
   /** Engines that are not needed for decoding do prefills. */
   demandSplit: boolean;
+  /** Long prompts have room reserved if their size is served less often than others. */
+  sizeShares: boolean;
   /** The margin of latency estimates follows their observed error. */
   learntMargin: boolean;
 }
@@ -56,6 +58,7 @@
   cacheAffinity: true,
   cacheLists: true,
   demandSplit: true,
+  sizeShares: true,
   learntMargin: true,
 };
 
@@ -80,3 +83,6 @@
  * could make every request late; with none admitted as on time, no observation would reduce the
  * margin again. */
 export const MAX_MARGIN_SHARE = 0.25;
+/** Share of the time until its deadline within which a request with a reservation gets its first event;
+ * the rest is for decoding. */
+export const RESERVED_OBJECTIVE_SHARE = 0.6;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -15,6 +15,7 @@
   resolveAdmission,
   resolveLateFirstTokenMs,
   resolveFirstTokenMs,
+  resolveReservation,
   resolveRetryAfterMs,
   type AdmissionTerms,
 } from './admission.js';
@@ -38,10 +39,12 @@
   COMMITTED_MS,
   LATE_SAFETY_FACTOR,
   MAX_MARGIN_SHARE,
+  RESERVED_OBJECTIVE_SHARE,
   type SchedulingMechanisms,
 } from './policy.js';
 import type { PrefillQueue } from './prefill-queue.js';
 import { createRecentLoad, resolveSpareCapacity } from './recent-load.js';
+import { createSizeShares, type SizedRequest } from './size-shares.js';
 
 /** Dependencies of a scheduler. */
 export interface SchedulerParts {
@@ -103,6 +106,7 @@
   /** Prefills of requests that can meet their objective. */
   const punctualLoad = createRecentLoad();
   const decodeLoad = createDecodeLoad();
+  const sizeShares = createSizeShares();
   const candidates = createCandidates({
     engines: () => parts.engines(),
     monitor,
@@ -134,6 +138,7 @@
   function submit(job: Job, onDecision: (decision: Decision) => void): void {
     const tracked = createTrackedJob(job, clock.now(), onDecision);
     jobs.set(job.id, tracked);
+    sizeShares.submitted(resolveSizedRequest(job), clock.now() + job.timeLeftMs, clock.now());
     if (job.isRead) placeForDecode(tracked);
     else route(tracked);
   }
@@ -176,6 +181,8 @@
       spareCapacity: spare,
     };
     const admission = resolveAdmission(prefillOptions, terms);
+    if (admission.kind !== 'punctual' && reserve(tracked, terms, admission.option?.prefillMs ?? 0))
+      return;
     if (admission.kind === 'declined') {
       const { retryAfterMs, backlogMs, option } = admission;
       decline(
@@ -188,6 +195,7 @@
       return;
     }
     const { option } = admission;
+    recordAdmission(tracked);
     tracked.expectedFirstTokenAt = clock.now() + resolveFirstTokenMs(option);
     if (admission.kind === 'late') {
       markLate(tracked);
@@ -202,6 +210,48 @@
     else enqueue(tracked, option.engine);
   }
 
+  /**
+   * Queues a request that cannot meet its objective for a later one if its size is behind. Until then
+   * it has its turn like others at their objectives; no later request takes it.
+   */
+  function reserve(tracked: TrackedJob, terms: AdmissionTerms, prefillMs: number): boolean {
+    if (!mechanisms.sizeShares || !terms.mayBeLate) return false;
+    const { job } = tracked;
+    const now = clock.now();
+    sizeShares.estimated(resolveSizedRequest(job), prefillMs, now);
+    if (!sizeShares.isBehind(resolveSizedRequest(job), prefillMs, now)) return false;
+    const objectiveLeftMs = RESERVED_OBJECTIVE_SHARE * terms.timeLeftMs;
+    const decodeCandidates = candidates.list(job, 'decode');
+    const handoffMs = options.estimateHandoffMs(job, decodeCandidates);
+    const dueAt = now + objectiveLeftMs - handoffMs - marginMs(job);
+    const later = options.list({ ...tracked, dueAt }, decodeCandidates, handoffMs);
+    const option = resolveReservation(
+      later.filter(({ isLocal }) => !isLocal),
+      { ...terms, objectiveLeftMs },
+    );
+    if (option === undefined) return false;
+    tracked.dueAt = dueAt;
+    tracked.objectiveMs = now + objectiveLeftMs - tracked.submittedAt;
+    tracked.isReserved = true;
+    recordAdmission(tracked);
+    tracked.expectedFirstTokenAt = now + resolveFirstTokenMs(option);
+    enqueue(tracked, option.engine);
+    return true;
+  }
+
+  function recordAdmission(tracked: TrackedJob): void {
+    if (tracked.isAdmitted) return;
+    tracked.isAdmitted = true;
+    sizeShares.admitted(resolveSizedRequest(tracked.job), clock.now());
+  }
+
+  /** Takes the admission of a request back that ended without a first token. */
+  function withdrawAdmission(tracked: TrackedJob): void {
+    if (!tracked.isAdmitted || tracked.stage === 'generating') return;
+    tracked.isAdmitted = false;
+    sizeShares.withdrawn(resolveSizedRequest(tracked.job), clock.now());
+  }
+
   function markLate(tracked: TrackedJob): void {
     tracked.isLate = true;
     tracked.dueAt = tracked.submittedAt + tracked.job.timeLeftMs;
@@ -265,6 +315,7 @@
   ): void {
     tracked.expiryTimer?.cancel();
     jobs.delete(tracked.job.id);
+    withdrawAdmission(tracked);
     log.write('requestDeclined', {
       ...describeJob(tracked.job),
       ...estimate,
@@ -319,7 +370,7 @@
 
   function isTooLate(tracked: TrackedJob): boolean {
     if (tracked.isLate) return msUntilLatestStart(tracked) < 0;
-    return clock.now() + tracked.prefillMs() > tracked.submittedAt + tracked.job.aimLeftMs;
+    return clock.now() + tracked.prefillMs() > tracked.submittedAt + tracked.objectiveMs;
   }
 
   /** Queues a request that misses its objective as late, and declines one that misses its deadline. */
@@ -379,6 +430,7 @@
     const { job } = tracked;
     const decodeEngine = chooseDecodeEngine(tracked, job.zone);
     if (decodeEngine === undefined) return;
+    recordAdmission(tracked);
     startTransfer(tracked, decodeEngine.id, false);
     place(tracked, { generator: decodeEngine.id });
   }
@@ -410,6 +462,7 @@
       ...placement,
       outputTokens: job.prompt.maxOutputTokens,
       isLate: tracked.isLate,
+      isReserved: tracked.isReserved,
       marginMs: Math.round(marginMs(job)),
       predictedMs: Math.round(tracked.expectedFirstTokenAt - tracked.submittedAt),
       waitedMs: Math.round(clock.now() - tracked.submittedAt),
@@ -478,7 +531,9 @@
       monitor.firstTokenReceived(id);
       const tracked = jobs.get(id);
       if (tracked === undefined || tracked.stage === 'generating') return;
-      if (!tracked.isLate) margin.observe(clock.now() - tracked.expectedFirstTokenAt);
+      // a reservation uses the time that others leave until its objective
+      if (!tracked.isLate && !tracked.isReserved)
+        margin.observe(clock.now() - tracked.expectedFirstTokenAt);
       leaveEngine(tracked, true);
       tracked.stage = 'generating';
     },
@@ -487,6 +542,7 @@
       if (tracked === undefined) return;
       jobs.delete(id);
       tracked.expiryTimer?.cancel();
+      withdrawAdmission(tracked);
       monitor.requestEnded(id);
       if (outcome !== undefined) recordOutcome(tracked, outcome);
       leaveEngine(tracked, false);
@@ -505,6 +561,11 @@
   };
 }
 
+/** A request as it is counted by size; the last part of a prompt is the request's own. */
+function resolveSizedRequest({ id, rank, prompt }: Job): SizedRequest {
+  return { key: prompt.parts.at(-1)?.id ?? id, rank, tokens: prompt.tokens };
+}
+
 /** What log lines say of a request. */
 function describeJob(job: Job): EventFields {
   const { requestId, rank, prompt, isReturn } = job;
--- a/src/scheduling/tracked-job.ts
+++ b/src/scheduling/tracked-job.ts
@@ -13,6 +13,13 @@
 export interface TrackedJob extends WaitingPrompt {
   job: Job;
   submittedAt: number;
+  /** Time from the submission until the first event is due, in ms: the request's latency objective, or
+   * the later one of a reservation. */
+  objectiveMs: number;
+  /** A long prompt that is queued for a later objective, since its size is behind. */
+  isReserved: boolean;
+  /** Counted as admitted. */
+  isAdmitted: boolean;
   /** Estimated at admission. */
   expectedFirstTokenAt: number;
   onDecision: (decision: Decision) => void;
@@ -45,6 +52,9 @@
   const tracked: TrackedJob = {
     job,
     submittedAt: now,
+    objectiveMs: job.aimLeftMs,
+    isReserved: false,
+    isAdmitted: false,
     expectedFirstTokenAt: now,
     onDecision,
     stage: 'waiting',
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -318,6 +318,34 @@
     });
   });
 
+  it('keeps the turn of a long prompt whose size is behind while short ones keep coming', async () => {
+    const { submit, scheduler, advance, decisions } = setUp(ONE_PREFILL_ENGINE, NO_LOCAL_PREFILL);
+    /** Keeps the engine busy with prompts of 3,000 to 5,000 tokens for a time, in ms. */
+    async function keepBusy(ms: number) {
+      for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 15) {
+        const short = job({}, `short-${counter}`, 3_000 + 100 * (counter % 21));
+        submit(short);
+        await advance(15);
+        for (const [id, { kind }] of decisions) {
+          if (kind === 'placed') scheduler.prefillCompleted(id);
+        }
+        scheduler.firstTokenReceived(short.id);
+        scheduler.finished(short.id, 'good');
+      }
+    }
+    const long = { aimLeftMs: 200, timeLeftMs: 4_000 };
+    const outcomes: (string | undefined)[] = [];
+    await keepBusy(1_500);
+    for (let index = 0; index < 10; index += 1) {
+      const longJob = job(long, `long-${index}`, 60_000);
+      submit(longJob);
+      await keepBusy(3_000);
+      outcomes.push(decisions.get(longJob.id)?.kind);
+      scheduler.finished(longJob.id);
+    }
+    expect(outcomes.filter((kind) => kind === 'placed').length).to.be.at.least(5);
+  });
+
   it('admits requests again after a period of many late ones', async () => {
     const { submit, scheduler, advance } = setUp(ONE_PREFILL_ENGINE, ON_TIME_ONLY);
     for (let index = 0; index < 80; index += 1) {
--- a/tools/replay/replay.ts
+++ b/tools/replay/replay.ts
@@ -46,6 +46,7 @@
   tokens: number;
   /** Answered in whole before its deadline, on time or late. */
   isServed: boolean;
+  isOnTime: boolean;
 }
 
 /** What a play gave. */
@@ -204,7 +205,7 @@
         const isOnTime = firstAt - atMs <= kind.aimMs && longestPauseMs <= kind.pauseMs;
         const asked = askedById.get(id);
         const isServed = time.now() - atMs <= kind.deadlineMs;
-        if (asked !== undefined) asked.isServed = isServed;
+        if (asked !== undefined) Object.assign(asked, { isServed, isOnTime: isServed && isOnTime });
         if (!isServed) tally.failed += 1;
         else if (isOnTime) tally.onTime += 1;
         else tally.late += 1;
@@ -253,7 +254,12 @@
     time.after(arrival.atMs, () => {
       const { id, kind, prompt } = arrival;
       tallyOf(kind.name).asked += 1;
-      askedById.set(id, { kind: kind.name, tokens: prompt.tokens, isServed: false });
+      askedById.set(id, {
+        kind: kind.name,
+        tokens: prompt.tokens,
+        isServed: false,
+        isOnTime: false,
+      });
       ask(arrival, 0);
     });
   }
