--- a/tools/replay/main.ts
+++ b/tools/replay/main.ts
@@ -1,13 +1,14 @@
 /**
  * `npm run replay -- [--pattern FILE] [--seeds N] [--without NAMES]`: plays patterns of load against the
- * scheduler in virtual time and prints what became of the requests of each kind, over all seeds.
+ * scheduler in virtual time and prints what became of the requests of each kind, over all seeds, and
+ * what share of its largest prompts was served.
  */
 import { readdirSync } from 'node:fs';
 import { join } from 'node:path';
 import { defineCommand, runMain } from 'citty';
 import { parseDisabledMechanisms, type SchedulingMechanisms } from '../../src/scheduling/index.js';
 import { readPattern, type Pattern } from './pattern.js';
-import { play, type Tally } from './replay.js';
+import { play, resolveServedShare, type Outcome, type Tally } from './replay.js';
 
 const PATTERN_FOLDER = 'replay';
 const WRONG_INPUT_EXIT = 2;
@@ -27,10 +28,17 @@
   pattern: Pattern,
   seeds: number,
   mechanisms: SchedulingMechanisms,
-): Promise<Map<string, Tally>> {
-  const totals = new Map<string, Tally>();
+): Promise<Outcome[]> {
+  const outcomes: Outcome[] = [];
   for (let seed = 1; seed <= seeds; seed += 1) {
-    const { byKind } = await play(pattern, { seed, mechanisms });
+    outcomes.push(await play(pattern, { seed, mechanisms }));
+  }
+  return outcomes;
+}
+
+function sumByKind(outcomes: readonly Outcome[]): Map<string, Tally> {
+  const totals = new Map<string, Tally>();
+  for (const { byKind } of outcomes) {
     for (const [kind, tally] of byKind) {
       totals.set(kind, add(totals.get(kind), tally));
     }
@@ -49,10 +57,12 @@
   };
 }
 
-function print(pattern: Pattern, totals: ReadonlyMap<string, Tally>): void {
+function print(pattern: Pattern, outcomes: readonly Outcome[]): void {
   process.stdout.write(`${pattern.name}\n`);
-  process.stdout.write('  kind               asked  on time   late  refused  failed\n');
-  for (const [kind, { asked, onTime, late, refused, failed }] of totals) {
+  process.stdout.write(
+    '  kind               asked  on time   late  refused  failed  largest tenth  fifth below\n',
+  );
+  for (const [kind, { asked, onTime, late, refused, failed }] of sumByKind(outcomes)) {
     const cells = [
       kind.padEnd(17),
       String(asked).padStart(7),
@@ -60,6 +70,8 @@
       (late / asked).toFixed(3).padStart(6),
       (refused / asked).toFixed(3).padStart(8),
       (failed / asked).toFixed(3).padStart(7),
+      resolveServedShare(outcomes, kind, 0.9, 1).toFixed(3).padStart(14),
+      resolveServedShare(outcomes, kind, 0.7, 0.9).toFixed(3).padStart(12),
     ];
     process.stdout.write(`  ${cells.join(' ')}\n`);
   }
