--- a/src/scheduling/size-shares.ts
+++ b/src/scheduling/size-shares.ts
@@ -10,7 +10,7 @@
 /** Time constant of the counts, in ms; long enough for some requests of a class at a small service. */
 const AVERAGING_MS = 20_000;
 /** Where the classes of size begin, as shares of recent requests in order of their size. */
-const CLASS_STARTS = [0, 0.7, 0.9] as const;
+const CLASS_STARTS = [0, 0.5, 0.7, 0.8, 0.9, 0.95] as const;
 /** Recent sizes of a rank from which the classes are told apart. */
 const MAX_RECENT_SIZES = 200;
 /** Requests after which the classes are told apart anew. */
