fix(scheduling): callers' patience is observed, and what comes after it is not prefilled

What callers saw: nothing for 2.4 s, after which they left; their prompts, mostly long ones, were prefilled all the same or waited until then.

Cause: a late request counted on its deadline, however long its callers wait.

Change: the scheduler sees waits end without a first event. If several ended after about the longest wait, that is the callers' patience, and takes the place of a longer deadline until a caller is seen to wait longer.

--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -77,6 +77,7 @@
           prompt,
           rank: context.rank,
           pauseMs: context.maxEventGapMs,
+          elapsedMs: context.elapsedMs(),
           aimLeftMs: context.aimLeftMs(),
           timeLeftMs: context.timeLeftMs(),
           isReturn: context.isCallerRetry,
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -49,6 +49,8 @@
   /** Whether the caller is retrying after a refusal. */
   isCallerRetry: boolean;
   signal: AbortSignal;
+  /** Time since the request arrived, in milliseconds. */
+  elapsedMs(): number;
   /** Time left until the first event is due, in milliseconds. */
   aimLeftMs(): number;
   /** Time left until the request's time limit, in milliseconds. */
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -184,6 +184,7 @@
     maxEventGapMs: route.maxEventGapMs,
     isCallerRetry: parts.callerRetries.isRetry(route.name, head.waitMs),
     signal: abortController.signal,
+    elapsedMs: () => clock.now() - arrivedAt,
     aimLeftMs: () => route.latencyObjectiveMs - (clock.now() - arrivedAt),
     timeLeftMs: () => endAt - clock.now(),
     find: (id) => parts.fleet.find(id),
--- a/src/scheduling/job-submitter.ts
+++ b/src/scheduling/job-submitter.ts
@@ -141,6 +141,7 @@
     return {
       ...job,
       aimLeftMs: job.aimLeftMs - elapsedMs,
+      elapsedMs: job.elapsedMs + elapsedMs,
       timeLeftMs: job.timeLeftMs - elapsedMs,
     };
   }
--- a/src/scheduling/job.ts
+++ b/src/scheduling/job.ts
@@ -23,6 +23,8 @@
   aimLeftMs: z.number(),
   /** Time left until the deadline when this was sent, in milliseconds. */
   timeLeftMs: z.number(),
+  /** Time since the request arrived when this was sent, in milliseconds. */
+  elapsedMs: z.number().default(0),
   /** The caller retries after it was refused. */
   isReturn: z.boolean(),
   /** The prefill is complete; only a decode engine is needed. */
--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -85,4 +85,4 @@
 export const MAX_MARGIN_SHARE = 0.25;
 /** Share of the time until its deadline within which a request with a reservation gets its first event;
  * the rest is for decoding. */
-export const RESERVED_OBJECTIVE_SHARE = 0.6;
+export const RESERVED_OBJECTIVE_SHARE = 0.75;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -20,6 +20,7 @@
   type AdmissionTerms,
 } from './admission.js';
 import type { CacheInventory } from './cached-parts.js';
+import { createCallerPatience } from './caller-patience.js';
 import { createCandidates } from './candidates.js';
 import type { EngineModel } from './engine-model.js';
 import { createEngineMonitor } from './engine-monitor.js';
@@ -107,6 +108,7 @@
   const punctualLoad = createRecentLoad();
   const decodeLoad = createDecodeLoad();
   const sizeShares = createSizeShares();
+  const patience = createCallerPatience();
   const candidates = createCandidates({
     engines: () => parts.engines(),
     monitor,
@@ -135,7 +137,8 @@
     return decodeEngines.running(id) + engineStates.requestCount(id);
   }
 
-  function submit(job: Job, onDecision: (decision: Decision) => void): void {
+  function submit(submitted: Job, onDecision: (decision: Decision) => void): void {
+    const job = { ...submitted, timeLeftMs: resolveTimeLeftMs(submitted) };
     const tracked = createTrackedJob(job, clock.now(), onDecision);
     jobs.set(job.id, tracked);
     sizeShares.submitted(resolveSizedRequest(job), clock.now() + job.timeLeftMs, clock.now());
@@ -143,6 +146,16 @@
     else route(tracked);
   }
 
+  /** Time until a request's deadline, or until its caller is likely to leave without a first event. */
+  function resolveTimeLeftMs({ rank, timeLeftMs, elapsedMs }: Job): number {
+    return Math.min(timeLeftMs, patience.limitMs(rank) - elapsedMs);
+  }
+
+  /** Time since a request arrived at its gateway, in milliseconds. */
+  function waitedMs({ job, submittedAt }: TrackedJob): number {
+    return job.elapsedMs + clock.now() - submittedAt;
+  }
+
   /** Share of the prefill engines' time that requests within their objective leave. */
   function spareCapacity(): number {
     if (!mechanisms.spareTime) return 1;
@@ -534,6 +547,7 @@
       // a reservation uses the time that others leave until its objective
       if (!tracked.isLate && !tracked.isReserved)
         margin.observe(clock.now() - tracked.expectedFirstTokenAt);
+      patience.stayed(tracked.job.rank, waitedMs(tracked));
       leaveEngine(tracked, true);
       tracked.stage = 'generating';
     },
@@ -543,6 +557,8 @@
       jobs.delete(id);
       tracked.expiryTimer?.cancel();
       withdrawAdmission(tracked);
+      if (outcome === undefined && tracked.stage !== 'generating')
+        patience.left(tracked.job.rank, waitedMs(tracked));
       monitor.requestEnded(id);
       if (outcome !== undefined) recordOutcome(tracked, outcome);
       leaveEngine(tracked, false);
--- a/test/gateway/guards.test.ts
+++ b/test/gateway/guards.test.ts
@@ -30,6 +30,7 @@
       prompt: { model: 'm', parts: [], tokens: 10, maxOutputTokens: 1 },
       rank: 0,
       pauseMs: 100,
+      elapsedMs: 0,
       aimLeftMs: 100,
       timeLeftMs: 1_000,
       isReturn: false,
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -48,6 +48,7 @@
     requestId: id,
     prompt: { model: 'm', parts, tokens, maxOutputTokens: 50 },
     rank: 0,
+    elapsedMs: 0,
     aimLeftMs: 200,
     timeLeftMs: 2_000,
     isReturn: false,
@@ -346,6 +347,24 @@
     expect(outcomes.filter((kind) => kind === 'placed').length).to.be.at.least(5);
   });
 
+  it('declines at once what would get its first event after callers have left', () => {
+    const { submit, scheduler } = setUp(ONE_PREFILL_ENGINE, NO_LOCAL_PREFILL);
+    /** A request that waits behind another one, and whose deadline would allow it. */
+    function submitLate(): [Job, Decision | undefined] {
+      const late = job({ aimLeftMs: 20, timeLeftMs: 10_000, elapsedMs: 400 }, `late-${counter}`);
+      return [late, submit(late)];
+    }
+    submit(job({}, 'running', 60_000));
+    submit(job({}, 'waiting', 6_000));
+    for (let index = 0; index < 4; index += 1) {
+      const [late, decision] = submitLate();
+      expect(decision).to.equal(undefined);
+      scheduler.finished(late.id);
+    }
+    const [, decision] = submitLate();
+    expect(decision).to.include({ kind: 'declined', reason: 'cannot-be-on-time' });
+  });
+
   it('admits requests again after a period of many late ones', async () => {
     const { submit, scheduler, advance } = setUp(ONE_PREFILL_ENGINE, ON_TIME_ONLY);
     for (let index = 0; index < 80; index += 1) {
--- a/tools/replay/replay.ts
+++ b/tools/replay/replay.ts
@@ -141,6 +141,7 @@
       prompt: arrival.prompt,
       rank: kind.rank,
       pauseMs: kind.pauseMs,
+      elapsedMs: 0,
       aimLeftMs: kind.aimMs,
       timeLeftMs: kind.deadlineMs - spentMs,
       isReturn: attempt > 0,
