--- a/src/backpressure/allowances.ts
+++ b/src/backpressure/allowances.ts
@@ -8,9 +8,10 @@
 import { noticeRowSchema, type NoticeRow } from './notices.js';
 import type { SendLimits } from './send-limits.js';
 
-/** Timeout for an answer of the allocating gateway, in ms. */
+/** Timeout for an answer of the allocating gateway, in ms: some round trips and its processor's turn. */
 const ANSWER_TIMEOUT_MS = 40;
-/** Maximum time for which a server is closed after a timeout, in ms. */
+/** Maximum time for which a server is closed after a timeout, in ms; the allocating gateway may be back
+ * by then. */
 const MAX_WAIT_AFTER_TIMEOUT_MS = 500;
 /** Minimum time for which a server is closed after a refusal, in ms. */
 const MIN_WAIT_MS = 5;
--- a/src/backpressure/pauses.ts
+++ b/src/backpressure/pauses.ts
@@ -4,7 +4,8 @@
  */
 import type { Clock, RandomSource } from '../task/index.js';
 
-/** Maximum pause, in ms, so that a malformed answer can't take a server out of use for long. */
+/** Maximum pause, in ms, so that a malformed answer can't take a server out of use for long: one
+ * request then asks whether the pause still holds. */
 const MAX_PAUSE_MS = 60_000;
 /** Random share added to a pause, so that gateways don't all resume at once. */
 const JITTER_SHARE = 0.1;
--- a/src/backpressure/send-limits.ts
+++ b/src/backpressure/send-limits.ts
@@ -14,7 +14,7 @@
 const MIN_BURST = 2;
 /** Share of a limit for all gateways that don't allocate it, together. */
 const FALLBACK_SHARE = 0.25;
-/** Maximum Retry-After, in ms. */
+/** Maximum Retry-After, in ms, over which callers are spread; beyond it the load is another one. */
 const MAX_RETRY_AFTER_MS = 2_000;
 const MS_PER_SECOND = 1_000;
 
--- a/src/permits/fair-share.ts
+++ b/src/permits/fair-share.ts
@@ -29,7 +29,8 @@
   lead(team: string): number;
 }
 
-/** Width of a band, in prefill tokens divided by weight. */
+/** Width of a band, in prefill tokens divided by weight: by how much teams may differ before priority no
+ * longer counts. */
 export const FAIR_BAND_TOKENS = 8_192;
 /** Credit of an idle team below the floor, in prefill tokens divided by weight. */
 export const IDLE_CREDIT_TOKENS = 8_192;
--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -20,7 +20,8 @@
 
 /** Timeout of a prefill, as a multiple of its expected duration. */
 const PREFILL_TIMEOUT_FACTOR = 2;
-/** Added to the timeout of a prefill, in ms, for queueing at the engine and delays on the way. */
+/** Added to the timeout of a prefill, in ms, for queueing at the engine and delays on the way: a prefill
+ * may have moved up behind others, and processors may be busy for several turns. */
 const PREFILL_TIMEOUT_BASE_MS = 250;
 
 /** Timeout of a prefill of unknown duration, as a share of the time left; the rest is for another
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -35,7 +35,8 @@
 /** Retry-After while there is no configuration yet, in ms. */
 const NOT_READY_RETRY_MS = 300;
 
-/** Answer timeout of a repeatable request, as a multiple of the route's latency objective. */
+/** Answer timeout of a repeatable request, as a multiple of the route's latency objective: by then it is
+ * late, and a server that works would have answered. */
 const ANSWER_TIMEOUT_FACTOR = 3;
 /** Lower bound of the answer timeout, in ms. */
 const MIN_ANSWER_TIMEOUT_MS = 400;
--- a/src/relay/service-placer.ts
+++ b/src/relay/service-placer.ts
@@ -8,7 +8,8 @@
 import type { Placer, PlacementResult } from './placer.js';
 import type { ServerLoad } from './protocol.js';
 
-/** Time over which the weight of a server's load report falls to 0, in ms. */
+/** Time over which the weight of a server's load report falls to 0, in ms: a few requests' worth of work,
+ * after which its queue is another one. */
 const LOAD_REPORT_TTL_MS = 300;
 /** How much higher the utilization of a server in this zone may be for it to be preferred. */
 const ZONE_PREFERENCE = 0.25;
--- a/src/roles/order-lease.ts
+++ b/src/roles/order-lease.ts
@@ -2,7 +2,8 @@
  * Lease on the right to send orders, held by one gateway at a time as a row in the store. A grant is
  * valid for a short window. Another gateway takes the lease only after that window plus the lease time,
  * so that orders of two gateways are never close together. The row records the store's steady clock at
- * the time it was taken, so that a gateway that has just started need not observe the row first. If the
+ * the time it was taken, so that a gateway that has just started need not observe the row first: where
+ * gateways end one after another, none would have observed it for long enough to order anything. If the
  * store has no clock, a gateway must observe the row unchanged for that time.
  *
  * A store that is restored from a backup may name an earlier holder, or none. So a grant ends with the
--- a/src/scheduling/admission.ts
+++ b/src/scheduling/admission.ts
@@ -43,7 +43,7 @@
   spareCapacity: number;
 }
 
-/** Minimum Retry-After, in ms. */
+/** Minimum Retry-After, in ms: some round trips, within which one prefill has ended. */
 const MIN_RETRY_AFTER_MS = 50;
 /** Maximum Retry-After, as a share of the time left until the deadline. */
 const MAX_RETRY_AFTER_SHARE = 1 / 3;
--- a/src/scheduling/decode-engines.ts
+++ b/src/scheduling/decode-engines.ts
@@ -14,7 +14,8 @@
 
 /** Penalty of an engine in another availability zone, in running requests. */
 const OTHER_ZONE_PENALTY = 2;
-/** Weight of a millisecond of pending prefills and transfers, in running requests. */
+/** Weight of a millisecond of pending prefills and transfers, in running requests: as the two weigh
+ * against another availability zone. */
 const BUSY_WEIGHT = OTHER_ZONE_PENALTY / OTHER_ZONE_PENALTY_MS;
 
 /** Requests on the decode engines. */
--- a/src/scheduling/decode-load.ts
+++ b/src/scheduling/decode-load.ts
@@ -6,11 +6,11 @@
 
 /** Time constant of the average over running requests, in ms. */
 const AVERAGING_MS = 1_000;
-/** Time constant of the peak's decay, in ms. */
+/** Time constant of the peak's decay, in ms; several swings of the mix of requests. */
 const PEAK_DECAY_MS = 30_000;
 /** Minimum number of observations before the load is reported. */
 const MIN_OBSERVATIONS = 200;
-/** Minimum time since the first observation before the load is reported, in ms. */
+/** Minimum time since the first observation before the load is reported, in ms; two swings of the mix. */
 const MIN_OBSERVED_MS = 5_000;
 
 /** Decode load of a service. */
--- a/src/scheduling/engine-model.ts
+++ b/src/scheduling/engine-model.ts
@@ -10,7 +10,8 @@
 import type { Prompt } from './prompt.js';
 import { createSerialWork, type SerialWork } from './serial-work.js';
 
-/** Weight of the latest prefill in the moving average of an engine's slowdown. */
+/** Weight of the latest prefill in the moving average of an engine's slowdown; a slow engine is known
+ * after about four prefills. */
 const SLOWDOWN_WEIGHT = 0.3;
 /** Bound on the slowdown of a single prefill, and its inverse. */
 const MAX_SLOWDOWN = 8;
--- a/src/scheduling/engine-monitor.ts
+++ b/src/scheduling/engine-monitor.ts
@@ -7,7 +7,7 @@
 import type { Log } from '../events/index.js';
 import { setPeerTimeout, type Clock, type Timer } from '../task/index.js';
 
-/** Minimum timeout for the first event, in ms. */
+/** Minimum timeout for the first event, in ms: several times what it takes on a busy engine. */
 const MIN_FIRST_TOKEN_TIMEOUT_MS = 400;
 /** The timeout as a multiple of the average or estimated time to the first event, whichever is longer,
  * so that slow engines do not count as unresponsive. */
--- a/src/scheduling/latency-margin.ts
+++ b/src/scheduling/latency-margin.ts
@@ -4,7 +4,7 @@
  * objective.
  */
 
-/** Weight of the latest error. */
+/** Weight of the latest error; about the latest twenty decide. */
 const WEIGHT = 0.05;
 /** Bound on a single error, in ms, so that the loss of an engine does not dominate the margin. */
 const MAX_ERROR_MS = 250;
--- a/src/scheduling/latency-model.ts
+++ b/src/scheduling/latency-model.ts
@@ -1,6 +1,7 @@
 /**
  * Estimates how long one kind of work takes on a service's engines, from completed work. There are no
- * assumptions about the engines: without samples the estimate is 0, and callers must probe. All
+ * assumptions about the engines: without samples the estimate is 0, and callers must probe: with the pace of other engines, prefills
+ * would be queued and cut off by wrong times. All
  * engines share one model; `engine-model.ts` corrects it for engines that deviate.
  */
 import { createLinearModel } from './least-squares.js';
--- a/src/scheduling/policy.ts
+++ b/src/scheduling/policy.ts
@@ -65,7 +65,8 @@
 /** An engine gets the next prefill once its assigned ones take less than this, in ms: enough that it
  * never idles while prompts wait, and short since assigned prefills can't be reordered. */
 export const COMMITTED_MS = 25;
-/** Weight of engine time relative to time to the first token in an engine's cost. */
+/** Weight of engine time relative to time to the first token in an engine's cost: time that one request
+ * wastes is missing for the next. */
 export const ENGINE_TIME_WEIGHT = 1;
 /** Upper bound of the weight as spare capacity decreases, so that prompts still move away from an
  * engine whose queue is several prefills longer. */
