fix(scheduling): an observed patience is forgotten after a time, and never below the objective

Waits that end together by chance, as when a peer is lost, could be taken for callers' patience; below the time that first events take, nothing would be admitted and nothing could correct it.

--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -147,8 +147,10 @@
   }
 
   /** Time until a request's deadline, or until its caller is likely to leave without a first event. */
-  function resolveTimeLeftMs({ rank, timeLeftMs, elapsedMs }: Job): number {
-    return Math.min(timeLeftMs, patience.limitMs(rank) - elapsedMs);
+  function resolveTimeLeftMs({ rank, timeLeftMs, elapsedMs, aimLeftMs }: Job): number {
+    const patienceLeftMs = patience.limitMs(rank, clock.now()) - elapsedMs;
+    // callers that leave before the objective are no reason to refuse the others
+    return patienceLeftMs < aimLeftMs ? timeLeftMs : Math.min(timeLeftMs, patienceLeftMs);
   }
 
   /** Time since a request arrived at its gateway, in milliseconds. */
@@ -547,7 +549,7 @@
       // a reservation uses the time that others leave until its objective
       if (!tracked.isLate && !tracked.isReserved)
         margin.observe(clock.now() - tracked.expectedFirstTokenAt);
-      patience.stayed(tracked.job.rank, waitedMs(tracked));
+      patience.stayed(tracked.job.rank, waitedMs(tracked), clock.now());
       leaveEngine(tracked, true);
       tracked.stage = 'generating';
     },
@@ -558,7 +560,7 @@
       tracked.expiryTimer?.cancel();
       withdrawAdmission(tracked);
       if (outcome === undefined && tracked.stage !== 'generating')
-        patience.left(tracked.job.rank, waitedMs(tracked));
+        patience.left(tracked.job.rank, waitedMs(tracked), clock.now());
       monitor.requestEnded(id);
       if (outcome !== undefined) recordOutcome(tracked, outcome);
       leaveEngine(tracked, false);
