--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -372,7 +372,9 @@
       submit(left);
       scheduler.finished(left.id);
     }
-    expect(submit(job())?.kind).to.equal('placed');
+    submit(job({}, 'running', 60_000));
+    submit(job({}, 'waiting', 6_000));
+    expect(submit(job({ aimLeftMs: 150 }, 'late'))).to.equal(undefined);
   });
 
   it('admits requests again after a period of many late ones', async () => {
