--- a/test/replay/limited-engines.test.ts
+++ b/test/replay/limited-engines.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai';
 import { allMechanisms } from '../../src/scheduling/index.js';
 import { readPattern, type Pattern } from '../../tools/replay/pattern.js';
-import { play, resolveOnTimeShare, type Outcome } from '../../tools/replay/replay.js';
+import { playSeeds, resolveOnTimeShare, type Outcome } from '../../tools/replay/replay.js';
 
 const SEEDS = [1, 2, 3];
 const WINDOW_MS = 4_000;
@@ -16,12 +16,8 @@
   return readPattern(join('replay', `${name}.json`)).unwrap();
 }
 
-async function playAll(pattern: Pattern): Promise<Outcome[]> {
-  const outcomes: Outcome[] = [];
-  for (const seed of SEEDS) {
-    outcomes.push(await play(pattern, { seed, mechanisms: allMechanisms }));
-  }
-  return outcomes;
+function playAll(pattern: Pattern): Promise<Outcome[]> {
+  return playSeeds(pattern, SEEDS, allMechanisms);
 }
 
 /** Lists windows over an engine's limit, and engines that use less than half of it. */
--- a/test/replay/long-prompts.test.ts
+++ b/test/replay/long-prompts.test.ts
@@ -1,18 +1,11 @@
 import { join } from 'node:path';
 import { expect } from 'chai';
-import { allMechanisms, type SchedulingMechanisms } from '../../src/scheduling/index.js';
-import { readPattern, type Pattern } from '../../tools/replay/pattern.js';
-import { play, resolveServedShare, type Outcome } from '../../tools/replay/replay.js';
+import { allMechanisms } from '../../src/scheduling/index.js';
+import { readPattern } from '../../tools/replay/pattern.js';
+import { play, playSeeds, resolveServedShare } from '../../tools/replay/replay.js';
 
 const SEEDS = [1, 2, 3, 4, 5, 6];
-
-async function playAll(pattern: Pattern, mechanisms: SchedulingMechanisms): Promise<Outcome[]> {
-  const outcomes: Outcome[] = [];
-  for (const seed of SEEDS) {
-    outcomes.push(await play(pattern, { seed, mechanisms }));
-  }
-  return outcomes;
-}
+const withoutShares = { ...allMechanisms, sizeShares: false };
 
 /** Checks that the longest prompts of each kind are served at least half as often as the kind. */
 async function expectLongServed(name: string, seeds: readonly number[] = SEEDS): Promise<void> {
@@ -44,8 +37,8 @@
 
   it('are served without a loss to more urgent kinds', async () => {
     const pattern = readPattern(join('replay', 'long-prompts-overload.json')).unwrap();
-    const outcomes = await playAll(pattern, allMechanisms);
-    const without = await playAll(pattern, { ...allMechanisms, sizeShares: false });
+    const outcomes = await playSeeds(pattern, SEEDS, allMechanisms);
+    const without = await playSeeds(pattern, SEEDS, withoutShares);
     for (const { name: kind, rank } of pattern.kinds) {
       if (rank > 1) continue;
       const loss = resolveServedShare(without, kind) - resolveServedShare(outcomes, kind);
@@ -55,7 +48,7 @@
 
   it('are left unserved without shares for their size', async () => {
     const pattern = readPattern(join('replay', 'long-prompts-overload.json')).unwrap();
-    const without = await playAll(pattern, { ...allMechanisms, sizeShares: false });
+    const without = await playSeeds(pattern, SEEDS, withoutShares);
     const half = resolveServedShare(without, 'dossier') / 2;
     expect(resolveServedShare(without, 'dossier', 0.9, 1)).to.be.below(half);
   });
--- a/test/replay/replay.test.ts
+++ b/test/replay/replay.test.ts
@@ -4,7 +4,13 @@
 import { expect } from 'chai';
 import { allMechanisms, type SchedulingMechanisms } from '../../src/scheduling/index.js';
 import { readPattern, type Pattern } from '../../tools/replay/pattern.js';
-import { play, resolveOnTimeShare, type Outcome, type Tally } from '../../tools/replay/replay.js';
+import {
+  play,
+  playSeeds,
+  resolveOnTimeShare,
+  type Outcome,
+  type Tally,
+} from '../../tools/replay/replay.js';
 
 const SEEDS = [1, 2, 3, 4, 5, 6];
 const LARGE_LOAD_SEEDS = [1, 2];
@@ -13,16 +19,12 @@
   return readPattern(join('replay', `${name}.json`)).unwrap();
 }
 
-async function playAll(
+function playAll(
   pattern: Pattern,
   off: Partial<SchedulingMechanisms> = {},
   seeds: readonly number[] = SEEDS,
 ) {
-  const outcomes: Outcome[] = [];
-  for (const seed of seeds) {
-    outcomes.push(await play(pattern, { seed, mechanisms: { ...allMechanisms, ...off } }));
-  }
-  return outcomes;
+  return playSeeds(pattern, seeds, { ...allMechanisms, ...off });
 }
 
 function resolveMean(outcomes: readonly Outcome[], kind?: string): number {
--- a/tools/replay/main.ts
+++ b/tools/replay/main.ts
@@ -6,9 +6,9 @@
 import { readdirSync } from 'node:fs';
 import { join } from 'node:path';
 import { defineCommand, runMain } from 'citty';
-import { parseDisabledMechanisms, type SchedulingMechanisms } from '../../src/scheduling/index.js';
+import { parseDisabledMechanisms } from '../../src/scheduling/index.js';
 import { readPattern, type Pattern } from './pattern.js';
-import { play, resolveServedShare, type Outcome, type Tally } from './replay.js';
+import { playSeeds, resolveServedShare, type Outcome, type Tally } from './replay.js';
 
 const PATTERN_FOLDER = 'replay';
 const WRONG_INPUT_EXIT = 2;
@@ -24,18 +24,6 @@
   return files.sort().map((file) => join(PATTERN_FOLDER, file));
 }
 
-async function playSeeds(
-  pattern: Pattern,
-  seeds: number,
-  mechanisms: SchedulingMechanisms,
-): Promise<Outcome[]> {
-  const outcomes: Outcome[] = [];
-  for (let seed = 1; seed <= seeds; seed += 1) {
-    outcomes.push(await play(pattern, { seed, mechanisms }));
-  }
-  return outcomes;
-}
-
 function sumByKind(outcomes: readonly Outcome[]): Map<string, Tally> {
   const totals = new Map<string, Tally>();
   for (const { byKind } of outcomes) {
@@ -87,8 +75,9 @@
   async run({ args }) {
     const mechanisms = parseDisabledMechanisms(args.without);
     if (mechanisms.isErr()) fail(`--without: ${mechanisms.error}`);
-    const seeds = Number(args.seeds);
-    if (!Number.isInteger(seeds) || seeds < 1) fail('--seeds: a whole number from 1 on');
+    const count = Number(args.seeds);
+    if (!Number.isInteger(count) || count < 1) fail('--seeds: a whole number from 1 on');
+    const seeds = Array.from({ length: count }, (_, index) => index + 1);
     for (const path of listPatterns(args.pattern)) {
       const pattern = readPattern(path);
       if (pattern.isErr()) fail(pattern.error);
--- a/tools/replay/replay.ts
+++ b/tools/replay/replay.ts
@@ -46,7 +46,6 @@
   tokens: number;
   /** Answered in whole before its deadline, on time or late. */
   isServed: boolean;
-  isOnTime: boolean;
 }
 
 /** What a play gave. */
@@ -206,7 +205,7 @@
         const isOnTime = firstAt - atMs <= kind.aimMs && longestPauseMs <= kind.pauseMs;
         const asked = askedById.get(id);
         const isServed = time.now() - atMs <= kind.deadlineMs;
-        if (asked !== undefined) Object.assign(asked, { isServed, isOnTime: isServed && isOnTime });
+        if (asked !== undefined) asked.isServed = isServed;
         if (!isServed) tally.failed += 1;
         else if (isOnTime) tally.onTime += 1;
         else tally.late += 1;
@@ -255,12 +254,7 @@
     time.after(arrival.atMs, () => {
       const { id, kind, prompt } = arrival;
       tallyOf(kind.name).asked += 1;
-      askedById.set(id, {
-        kind: kind.name,
-        tokens: prompt.tokens,
-        isServed: false,
-        isOnTime: false,
-      });
+      askedById.set(id, { kind: kind.name, tokens: prompt.tokens, isServed: false });
       ask(arrival, 0);
     });
   }
@@ -268,6 +262,25 @@
   return { byKind, asked: [...askedById.values()], arrivals };
 }
 
+/**
+ * Plays a pattern once with each seed, one play after the other.
+ *
+ * @param pattern the load
+ * @param seeds the seeds
+ * @param mechanisms the mechanisms that are on
+ */
+export async function playSeeds(
+  pattern: Pattern,
+  seeds: readonly number[],
+  mechanisms: SchedulingMechanisms,
+): Promise<Outcome[]> {
+  const outcomes: Outcome[] = [];
+  for (const seed of seeds) {
+    outcomes.push(await play(pattern, { seed, mechanisms }));
+  }
+  return outcomes;
+}
+
 /**
  * Share of the requests that were on time, of one kind or of all.
  *
