refactor(scheduling): each size class keeps only what it uses; the handoff is estimated once

Read anew as a newcomer would: the sums of a class and of a rank shared one type of which each left half unused, and the lower bounds of the classes stood in an array beside them. reserve() worked out the decode engines and the handoff that route() had just worked out, and recorded an estimate inside a question. What log lines say of a request has a module of its own. The heads of the scheduler and of admission name reservations.

--- a/src/relay/responder.ts
+++ b/src/relay/responder.ts
@@ -19,6 +19,9 @@
   gatewayTimeout: 504,
 } as const;
 
+/** Smallest and largest power of 4 that a prompt's size is told in; larger prompts count as the last. */
+const SIZE_EXPONENTS = { least: 4, most: 10 } as const;
+
 /** What a responder needs. */
 export interface ResponderParts {
   parts: Pick<RelayParts, 'clock' | 'log' | 'metrics'>;
@@ -108,9 +111,6 @@
   return { forwardFailure, refuse, fail, recordOutcome };
 }
 
-/** Smallest and largest power of 4 that a prompt's size is told in; larger prompts count as the last. */
-const SIZE_EXPONENTS = { least: 4, most: 10 } as const;
-
 /** The least power of 4 that is not below a number of tokens, within bounds. */
 function resolveSize(tokens: number): number {
   const exponent = Math.ceil(Math.log2(Math.max(1, tokens)) / 2);
--- a/src/scheduling/admission.ts
+++ b/src/scheduling/admission.ts
@@ -1,8 +1,8 @@
 /**
  * Admission control: decides whether a request is admitted and which engine prefills its prompt.
  * A request that can meet its latency objective goes to the cheapest engine. One that cannot is
- * queued for spare capacity if that is likely to become available before its deadline, and is
- * otherwise shed at once with a Retry-After.
+ * queued for a later objective if a turn is reserved for it, for spare capacity if that is likely to
+ * become available before its deadline, and is otherwise shed at once with a Retry-After.
  */
 import { ENGINE_TIME_WEIGHT, LATE_SAFETY_FACTOR, MAX_ENGINE_TIME_WEIGHT } from './policy.js';
 
--- a/src/scheduling/prefill-options.ts
+++ b/src/scheduling/prefill-options.ts
@@ -41,25 +41,27 @@
   limits: SendLimits;
 }
 
+/** What follows a request's prefill. */
+export interface Handoff {
+  /** Decode engines that the request may use. */
+  engines: readonly RegisteredServer[];
+  /** From the end of the prefill to the first event at the least busy of them, in milliseconds. */
+  delayMs: number;
+}
+
 /** Options for prefills. */
 export interface PrefillOptions {
   /**
    * Lists the engines that could prefill a request's prompt.
    *
    * @param tracked the request
-   * @param decodeCandidates decode engines that the request may use
-   * @param handoffMs time from the end of the prefill to the first event, in milliseconds
+   * @param handoff what follows its prefill
    */
-  list(
-    tracked: TrackedJob,
-    decodeCandidates: readonly RegisteredServer[],
-    handoffMs: number,
-  ): PrefillOption[];
+  list(tracked: TrackedJob, handoff: Handoff): PrefillOption[];
   /** Time until an engine has finished its prefills and transfers, in milliseconds. */
   busyMs: (id: string) => number;
-  /** Time from the end of the prefill to the first event at the least busy decode engine, in
-   * milliseconds. */
-  estimateHandoffMs: (job: Job, decodeCandidates: readonly RegisteredServer[]) => number;
+  /** Estimates what follows a request's prefill. */
+  estimateHandoff: (job: Job) => Handoff;
 }
 
 /**
@@ -71,19 +73,15 @@
   const { clock, latencyModels, mechanisms, candidates, engineStates, decodeEngines, limits } =
     parts;
 
-  function list(
-    tracked: TrackedJob,
-    decodeCandidates: readonly RegisteredServer[],
-    handoffMs: number,
-  ): PrefillOption[] {
+  function list(tracked: TrackedJob, { engines, delayMs }: Handoff): PrefillOption[] {
     const { job } = tracked;
     const options: PrefillOption[] = [];
     for (const server of candidates.list(job, 'prefill')) {
-      if (decodeCandidates.length > 0) options.push(estimateRemote(tracked, server, handoffMs));
+      if (engines.length > 0) options.push(estimateRemote(tracked, server, delayMs));
     }
     const mayPrefillLocally = mechanisms.directReads && latencyModels.hasSamples();
     if (!mayPrefillLocally && options.length > 0) return options;
-    for (const server of decodeCandidates) {
+    for (const server of engines) {
       if (decodeEngines.isFull(server, job.rank)) continue;
       const option = estimateLocal(tracked, server);
       if (!wouldStallStreams(option, job)) options.push(option);
@@ -157,16 +155,17 @@
     return engine.prefills.remainingMs(now) + engine.transfers.remainingMs(now);
   }
 
-  function estimateHandoffMs(job: Job, decodeCandidates: readonly RegisteredServer[]): number {
+  function estimateHandoff(job: Job): Handoff {
+    const engines = candidates.list(job, 'decode');
     const transferMs = latencyModels.transfer.estimateMs(resolveTransferWork(job, false));
     let leastMs = Number.POSITIVE_INFINITY;
-    for (const { id } of decodeCandidates) {
+    for (const { id } of engines) {
       leastMs = Math.min(leastMs, busyMs(id));
     }
-    return Number.isFinite(leastMs) ? leastMs + transferMs : transferMs;
+    return { engines, delayMs: Number.isFinite(leastMs) ? leastMs + transferMs : transferMs };
   }
 
-  return { list, busyMs, estimateHandoffMs };
+  return { list, busyMs, estimateHandoff };
 }
 
 /** The work of transferring a prompt's KV cache to the decode engine. */
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -1,7 +1,8 @@
 /**
  * Places the requests of one service on its engines. One scheduler sees all requests of a service, so
  * it models the work of each engine, holds the queues, and sheds requests that cannot be served in
- * time.
+ * time. Long prompts whose size is served less often than others have a turn reserved
+ * (`size-shares.ts`).
  *
  * A prompt is prefilled by a prefill engine, or by the decode engine if that is better
  * (`admission.ts`). The decode engine is chosen when the prefill starts. All state is soft: a new
@@ -30,9 +31,11 @@
 import type { Decision, DeclineReason, EnginePlacement, Job } from './job.js';
 import { createEngineStates } from './engine-states.js';
 import { createLatencyMargin } from './latency-margin.js';
+import { describeEstimate, describeJob } from './log-fields.js';
 import {
   createPrefillOptions,
   resolveTransferWork,
+  type Handoff,
   type PrefillOption,
 } from './prefill-options.js';
 import type { LatencyModels } from './latency-models.js';
@@ -177,11 +180,12 @@
   /** Places or queues a request, or declines it. */
   function route(tracked: TrackedJob): void {
     const { job } = tracked;
-    const decodeCandidates = candidates.list(job, 'decode');
-    const handoffMs = options.estimateHandoffMs(job, decodeCandidates);
-    const prefillDueMs = mechanisms.deadlineOrder ? job.aimLeftMs - handoffMs - marginMs(job) : 0;
+    const handoff = options.estimateHandoff(job);
+    const prefillDueMs = mechanisms.deadlineOrder
+      ? job.aimLeftMs - handoff.delayMs - marginMs(job)
+      : 0;
     tracked.dueAt = tracked.submittedAt + prefillDueMs;
-    const prefillOptions = options.list(tracked, decodeCandidates, handoffMs);
+    const prefillOptions = options.list(tracked, handoff);
     if (prefillOptions.length === 0) {
       declineWithoutEngine(tracked);
       return;
@@ -196,8 +200,12 @@
       spareCapacity: spare,
     };
     const admission = resolveAdmission(prefillOptions, terms);
-    if (admission.kind !== 'punctual' && reserve(tracked, terms, admission.option?.prefillMs ?? 0))
-      return;
+    if (admission.kind !== 'punctual') {
+      const prefillMs = admission.option?.prefillMs ?? 0;
+      sizeShares.estimated(resolveSizedRequest(job), prefillMs, clock.now());
+      const isReservable = terms.mayBeLate && isSizeBehind(job, prefillMs);
+      if (isReservable && reserve(tracked, terms, handoff)) return;
+    }
     if (admission.kind === 'declined') {
       const { retryAfterMs, backlogMs, option } = admission;
       decline(
@@ -215,31 +223,27 @@
     if (admission.kind === 'late') {
       markLate(tracked);
       tracked.expectedFirstTokenAt = clock.now() + resolveLateFirstTokenMs(option, spare);
-      log.write('requestQueued', {
-        ...describeJob(job),
-        ...describeEstimate(option, terms),
-        predictedMs: Math.round(tracked.expectedFirstTokenAt - tracked.submittedAt),
-      });
+      logQueued(tracked, option, terms);
     }
     if (option.isLocal) placeLocally(tracked, option.server);
     else enqueue(tracked, option.engine);
   }
 
+  /** Whether a request that cannot meet its objective should have a turn reserved. */
+  function isSizeBehind(job: Job, prefillMs: number): boolean {
+    const now = clock.now();
+    return mechanisms.sizeShares && sizeShares.isBehind(resolveSizedRequest(job), prefillMs, now);
+  }
+
   /**
-   * Queues a request that cannot meet its objective for a later one if its size is behind. Until then
-   * it has its turn like others at their objectives; no later request takes it.
+   * Queues a request for a later objective, if an engine can meet that. Until then it has its turn like
+   * others at their objectives; no later request takes it.
    */
-  function reserve(tracked: TrackedJob, terms: AdmissionTerms, prefillMs: number): boolean {
-    if (!mechanisms.sizeShares || !terms.mayBeLate) return false;
-    const { job } = tracked;
+  function reserve(tracked: TrackedJob, terms: AdmissionTerms, handoff: Handoff): boolean {
     const now = clock.now();
-    sizeShares.estimated(resolveSizedRequest(job), prefillMs, now);
-    if (!sizeShares.isBehind(resolveSizedRequest(job), prefillMs, now)) return false;
     const objectiveLeftMs = RESERVED_OBJECTIVE_SHARE * terms.timeLeftMs;
-    const decodeCandidates = candidates.list(job, 'decode');
-    const handoffMs = options.estimateHandoffMs(job, decodeCandidates);
-    const dueAt = now + objectiveLeftMs - handoffMs - marginMs(job);
-    const later = options.list({ ...tracked, dueAt }, decodeCandidates, handoffMs);
+    const dueAt = now + objectiveLeftMs - handoff.delayMs - terms.marginMs;
+    const later = options.list({ ...tracked, dueAt }, handoff);
     const option = resolveReservation(
       later.filter(({ isLocal }) => !isLocal),
       { ...terms, objectiveLeftMs },
@@ -254,6 +258,15 @@
     return true;
   }
 
+  /** Logs that a request waits although it will miss its own objective. */
+  function logQueued(tracked: TrackedJob, option: PrefillOption, terms: AdmissionTerms): void {
+    log.write('requestQueued', {
+      ...describeJob(tracked.job),
+      ...describeEstimate(option, terms),
+      predictedMs: Math.round(tracked.expectedFirstTokenAt - tracked.submittedAt),
+    });
+  }
+
   function recordAdmission(tracked: TrackedJob): void {
     if (tracked.isAdmitted) return;
     tracked.isAdmitted = true;
@@ -584,29 +597,5 @@
   return { key: prompt.parts.at(-1)?.id ?? id, rank, tokens: prompt.tokens };
 }
 
-/** What log lines say of a request. */
-function describeJob(job: Job): EventFields {
-  const { requestId, rank, prompt, isReturn } = job;
-  return { request: requestId, rank, tokens: prompt.tokens, isReturn };
-}
-
-/** What log lines say of the estimate that decided on a request; times in milliseconds. */
-function describeEstimate(option: PrefillOption | undefined, terms: AdmissionTerms): EventFields {
-  if (option === undefined) return {};
-  return {
-    server: option.server.id,
-    isLocal: option.isLocal,
-    prefillMs: Math.round(option.prefillMs),
-    queueDelayMs: Math.round(option.queueDelayMs),
-    lateBacklogMs: Math.round(option.lateBacklogMs),
-    handoffMs: Math.round(option.handoffMs),
-    delaysOthers: option.delaysOthers,
-    marginMs: Math.round(terms.marginMs),
-    spareCapacity: Number(terms.spareCapacity.toFixed(3)),
-    objectiveLeftMs: Math.round(terms.objectiveLeftMs),
-    timeLeftMs: Math.round(terms.timeLeftMs),
-  };
-}
-
 /** A late request's deadline has to allow this multiple of the estimated prefill time. */
 const DEADLINE_PREFILL_FACTOR = 2;
--- a/src/scheduling/size-shares.ts
+++ b/src/scheduling/size-shares.ts
@@ -9,8 +9,9 @@
 
 /** Time constant of the counts, in ms; long enough for some requests of a class at a small service. */
 const AVERAGING_MS = 20_000;
-/** Where the classes of size begin, as shares of recent requests in order of their size. */
-const CLASS_STARTS = [0, 0.5, 0.7, 0.8, 0.9, 0.95] as const;
+/** Where the classes of size above the smallest begin, as shares of recent requests in order of their
+ * size. */
+const CLASS_STARTS = [0.5, 0.7, 0.8, 0.9, 0.95] as const;
 /** Recent sizes of a rank from which the classes are told apart. */
 const MAX_RECENT_SIZES = 200;
 /** Requests after which the classes are told apart anew. */
@@ -51,25 +52,34 @@
   isBehind(request: SizedRequest, prefillMs: number, now: number): boolean;
 }
 
-/** Decaying sums over the requests of a class. */
-interface Sums {
+/** A class of size, with decaying sums over its requests. */
+interface SizeClass {
+  /** Where it begins, as a share of recent requests in order of their size. */
+  startShare: number;
+  /** Its smallest size, in tokens. */
+  startTokens: number;
   submitted: number;
-  admitted: number;
   /** Admissions that the class is due, less those that it had; negative if it had more. */
   owed: number;
   estimates: number;
   prefillMs: number;
-  at: number;
+}
+
+/** Decaying sums over all requests of a rank. */
+interface RankSums {
+  submitted: number;
+  admitted: number;
 }
 
 /** What is known of the requests of a rank. */
 interface RankSizes {
   recentSizes: number[];
   submissions: number;
-  /** Smallest size of each class, in tokens. */
-  classStarts: readonly number[];
-  all: Sums;
-  classes: readonly Sums[];
+  /** The smallest sizes first. */
+  classes: readonly [SizeClass, ...SizeClass[]];
+  all: RankSums;
+  /** When the sums last decayed, in ms. */
+  decayedAt: number;
 }
 
 /** Creates a record without requests. */
@@ -84,9 +94,9 @@
     const created: RankSizes = {
       recentSizes: [],
       submissions: 0,
-      classStarts: CLASS_STARTS.map(() => 0),
-      all: createSums(),
-      classes: CLASS_STARTS.map(createSums),
+      classes: [createClass(0), ...CLASS_STARTS.map(createClass)],
+      all: { submitted: 0, admitted: 0 },
+      decayedAt: 0,
     };
     ranks.set(rank, created);
     return created;
@@ -101,16 +111,15 @@
     return (countedUntil.get(key) ?? now) > now;
   }
 
-  /** The sums of a request's class and of its rank. */
-  function listSums({ rank, tokens }: SizedRequest, now: number): [ofClass: Sums, ofAll: Sums] {
-    const { classStarts, classes, all } = sizesOf(rank);
-    let ofClass = all;
-    for (const [index, start] of classStarts.entries()) {
-      if (tokens >= start) ofClass = classes[index] ?? all;
+  /** The sums of a request's rank and of its class of size, as of now. */
+  function sumsOf({ rank, tokens }: SizedRequest, now: number) {
+    const sizes = sizesOf(rank);
+    decay(sizes, now);
+    let [ofClass] = sizes.classes;
+    for (const sizeClass of sizes.classes) {
+      if (tokens >= sizeClass.startTokens) ofClass = sizeClass;
     }
-    decay(ofClass, now);
-    decay(all, now);
-    return [ofClass, all];
+    return { all: sizes.all, ofClass };
   }
 
   return {
@@ -118,56 +127,60 @@
       if (isCounted(request.key, now)) return;
       countedUntil.set(request.key, deadlineAt);
       recordSize(sizesOf(request.rank), request.tokens);
-      const [ofClass, ofAll] = listSums(request, now);
+      const { all, ofClass } = sumsOf(request, now);
       ofClass.submitted += 1;
-      ofAll.submitted += 1;
+      all.submitted += 1;
       // the request itself counts as admitted, so that a record without admissions gives room
-      const share = Math.min(1, (ofAll.admitted + 1) / ofAll.submitted);
+      const share = Math.min(1, (all.admitted + 1) / all.submitted);
       ofClass.owed += MIN_RELATIVE_SHARE * share;
     },
     estimated(request, prefillMs, now) {
-      const [ofClass] = listSums(request, now);
+      const { ofClass } = sumsOf(request, now);
       ofClass.estimates += 1;
       ofClass.prefillMs += prefillMs;
     },
     admitted(request, now) {
-      const [ofClass, ofAll] = listSums(request, now);
-      ofAll.admitted += 1;
+      const { all, ofClass } = sumsOf(request, now);
+      all.admitted += 1;
       ofClass.owed = Math.max(-MAX_SURPLUS_SHARE * ofClass.submitted, ofClass.owed) - 1;
     },
     withdrawn(request, now) {
-      const [ofClass, ofAll] = listSums(request, now);
-      ofAll.admitted -= 1;
+      const { all, ofClass } = sumsOf(request, now);
+      all.admitted -= 1;
       ofClass.owed += 1;
     },
     isBehind(request, prefillMs, now) {
-      const [ofClass] = listSums(request, now);
+      const { ofClass } = sumsOf(request, now);
       if (ofClass.owed <= 0) return false;
       return prefillMs * ofClass.estimates <= MAX_RELATIVE_PREFILL * ofClass.prefillMs;
     },
   };
 }
 
-function createSums(): Sums {
-  return { submitted: 0, admitted: 0, owed: 0, estimates: 0, prefillMs: 0, at: 0 };
+function createClass(startShare: number): SizeClass {
+  return { startShare, startTokens: 0, submitted: 0, owed: 0, estimates: 0, prefillMs: 0 };
 }
 
-function decay(sums: Sums, now: number): void {
-  const factor = Math.exp((sums.at - now) / AVERAGING_MS);
-  sums.submitted *= factor;
-  sums.admitted *= factor;
-  sums.owed *= factor;
-  sums.estimates *= factor;
-  sums.prefillMs *= factor;
-  sums.at = now;
+function decay(sizes: RankSizes, now: number): void {
+  const factor = Math.exp((sizes.decayedAt - now) / AVERAGING_MS);
+  for (const sizeClass of sizes.classes) {
+    sizeClass.submitted *= factor;
+    sizeClass.owed *= factor;
+    sizeClass.estimates *= factor;
+    sizeClass.prefillMs *= factor;
+  }
+  sizes.all.submitted *= factor;
+  sizes.all.admitted *= factor;
+  sizes.decayedAt = now;
 }
 
+/** Records a size, and from time to time tells the classes apart anew. */
 function recordSize(sizes: RankSizes, tokens: number): void {
   sizes.recentSizes[sizes.submissions % MAX_RECENT_SIZES] = tokens;
   sizes.submissions += 1;
   if (sizes.submissions % RANKING_INTERVAL !== 1) return;
   const sorted = [...sizes.recentSizes].sort((left, right) => left - right);
-  sizes.classStarts = CLASS_STARTS.map((share) =>
-    share === 0 ? 0 : (sorted[Math.floor(share * sorted.length)] ?? 0),
-  );
+  for (const sizeClass of sizes.classes) {
+    sizeClass.startTokens = sorted[Math.floor(sizeClass.startShare * sorted.length)] ?? 0;
+  }
 }
