feat(scheduling): log that a turn is reserved, and whether a declined request's size was behind

Why a large prompt got no reservation could be told only with a patched build: its size not behind, or no engine that could meet the later objective. requestDeclined has isSizeBehind now, and a reservation has its line requestQueued with isReserved when it is made, not only when it is used.

The line showed that the scheduler test of a reserved turn never came to reserve one: its long prompts were served as late ones, and it passed without the mechanism too.

--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -208,13 +208,10 @@
     }
     if (admission.kind === 'declined') {
       const { retryAfterMs, backlogMs, option } = admission;
-      decline(
-        tracked,
-        'cannot-be-on-time',
-        retryAfterMs,
-        backlogMs,
-        describeEstimate(option, terms),
-      );
+      decline(tracked, 'cannot-be-on-time', retryAfterMs, backlogMs, {
+        ...describeEstimate(option, terms),
+        isSizeBehind: isSizeBehind(job, option?.prefillMs ?? 0),
+      });
       return;
     }
     const { option } = admission;
@@ -254,6 +251,7 @@
     tracked.isReserved = true;
     recordAdmission(tracked);
     tracked.expectedFirstTokenAt = now + resolveFirstTokenMs(option);
+    logQueued(tracked, option, terms);
     enqueue(tracked, option.engine);
     return true;
   }
@@ -263,6 +261,7 @@
     log.write('requestQueued', {
       ...describeJob(tracked.job),
       ...describeEstimate(option, terms),
+      isReserved: tracked.isReserved,
       predictedMs: Math.round(tracked.expectedFirstTokenAt - tracked.submittedAt),
     });
   }
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -316,35 +316,42 @@
       objectiveLeftMs: 20,
       timeLeftMs: 2_000,
       delaysOthers: false,
+      isSizeBehind: true,
     });
   });
 
-  it('keeps the turn of a long prompt whose size is behind while short ones keep coming', async () => {
-    const { submit, scheduler, advance, decisions } = setUp(ONE_PREFILL_ENGINE, NO_LOCAL_PREFILL);
-    /** Keeps the engine busy with prompts of 3,000 to 5,000 tokens for a time, in ms. */
-    async function keepBusy(ms: number) {
-      for (let elapsedMs = 0; elapsedMs < ms; elapsedMs += 15) {
-        const short = job({}, `short-${counter}`, 3_000 + 100 * (counter % 21));
-        submit(short);
-        await advance(15);
-        for (const [id, { kind }] of decisions) {
-          if (kind === 'placed') scheduler.prefillCompleted(id);
-        }
-        scheduler.firstTokenReceived(short.id);
-        scheduler.finished(short.id, 'good');
-      }
+  /** Shares of short and of long prompts that are placed while short ones alone ask for too much. */
+  async function playShortAndLong(mechanisms: Partial<SchedulingMechanisms>) {
+    const { scheduler, advance, clock, lines } = setUp(ONE_PREFILL_ENGINE, mechanisms);
+    const placed = { short: 0, long: 0 };
+    let freeAt = 0;
+    function prefill(prompt: Job, size: 'short' | 'long'): void {
+      scheduler.submit(prompt, ({ kind }) => {
+        if (kind !== 'placed') return;
+        placed[size] += 1;
+        freeAt = Math.max(freeAt, clock.now()) + 4 + (prompt.prompt.tokens - 1_000) / 300;
+        clock.after(freeAt - clock.now(), () => {
+          scheduler.prefillCompleted(prompt.id);
+          scheduler.firstTokenReceived(prompt.id);
+          scheduler.finished(prompt.id, 'good');
+        });
+      });
     }
-    const long = { aimLeftMs: 200, timeLeftMs: 4_000 };
-    const outcomes: (string | undefined)[] = [];
-    await keepBusy(1_500);
-    for (let index = 0; index < 10; index += 1) {
-      const longJob = job(long, `long-${index}`, 60_000);
-      submit(longJob);
-      await keepBusy(3_000);
-      outcomes.push(decisions.get(longJob.id)?.kind);
-      scheduler.finished(longJob.id);
+    for (let step = 0; step < 1_000; step += 1) {
+      prefill(job({}, `short-${step}`, 3_000 + 100 * (step % 21)), 'short');
+      if (step % 10 === 0) prefill(job({ timeLeftMs: 4_000 }, `long-${step}`, 60_000), 'long');
+      await advance(12);
     }
-    expect(outcomes.filter((kind) => kind === 'placed').length).to.be.at.least(5);
+    return { shortShare: placed.short / 1_000, longShare: placed.long / 100, lines };
+  }
+
+  it('keeps the turn of a long prompt whose size is behind while short ones keep coming', async () => {
+    const { shortShare, longShare, lines } = await playShortAndLong(NO_LOCAL_PREFILL);
+    const without = await playShortAndLong({ ...NO_LOCAL_PREFILL, sizeShares: false });
+    expect(longShare).to.be.at.least(shortShare / 2);
+    expect(without.longShare).to.be.below(without.shortShare / 2);
+    const queued = lines.filter(({ event }) => event === 'requestQueued');
+    expect(queued.some(({ fields }) => fields.isReserved === true)).to.equal(true);
   });
 
   it('declines at once what would get its first event after callers have left', () => {
