--- a/src/scheduling/prefill-queue.ts
+++ b/src/scheduling/prefill-queue.ts
@@ -5,7 +5,8 @@
 
 /** A waiting prompt. */
 export interface WaitingPrompt {
-  /** When the prefill is due to meet the objective, or, if the request is late, its deadline; in ms. */
+  /** When the prefill is due to meet the objective, its own or that of a reservation, or, if the request
+   * is late, its deadline; in ms. */
   dueAt: number;
   /** The request waits although it will miss its objective. */
   isLate: boolean;
