feat(events): whose view avoids a server and by which outcome, and what was left of the engines

Own and shared views wrote the same lines; a no-engine did not say whether engines were unknown, unhealthy, avoided or excluded.

--- a/src/fleet/health.ts
+++ b/src/fleet/health.ts
@@ -16,6 +16,8 @@
 
 /** From when on a server is avoided. */
 export interface HealthTerms {
+  /** Whose view it is, for the log: of one gateway, or what all gateways report together. */
+  view: 'own' | 'shared';
   /** Failure rate of a server that breaks off or stays silent. */
   failureRate: number;
   /** Failure rate of a server that answers with errors of its own. */
@@ -30,6 +32,7 @@
 /** For one gateway, which sees few requests of each server. Ordinary failures stay well below a half;
  * a seventh of a plain service's answers may be errors while nothing is wrong. */
 export const singleViewTerms: HealthTerms = {
+  view: 'own',
   failureRate: 0.5,
   errorRate: 0.75,
   declinesInRow: 3,
@@ -40,6 +43,7 @@
  * than none where servers are scarce, and a gateway that is cut off itself must not speak for all:
  * so nearly everything has to fail. */
 export const sharedViewTerms: HealthTerms = {
+  view: 'shared',
   failureRate: 0.85,
   errorRate: 0.85,
   declinesInRow: 6,
@@ -114,10 +118,16 @@
     return created;
   }
 
-  function avoidOnce(id: string, record: Record): void {
+  function avoidOnce(id: string, record: Record, cause: HealthOutcome | 'unresponsive'): void {
     if (record.avoidedUntil > clock.now()) return;
     record.avoidedUntil = clock.now() + record.pauseMs;
-    log.write('serverAvoided', { server: id, rate: record.failureRate, pauseMs: record.pauseMs });
+    log.write('serverAvoided', {
+      server: id,
+      view: terms.view,
+      cause,
+      rate: record.failureRate,
+      pauseMs: record.pauseMs,
+    });
     record.pauseMs = Math.min(MAX_PAUSE_MS, record.pauseMs * 2);
   }
 
@@ -125,7 +135,9 @@
     const wasAvoided = record.pauseMs > FIRST_PAUSE_MS;
     record.pauseMs = FIRST_PAUSE_MS;
     record.avoidedUntil = 0;
-    if (wasAvoided) log.write('serverTrusted', { server: id, rate: record.failureRate });
+    if (wasAvoided) {
+      log.write('serverTrusted', { server: id, view: terms.view, rate: record.failureRate });
+    }
   }
 
   return {
@@ -134,7 +146,7 @@
       const record = recordOf(id);
       record.declinesInRow = outcome === 'declined' ? record.declinesInRow + 1 : 0;
       if (outcome === 'declined') {
-        if (record.declinesInRow >= terms.declinesInRow) avoidOnce(id, record);
+        if (record.declinesInRow >= terms.declinesInRow) avoidOnce(id, record, outcome);
         return;
       }
       record.unreachableInRow = outcome === 'unreachable' ? record.unreachableInRow + 1 : 0;
@@ -147,10 +159,10 @@
       const limit = outcome === 'error' ? terms.errorRate : terms.failureRate;
       const isLost = record.unreachableInRow >= terms.unreachableInRow;
       const isOver = isLost || record.failureRate >= limit;
-      if (isOver) avoidOnce(id, record);
+      if (isOver) avoidOnce(id, record, outcome);
     },
     avoid(id) {
-      avoidOnce(id, recordOf(id));
+      avoidOnce(id, recordOf(id), 'unresponsive');
     },
     isUsable(id) {
       const record = records.get(id);
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -325,12 +325,25 @@
   function declineWithoutEngine(tracked: TrackedJob): void {
     const limited = candidates.findSoonestAvailable(tracked.job);
     if (limited === undefined) {
-      decline(tracked, 'no-engine', NO_ENGINE_RETRY_MS, 0);
+      decline(tracked, 'no-engine', NO_ENGINE_RETRY_MS, 0, describeEngines(tracked.job));
       return;
     }
     const leftMs = tracked.job.timeLeftMs - (clock.now() - tracked.submittedAt);
     const untilRoomMs = Math.max(NO_ENGINE_RETRY_MS, limits.nextRetryAfterMs(limited));
-    decline(tracked, 'no-engine', resolveRetryAfterMs(leftMs, untilRoomMs), 0);
+    const retryAfterMs = resolveRetryAfterMs(leftMs, untilRoomMs);
+    decline(tracked, 'no-engine', retryAfterMs, 0, describeEngines(tracked.job));
+  }
+
+  /** Which engines there were for a request that got none. */
+  function describeEngines({ excluded, avoided }: Job): EventFields {
+    const engines = parts.engines();
+    const unhealthy = engines.filter(({ id }) => !monitor.isAvailable(id, requestCount(id)));
+    return {
+      engines: engines.length,
+      unhealthy: unhealthy.length,
+      excluded: excluded.length,
+      avoided: avoided.length,
+    };
   }
 
   function decline(
