--- /dev/null
+++ b/stand-ins/network/index.ts
@@ -0,0 +1,1 @@
+export * from './paths.js';
--- a/stand-ins/users-platform/store.ts
+++ b/stand-ins/users-platform/store.ts
@@ -42,16 +42,28 @@
   /** Puts a copy in the place of everything: versions go back, and the era rises by one. */
   restore(copy: StoreCopy): void;
   setFault(fault: StoreFault): void;
+  /**
+   * Listens at a further address whose callers see other addresses of servers, as where each reaches them by paths
+   * of its own.
+   *
+   * @param seenAddressOf the address that these callers see instead of a server's own
+   * @returns `host:port`
+   */
+  view(seenAddressOf: (address: string) => string): Promise<string>;
   /** Calls so far, as method and path. */
   calls(): readonly string[];
   close(): Promise<void>;
 }
 
+/** How a caller sees a row. */
+type RowView = (row: StoredRow) => StoredRow;
+
 /** Starts the stand-in on a free port. */
 export async function startStoreStandIn(): Promise<StoreStandIn> {
   const rows = new Map<string, StoredRow>();
   const waiting = new Set<() => void>();
   const calls: string[] = [];
+  const servers: Server[] = [];
   let version = 0;
   let era = 1;
   let forgottenUntil = 0;
@@ -93,7 +105,7 @@
     answer(response, 200, { ver: write([...puts, ...removed]), nowMs: performance.now() });
   }
 
-  function readRange(response: ServerResponse, query: URLSearchParams): void {
+  function readRange(response: ServerResponse, query: URLSearchParams, see: RowView): void {
     const source = query.get('source') ?? '';
     const to = query.get('to') ?? '\uffff';
     const found = [];
@@ -105,14 +117,14 @@
     const limit = Number(query.get('limit') ?? 500);
     const hasMore = found.length > limit;
     answer(response, 200, {
-      rows: found.slice(0, limit),
+      rows: found.slice(0, limit).map(see),
       hasMore,
       ver: version,
       nowMs: performance.now(),
     });
   }
 
-  function readFeed(response: ServerResponse, query: URLSearchParams): void {
+  function readFeed(response: ServerResponse, query: URLSearchParams, see: RowView): void {
     const after = Number(query.get('after'));
     if (after < forgottenUntil || after > version) {
       answer(response, 410, {});
@@ -121,16 +133,16 @@
     const changed = [];
     for (const row of rows.values()) {
       if (row.table !== query.get('table') || row.ver <= after) continue;
-      changed.push(row.value === undefined ? { ...row, deleted: true } : row);
+      changed.push(row.value === undefined ? { ...row, deleted: true } : see(row));
     }
     if (changed.length > 0) {
       answer(response, 200, { rows: changed, ver: version, nowMs: performance.now() });
       return;
     }
-    holdFeed(response, query);
+    holdFeed(response, query, see);
   }
 
-  function holdFeed(response: ServerResponse, query: URLSearchParams): void {
+  function holdFeed(response: ServerResponse, query: URLSearchParams, see: RowView): void {
     const timer = setTimeout(
       () => {
         waiting.delete(wake);
@@ -145,13 +157,17 @@
     function wake(): void {
       forget();
       response.off('close', forget);
-      readFeed(response, query);
+      readFeed(response, query, see);
     }
     waiting.add(wake);
     response.once('close', forget);
   }
 
-  async function receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
+  async function receive(
+    request: IncomingMessage,
+    response: ServerResponse,
+    see: RowView,
+  ): Promise<void> {
     const url = new URL(request.url ?? '/', 'http://store');
     calls.push(`${request.method ?? ''} ${url.pathname}`);
     const chunks: Buffer[] = [];
@@ -164,15 +180,21 @@
       return;
     }
     if (url.pathname === '/rows-tx') transact(response, Buffer.concat(chunks).toString('utf8'));
-    else if (url.pathname === '/rows-get') readRange(response, url.searchParams);
-    else if (url.pathname === '/rows-feed') readFeed(response, url.searchParams);
+    else if (url.pathname === '/rows-get') readRange(response, url.searchParams, see);
+    else if (url.pathname === '/rows-feed') readFeed(response, url.searchParams, see);
     else answer(response, 404, {});
   }
 
-  const server = createServer((request, response) => {
-    void receive(request, response);
-  });
-  await listen(server);
+  async function serve(see: RowView): Promise<Server> {
+    const server = createServer((request, response) => {
+      void receive(request, response, see);
+    });
+    await listen(server);
+    servers.push(server);
+    return server;
+  }
+
+  const server = await serve((row) => row);
 
   return {
     address: addressOf(server),
@@ -196,14 +218,29 @@
       ({ version } = copy);
       era += 1;
       // calls that were held across the restore are lost with the store that held them
-      server.closeAllConnections();
+      for (const listening of servers) listening.closeAllConnections();
     },
     setFault(next) {
       fault = next;
     },
+    async view(seenAddressOf) {
+      return addressOf(await serve((row) => replaceAddress(row, seenAddressOf)));
+    },
     calls: () => calls,
-    close: () => closeServer(server),
+    async close() {
+      await Promise.all(servers.map(closeServer));
+    },
+  };
+}
+
+function replaceAddress(row: StoredRow, seenAddressOf: (address: string) => string): StoredRow {
+  if (row.table !== 'servers' || row.value === undefined) return row;
+  const entry = JSON.parse(Buffer.from(row.value, 'base64').toString('utf8')) as {
+    address?: unknown;
   };
+  if (typeof entry.address !== 'string') return row;
+  const seen = { ...entry, address: seenAddressOf(entry.address) };
+  return { ...row, value: Buffer.from(JSON.stringify(seen)).toString('base64') };
 }
 
 /** Listens on a free port of this machine. */
