fix(paths): a gateway that cannot reach a server connects through a peer that can

Change: src/paths. What this gateway cannot connect to says nothing of a server that a peer reaches. A connection that is not open after 50 ms or fails is raced by a tunnel through a peer: a WebSocket that carries the bytes of one connection, so the request with its budget, attempts, time left, ban and cancellation stays where it was; one hop, 1,000 tunnels a host, hosts in other zones next, none for 500 ms after all failed. Kept connections: a server's silence beyond what its answers show (RFC 6298) has the path checked. The first lost path has the others checked. A lost path is tried again after 0.4 to 1.6 s; tunnels then end with their request, and with a host that stops. The end of a tunnel without the close code is a reset. Ruled out: passing on requests (two owners of budget, ban and retries); leaving the directory (open connections stay up to 6 s, and a whole zone may be cut).

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,6 +12,7 @@
   type RegistryChange,
 } from '../fleet/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
+import { createPaths, createTunnelDialer, createTunnelHost, type Paths } from '../paths/index.js';
 import { createOverlay, type Overlay } from '../peers/index.js';
 import { resolveEra } from '../ports/position.js';
 import type { RowFeed } from '../ports/row-feed.js';
@@ -136,7 +137,33 @@
     },
   });
   const health = createFleetHealth(clock, log);
-  const connections = createConnections(limitConnections, clock);
+  const connections = createConnections(limitConnections, clock, (id) => {
+    const server = fleet.find(id);
+    if (server === undefined) return undefined;
+    return { connect: () => paths.connect(server), isPathLost: () => paths.isLost(id) };
+  });
+  const tunnels = createTunnelDialer({
+    clock,
+    random,
+    log,
+    zone,
+    peers: () => overlay.peers(),
+    retired() {
+      connections.closeRetiringTunnels();
+    },
+  });
+  const paths: Paths = createPaths({
+    clock,
+    random,
+    log,
+    metrics,
+    tunnels,
+    connected: () => listRegistered(connections.servers()),
+    isKnown: (server) => fleet.find(server) !== undefined,
+    lost(server, isSilent) {
+      if (isSilent) connections.pathLost(server);
+    },
+  });
   const loads = createServerLoads(clock);
   const backpressure = createBackpressure({
     clock,
@@ -165,6 +192,8 @@
       if (isGone) quarantine.serverRemoved(id, successor !== undefined);
       if (successor !== undefined) connections.resetStale(id, resolveAgeMs(successor));
       connections.drop(id);
+      paths.forget(id);
+      tunnels.forget(id);
       health.forget(id);
       if (isGone) backpressure.forget(id);
       schedulers.forget(id);
@@ -173,6 +202,13 @@
       metrics.unusableEntries.inc({ reason });
     },
   );
+  const tunnelHost = createTunnelHost({
+    clock,
+    log,
+    metrics,
+    fleet,
+    isPathLost: (server) => paths.isLost(server),
+  });
   const routes = createRoutingReplica(log, () => {
     front.refreshLimits();
     metrics.routesSince.reset();
@@ -185,6 +221,7 @@
     node,
     table: platform.table,
     signal: shutdown.signal,
+    paths: () => paths,
     coordinatorOf: (service) => schedulers.holderOf(service),
     overlay: () => overlay,
   });
@@ -268,7 +305,12 @@
     requiredPeers: listSchedulers,
     received: peering.received,
     versionsReceived: peering.versionsReceived,
-    lost: peering.lost,
+    lost(peer) {
+      peering.lost(peer);
+      tunnels.peerLost(peer);
+    },
+    upgradeRequested: (request, connection, head) =>
+      tunnelHost.upgradeRequested(request, connection, head),
   });
   const roleController = createRoleController({
     node,
@@ -302,6 +344,7 @@
     loads,
     callerRetries: createCallerRetries(),
     connections,
+    paths,
     budget,
     quarantine,
     backpressure,
@@ -320,6 +363,15 @@
     return routes.index()?.table.services.get(service);
   }
 
+  function listRegistered(ids: readonly string[]): RegisteredServer[] {
+    const found: RegisteredServer[] = [];
+    for (const id of ids) {
+      const server = fleet.find(id);
+      if (server !== undefined) found.push(server);
+    }
+    return found;
+  }
+
   function limitConnections(id: string): number {
     const service = fleet.find(id)?.service ?? '';
     const all = findService(service)?.maxConnections ?? MIN_CONNECTIONS;
@@ -471,6 +523,8 @@
     front.close();
     overlay.close();
     connections.close();
+    paths.close();
+    tunnelHost.close();
     for (const server of statusServers) {
       server.close();
       server.closeAllConnections();
--- a/src/gateway/persistent-quarantine.ts
+++ b/src/gateway/persistent-quarantine.ts
@@ -3,13 +3,15 @@
  */
 import type { Log } from '../events/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
+import type { RegisteredServer } from '../fleet/index.js';
+import type { Paths } from '../paths/index.js';
 import type { Overlay } from '../peers/index.js';
 import type { TableService } from '../ports/table-service.js';
 import {
   createBanRows,
   createQuarantine,
-  createTcpProbe,
   type BanRows,
+  type ProbeAnswer,
   type Quarantine,
 } from '../quarantine/index.js';
 import type { Clock } from '../task/index.js';
@@ -23,6 +25,8 @@
   table: TableService;
   /** Cancels pending writes. */
   signal: AbortSignal;
+  /** Paths to the servers. */
+  paths(): Pick<Paths, 'probe'>;
   /** The gateway that coordinates a service's trials. */
   coordinatorOf(service: string): string;
   overlay(): Pick<Overlay, 'send' | 'broadcast'>;
@@ -40,7 +44,7 @@
     clock,
     log,
     metrics,
-    probe: createTcpProbe(),
+    probe: { dial: (server) => probeServer(parts.paths(), server) },
     node,
     coordinatorOf: (service) => parts.coordinatorOf(service),
     broadcast(message) {
@@ -66,3 +70,12 @@
   });
   return { quarantine, banRows };
 }
+
+async function probeServer(
+  paths: Pick<Paths, 'probe'>,
+  server: RegisteredServer,
+): Promise<ProbeAnswer> {
+  const result = await paths.probe(server);
+  if (result.isOk()) return 'open';
+  return result.error.kind === 'refused' ? 'refused' : 'silent';
+}
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -184,6 +184,28 @@
       labelNames: ['signal'],
       registers,
     }),
+    connections: new Counter({
+      name: 'reedtally_gateway_connections_total',
+      help: 'Attempts to connect to servers, by path (own, or a tunnel through a peer) and outcome',
+      labelNames: ['path', 'outcome'],
+      registers,
+    }),
+    pathsLost: new Gauge({
+      name: 'reedtally_gateway_paths_lost',
+      help: 'Servers that peers reach and this gateway does not',
+      registers,
+    }),
+    tunnels: new Gauge({
+      name: 'reedtally_gateway_tunnels',
+      help: 'Connections to servers that are carried for peers',
+      registers,
+    }),
+    tunnelsRefused: new Counter({
+      name: 'reedtally_gateway_tunnels_refused_total',
+      help: 'Connections to servers that were not made for peers, by reason',
+      labelNames: ['reason'],
+      registers,
+    }),
     withheld: new Counter({
       name: 'reedtally_gateway_sends_withheld_total',
       help: 'Sends that were not made since the server wanted nothing, by why',
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -2,6 +2,8 @@
  * WebSocket links between gateways. At most one link serves a peer; if both ends dialled, they agree on
  * which link to keep. Membership is decided elsewhere.
  */
+import { createServer, type IncomingMessage, type Server } from 'node:http';
+import type { Duplex } from 'node:stream';
 import { WebSocket, WebSocketServer, type RawData } from 'ws';
 import type { Clock } from '../task/index.js';
 import { decodeMessage, encodeMessage, type GatewayState, type PeerMessage } from './messages.js';
@@ -33,6 +35,8 @@
   failed(address: string, isRefused: boolean): void;
   /** The dialled address is this gateway's own. */
   selfDialled(address: string): void;
+  /** A peer asks for an upgrade to another protocol; true if it is handled, and is no link. */
+  upgradeRequested(request: IncomingMessage, connection: Duplex, head: Buffer): boolean;
 }
 
 /** The links of a gateway. */
@@ -70,6 +74,9 @@
   isReplacement: boolean;
 }
 
+/** HTTP status of a request that asks for no upgrade. */
+const UPGRADE_REQUIRED = 426;
+
 const serverOptions = { maxPayload: MAX_MESSAGE_BYTES, perMessageDeflate: false };
 
 /**
@@ -82,7 +89,7 @@
   const links = new Set<Link>();
   const byNode = new Map<string, Link>();
   const dialling = new Set<string>();
-  let server: WebSocketServer | undefined;
+  let server: Server | undefined;
   let isClosed = false;
 
   function addLink(socket: WebSocket, address?: string, isReplacement = false): Link {
@@ -204,15 +211,22 @@
   return {
     listen(host, port) {
       return new Promise((resolve, reject) => {
-        const created = new WebSocketServer({ host, port, ...serverOptions });
+        const upgrader = new WebSocketServer({ noServer: true, ...serverOptions });
+        const created = createServer((_request, response) => {
+          response.writeHead(UPGRADE_REQUIRED).end();
+        });
+        created.on('upgrade', (request, connection, head) => {
+          if (listener.upgradeRequested(request, connection, head)) return;
+          upgrader.handleUpgrade(request, connection, head, (socket) => {
+            introduce(addLink(socket));
+          });
+        });
         created.once('error', reject);
-        created.once('listening', () => {
+        created.listen(port, host, () => {
+          created.off('error', reject);
           server = created;
           resolve();
         });
-        created.on('connection', (socket) => {
-          introduce(addLink(socket));
-        });
       });
     },
     port() {
@@ -258,6 +272,7 @@
         link.socket.terminate();
       }
       server?.close();
+      server?.closeAllConnections();
     },
   };
 };
--- a/src/peers/overlay.ts
+++ b/src/peers/overlay.ts
@@ -8,7 +8,7 @@
 import { choosePeers, createPartners } from '../gossip/index.js';
 import type { Clock, RandomSource, Timer } from '../task/index.js';
 import { createGatewayMembership, type OwnIdentity, type OwnStatus } from './membership.js';
-import { createPeerLinks, type LinksFactory } from './links.js';
+import { createPeerLinks, type LinkListener, type LinksFactory } from './links.js';
 import type { GatewayMessage, GatewayState, PeerMessage, StoreVersions } from './messages.js';
 import { createDiscovery } from './discovery.js';
 import { createFleetSize } from './fleet-size.js';
@@ -64,6 +64,8 @@
   digestsReceived(node: string, digests: StateDigests): void;
   /** Called when the link to a peer closed, the peer was lost, or another incarnation replaced it. */
   lost(node: string): void;
+  /** Handles a peer's request to upgrade a connection to another protocol; false if there is no such. */
+  upgradeRequested?: LinkListener['upgradeRequested'];
   /** Creates the links; WebSocket links by default. */
   createLinks?: LinksFactory;
 }
@@ -150,6 +152,8 @@
     selfDialled(address) {
       discovery.removeAddress(address);
     },
+    upgradeRequested: (request, connection, head) =>
+      parts.upgradeRequested?.(request, connection, head) === true,
   });
 
   function countAlive(): number {
--- a/src/quarantine/crash-detector.ts
+++ b/src/quarantine/crash-detector.ts
@@ -20,12 +20,9 @@
 
 /** Dials servers. */
 export interface ServerProbe {
-  /**
-   * Opens a connection to a server and closes it at once.
-   *
-   * @param address `host:port`
-   */
-  dial(address: string): Promise<ProbeAnswer>;
+  /** Opens a connection to a server and closes it at once. `refused` and `silent` hold for every gateway that could
+   * be asked, since this one may have lost its path. */
+  dial(server: RegisteredServer): Promise<ProbeAnswer>;
 }
 
 /** Evidence that a server has crashed. */
@@ -106,16 +103,16 @@
     }
   }
 
-  async function dialTwice(address: string): Promise<ProbeAnswer> {
-    const first = await parts.probe.dial(address);
+  async function dialTwice(server: RegisteredServer): Promise<ProbeAnswer> {
+    const first = await parts.probe.dial(server);
     if (first !== 'open') return first;
     await wait(clock, RECHECK_MS);
-    return parts.probe.dial(address);
+    return parts.probe.dial(server);
   }
 
   async function check(suspect: SuspectedServer<Loss>): Promise<void> {
     const count = suspect.losses.length;
-    const answer = await dialTwice(suspect.server.address);
+    const answer = await dialTwice(suspect.server);
     if (suspect.sign !== undefined) return;
     if (answer === 'refused') {
       confirmCrash(suspect, 'refused');
--- a/src/quarantine/index.ts
+++ b/src/quarantine/index.ts
@@ -6,6 +6,5 @@
 export * from './messages.js';
 export * from './quarantine.js';
 export * from './records.js';
-export * from './tcp-probe.js';
 export * from './trial-coordinator.js';
 export * from './trials.js';
--- a/src/relay/connections.ts
+++ b/src/relay/connections.ts
@@ -5,6 +5,7 @@
 import { Agent, type AgentOptions } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import { createResetError, TunnelStream } from '../paths/index.js';
 import type { Clock } from '../task/index.js';
 
 /** Time after which idle connections are closed, in ms; a shorter limit in a server's answers takes
@@ -14,14 +15,28 @@
 /** Maximum number of idle connections to each server. */
 const MAX_IDLE = 32;
 
-/** An agent that closes idle connections on which data arrives. */
+/** Makes the connections of an agent. */
+export interface Connector {
+  connect(): Promise<Duplex>;
+  /** Whether connections go through tunnels at present. */
+  isPathLost(): boolean;
+}
+
+type Created = (error: Error | null, connection: Duplex) => void;
+
+/** An agent that closes idle connections on which data arrives, and tunnels once they are not needed. */
 export class KeepAliveAgent extends Agent {
   readonly #unusable = new WeakSet<Socket>();
   readonly #idleListeners = new WeakMap<Socket, () => void>();
   readonly #openedAt = new WeakMap<Duplex, number>();
   readonly #clock: Clock;
+  readonly #connector: Connector | undefined;
+  #connecting = 0;
 
-  constructor(clock: Clock, options: AgentOptions = {}) {
+  /**
+   * @param connector makes the connections; by default they are dialled as the request says
+   */
+  constructor(clock: Clock, options: AgentOptions = {}, connector?: Connector) {
     super({
       ...options,
       keepAlive: true,
@@ -31,16 +46,45 @@
       noDelay: true,
     });
     this.#clock = clock;
+    this.#connector = connector;
+  }
+
+  /** Limits the connections; those that are being made, which the agent does not count, included. */
+  limit(most: number): void {
+    this.maxSockets = Math.max(1, most - this.#connecting);
   }
 
   override createConnection(
     ...args: Parameters<Agent['createConnection']>
   ): ReturnType<Agent['createConnection']> {
+    const [, created] = args;
+    if (this.#connector !== undefined && created !== undefined) {
+      void this.#connect(this.#connector, created);
+      return undefined;
+    }
     const socket = super.createConnection(...args);
     if (socket) this.#openedAt.set(socket, this.#clock.now());
     return socket;
   }
 
+  #isNotNeeded({ isRetiring }: TunnelStream): boolean {
+    return isRetiring || this.#connector?.isPathLost() !== true;
+  }
+
+  async #connect(connector: Connector, created: Created): Promise<void> {
+    this.#connecting += 1;
+    try {
+      const connection = await connector.connect();
+      this.#openedAt.set(connection, this.#clock.now());
+      created(null, connection);
+    } catch (error) {
+      // the agent takes no connection with an error
+      created(error as Error, undefined as never);
+    } finally {
+      this.#connecting -= 1;
+    }
+  }
+
   /** When a connection was opened, in ms on the gateway's clock. */
   openedAt(socket: Duplex): number {
     return this.#openedAt.get(socket) ?? this.#clock.now();
@@ -48,6 +92,7 @@
 
   override keepSocketAlive(socket: Socket): boolean {
     if (this.#unusable.has(socket) || socket.readableLength > 0) return false;
+    if (socket instanceof TunnelStream && this.#isNotNeeded(socket)) return false;
     // returns whether the connection may be kept, which its types leave out
     const keep: (kept: Socket) => unknown = super.keepSocketAlive.bind(this);
     if (keep(socket) === false) return false;
@@ -82,6 +127,12 @@
    * @param sinceMs how long ago its successor started, in ms
    */
   resetStale(id: string, sinceMs: number): void;
+  /** Closes idle connections over a path that is lost; tunnels stay. */
+  pathLost(id: string): void;
+  /** Closes idle tunnels through gateways that stop. */
+  closeRetiringTunnels(): void;
+  /** Servers to which there are connections. */
+  servers(): string[];
   close(): void;
 }
 
@@ -90,17 +141,23 @@
  *
  * @param limitFor maximum number of connections from this gateway to a server
  * @param clock the gateway's clock
+ * @param connectorFor makes the connections to a server; `undefined` for one that is not registered, whose address is
+ * dialled as the request says
  */
-export function createConnections(limitFor: (id: string) => number, clock: Clock): Connections {
+export function createConnections(
+  limitFor: (id: string) => number,
+  clock: Clock,
+  connectorFor: (id: string) => Connector | undefined = () => undefined,
+): Connections {
   const agents = new Map<string, KeepAliveAgent>();
   return {
     agentFor(id) {
       const known = agents.get(id);
       if (known !== undefined) {
-        known.maxSockets = limitFor(id);
+        known.limit(limitFor(id));
         return known;
       }
-      const agent = new KeepAliveAgent(clock, { maxSockets: limitFor(id) });
+      const agent = new KeepAliveAgent(clock, { maxSockets: limitFor(id) }, connectorFor(id));
       agents.set(id, agent);
       return agent;
     },
@@ -115,10 +172,21 @@
       const openedBefore = clock.now() - sinceMs;
       for (const sockets of Object.values(agent.sockets)) {
         for (const socket of sockets ?? []) {
-          if (agent.openedAt(socket) < openedBefore) socket.destroy(createReset());
+          // has the code of a reset by a crashed server, so that both are handled alike
+          if (agent.openedAt(socket) < openedBefore)
+            socket.destroy(createResetError('the server has started again'));
         }
       }
     },
+    pathLost(id) {
+      const agent = agents.get(id);
+      if (agent !== undefined) closeIdle(agent, (socket) => !(socket instanceof TunnelStream));
+    },
+    closeRetiringTunnels() {
+      for (const agent of agents.values())
+        closeIdle(agent, (socket) => socket instanceof TunnelStream && socket.isRetiring);
+    },
+    servers: () => [...agents.keys()],
     close() {
       for (const agent of agents.values()) {
         agent.destroy();
@@ -128,15 +196,10 @@
   };
 }
 
-/** Has the code of a reset by a crashed server, so that both are handled alike. */
-function createReset(): Error {
-  return Object.assign(new Error('the server has started again'), { code: 'ECONNRESET' });
-}
-
-function closeIdle(agent: Agent): void {
+function closeIdle(agent: Agent, isClosed: (socket: Socket) => boolean = () => true): void {
   for (const sockets of Object.values(agent.freeSockets)) {
     for (const socket of sockets ?? []) {
-      socket.destroy();
+      if (isClosed(socket)) socket.destroy();
     }
   }
 }
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -6,11 +6,9 @@
  * Uses `node:http` because undici treats a reset during an answer without a length as its end.
  */
 import { request as startRequest, type Agent, type IncomingMessage } from 'node:http';
+import { CONNECT_TIMEOUT_MS, onResetAtEnd, type WatchedExchange } from '../paths/index.js';
 import type { Clock } from '../task/index.js';
 
-/** Connect timeout, in ms; leaves time to try another server within the usual latency objectives. */
-const CONNECT_TIMEOUT_MS = 250;
-
 /** A request to a backend server. */
 export interface OutgoingRequest {
   /** `host:port`. */
@@ -22,6 +20,12 @@
   body: Buffer | undefined;
   /** Called right before sending; returns a reason not to send to this server now, if there is one. */
   withholdReason?: (() => string | undefined) | undefined;
+  /**
+   * Watches the path to the server from when the request is sent.
+   *
+   * @param abandon ends the exchange because the path is lost
+   */
+  watchPath?: ((abandon: () => void) => WatchedExchange) | undefined;
 }
 
 /** The head of an answer. */
@@ -40,6 +44,8 @@
   isWithheld: boolean;
   /** Whether this side aborted the exchange. */
   aborted: boolean;
+  /** Whether the path to the server was lost, which says nothing of the server. */
+  isPathLost: boolean;
   reason: string;
 }
 
@@ -77,6 +83,7 @@
   let sent = false;
   let finished = false;
   let answer: IncomingMessage | undefined;
+  let watched: WatchedExchange | undefined;
 
   const outgoing = startRequest({
     host,
@@ -92,20 +99,29 @@
     outgoing.destroy();
   });
 
-  function fail(reason: string): void {
-    if (finished) return;
+  function finish(): void {
     finished = true;
     connectTimer.cancel();
-    receiver.onError({ sent, isWithheld: false, aborted: false, reason });
+    watched?.ended();
+  }
+
+  function fail(reason: string, isPathLost = false): void {
+    if (finished) return;
+    finish();
+    receiver.onError({ sent, isWithheld: false, aborted: false, isPathLost, reason });
+  }
+
+  function abandon(): void {
+    fail('the path to the server was lost', true);
+    outgoing.destroy();
   }
 
   /** The server may have begun to leave or pause while the request waited for a connection. */
   function withhold(): boolean {
     const reason = request.withholdReason?.();
     if (reason === undefined || finished) return false;
-    finished = true;
-    connectTimer.cancel();
-    receiver.onError({ sent: false, isWithheld: true, aborted: false, reason });
+    finish();
+    receiver.onError({ sent: false, isWithheld: true, aborted: false, isPathLost: false, reason });
     outgoing.destroy();
     return true;
   }
@@ -114,6 +130,7 @@
     if (withhold()) return;
     sent = true;
     connectTimer.cancel();
+    if (!finished) watched = request.watchPath?.(abandon);
   }
 
   outgoing.on('socket', (socket) => {
@@ -131,14 +148,21 @@
       return;
     }
     answer = response;
-    if (isEndedByClose(response)) watchForReset(response, fail);
+    watched?.heard();
+    if (isEndedByClose(response)) {
+      onResetAtEnd(response.socket, () => {
+        fail('ECONNRESET');
+      });
+    }
     receiver.onHead({
       status: response.statusCode ?? 0,
       rawHeaders: response.rawHeaders,
       headers: response.headers,
     });
     response.on('data', (chunk: Buffer) => {
-      if (!finished) receiver.onData(chunk);
+      if (finished) return;
+      watched?.heard();
+      receiver.onData(chunk);
     });
     response.on('end', () => {
       if (finished) return;
@@ -146,7 +170,7 @@
         fail('the answer ended early');
         return;
       }
-      finished = true;
+      finish();
       receiver.onEnd();
     });
     response.on('error', (error: NodeJS.ErrnoException) => {
@@ -165,8 +189,7 @@
   return {
     abort() {
       if (finished) return;
-      finished = true;
-      connectTimer.cancel();
+      finish();
       outgoing.destroy();
       // ignores errors caused by closing the connection
       outgoing.on('error', () => undefined);
@@ -184,13 +207,3 @@
 function isEndedByClose({ headers }: IncomingMessage): boolean {
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
 }
-
-/**
- * Distinguishes a reset from an orderly close. If a reset arrives together with data, libuv reports
- * the end of the stream instead of an error; a reset connection has no remote address.
- */
-function watchForReset({ socket }: IncomingMessage, fail: (reason: string) => void): void {
-  socket.prependOnceListener('end', () => {
-    if (socket.remoteAddress === undefined) fail('ECONNRESET');
-  });
-}
--- a/src/relay/health-outcome.ts
+++ b/src/relay/health-outcome.ts
@@ -23,7 +23,7 @@
     .with('lost', () => 'failed')
     .with('overdue', () => 'silent')
     .with('unsent', () => 'unreachable')
-    .with('aborted', 'withheld', 'unpaid', () => undefined)
+    .with('aborted', 'withheld', 'unpaid', 'cut', () => undefined)
     .exhaustive();
 }
 
--- a/src/relay/next-step.ts
+++ b/src/relay/next-step.ts
@@ -69,7 +69,7 @@
         if (!isRetryable || progress.isBegun) return { kind: 'pass-failure' };
         return { kind: 'again', costs: true, reason: 'failed' };
       })
-      .with({ kind: 'lost' }, { kind: 'overdue' }, ({ kind, reason }) => {
+      .with({ kind: 'lost' }, { kind: 'overdue' }, { kind: 'cut' }, ({ kind, reason }) => {
         const canContinue = !progress.isBegun || (route.isStream && route.isResumable);
         if (!mayRepeat || !hasAttempts || !canContinue) return { kind: 'fail', reason };
         return { kind: 'again', costs: true, reason: kind };
--- a/src/relay/prefill.ts
+++ b/src/relay/prefill.ts
@@ -16,6 +16,8 @@
   /** Nothing was sent, because the engine is leaving or has asked for a pause. */
   | { kind: 'withheld'; reason: string }
   | { kind: 'lost'; reason: string }
+  /** The path to the engine was lost before it answered. */
+  | { kind: 'cut'; reason: string }
   /** Aborted because the engine did not answer within the limit. */
   | { kind: 'overdue'; reason: string }
   | { kind: 'aborted' };
@@ -59,6 +61,7 @@
         onError(error) {
           const { reason } = error;
           if (error.isWithheld) settle({ kind: 'withheld', reason });
+          else if (error.isPathLost) settle({ kind: 'cut', reason });
           else settle({ kind: error.sent ? 'lost' : 'unsent', reason });
         },
       },
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -13,6 +13,7 @@
 import type { Log } from '../events/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
 import { createFingerprint, type Ban, type Quarantine } from '../quarantine/index.js';
+import type { Paths } from '../paths/index.js';
 import type { RetryBudget } from '../retries/index.js';
 import { chooseTarget, type Route, type RoutingReplica } from '../routing/index.js';
 import { wait, type Clock, type RandomSource, type Timer } from '../task/index.js';
@@ -69,6 +70,7 @@
   loads: ServerLoads;
   callerRetries: CallerRetries;
   connections: Connections;
+  paths: Paths;
   budget: RetryBudget;
   quarantine: Quarantine;
   backpressure: Backpressure;
@@ -201,7 +203,7 @@
     },
     start: (server, terms, receiver) =>
       startExchange(
-        createOutgoing(server, terms),
+        createOutgoing(server, terms, () => true),
         parts.connections.agentFor(server.id),
         clock,
         receiver,
@@ -235,6 +237,7 @@
   function createOutgoing(
     server: RegisteredServer,
     terms: Omit<SendTerms, 'serverId' | 'timeLeftMs'>,
+    mayAbandon: () => boolean,
   ): OutgoingRequest {
     const sendTerms = {
       ...terms,
@@ -248,6 +251,10 @@
       rawHeaders: protocol.sendHeaders(head, sendTerms, body?.length ?? 0),
       body,
       withholdReason: () => gate.withholdReason(server),
+      watchPath: (abandon) =>
+        parts.paths.watch(server, () => {
+          if (mayAbandon()) abandon();
+        }),
     };
   }
 
@@ -289,7 +296,7 @@
     log.write('requestSent', { request: requestId, server: server.id, attempt: progress.attempts });
     return sendOnce(
       {
-        request: createOutgoing(server, { source, urgency, lastEventId }),
+        request: createOutgoing(server, { source, urgency, lastEventId }, mayContinueElsewhere),
         requestId,
         server,
         agent: parts.connections.agentFor(server.id),
@@ -320,6 +327,14 @@
     );
   }
 
+  /** Whether a send whose path is lost may be made again at another server. The others are left as they are: their
+   * answers still arrive if the path comes back in time. */
+  function mayContinueElsewhere(): boolean {
+    const isLast = progress.attempts + 1 >= route.maxAttempts;
+    if (isLast || !isRepeatable(route) || !parts.budget.hasLeft(service)) return false;
+    return !progress.isBegun || route.isStream;
+  }
+
   /** Time within which a server has to begin its answer before another is tried, in ms. */
   function resolveAnswerTimeout(): number | undefined {
     const isLast = progress.attempts + 1 >= route.maxAttempts;
--- a/src/relay/send.ts
+++ b/src/relay/send.ts
@@ -33,6 +33,8 @@
   | { kind: 'lost'; reason: string }
   /** The request may have run; the exchange was aborted because no answer began in time. */
   | { kind: 'overdue'; reason: string }
+  /** The request may have run; the path to the server was lost before the answer was complete. */
+  | { kind: 'cut'; reason: string }
   /** Aborted by the signal. */
   | { kind: 'aborted' };
 
@@ -106,6 +108,7 @@
       onError(error) {
         if (error.isWithheld) settle({ kind: 'withheld', reason: error.reason });
         else if (!error.sent) settle({ kind: 'unsent', reason: error.reason });
+        else if (error.isPathLost) settle({ kind: 'cut', reason: error.reason });
         else if (facts?.isDeclined === true) settleDeclined();
         else settle({ kind: 'lost', reason: error.reason });
       },
--- a/test/quarantine/crash-detector.test.ts
+++ b/test/quarantine/crash-detector.test.ts
@@ -15,7 +15,7 @@
     clock,
     log: createSilentLog(),
     probe: {
-      dial(address) {
+      dial({ address }) {
         dialled.push(address);
         return Promise.resolve(answers.shift() ?? 'open');
       },
