fix(scheduling): the scheduling gateway's own view of a server decides for its own requests alone

Its own requests name what they avoid, as those of every other gateway do; what all report together stays with the engine monitor.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -244,9 +244,7 @@
     self: { node, cores: settings.cores },
     peers: () => overlay.peers(),
     engines: (service) =>
-      fleet
-        .available(service)
-        .filter(({ id }) => health.isUsable(id) && !roleController.isChanging(id)),
+      fleet.available(service).filter(({ id }) => !roleController.isChanging(id)),
     cacheTokens: (service) => findService(service)?.engine?.cacheTokens ?? 0,
     caches: engineCalls.caches,
     limits: backpressure.limits,
