--- a/src/paths/tunnel-stream.ts
+++ b/src/paths/tunnel-stream.ts
@@ -25,7 +25,7 @@
   readonly remoteAddress = 'tunnel';
 
   constructor(webSocket: WebSocket) {
-    super();
+    super({ allowHalfOpen: false });
     this.#webSocket = webSocket;
     webSocket.on('message', (data: RawData) => {
       this.#idleTimer?.refresh();
