test(paths,soak): tunnels, lost paths and the watch of silent servers; gateways cut in the soak and judged by first attempts

Tunnels: whole answers and resets (the server's, the host's death, a lost peer), cancellation, backpressure, one hop, leaving servers, a peer of an earlier version, refusals, hosts that stop. Gateway: partial cuts, and no server taken for crashed by a cut gateway. Soak: each gateway reaches the servers by paths of its own, cut silently, with resets or with refusals in series with all else; once all is calm, first attempts at a cut gateway by the users' bound.

--- a/stand-ins/network/paths.ts
+++ b/stand-ins/network/paths.ts
@@ -37,9 +37,16 @@
   const addresses = new Map<string, string>();
   const filling = new Set<Socket>();
 
-  async function command(message: PathCommand): Promise<PathReport> {
-    const report = waitForReport(child);
-    child.send(message);
+  /** Commands are answered one after another; a stopped process answers once it goes on. */
+  let last: Promise<unknown> = Promise.resolve();
+
+  function command(message: PathCommand): Promise<PathReport> {
+    const report = last.then(() => {
+      const answered = waitForReport(child);
+      child.send(message);
+      return answered;
+    });
+    last = report;
     return report;
   }
 
--- a/test/gateway/cut-from-servers.test.ts
+++ b/test/gateway/cut-from-servers.test.ts
@@ -61,7 +61,28 @@
       await wait(SETTLE_MS);
     }
     expect(found).to.deep.equal([]);
+    expect(listEnded()).to.deep.equal([]);
   });
+
+  it('are served like the others where a gateway has lost the paths to some servers only', async function () {
+    this.timeout(30_000);
+    const scheduler = fleet.scheduler();
+    const some = fleet.servers.filter((_server, index) => index % 2 === 0);
+    await scheduler.paths.cut(
+      'reset',
+      some.map(({ address }) => address),
+    );
+    await wait(SETTLE_MS);
+    expect(Math.min(...(await attemptEverywhere()))).to.be.at.least(SERVED_SHARE);
+    expect(listEnded()).to.deep.equal([]);
+  });
+
+  /** Servers that a gateway takes for crashed under a request. */
+  function listEnded(): unknown[] {
+    return fleet.gateways.flatMap(({ fixture }) =>
+      fixture.log.lines.filter(({ event }) => event === 'serverEnded'),
+    );
+  }
 });
 
 function wait(delayMs: number): Promise<void> {
--- /dev/null
+++ b/test/paths/tunnels.test.ts
@@ -0,0 +1,222 @@
+import { createServer as createHttpServer, type Server as HttpServer } from 'node:http';
+import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { expect } from 'chai';
+import { WebSocketServer } from 'ws';
+import { createSilentLog } from '../../src/events/index.js';
+import type { RegisteredServer } from '../../src/fleet/index.js';
+import { createGatewayMetrics } from '../../src/metrics/index.js';
+import {
+  createTunnelDialer,
+  createTunnelHost,
+  type TunnelDialer,
+  type TunnelHost,
+  type TunnelStream,
+} from '../../src/paths/index.js';
+import type { GatewayState } from '../../src/peers/index.js';
+import { createSystemClock, createSystemRandom } from '../../src/task/index.js';
+import { until } from '../fixtures/gateway.js';
+
+function portOf(server: { address(): AddressInfo | string | null }): number {
+  return (server.address() as AddressInfo).port;
+}
+
+function listen(server: Server | HttpServer): Promise<void> {
+  return new Promise((resolve) => server.listen(0, '127.0.0.1', resolve));
+}
+
+describe('tunnels to backend servers through peers', () => {
+  const clock = createSystemClock();
+  const connections: Socket[] = [];
+  let backend: Server;
+  let server: RegisteredServer;
+  let front: HttpServer;
+  let host: TunnelHost;
+  let dialer: TunnelDialer;
+  let isPathLost = false;
+  let isAvailable = true;
+
+  function createPeer(node: string, port: number): GatewayState {
+    return { node, address: `127.0.0.1:${port}`, zone: node, isReady: true } as GatewayState;
+  }
+
+  function createDialer(peers: readonly GatewayState[]): TunnelDialer {
+    return createTunnelDialer({
+      clock,
+      random: createSystemRandom(),
+      log: createSilentLog(),
+      zone: 'zone-a',
+      peers: () => peers,
+      retired: () => undefined,
+    });
+  }
+
+  beforeEach(async () => {
+    connections.length = 0;
+    isPathLost = false;
+    isAvailable = true;
+    backend = createServer({ allowHalfOpen: true }, (socket) => {
+      socket.on('error', () => undefined);
+      connections.push(socket);
+    });
+    await listen(backend);
+    server = { id: 's@1', address: `127.0.0.1:${portOf(backend)}`, zone: 'zone-a' } as never;
+    host = createTunnelHost({
+      clock,
+      log: createSilentLog(),
+      metrics: createGatewayMetrics(),
+      fleet: { find: () => server, isAvailable: () => isAvailable },
+      isPathLost: () => isPathLost,
+    });
+    front = createHttpServer();
+    front.on('upgrade', host.upgradeRequested.bind(host));
+    await listen(front);
+    dialer = createDialer([createPeer('peer', portOf(front))]);
+  });
+
+  afterEach(() => {
+    host.close();
+    for (const socket of connections) socket.destroy();
+    backend.close();
+    front.close();
+    front.closeAllConnections();
+  });
+
+  async function open(): Promise<{ tunnel: TunnelStream; atServer: Socket; ends: string[] }> {
+    const tunnel = (await dialer.dial(server)).unwrap();
+    await until(() => connections.length === 1);
+    const [atServer] = connections;
+    if (atServer === undefined) throw new Error('the server has no connection');
+    const ends: string[] = [];
+    tunnel.on('end', () => ends.push('end'));
+    tunnel.on('error', ({ code }: NodeJS.ErrnoException) => ends.push(code ?? 'error'));
+    return { tunnel, atServer, ends };
+  }
+
+  it('carry bytes both ways and end in order where the server does', async () => {
+    const { tunnel, atServer, ends } = await open();
+    const sent = Buffer.alloc(3_000_000, 'q');
+    let received = 0;
+    atServer.on('data', (chunk) => {
+      received += chunk.length;
+      if (received === sent.length) atServer.end('whole answer');
+    });
+    let answer = '';
+    tunnel.on('data', (chunk: Buffer) => (answer += chunk.toString()));
+    tunnel.write(sent);
+    await until(() => ends.length > 0);
+    expect(answer).to.equal('whole answer');
+    expect(ends).to.deep.equal(['end']);
+  });
+
+  it('end with a reset where the server resets, even behind bytes', async () => {
+    const { tunnel, atServer, ends } = await open();
+    tunnel.resume();
+    atServer.write('part of an answer', () => atServer.resetAndDestroy());
+    await until(() => ends.length > 0);
+    expect(ends).to.deep.equal(['ECONNRESET']);
+  });
+
+  it('end with a reset where the gateway that carries them dies', async () => {
+    const { tunnel, atServer, ends } = await open();
+    tunnel.resume();
+    atServer.write('part of an answer');
+    host.close();
+    await until(() => ends.length > 0);
+    expect(ends).to.deep.equal(['ECONNRESET']);
+  });
+
+  it('end with a reset where the peer is lost', async () => {
+    const { ends } = await open();
+    dialer.peerLost('peer');
+    await until(() => ends.length > 0);
+    expect(ends).to.deep.equal(['ECONNRESET']);
+  });
+
+  it('close the connection to the server as soon as the request is given up', async () => {
+    const { tunnel, atServer } = await open();
+    atServer.resume();
+    tunnel.destroy();
+    await until(() => atServer.readableEnded || atServer.destroyed);
+  });
+
+  it('hold the server back while the caller does not read', async () => {
+    const { tunnel, atServer } = await open();
+    tunnel.pause();
+    const chunk = Buffer.alloc(1_000_000, 'a');
+    let isHeldBack = false;
+    for (let count = 0; count < 200 && !isHeldBack; count += 1) {
+      isHeldBack = await Promise.race([
+        new Promise<boolean>((resolve) => atServer.write(chunk, () => { resolve(false); })),
+        new Promise<boolean>((resolve) => setTimeout(() => { resolve(true); }, 300)),
+      ]);
+    }
+    expect(isHeldBack).to.equal(true);
+    tunnel.destroy();
+  });
+
+  it('never lead over a further gateway', async () => {
+    isPathLost = true;
+    const result = await dialer.dial(server);
+    expect(result.isErr() && result.error.kind).to.equal('unavailable');
+  });
+
+  it('do not lead to a server that the peer knows to leave', async () => {
+    isAvailable = false;
+    const result = await dialer.dial(server);
+    expect(result.isErr() && result.error.kind).to.equal('unavailable');
+    expect(connections).to.have.length(0);
+  });
+
+  it('are not taken from a gateway of an earlier version, which opens a link instead', async () => {
+    const earlier = new WebSocketServer({ host: '127.0.0.1', port: 0 });
+    await until(() => earlier.address() !== null);
+    earlier.on('connection', (socket) => { socket.send('introduction'); });
+    const result = await createDialer([createPeer('earlier', portOf(earlier))]).dial(server);
+    expect(result.isErr() && result.error.kind).to.equal('unavailable');
+    earlier.close();
+  });
+
+  it('are opened by the next peer where one is refused', async () => {
+    const cut = createHttpServer();
+    const cutHost = createTunnelHost({
+      clock,
+      log: createSilentLog(),
+      metrics: createGatewayMetrics(),
+      fleet: { find: () => ({ ...server, address: '127.0.0.1:1' }), isAvailable: () => true },
+      isPathLost: () => false,
+    });
+    cut.on('upgrade', cutHost.upgradeRequested.bind(cutHost));
+    await listen(cut);
+    const peers = [createPeer('cut', portOf(cut)), createPeer('peer', portOf(front))];
+    for (let count = 0; count < 5; count += 1) {
+      const result = await createDialer(peers).dial(server);
+      expect(result.isOk()).to.equal(true);
+    }
+    const alone = await createDialer(peers.slice(0, 1)).dial(server);
+    expect(alone.isErr() && alone.error.kind).to.equal('refused');
+    cut.close();
+    cut.closeAllConnections();
+  });
+
+  it('are not used for further requests once the peer stops', async () => {
+    const peer = createPeer('peer', portOf(front));
+    let peers = [peer];
+    let retired = 0;
+    dialer = createTunnelDialer({
+      clock,
+      random: createSystemRandom(),
+      log: createSilentLog(),
+      zone: 'zone-a',
+      peers: () => peers,
+      retired: () => (retired += 1),
+    });
+    const tunnel = (await dialer.dial(server)).unwrap();
+    expect(tunnel.isRetiring).to.equal(false);
+    peers = [{ ...peer, isReady: false }];
+    await until(() => retired > 0);
+    expect(tunnel.isRetiring).to.equal(true);
+    const result = await dialer.dial(server);
+    expect(result.isErr() && result.error.kind).to.equal('unavailable');
+    tunnel.destroy();
+  });
+});
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -2,6 +2,7 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { expect } from 'chai';
+import { judgeFirstAttempts } from '../../tools/soak/cuts.js';
 import { judge, type Account } from '../../tools/soak/judge.js';
 import { runSoak } from '../../tools/soak/soak.js';
 
@@ -36,6 +37,13 @@
     expect(judge(account({ kind: 'any', runs: ['s', 't'] }))).to.have.length(0);
   });
 
+  it('finds cut gateways that serve first attempts less often than the others', () => {
+    const others = { asked: 200, served: 190 };
+    expect(judgeFirstAttempts({ asked: 100, served: 50 }, others)).to.be.a('string');
+    expect(judgeFirstAttempts({ asked: 100, served: 90 }, others)).to.equal(undefined);
+    expect(judgeFirstAttempts({ asked: 12, served: 2 }, others)).to.equal(undefined);
+  });
+
   it('finds a refusal of what ran', () => {
     expect(judge(account({ answer: answer(503) }))).to.have.length(1);
     expect(judge(account({ answer: answer(502) }))).to.have.length(0);
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -15,6 +15,7 @@
 import { createAskingServers, type Asks } from './asking.js';
 import { ask } from './callers.js';
 import { PATIENCE_MS, renderConfiguration, renderHeaders, renderPrompt } from './configuration.js';
+import { createCuts, judgeFirstAttempts, type AttemptCount } from './cuts.js';
 import { createFatalCount } from './fatal.js';
 import { createGatewayProcess, type GatewayProcess } from './gateways.js';
 import { judge, type Account } from './judge.js';
@@ -43,6 +44,11 @@
 const REFUSED_SHARE = 0.7;
 /** What servers ask for while faults go on. */
 const ASKS: readonly Asks[] = [{ limitPerS: 5 }, { restS: 1 }, { isLeaving: true }];
+/** Time between two cuts of a gateway from the servers, in ms; each lasts up to as long. */
+const CUT_MS = 1_400;
+/** How long after a cut first attempts are counted, in ms, and how many at each gateway. */
+const CUT_SETTLE_MS = 1_000;
+const CUT_ATTEMPTS = 100;
 /** Part of the requests that end their servers while faults go on. */
 const FATAL_SHARE = 0.01;
 /** Times that such a request comes to each gateway once all is calm. */
@@ -101,6 +107,9 @@
   const sentTo = new Map<string, string>();
   /** Apart from the faults, which a seed draws as before. */
   const askingRandom = createSeededRandom(terms.seed);
+  /** Apart from the faults, as above. */
+  const cutRandom = createSeededRandom(terms.seed + 1);
+  const cuts = createCuts(GATEWAYS, cutRandom);
   const copies = [store.copy()];
   let configuration: unknown;
   let faults = 0;
@@ -116,6 +125,7 @@
     const events = service === 'chat' ? { events: EVENTS } : {};
     const server = await startServerStandIn({ id, ...events, ...(role && { role }) });
     const proxy = await startProxy(server.address);
+    await cuts.open(proxy.address);
     const backend: Backend = { id, service, role, server, proxy, bornAtMs: Date.now() };
     backends.push(backend);
     register(backend, 'ready');
@@ -304,6 +314,13 @@
     }
   }
 
+  async function cutAll(until: number): Promise<void> {
+    while (performance.now() < until) {
+      track(cuts.cutFor(Math.floor(cutRandom.next() * GATEWAYS), CUT_MS * cutRandom.next()));
+      await pause(CUT_MS);
+    }
+  }
+
   async function askForLessAll(until: number): Promise<void> {
     while (performance.now() < until) {
       askForLess();
@@ -347,6 +364,35 @@
     return found;
   }
 
+  /** First attempts at a gateway without a path to the servers are served like those at the others. */
+  async function judgeCut(): Promise<string[]> {
+    const cutIndex = Math.floor(cutRandom.next() * GATEWAYS);
+    const lastMs = CUT_SETTLE_MS + CUT_ATTEMPTS * REQUEST_MS * 2;
+    const healed = cuts.cutFor(cutIndex, lastMs);
+    await pause(CUT_SETTLE_MS);
+    const counts = await Promise.all(gateways.map(makeFirstAttempts));
+    await healed;
+    const cut: AttemptCount = { asked: 0, served: 0 };
+    const others: AttemptCount = { asked: 0, served: 0 };
+    for (const [index, { asked, served }] of counts.entries()) {
+      const sum = index === cutIndex ? cut : others;
+      sum.asked += asked;
+      sum.served += served;
+    }
+    const found = judgeFirstAttempts(cut, others);
+    return found === undefined ? [] : [found];
+  }
+
+  async function makeFirstAttempts(gateway: GatewayProcess): Promise<AttemptCount> {
+    const statuses: Promise<SeenStatus>[] = [];
+    for (let count = 0; count < CUT_ATTEMPTS; count += 1) {
+      statuses.push(sendOne(gateway));
+      await pause(REQUEST_MS);
+    }
+    const seen = await Promise.all(statuses);
+    return { asked: seen.length, served: seen.filter((status) => status === 200).length };
+  }
+
   /** Servers that ask for less get less, from gateways that are not disturbed meanwhile. */
   async function judgeAsking(): Promise<string[]> {
     asking.judge();
@@ -380,6 +426,7 @@
     await Promise.all(gateways.map((gateway) => gateway.end()));
     const parts = [...backends.flatMap(({ server, proxy }) => [server, proxy]), ...storeProxies];
     await Promise.all(parts.map((part) => part.close()));
+    cuts.close();
     await store.close();
   }
 
@@ -391,7 +438,8 @@
     await addBackend('pages');
   }
   for (let index = 0; index < GATEWAYS; index += 1) {
-    const proxy = await startProxy(store.address);
+    const seenAddressOf = cuts.paths[index]?.addressOf ?? ((address: string) => address);
+    const proxy = await startProxy(await store.view(seenAddressOf));
     storeProxies.push(proxy);
     const gateway = createGatewayProcess(index, proxy.address, terms.folder, program);
     gateways.push(gateway);
@@ -407,7 +455,7 @@
       gateway.start();
     }
   }, FAULT_MS);
-  await Promise.all([sendAll(until), causeAll(until), askForLessAll(until)]);
+  await Promise.all([sendAll(until), causeAll(until), askForLessAll(until), cutAll(until)]);
   await Promise.all(pending);
   await pause(FAULT_MS * 4);
   store.setFault('none');
@@ -416,6 +464,7 @@
   }
   await pause(CONTACT_MS - IN_FORCE_MS);
   broken.push(...(await judgeCalm()));
+  broken.push(...(await judgeCut()));
   broken.push(...(await judgeAsking()));
   broken.push(...(await judgeFatal()));
   clearInterval(restarts);
