refactor(gateway): connections to servers, paths and tunnels are composed in a module of their own; a stopping host opens no tunnels

Also: an unused prompt is released over the server's own connections, so through a tunnel where the path is lost; the connection pool by address had only the gateway's own path, and the engine held the prompt until it expired.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -12,13 +12,11 @@
   type RegistryChange,
 } from '../fleet/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
-import { createPaths, createTunnelDialer, createTunnelHost, type Paths } from '../paths/index.js';
 import { createOverlay, type Overlay } from '../peers/index.js';
 import { resolveEra } from '../ports/position.js';
 import type { RowFeed } from '../ports/row-feed.js';
 import type { TableService } from '../ports/table-service.js';
 import {
-  createConnections,
   createFront,
   createServerLoads,
   createCallerRetries,
@@ -45,6 +43,7 @@
 import { createPeering } from './peering.js';
 import { publishAddress } from './publish-address.js';
 import { createSchedulers } from './schedulers.js';
+import { createServerPaths } from './server-paths.js';
 import type { GatewaySettings, ListenAddress } from './settings.js';
 import { createStoreHealth } from './store-health.js';
 import { startStatusServer, type StatusResponse, type StatusHandler } from './status-servers.js';
@@ -137,33 +136,18 @@
     },
   });
   const health = createFleetHealth(clock, log);
-  const connections = createConnections(limitConnections, clock, (id) => {
-    const server = fleet.find(id);
-    if (server === undefined) return undefined;
-    return { connect: () => paths.connect(server), isPathLost: () => paths.isLost(id) };
-  });
-  const tunnels = createTunnelDialer({
-    clock,
-    random,
-    log,
-    zone,
-    peers: () => overlay.peers(),
-    retired() {
-      connections.closeRetiringTunnels();
-    },
-  });
-  const paths: Paths = createPaths({
+  const serverPaths = createServerPaths({
     clock,
     random,
     log,
     metrics,
-    tunnels,
-    connected: () => listRegistered(connections.servers()),
-    isKnown: (server) => fleet.find(server) !== undefined,
-    lost(server, isSilent) {
-      if (isSilent) connections.pathLost(server);
-    },
+    zone,
+    fleet: () => fleet,
+    overlay: () => overlay,
+    limitConnections,
+    isStopping: () => isStopping,
   });
+  const { connections, paths } = serverPaths;
   const loads = createServerLoads(clock);
   const backpressure = createBackpressure({
     clock,
@@ -191,9 +175,7 @@
       const isGone = successor !== undefined || fleet.find(id) === undefined;
       if (isGone) quarantine.serverRemoved(id, successor !== undefined);
       if (successor !== undefined) connections.resetStale(id, resolveAgeMs(successor));
-      connections.drop(id);
-      paths.forget(id);
-      tunnels.forget(id);
+      serverPaths.forget(id);
       health.forget(id);
       if (isGone) backpressure.forget(id);
       schedulers.forget(id);
@@ -202,13 +184,6 @@
       metrics.unusableEntries.inc({ reason });
     },
   );
-  const tunnelHost = createTunnelHost({
-    clock,
-    log,
-    metrics,
-    fleet,
-    isPathLost: (server) => paths.isLost(server),
-  });
   const routes = createRoutingReplica(log, () => {
     front.refreshLimits();
     metrics.routesSince.reset();
@@ -305,10 +280,10 @@
     versionsReceived: peering.versionsReceived,
     lost(peer) {
       peering.lost(peer);
-      tunnels.peerLost(peer);
+      serverPaths.tunnels.peerLost(peer);
     },
     upgradeRequested: (request, connection, head) =>
-      tunnelHost.upgradeRequested(request, connection, head),
+      serverPaths.tunnelHost.upgradeRequested(request, connection, head),
   });
   const roleController = createRoleController({
     node,
@@ -361,15 +336,6 @@
     return routes.index()?.table.services.get(service);
   }
 
-  function listRegistered(ids: readonly string[]): RegisteredServer[] {
-    const found: RegisteredServer[] = [];
-    for (const id of ids) {
-      const server = fleet.find(id);
-      if (server !== undefined) found.push(server);
-    }
-    return found;
-  }
-
   function limitConnections(id: string): number {
     const service = fleet.find(id)?.service ?? '';
     const all = findService(service)?.maxConnections ?? MIN_CONNECTIONS;
@@ -520,9 +486,7 @@
     shutdown.abort();
     front.close();
     overlay.close();
-    connections.close();
-    paths.close();
-    tunnelHost.close();
+    serverPaths.close();
     for (const server of statusServers) {
       server.close();
       server.closeAllConnections();
--- a/src/paths/tunnel-host.ts
+++ b/src/paths/tunnel-host.ts
@@ -29,6 +29,8 @@
   fleet: Pick<Fleet, 'find' | 'isAvailable'>;
   /** Whether this gateway has lost its own path to a server. */
   isPathLost(server: string): boolean;
+  /** Whether this gateway is stopping. */
+  isStopping(): boolean;
 }
 
 /** Carries connections for other gateways. */
@@ -64,6 +66,7 @@
 
   /** Why a tunnel is not attempted; `undefined` if it may be. */
   function findObstacle(server: string): string | undefined {
+    if (parts.isStopping()) return 'the gateway is stopping';
     if (tunnels.size + opening >= MAX_TUNNELS) return 'too many tunnels';
     if (!fleet.isAvailable(server)) return 'the server is unknown or leaves';
     return parts.isPathLost(server) ? 'no path of its own' : undefined;
--- a/src/relay/release-prompt.ts
+++ b/src/relay/release-prompt.ts
@@ -48,7 +48,7 @@
   const { method, path } = protocol.releaseCall(prompt);
   startExchange(
     { address, method, path, rawHeaders: ['Host', address], body: undefined },
-    parts.connections.agentFor(address),
+    parts.connections.agentFor(server.id),
     clock,
     {
       onHead(head) {
--- a/test/paths/tunnels.test.ts
+++ b/test/paths/tunnels.test.ts
@@ -34,6 +34,7 @@
   let dialer: TunnelDialer;
   let isPathLost = false;
   let isAvailable = true;
+  let isStopping = false;
 
   function createPeer(node: string, port: number): GatewayState {
     return { node, address: `127.0.0.1:${port}`, zone: node, isReady: true } as GatewayState;
@@ -54,6 +55,7 @@
     connections.length = 0;
     isPathLost = false;
     isAvailable = true;
+    isStopping = false;
     backend = createServer({ allowHalfOpen: true }, (socket) => {
       socket.on('error', () => undefined);
       connections.push(socket);
@@ -66,6 +68,7 @@
       metrics: createGatewayMetrics(),
       fleet: { find: () => server, isAvailable: () => isAvailable },
       isPathLost: () => isPathLost,
+      isStopping: () => isStopping,
     });
     front = createHttpServer();
     front.on('upgrade', host.upgradeRequested.bind(host));
@@ -146,8 +149,16 @@
     let isHeldBack = false;
     for (let count = 0; count < 200 && !isHeldBack; count += 1) {
       isHeldBack = await Promise.race([
-        new Promise<boolean>((resolve) => atServer.write(chunk, () => { resolve(false); })),
-        new Promise<boolean>((resolve) => setTimeout(() => { resolve(true); }, 300)),
+        new Promise<boolean>((resolve) =>
+          atServer.write(chunk, () => {
+            resolve(false);
+          }),
+        ),
+        new Promise<boolean>((resolve) =>
+          setTimeout(() => {
+            resolve(true);
+          }, 300),
+        ),
       ]);
     }
     expect(isHeldBack).to.equal(true);
@@ -167,10 +178,18 @@
     expect(connections).to.have.length(0);
   });
 
+  it('are not opened by a gateway that stops', async () => {
+    isStopping = true;
+    const result = await dialer.dial(server);
+    expect(result.isErr() && result.error.kind).to.equal('unavailable');
+  });
+
   it('are not taken from a gateway of an earlier version, which opens a link instead', async () => {
     const earlier = new WebSocketServer({ host: '127.0.0.1', port: 0 });
     await until(() => earlier.address() !== null);
-    earlier.on('connection', (socket) => { socket.send('introduction'); });
+    earlier.on('connection', (socket) => {
+      socket.send('introduction');
+    });
     const result = await createDialer([createPeer('earlier', portOf(earlier))]).dial(server);
     expect(result.isErr() && result.error.kind).to.equal('unavailable');
     earlier.close();
@@ -184,6 +203,7 @@
       metrics: createGatewayMetrics(),
       fleet: { find: () => ({ ...server, address: '127.0.0.1:1' }), isAvailable: () => true },
       isPathLost: () => false,
+      isStopping: () => false,
     });
     cut.on('upgrade', cutHost.upgradeRequested.bind(cutHost));
     await listen(cut);
