fix(paths): a connection that nobody uses any more cannot end the process

Cause: between the moment a dialled socket is open and the moment its taker listens, or where the taker has gone (a request that ended meanwhile, a host whose asker has closed its side so that the upgrade is dropped), nobody heard its error. Now a dialled socket is heard all its life, a host closes what it has dialled for nobody, and what throws on the way of a connection is logged and ends that attempt alone. Four tests failed before. The soak's judgements of the calm are a module of their own; control: no tunnels.

--- a/src/paths/dial.ts
+++ b/src/paths/dial.ts
@@ -6,6 +6,8 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import { setPeerTimeout, type Clock } from '../task/index.js';
 
+const MAX_PORT = 65_535;
+
 /** How an attempt to connect failed. */
 export interface DialFailure {
   /** `unavailable`: whoever was to connect in this gateway's place did not try. */
@@ -13,26 +15,24 @@
   reason: string;
 }
 
-/** An attempt to connect. */
-export interface Dial<Stream> {
-  /** Settles once; never rejects. */
-  result: Promise<Result<Stream, DialFailure>>;
-  /** Gives up; a connection that is open by then is not closed. */
-  cancel(): void;
-}
-
 /**
  * Connects to an address.
  *
  * @param clock the gateway's clock
  * @param address `host:port`
  * @param timeoutMs how long the attempt may take, in milliseconds
+ * @returns never rejects
  */
-export function dialAddress(clock: Clock, address: string, timeoutMs: number): Dial<Socket> {
+export function dialAddress(
+  clock: Clock,
+  address: string,
+  timeoutMs: number,
+): Promise<Result<Socket, DialFailure>> {
   const [host = '', port = ''] = address.split(':');
-  const socket = connect({ host, port: Number(port), noDelay: true });
-  let isOpen = false;
-  const result = new Promise<Result<Socket, DialFailure>>((resolve) => {
+  if (!isPort(Number(port)))
+    return Promise.resolve(Err({ kind: 'silent', reason: `${address} is no address` }));
+  return new Promise((resolve) => {
+    const socket = connect({ host, port: Number(port), noDelay: true });
     const timer = setPeerTimeout(clock, timeoutMs, () => {
       fail('silent', `no connection within ${Math.round(timeoutMs)} ms`);
     });
@@ -54,23 +54,22 @@
 
     socket.on('error', failed);
     socket.on('close', closed);
+    // whoever takes the socket may be gone when it fails
+    socket.on('error', ignoreError);
     socket.once('connect', () => {
-      isOpen = true;
       timer.cancel();
       socket.off('error', failed);
       socket.off('close', closed);
       resolve(Ok(socket));
     });
   });
-  return {
-    result,
-    cancel() {
-      if (!isOpen) socket.destroy();
-    },
-  };
 }
 
-/** Where errors of a stream that nobody uses any more go. */
+function isPort(port: number): boolean {
+  return Number.isInteger(port) && port > 0 && port <= MAX_PORT;
+}
+
+/** Hears the errors of a stream for which nobody else may be listening; an error that nobody hears ends the process. */
 export function ignoreError(): void {
-  // the stream is closed; there is nothing left to end
+  // the stream is closed by the error, which is what its users see
 }
--- a/src/paths/paths.ts
+++ b/src/paths/paths.ts
@@ -141,7 +141,7 @@
     server: RegisteredServer,
     timeoutMs: number,
   ): Promise<Result<Duplex, DialFailure>> {
-    const result = await dialAddress(clock, server.address, timeoutMs).result;
+    const result = await dialAddress(clock, server.address, timeoutMs);
     metrics.connections.inc({ path: 'own', outcome: result.isOk() ? 'open' : result.error.kind });
     return result;
   }
@@ -200,8 +200,15 @@
         await tryTunnel();
       }
 
-      const delay = setPeerTimeout(clock, TUNNEL_DELAY_MS, () => void tryTunnel());
-      void tryOwn();
+      function threw(error: unknown): void {
+        log.write('decisionFailed', { step: 'connect', reason: String(error) });
+        if (!isSettled) settle(Err({ kind: 'silent', reason: String(error) }));
+      }
+
+      const delay = setPeerTimeout(clock, TUNNEL_DELAY_MS, () => {
+        tryTunnel().catch(threw);
+      });
+      tryOwn().catch(threw);
     });
   }
 
--- a/src/paths/tunnel-host.ts
+++ b/src/paths/tunnel-host.ts
@@ -76,8 +76,9 @@
     request: IncomingMessage,
     connection: Duplex,
     head: Buffer,
-    server: string,
+    encodedServer: string,
   ): Promise<void> {
+    const server = decodeURIComponent(encodedServer);
     const obstacle = findObstacle(server);
     if (obstacle !== undefined) {
       refuse(connection, server, { kind: 'unavailable', reason: obstacle });
@@ -85,14 +86,16 @@
     }
     opening += 1;
     const address = fleet.find(server)?.address ?? '';
-    const result = await dialAddress(clock, address, CONNECT_TIMEOUT_MS).result;
+    const result = await dialAddress(clock, address, CONNECT_TIMEOUT_MS);
     opening -= 1;
     if (result.isErr()) {
       refuse(connection, server, result.error);
       return;
     }
-    if (connection.destroyed) {
+    // the gateway that asked has given up
+    if (!connection.readable || !connection.writable) {
       result.value.destroy();
+      connection.destroy();
       return;
     }
     upgrader.handleUpgrade(request, connection, head, (webSocket) => {
@@ -127,7 +130,10 @@
       const { url = '' } = request;
       if (!url.startsWith(TUNNEL_PATH)) return false;
       connection.on('error', () => connection.destroy());
-      void open(request, connection, head, decodeURIComponent(url.slice(TUNNEL_PATH.length)));
+      open(request, connection, head, url.slice(TUNNEL_PATH.length)).catch((error: unknown) => {
+        log.write('decisionFailed', { step: 'tunnel', reason: String(error) });
+        connection.destroy();
+      });
       return true;
     },
     close() {
--- a/test/paths/paths.test.ts
+++ b/test/paths/paths.test.ts
@@ -79,6 +79,19 @@
     stream.destroy();
   });
 
+  it('end nothing else where a connection is reset that nobody uses any more', async () => {
+    const stream = await paths.connect(createServerAt('s', addressOf(backend)));
+    await until(() => sockets.size === 1);
+    for (const socket of sockets) socket.resetAndDestroy();
+    await until(() => stream.destroyed);
+  });
+
+  it('say that an address is none', async () => {
+    const result = await paths.probe(createServerAt('s', 'nowhere'));
+    expect(result.isOk()).to.equal(true);
+    expect(lost).to.deep.equal(['s silent']);
+  });
+
   it('are lost where a peer reaches the server, and used again once they are back', async () => {
     const server = createServerAt('s', CLOSED_ADDRESS);
     await paths.connect(server);
--- a/test/paths/tunnels.test.ts
+++ b/test/paths/tunnels.test.ts
@@ -1,5 +1,5 @@
 import { createServer as createHttpServer, type Server as HttpServer } from 'node:http';
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { expect } from 'chai';
 import { WebSocketServer } from 'ws';
 import { createSilentLog } from '../../src/events/index.js';
@@ -165,6 +165,30 @@
     tunnel.destroy();
   });
 
+  it('leave no connection behind where the gateway that asked has given up', async () => {
+    const asking = connect(portOf(front), '127.0.0.1', () => {
+      const upgrade = 'Connection: Upgrade\r\nUpgrade: websocket\r\nSec-WebSocket-Version: 13';
+      const key = 'Sec-WebSocket-Key: c2l4dGVlbiBieXRlcyE=';
+      asking.end(`GET /tunnels/s%401 HTTP/1.1\r\nHost: peer\r\n${upgrade}\r\n${key}\r\n\r\n`);
+    });
+    asking.on('error', () => undefined);
+    await until(() => connections.length === 1);
+    const [atServer] = connections;
+    atServer?.resume();
+    await until(() => atServer?.readableEnded === true || atServer?.destroyed === true);
+    asking.destroy();
+  });
+
+  it('answer a request for no server without harm', async () => {
+    const asking = connect(portOf(front), '127.0.0.1', () => {
+      asking.write(
+        'GET /tunnels/%E0%A4%A HTTP/1.1\r\nHost: peer\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n',
+      );
+    });
+    asking.on('error', () => undefined);
+    await until(() => asking.destroyed);
+  });
+
   it('never lead over a further gateway', async () => {
     isPathLost = true;
     const result = await dialer.dial(server);
--- a/tools/soak/controls.ts
+++ b/tools/soak/controls.ts
@@ -20,6 +20,13 @@
 }
 
 export const controls: readonly Control[] = [
+  {
+    name: 'gateways without a path ask no peer',
+    file: 'src/paths/paths.ts',
+    from: 'if (path.noTunnelUntil > clock.now()) return',
+    to: 'if (path.noTunnelUntil >= 0) return',
+    finds: /cut gateways served/,
+  },
   {
     name: 'requests that may run once are sent again',
     file: 'src/relay/next-step.ts',
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -15,7 +15,8 @@
 import { createAskingServers, type Asks } from './asking.js';
 import { ask } from './callers.js';
 import { PATIENCE_MS, renderConfiguration, renderHeaders, renderPrompt } from './configuration.js';
-import { createCuts, judgeFirstAttempts, type AttemptCount } from './cuts.js';
+import { judgeCalm, pause, IN_FORCE_MS, type SeenStatus } from './calm.js';
+import { createCuts } from './cuts.js';
 import { createFatalCount } from './fatal.js';
 import { createGatewayProcess, type GatewayProcess } from './gateways.js';
 import { judge, type Account } from './judge.js';
@@ -33,26 +34,14 @@
 
 /** Time without disturbance after which the rules hold again, in ms, as the users' pages have it. */
 const CONTACT_MS = 3_000;
-/** Time within which a change must be in force then, in ms, from the same pages. */
-const IN_FORCE_MS = 2_000;
-/** Requests of each kind to each gateway after that. */
-const CALM_ROUNDS = 5;
-const NOT_FOUND = 404;
-/** How long servers ask for less once all is calm, in ms: longer than the time for which their limits are counted. */
-const ASKING_MS = 5_500;
 /** Part of the requests that servers turn away while they refuse. */
 const REFUSED_SHARE = 0.7;
 /** What servers ask for while faults go on. */
 const ASKS: readonly Asks[] = [{ limitPerS: 5 }, { restS: 1 }, { isLeaving: true }];
 /** Time between two cuts of a gateway from the servers, in ms; each lasts up to as long. */
 const CUT_MS = 1_400;
-/** How long after a cut first attempts are counted, in ms, and how many at each gateway. */
-const CUT_SETTLE_MS = 1_000;
-const CUT_ATTEMPTS = 100;
 /** Part of the requests that end their servers while faults go on. */
 const FATAL_SHARE = 0.01;
-/** Times that such a request comes to each gateway once all is calm. */
-const FATAL_ROUNDS = 6;
 /** Time after which the operator and the servers have written again what a restored store lacks, in ms. */
 const REWRITE_MS = 1_500;
 
@@ -75,7 +64,8 @@
   program?: string;
 }
 
-interface Backend {
+/** A server with the proxy before it. */
+export interface Backend {
   id: string;
   service: string;
   role: 'prefill' | 'decode' | undefined;
@@ -340,88 +330,6 @@
     return false;
   }
 
-  /** Changes of routes and of servers must be in force within their time. It runs while the gateways'
-   * time without disturbance does, not after it. */
-  async function judgeCalm(): Promise<string[]> {
-    const leaving = backends.find(({ service }) => service === 'pages');
-    if (leaving === undefined) return ['no server is left'];
-    register(leaving, 'draining');
-    configuration = renderConfiguration(version, 'changed');
-    store.put('op', 'config', configuration);
-    await pause(IN_FORCE_MS);
-    const before = leaving.server.received().length;
-    const found: string[] = [];
-    for (const gateway of gateways) {
-      for (let round = 0; round < CALM_ROUNDS; round += 1) {
-        const isFound = (await sendOne(gateway, 'changed')) !== NOT_FOUND;
-        if (!isFound) found.push(`${gateway.node}: changed routes are not in force`);
-        await sendOne(gateway, 'any');
-      }
-    }
-    if (leaving.server.received().length > before) {
-      found.push(`${leaving.id} got a request after it had left`);
-    }
-    return found;
-  }
-
-  /** First attempts at a gateway without a path to the servers are served like those at the others. */
-  async function judgeCut(): Promise<string[]> {
-    const cutIndex = Math.floor(cutRandom.next() * GATEWAYS);
-    const lastMs = CUT_SETTLE_MS + CUT_ATTEMPTS * REQUEST_MS * 2;
-    const healed = cuts.cutFor(cutIndex, lastMs);
-    await pause(CUT_SETTLE_MS);
-    const counts = await Promise.all(gateways.map(makeFirstAttempts));
-    await healed;
-    const cut: AttemptCount = { asked: 0, served: 0 };
-    const others: AttemptCount = { asked: 0, served: 0 };
-    for (const [index, { asked, served }] of counts.entries()) {
-      const sum = index === cutIndex ? cut : others;
-      sum.asked += asked;
-      sum.served += served;
-    }
-    const found = judgeFirstAttempts(cut, others);
-    return found === undefined ? [] : [found];
-  }
-
-  async function makeFirstAttempts(gateway: GatewayProcess): Promise<AttemptCount> {
-    const statuses: Promise<SeenStatus>[] = [];
-    for (let count = 0; count < CUT_ATTEMPTS; count += 1) {
-      statuses.push(sendOne(gateway));
-      await pause(REQUEST_MS);
-    }
-    const seen = await Promise.all(statuses);
-    return { asked: seen.length, served: seen.filter((status) => status === 200).length };
-  }
-
-  /** Servers that ask for less get less, from gateways that are not disturbed meanwhile. */
-  async function judgeAsking(): Promise<string[]> {
-    asking.judge();
-    for (const asks of [{ limitPerS: 4 }, { isLeaving: true }, { restS: 2 }]) {
-      await addBackend('pages');
-      const server = backends.at(-1);
-      if (server !== undefined) asking.set(server.id, asks);
-    }
-    const until = performance.now() + ASKING_MS;
-    while (performance.now() < until) {
-      for (const gateway of gateways) track(sendOne(gateway, 'any').then(() => undefined));
-      await pause(REQUEST_MS * GATEWAYS);
-    }
-    await Promise.all(pending);
-    return asking.judge();
-  }
-
-  /** A request that ends its servers is refused everywhere in time; gateways are not disturbed meanwhile. */
-  async function judgeFatal(): Promise<string[]> {
-    const found: string[] = [];
-    for (const route of ['any', 'stream'] as const) {
-      for (let round = 0; round < FATAL_ROUNDS; round += 1) {
-        for (const gateway of gateways) await sendOne(gateway, route, 'in-calm');
-      }
-      found.push(...fatal.judge(fatal.pathOf(route, 'in-calm')));
-    }
-    return found;
-  }
-
   async function close(): Promise<void> {
     await Promise.all(gateways.map((gateway) => gateway.end()));
     const parts = [...backends.flatMap(({ server, proxy }) => [server, proxy]), ...storeProxies];
@@ -463,10 +371,30 @@
     if (!(await serves(gateway))) broken.push(`${gateway.node} did not serve again`);
   }
   await pause(CONTACT_MS - IN_FORCE_MS);
-  broken.push(...(await judgeCalm()));
-  broken.push(...(await judgeCut()));
-  broken.push(...(await judgeAsking()));
-  broken.push(...(await judgeFatal()));
+  broken.push(
+    ...(await judgeCalm({
+      gateways,
+      servers: backends,
+      cuts,
+      random: cutRandom,
+      asking,
+      fatal,
+      requestIntervalMs: REQUEST_MS,
+      sendOne,
+      addServer: addBackend,
+      announceLeaving(leaving) {
+        register(leaving, 'draining');
+      },
+      changeRoutes() {
+        configuration = renderConfiguration(version, 'changed');
+        store.put('op', 'config', configuration);
+      },
+      track,
+      async settle() {
+        await Promise.all(pending);
+      },
+    })),
+  );
   clearInterval(restarts);
   await close();
   broken.push(...retries.judge());
@@ -478,14 +406,6 @@
   return { requests: accounts.size, succeeded, faults, broken };
 }
 
-type SeenStatus = number | undefined;
-
-function pause(delayMs: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, delayMs);
-  });
-}
-
 function disturbStore(store: StoreStandIn, random: RandomSource): void {
   const faults = ['busy', 'silent', 'answers-lost'] as const;
   store.setFault(faults[Math.floor(random.next() * faults.length)] ?? 'busy');
