fix(paths): a slow peer does not keep a connection waiting, nor end the search for another

Peers were asked one after another, and after all had failed none was asked for 500 ms, whether they had tried or not. Now the next peer is asked beside one that is silent for 50 ms, the first tunnel is used, and the long pause holds only where peers could not connect either (50 ms otherwise). Both tests failed before.

--- a/src/paths/paths.ts
+++ b/src/paths/paths.ts
@@ -34,9 +34,11 @@
 const MAX_RETRY_MS = 1_600;
 /** Random part of that pause, so that gateways do not try together. */
 const RETRY_JITTER = 0.25;
-/** How long no tunnel is asked for after none could be opened, in ms: all gateways would otherwise ask each other for
- * a server that has ended. */
+/** How long no tunnel is asked for after peers could not connect either, in ms: all gateways would otherwise ask each
+ * other for a server that has ended. */
 const TUNNEL_PAUSE_MS = 500;
+/** The same after no peer has tried, in ms: they may be busy for a moment. */
+const PEERS_PAUSE_MS = 50;
 
 /** By what a path was found lost. */
 export type PathSign = 'slow' | 'refused' | 'silent';
@@ -131,7 +133,8 @@
       outcome: result.isOk() ? 'open' : result.error.kind,
     });
     if (result.isErr()) {
-      path.noTunnelUntil = clock.now() + TUNNEL_PAUSE_MS;
+      const hasTried = result.error.kind !== 'unavailable';
+      path.noTunnelUntil = clock.now() + (hasTried ? TUNNEL_PAUSE_MS : PEERS_PAUSE_MS);
       path.noTunnel = result.error;
     }
     return result;
--- a/src/paths/tunnel-dialer.ts
+++ b/src/paths/tunnel-dialer.ts
@@ -1,6 +1,7 @@
 /**
- * Opens tunnels to backend servers through peer gateways. Peers are tried one after another, each in another
- * availability zone than the one before if there is one, since a whole zone may have lost its paths.
+ * Opens tunnels to backend servers through peer gateways. A further peer is asked when one fails or is slow, each in
+ * another availability zone than the one before if there is one, since a whole zone may have lost its paths. The first
+ * tunnel is used.
  */
 import { Err, Ok, type Result } from 'ts-results-es';
 import { WebSocket } from 'ws';
@@ -15,8 +16,11 @@
 
 /** Most peers that are asked for one connection. */
 const MAX_PEERS_ASKED = 4;
-/** Timeout of one peer, in ms: its own attempt and the way there and back. */
-const PEER_TIMEOUT_MS = 150;
+/** Timeout of one peer, in ms: as long as the exchange that waits for the connection. */
+const PEER_TIMEOUT_MS = 250;
+/** Time without an answer of a peer after which the next one is asked beside it, in ms: many times the way to a peer
+ * and on to a server. */
+const NEXT_PEER_DELAY_MS = 50;
 /** Interval between two checks whether the peers that carry tunnels go on, in ms; they stop within seconds. */
 const RETIRE_CHECK_MS = 200;
 /** How long a peer that could not connect to a server is asked for it after others, in ms. */
@@ -123,15 +127,53 @@
   }
 
   return {
-    async dial(server) {
-      const failures: DialFailure[] = [];
-      for (const peer of choosePeers(server)) {
-        const result = await dialThrough(peer, server);
-        if (result.isOk()) return result;
-        failures.push(result.error);
-      }
-      return Err(combineFailures(failures));
-    },
+    dial: (server) =>
+      new Promise((resolve) => {
+        const waiting = choosePeers(server);
+        const failures: DialFailure[] = [];
+        let asked = 0;
+        let delay: Timer | undefined;
+        let isSettled = false;
+
+        function settle(result: Result<TunnelStream, DialFailure>): void {
+          isSettled = true;
+          delay?.cancel();
+          resolve(result);
+        }
+
+        async function ask(peer: GatewayState): Promise<void> {
+          asked += 1;
+          const result = await dialThrough(peer, server);
+          if (isSettled) {
+            if (result.isOk()) result.value.destroy();
+            return;
+          }
+          if (result.isOk()) {
+            settle(result);
+            return;
+          }
+          failures.push(result.error);
+          askNext();
+        }
+
+        function askNext(): void {
+          delay?.cancel();
+          const peer = isSettled ? undefined : waiting.shift();
+          if (peer !== undefined) {
+            ask(peer).catch(threw);
+            delay = clock.after(NEXT_PEER_DELAY_MS, askNext);
+          } else if (!isSettled && failures.length === asked) {
+            settle(Err(combineFailures(failures)));
+          }
+        }
+
+        function threw(error: unknown): void {
+          log.write('decisionFailed', { step: 'tunnel', reason: String(error) });
+          settle(Err({ kind: 'unavailable', reason: String(error) }));
+        }
+
+        askNext();
+      }),
     hasPeers: () => listReady().length > 0,
     forget(server) {
       pausedUntil.delete(server);
--- a/test/paths/paths.test.ts
+++ b/test/paths/paths.test.ts
@@ -136,6 +136,16 @@
     expect(dialled).to.have.length(before);
   });
 
+  it('ask again soon where peers had not tried', async () => {
+    tunnels = Err({ kind: 'unavailable', reason: 'as the test says' });
+    const server = createServerAt('s', CLOSED_ADDRESS);
+    await Promise.allSettled([paths.connect(server)]);
+    tunnels = Ok(new PassThrough() as unknown as TunnelStream);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    await paths.connect(server);
+    expect(paths.isLost('s')).to.equal(true);
+  });
+
   it('abandon silent exchanges of a lost path, and no others', async () => {
     const server = createServerAt('s', addressOf(backend));
     const abandoned: string[] = [];
--- a/test/paths/tunnels.test.ts
+++ b/test/paths/tunnels.test.ts
@@ -2,7 +2,7 @@
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { expect } from 'chai';
 import { WebSocketServer } from 'ws';
-import { createSilentLog } from '../../src/events/index.js';
+import { createSilentLog, type Log } from '../../src/events/index.js';
 import type { RegisteredServer } from '../../src/fleet/index.js';
 import { createGatewayMetrics } from '../../src/metrics/index.js';
 import {
@@ -14,7 +14,7 @@
 } from '../../src/paths/index.js';
 import type { GatewayState } from '../../src/peers/index.js';
 import { createSystemClock, createSystemRandom } from '../../src/task/index.js';
-import { until } from '../fixtures/gateway.js';
+import { createKeptLog, until } from '../fixtures/gateway.js';
 
 function portOf(server: { address(): AddressInfo | string | null }): number {
   return (server.address() as AddressInfo).port;
@@ -40,11 +40,14 @@
     return { node, address: `127.0.0.1:${port}`, zone: node, isReady: true } as GatewayState;
   }
 
-  function createDialer(peers: readonly GatewayState[]): TunnelDialer {
+  function createDialer(
+    peers: readonly GatewayState[],
+    log: Log = createSilentLog(),
+  ): TunnelDialer {
     return createTunnelDialer({
       clock,
       random: createSystemRandom(),
-      log: createSilentLog(),
+      log,
       zone: 'zone-a',
       peers: () => peers,
       retired: () => undefined,
@@ -242,6 +245,20 @@
     cut.closeAllConnections();
   });
 
+  it('are opened by the next peer where one does not answer', async () => {
+    const mute = createServer();
+    await listen(mute);
+    const peers = [createPeer('mute', portOf(mute)), createPeer('peer', portOf(front))];
+    for (let count = 0; count < 5; count += 1) {
+      const log = createKeptLog();
+      const result = await createDialer(peers, log).dial(server);
+      expect(result.isOk()).to.equal(true);
+      // nobody was waited for in vain
+      expect(log.lines).to.deep.equal([]);
+    }
+    mute.close();
+  });
+
   it('are not used for further requests once the peer stops', async () => {
     const peer = createPeer('peer', portOf(front));
     let peers = [peer];
