fix(relay): connections that are being made do not have kept ones closed

Since connections are dialled by src/paths, the pool's limit was lowered by those being made and raised again only by the next request, so that a connection that came back to a full pool was closed: five rounds of three requests at a limit of two opened seven connections, now two.

--- a/src/relay/connections.ts
+++ b/src/relay/connections.ts
@@ -32,6 +32,7 @@
   readonly #clock: Clock;
   readonly #connector: Connector | undefined;
   #connecting = 0;
+  #most = Number.POSITIVE_INFINITY;
 
   /**
    * @param connector makes the connections; by default they are dialled as the request says
@@ -51,7 +52,13 @@
 
   /** Limits the connections; those that are being made, which the agent does not count, included. */
   limit(most: number): void {
-    this.maxSockets = Math.max(1, most - this.#connecting);
+    this.#most = most;
+    this.#countConnecting(0);
+  }
+
+  #countConnecting(change: number): void {
+    this.#connecting += change;
+    this.maxSockets = Math.max(0, this.#most - this.#connecting);
   }
 
   override createConnection(
@@ -72,7 +79,7 @@
   }
 
   async #connect(connector: Connector, created: Created): Promise<void> {
-    this.#connecting += 1;
+    this.#countConnecting(1);
     try {
       const connection = await connector.connect();
       this.#openedAt.set(connection, this.#clock.now());
@@ -81,7 +88,7 @@
       // the agent takes no connection with an error
       created(error as Error, undefined as never);
     } finally {
-      this.#connecting -= 1;
+      this.#countConnecting(-1);
     }
   }
 
@@ -157,7 +164,8 @@
         known.limit(limitFor(id));
         return known;
       }
-      const agent = new KeepAliveAgent(clock, { maxSockets: limitFor(id) }, connectorFor(id));
+      const agent = new KeepAliveAgent(clock, {}, connectorFor(id));
+      agent.limit(limitFor(id));
       agents.set(id, agent);
       return agent;
     },
--- a/test/relay/connections.test.ts
+++ b/test/relay/connections.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { request } from 'node:http';
-import { createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
 import { createConnections } from '../../src/relay/connections.js';
 import { createFakeClock } from '../fixtures/fake-clock.js';
 
@@ -44,4 +44,40 @@
     expect(errors).to.deep.equal(['before ECONNRESET']);
     connections.close();
   });
+
+  it('keeps connections up to the limit, those that were just made included', async () => {
+    const { clock } = createFakeClock();
+    const { port } = server.address() as AddressInfo;
+    server.removeAllListeners('connection');
+    let opened = 0;
+    server.on('connection', (socket) => {
+      opened += 1;
+      open.add(socket);
+      socket.on('data', () => socket.write('HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n'));
+    });
+    const connections = createConnections(
+      () => 2,
+      clock,
+      () => ({
+        connect: () =>
+          new Promise((resolve) => {
+            const socket = connect(port, '127.0.0.1', () => {
+              resolve(socket);
+            });
+          }),
+        isPathLost: () => false,
+      }),
+    );
+
+    function send(): Promise<void> {
+      const agent = connections.agentFor('s');
+      const outgoing = request({ host: '127.0.0.1', port, agent }, (response) => response.resume());
+      outgoing.end();
+      return new Promise((resolve) => outgoing.on('close', resolve));
+    }
+
+    for (let round = 0; round < 5; round += 1) await Promise.all([send(), send(), send()]);
+    expect(opened).to.equal(2);
+    connections.close();
+  });
 });
