--- a/stand-ins/network/path-process.ts
+++ b/stand-ins/network/path-process.ts
@@ -9,8 +9,9 @@
 /** Ports below those that systems give to outgoing connections, so that a listener finds its own port free again. */
 const FIRST_PORT = 20_000;
 const PORTS = 12_000;
-/** Connections that the system accepts for a stopped process; further ones hang. */
-const BACKLOG = 1;
+/** Connections that the system accepts for a process that does not run; further ones hang. Enough for the bursts of a
+ * gateway while the process runs: one that finds the queue full is tried again by the system after a second only. */
+const BACKLOG = 32;
 /** Time until a taken port is tried again, in ms. */
 const RETRY_MS = 20;
 
--- a/stand-ins/network/paths.ts
+++ b/stand-ins/network/paths.ts
@@ -7,8 +7,8 @@
 import { fileURLToPath } from 'node:url';
 import type { PathCommand, PathReport } from './messages.js';
 
-/** Connections that fill the queue of a stopped listener, so that further ones hang. */
-const FILLING = 3;
+/** Connections that fill the queue of a stopped listener, so that further ones hang; more than it holds. */
+const FILLING = 40;
 
 /** How paths are cut: without any sign, with resets, or so that only new connections are refused. */
 export type PathCut = 'silent' | 'reset' | 'refused';
