feat(events): software versions of servers, and what a request that continues a stream names

requestSent told neither the version nor whether the request takes a stream up, after which event and by whose attempt; serverChanged had no version, and nothing said whose event reached the caller first. Needed to tell apart the hypotheses of the streams over two versions. The adapter now keeps an entry's version, peers relay it.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -112,6 +112,7 @@
   serverSignalUnreadable: { id: 7037, level: 'warn', text: 'what a server asks for is unreadable' },
   requestPlaced: { id: 7040, level: 'info', text: 'engines chosen for a request' },
   requestSent: { id: 7041, level: 'info', text: 'request sent to a backend server' },
+  streamBegun: { id: 7058, level: 'info', text: 'first event of a stream reaches its caller' },
   sendEnded: { id: 7042, level: 'info', text: 'a send ended' },
   requestRefused: { id: 7043, level: 'info', text: 'request refused; it did not run' },
   requestFailed: { id: 7044, level: 'warn', text: 'request failed; it may have run' },
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -205,6 +205,7 @@
       bornAtMsBefore: known?.server?.bornAtMs,
       service: server?.service ?? known?.server?.service,
       role: server?.role,
+      version: server?.version,
       address: server?.address,
     });
   }
--- a/src/fleet/server.ts
+++ b/src/fleet/server.ts
@@ -16,6 +16,8 @@
   /** `host:port`. */
   address: string;
   zone: string;
+  /** Version of its software; `undefined` where a peer of an earlier release relayed the entry without it. */
+  version?: string | undefined;
   /** Requests that it runs at once. */
   slots: number;
   /** Takes no new requests; what runs there finishes. */
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -18,6 +18,8 @@
   service: z.string(),
   address: z.string(),
   zone: z.string(),
+  /** Peers of earlier releases leave it out. */
+  version: z.string().optional(),
   slots: z.number(),
   isLeaving: z.boolean(),
   role: z.enum(['prefill', 'decode']).optional(),
--- a/src/relay/protocol.ts
+++ b/src/relay/protocol.ts
@@ -16,6 +16,9 @@
   prompt: Prompt | undefined;
   /** The last event that the caller received of an earlier answer; `undefined` on a first attempt. */
   lastEventId: string | undefined;
+  /** The attempt that brought the first event of the stream that this request continues; `undefined` on a first
+   * attempt. */
+  resumes: string | undefined;
   /** Headers to forward to the backend server, alternating names and values. */
   forwarded: readonly string[];
 }
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -293,7 +293,14 @@
 
   function sendTo(placed: PlacedServer, placer: Placer): Promise<SendOutcome> {
     const { server, source, urgency } = placed;
-    log.write('requestSent', { request: requestId, server: server.id, attempt: progress.attempts });
+    log.write('requestSent', {
+      request: requestId,
+      server: server.id,
+      version: server.version,
+      attempt: progress.attempts,
+      resumes: head.resumes,
+      afterEvent: lastEventId ?? head.lastEventId,
+    });
     return sendOnce(
       {
         request: createOutgoing(server, { source, urgency, lastEventId }, mayContinueElsewhere),
@@ -313,6 +320,10 @@
           placer.answerBegun();
           if (progress.isBegun) return;
           progress.isBegun = true;
+          if (route.isStream) {
+            const { id, version } = server;
+            log.write('streamBegun', { request: requestId, server: id, version });
+          }
           metrics.firstByte.observe({ service }, (clock.now() - arrivedAt) / 1_000);
         },
         loadReceived(load) {
