--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -54,6 +54,10 @@
   /** Events that each stream has. */
   events?: number;
   role?: 'prefill' | 'decode';
+  /** Version of its software, which it writes into its events. */
+  version?: string;
+  /** Whether a send of a stream breaks off after its next event. */
+  breaksStream?: (request: ReceivedRequest) => boolean;
   /** The process ends, and with it all connections, when it begins to run a request with this body. */
   endsOn?: string;
   /** Time that an engine takes to read a prompt, in ms; twice as long where it generates. */
@@ -101,13 +105,21 @@
       const body = { kvHandle: `handle-${handles}`, tokens: 1, version: 1 };
       response.writeHead(200, echo(request)).end(JSON.stringify(body));
     } else if (terms.events !== undefined) {
-      writeEvents(request, response, terms.events);
+      if (terms.breaksStream?.(request) === true) breakStream(request, response);
+      else writeEvents(request, response, terms.events, terms.version);
     } else {
       const body = `${id} answers ${request.path}`;
       response.writeHead(200, sign(request, id)).end(body);
     }
   }
 
+  /** Writes one more event of a stream and breaks off. */
+  function breakStream(request: ReceivedRequest, response: ServerResponse): void {
+    beginStream(request, response);
+    const event = resolveLastEvent(request) + 1;
+    response.write(renderEvent(event, terms.version), () => response.destroy());
+  }
+
   /** Time that reading a request's prompt takes; none where another engine has read it. */
   function resolveReadMs({ headers }: ReceivedRequest): number {
     if (headers['x-stage'] === 'prefill') return readMs;
@@ -200,14 +212,28 @@
   request: ReceivedRequest,
   response: ServerResponse,
   events: number,
+  version?: string,
 ): void {
+  beginStream(request, response);
+  for (let event = resolveLastEvent(request) + 1; event <= events; event += 1) {
+    response.write(renderEvent(event, version));
+  }
+  response.end();
+}
+
+function beginStream(request: ReceivedRequest, response: ServerResponse): void {
   response.writeHead(200, {
     ...sign(request, String(request.headers['x-target-instance'] ?? '')),
     'Content-Type': 'text/event-stream',
   });
-  const last = Number(request.headers['last-event-id'] ?? 0);
-  for (let event = last + 1; event <= events; event += 1) {
-    response.write(`id: ${event}\ndata: part ${event}\n\n`);
-  }
-  response.end();
+}
+
+function resolveLastEvent({ headers }: ReceivedRequest): number {
+  return Number(headers['last-event-id'] ?? 0);
+}
+
+/** One event; it names the version of the software that made it, if there is one. */
+export function renderEvent(event: number, version?: string): string {
+  const author = version === undefined ? '' : ` by ${version}`;
+  return `id: ${event}\ndata: part ${event}${author}\n\n`;
 }
