fix(streams): a broken stream goes on only at the software version that began it

Cause: a server's version is a property of whoever began a stream which whoever goes on must share, and it was dropped at the boundary as unused, so every way on went to whatever server had room: within an answer (hypothesis 1) and over a caller's tries (2). Change: the version is kept from the registry on. Within an answer the gate that every send passes, and the scheduler's candidates, take only servers of the version whose event was the first to reach the caller. Over tries (src/streams): the gateway that begins a stream sends a record (attempt, service, version) to three replicas, found by rendezvous hashing of the attempt's id in 16 buckets, before the first event and without waiting; whoever continues it looks at its own records, then asks four gateways (250 ms at most, at once when all have answered). Without a record the version is inferred only if no other can have begun it: one version only was registered for as long as a stream may be continued, in the view of this gateway and of all that answered; a gateway that has just started has the past from a row on the platform, written when a version comes or has been gone that long. A gateway that nobody answers infers nothing. What cannot go on is refused at once as not run: stream-version-gone, stream-origin-unknown, stream-service-changed. A route that is split over services has the same fault: a continued stream now goes to the service that began it. Gateways of an earlier release are sent no such messages (they would close the link); an entry that one of them relayed without the version is completed from the store.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -144,6 +144,26 @@
     text: 'a ban could not be read or kept on the platform',
   },
   trialAnswered: { id: 7067, level: 'info', text: 'a suspected request may run, or has to wait' },
+  streamOriginResolved: {
+    id: 7090,
+    level: 'info',
+    text: 'where a stream began that a caller continues, and how that is known',
+  },
+  versionsLoaded: {
+    id: 7091,
+    level: 'info',
+    text: 'stored software versions that may have begun streams were read',
+  },
+  versionsStored: {
+    id: 7092,
+    level: 'info',
+    text: 'software versions that may have begun streams were stored',
+  },
+  versionRowFailed: {
+    id: 7093,
+    level: 'warn',
+    text: 'software versions could not be read or stored on the platform',
+  },
   pathLost: {
     id: 7080,
     level: 'warn',
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -57,6 +57,8 @@
   find(id: string): RegisteredServer | undefined;
   /** Whether a server takes new requests. */
   isAvailable(id: string): boolean;
+  /** Servers of a service, whether or not they take new requests. */
+  registered(service: string): Iterable<RegisteredServer>;
   /** Servers of a service that take new requests, ordered by id. */
   available(service: string): readonly RegisteredServer[];
   /** Changes after a revision, for a peer that is behind. */
@@ -84,12 +86,14 @@
  * @param log hears of every change of belief
  * @param left called when a server is gone or leaves, once for each
  * @param becameUnusable hears of each entry that came to name no server to use
+ * @param replaced hears of a server as it was, when its entry changes or goes
  */
 export function createFleet(
   clock: Clock,
   log: Log,
   left: ServerLoss,
   becameUnusable: (entry: UnusableEntry) => void = () => undefined,
+  replaced: (before: RegisteredServer) => void = () => undefined,
 ): Fleet {
   /** By name. */
   const entries = new Map<string, Entry>();
@@ -112,7 +116,8 @@
   function learn(change: RegistryChange, source: FleetSource): void {
     newest = Math.max(newest, change.revision);
     const known = entries.get(change.id);
-    if (known !== undefined && known.change.revision >= change.revision) return;
+    const isNewer = known === undefined || known.change.revision < change.revision;
+    if (!isNewer && !bringsVersion(change, known.change)) return;
     const isRemoval = change.server === undefined && change.unusable === undefined;
     if (isRemoval && known === undefined) return;
     if (isRemoval && mayReturn(known)) {
@@ -172,7 +177,10 @@
       learntAt: clock.now(),
       isRetired: server !== undefined && retiredAt.has(server.id),
     });
-    if (before !== undefined) names.delete(before.id);
+    if (before !== undefined) {
+      names.delete(before.id);
+      replaced(before);
+    }
     if (server !== undefined) names.set(server.id, change.id);
     byService.clear();
     note(change, known?.change, source);
@@ -268,6 +276,11 @@
       const entry = findEntry(id);
       return entry !== undefined && isAvailable(entry);
     },
+    *registered(service) {
+      for (const { change } of entries.values()) {
+        if (change.server?.service === service) yield change.server;
+      }
+    },
     available(service) {
       const known = byService.get(service);
       if (known !== undefined) return known;
@@ -290,6 +303,12 @@
   };
 }
 
+/** Whether an entry is known without the software version, from a peer of an earlier release, and a change has it. */
+function bringsVersion(change: RegistryChange, known: RegistryChange): boolean {
+  if (change.revision !== known.revision || known.server === undefined) return false;
+  return known.server.version === undefined && change.server?.version !== undefined;
+}
+
 function isAvailable(entry: Entry): boolean {
   const { server } = entry.change;
   return server !== undefined && !server.isLeaving && !entry.isRetired;
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -39,6 +39,7 @@
 import { createPauseAwareCalls } from './engine-calls.js';
 import { createFollowers } from './followers.js';
 import { startFollowing } from './following.js';
+import { createOriginKeeping } from './origin-keeping.js';
 import { createPersistentQuarantine } from './persistent-quarantine.js';
 import { createPeering } from './peering.js';
 import { publishAddress } from './publish-address.js';
@@ -183,12 +184,32 @@
     ({ reason }) => {
       metrics.unusableEntries.inc({ reason });
     },
+    ({ service, version }) => {
+      history.seen(service, version);
+    },
   );
   const routes = createRoutingReplica(log, () => {
     front.refreshLimits();
     metrics.routesSince.reset();
     metrics.routesSince.set({ version: routes.version() }, Date.now() / 1_000);
   });
+  const {
+    streams,
+    history,
+    rows: versionRows,
+  } = createOriginKeeping({
+    clock,
+    log,
+    metrics,
+    node,
+    table: platform.table,
+    signal: shutdown.signal,
+    fleet: () => fleet,
+    routes,
+    overlay: () => overlay,
+    isStoreReachable: () => storeHealth.isReachable(),
+    holderOf: (service) => schedulers.holderOf(service),
+  });
   const { quarantine, banRows } = createPersistentQuarantine({
     clock,
     log,
@@ -251,6 +272,7 @@
     followers,
     quarantine,
     backpressure,
+    streams,
     parseRoutes: (text) => platform.parseRoutes(text),
   });
   const overlay: Overlay = createOverlay({
@@ -264,6 +286,7 @@
       front: formatAddress(settings.callers),
       zone,
       cores: settings.cores,
+      recordsOrigins: true,
     },
     status: () => ({
       isReady: isReady(),
@@ -322,6 +345,7 @@
     quarantine,
     backpressure,
     scheduler: submitter,
+    streams,
     canFinish,
   };
   const front = createFront({
@@ -441,6 +465,7 @@
     },
   });
   void publishing.done.then(banRows.load);
+  void versionRows.start();
   platform.onRestored(() => {
     // all gateways have lost their rows at the same time
     clock.after(REWRITE_SPREAD_MS * random.next(), rewriteRows);
@@ -448,6 +473,7 @@
 
   function rewriteRows(): void {
     void publishing.rewrite();
+    versionRows.rewrite();
     for (const { fingerprint } of quarantine.bans()) banRows.changed(fingerprint);
   }
 
--- /dev/null
+++ b/src/gateway/origin-keeping.ts
@@ -0,0 +1,101 @@
+/**
+ * Composes what a gateway knows of where streams began: its records, their replicas at peers, and the software versions
+ * of servers, stored on the platform.
+ */
+import type { Log } from '../events/index.js';
+import type { Fleet } from '../fleet/index.js';
+import type { GatewayMetrics } from '../metrics/index.js';
+import type { GatewayState, Overlay } from '../peers/index.js';
+import type { TableService } from '../ports/table-service.js';
+import type { RoutingReplica } from '../routing/index.js';
+import {
+  createReplicas,
+  createStreamOrigins,
+  createVersionHistory,
+  createVersionRows,
+  resolveKeepMs,
+  type StreamOrigins,
+  type VersionHistory,
+  type VersionRows,
+} from '../streams/index.js';
+import type { Clock } from '../task/index.js';
+
+/** Dependencies of {@link createOriginKeeping}. */
+export interface OriginKeepingParts {
+  clock: Clock;
+  log: Log;
+  metrics: GatewayMetrics;
+  node: string;
+  table: TableService;
+  /** Ends the keeping of rows. */
+  signal: AbortSignal;
+  fleet(): Pick<Fleet, 'registered'>;
+  routes: Pick<RoutingReplica, 'index'>;
+  overlay(): Pick<Overlay, 'send' | 'peers' | 'knownGateways'>;
+  isStoreReachable(): boolean;
+  /** The gateway that stores the versions of a service. */
+  holderOf(service: string): string;
+}
+
+/** What a gateway knows of where streams began. */
+export interface OriginKeeping {
+  streams: StreamOrigins;
+  history: VersionHistory;
+  rows: VersionRows;
+}
+
+/** Creates the records without any. */
+export function createOriginKeeping(parts: OriginKeepingParts): OriginKeeping {
+  const { clock, log, metrics, node, table, signal, routes } = parts;
+  let recording: readonly string[] = [];
+  let recordingFrom: readonly GatewayState[] | undefined;
+
+  /** Peers that keep records; the same array until they change. */
+  function listRecording(): readonly string[] {
+    const peers = parts.overlay().peers();
+    if (peers === recordingFrom) return recording;
+    recordingFrom = peers;
+    recording = peers.filter((peer) => peer.recordsOrigins === true).map((peer) => peer.node);
+    return recording;
+  }
+
+  /** The longest time for which a stream of any route may be continued, in milliseconds. */
+  function resolveLongestKeepMs(): number {
+    let longestMs = 0;
+    for (const { isResumable, timeoutMs } of routes.index()?.table.routes ?? []) {
+      if (isResumable) longestMs = Math.max(longestMs, timeoutMs);
+    }
+    return resolveKeepMs(longestMs);
+  }
+
+  /** Services whose streams may be continued and whose versions this gateway stores. */
+  function* listOwnServices(): Generator<string> {
+    const found = new Set<string>();
+    for (const { isResumable, targets } of routes.index()?.table.routes ?? []) {
+      for (const { service } of isResumable ? targets : []) found.add(service);
+    }
+    for (const service of found) {
+      if (parts.holderOf(service) === node) yield service;
+    }
+  }
+
+  const history = createVersionHistory({
+    now: () => clock.now(),
+    *registered(service) {
+      for (const { version } of parts.fleet().registered(service)) yield version;
+    },
+    keepMs: resolveLongestKeepMs,
+  });
+  const streams = createStreamOrigins({
+    clock,
+    log,
+    metrics,
+    node,
+    replicas: createReplicas(node, listRecording),
+    history,
+    isCurrentAlone: () => parts.overlay().knownGateways() === 1 && parts.isStoreReachable(),
+    send: (peer, message) => parts.overlay().send(peer, message),
+  });
+  const rows = createVersionRows({ table, clock, log, signal, history, services: listOwnServices });
+  return { streams, history, rows };
+}
--- a/src/gateway/peering.ts
+++ b/src/gateway/peering.ts
@@ -18,6 +18,7 @@
 import type { RoutingDocument, RoutingReplica } from '../routing/index.js';
 import type { Quarantine } from '../quarantine/index.js';
 import type { Decision, JobSubmitter, Job, Scheduler } from '../scheduling/index.js';
+import type { StreamOrigins } from '../streams/index.js';
 import type { Clock, Timer } from '../task/index.js';
 import { createCatchUp } from './catch-up.js';
 import type { Followers } from './followers.js';
@@ -37,6 +38,7 @@
   scheduler(service: string): Scheduler;
   quarantine: Pick<Quarantine, 'received' | 'peerLost'>;
   backpressure: Pick<Backpressure, 'received' | 'peerLost'>;
+  streams: Pick<StreamOrigins, 'received'>;
   followers: Pick<Followers, 'isLargeFleet' | 'mayRelyOnPeers'>;
   /** Decodes routes relayed by a peer; `undefined` if they are invalid. */
   parseRoutes(text: string): RoutingDocument | undefined;
@@ -202,6 +204,14 @@
           parts.backpressure.received(node, backpressureMessage);
         },
       )
+      .with(
+        { kind: 'origin.record' },
+        { kind: 'origin.query' },
+        { kind: 'origin.response' },
+        (originMessage) => {
+          parts.streams.received(node, originMessage);
+        },
+      )
       .with({ kind: 'job.queued' }, { kind: 'job.placed' }, { kind: 'job.declined' }, (answer) => {
         parts.submitter.answerReceived(node, answer);
       })
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -152,6 +152,12 @@
       help: 'Sends after the first that were paid from the retry budget and not made',
       registers,
     }),
+    streamsContinued: new Counter({
+      name: 'reedtally_gateway_streams_continued_total',
+      help: 'Streams that callers came to continue, by how it is known where they began',
+      labelNames: ['origin'],
+      registers,
+    }),
     firstByte: new Histogram({
       name: 'reedtally_gateway_first_byte_seconds',
       help: 'Time from the head of a request to the first byte of its answer, by service',
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -77,6 +77,9 @@
 /** HTTP status of a request that asks for no upgrade. */
 const UPGRADE_REQUIRED = 426;
 
+/** Kinds of messages about requests; a link that carries them is in use. */
+const REQUEST_MESSAGES = /^(job|trial|origin)\./;
+
 const serverOptions = { maxPayload: MAX_MESSAGE_BYTES, perMessageDeflate: false };
 
 /**
@@ -278,5 +281,5 @@
 };
 
 function isAboutRequest({ kind }: PeerMessage): boolean {
-  return kind.startsWith('job.') || kind.startsWith('trial.');
+  return REQUEST_MESSAGES.test(kind);
 }
--- a/src/peers/messages.ts
+++ b/src/peers/messages.ts
@@ -10,6 +10,7 @@
 import { trialMessageSchemas } from '../quarantine/trials.js';
 import { routesMessageSchema } from './routes-message.js';
 import { jobSchema, placementSchema } from '../scheduling/job.js';
+import { originMessageSchemas } from '../streams/messages.js';
 
 const serverSchema = z.object({
   /** Name of its registry entry; together with `bornAtMs` it identifies the incarnation. */
@@ -53,6 +54,8 @@
   isReady: z.boolean(),
   /** Follows the store directly, and the store answers. */
   isFollowing: z.boolean(),
+  /** Keeps where streams began. Gateways of earlier releases do not, and close a link with messages about it. */
+  recordsOrigins: z.boolean().optional(),
 });
 
 const suspicionSchema = z.object({
@@ -156,6 +159,7 @@
   ...trialMessageSchemas,
   noticesMessageSchema,
   ...allowanceMessageSchemas,
+  ...originMessageSchemas,
   submitSchema,
   adoptSchema,
   queuedSchema,
--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -83,6 +83,7 @@
           timeLeftMs: context.timeLeftMs(),
           isReturn: context.isCallerRetry,
           isRead: prefilled !== undefined,
+          version: context.requiredVersion(),
           excluded: [...excluded, ...context.pausedServers()],
           avoided: context.avoidedServers(),
         },
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -56,6 +56,8 @@
   /** Time left until the request's time limit, in milliseconds. */
   timeLeftMs(): number;
   find(id: string): RegisteredServer | undefined;
+  /** The software version that servers have to have, if the request's stream has begun. */
+  requiredVersion(): string | undefined;
   /** The reason not to send to a server now, if there is one. */
   withholdReason(server: RegisteredServer): string | undefined;
   /** Servers that have asked this gateway for a pause. */
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -16,6 +16,7 @@
 import type { Paths } from '../paths/index.js';
 import type { RetryBudget } from '../retries/index.js';
 import { chooseTarget, type Route, type RoutingReplica } from '../routing/index.js';
+import type { OriginLookup, StreamOrigins } from '../streams/index.js';
 import { wait, type Clock, type RandomSource, type Timer } from '../task/index.js';
 import type { CallerAnswer } from './caller-answer.js';
 import type { Connections } from './connections.js';
@@ -31,6 +32,7 @@
 import { sendOnce, type SendOutcome } from './send.js';
 import { createServerGate } from './server-gate.js';
 import { createServicePlacer, type ServerLoads } from './service-placer.js';
+import { createStreamVersion, findOrigin } from './stream-version.js';
 import type { CallerRetries } from './caller-retries.js';
 
 /** Retry-After while there is no configuration yet, in ms. */
@@ -49,6 +51,17 @@
 /** Retry-After while the same request is on trial at another server, in ms. */
 const TRIAL_RETRY_MS = 300;
 
+/** Retry-After for a stream that can hardly be continued, in ms: a server of its version may start again. */
+const LOST_STREAM_RETRY_MS = 1_000;
+/** Retry-After for a stream to be continued while no peer answers, in ms. */
+const NO_ANSWER_RETRY_MS = 300;
+
+/** Why a stream is not continued. */
+interface ContinuationRefusal {
+  reason: string;
+  retryAfterMs: number;
+}
+
 /** Why a request ends without a retry that the route would allow. */
 const SPENT_REASON = 'the retry budget is spent';
 
@@ -75,6 +88,7 @@
   quarantine: Quarantine;
   backpressure: Backpressure;
   scheduler: SchedulerClient;
+  streams: StreamOrigins;
   /**
    * Whether this gateway will run long enough to finish a request.
    *
@@ -124,7 +138,9 @@
     answer.refuse(statuses.notFound, 'no route matches this host and path');
     return;
   }
-  const request = createRequest(parts, callerRequest, route, service);
+  const lookup = await findOrigin(parts.streams, route, head);
+  const origin = lookup?.kind === 'known' ? lookup.origin : undefined;
+  const request = createRequest(parts, callerRequest, route, origin?.service ?? service, lookup);
   try {
     await request.serve();
   } finally {
@@ -137,6 +153,8 @@
   callerRequest: CallerRequest,
   route: Route,
   service: string,
+  /** Where the stream began that the request continues. */
+  lookup: OriginLookup | undefined,
 ) {
   const { clock, log, metrics, protocol } = parts;
   const { head, answer, arrivedAt } = callerRequest;
@@ -171,11 +189,21 @@
 
   const retries = createRequestRetries({ ...parts, service, requestId });
 
+  const streamVersion = createStreamVersion({
+    log,
+    origins: parts.streams,
+    head,
+    route,
+    service,
+    origin: lookup?.kind === 'known' ? lookup.origin : undefined,
+  });
+
   const gate = createServerGate({
     fleet: parts.fleet,
     backpressure: parts.backpressure,
     service,
     requestId,
+    streamVersion,
   });
 
   const context: PlacementContext = {
@@ -185,12 +213,13 @@
     service,
     rank: route.rank,
     maxEventGapMs: route.maxEventGapMs,
-    isCallerRetry: parts.callerRetries.isRetry(route.name, head.waitMs),
+    isCallerRetry: lookup !== undefined || parts.callerRetries.isRetry(route.name, head.waitMs),
     signal: abortController.signal,
     elapsedMs: () => clock.now() - arrivedAt,
     aimLeftMs: () => route.latencyObjectiveMs - (clock.now() - arrivedAt),
     timeLeftMs: () => endAt - clock.now(),
     find: (id) => parts.fleet.find(id),
+    requiredVersion: () => streamVersion.required()?.version,
     withholdReason: gate.withholdReason,
     pausedServers: () => parts.backpressure.paused(),
     msUntilResumed: gate.msUntilResumed,
@@ -271,7 +300,7 @@
   function createPlacer(): Placer {
     if (prompt !== undefined) return createEnginePlacer(context, prompt, parts.scheduler);
     return createServicePlacer(() => ({
-      servers: parts.fleet.available(service),
+      servers: parts.fleet.available(service).filter(streamVersion.allows),
       zone: parts.zone,
       health: parts.health,
       loads: parts.loads,
@@ -320,10 +349,7 @@
           placer.answerBegun();
           if (progress.isBegun) return;
           progress.isBegun = true;
-          if (route.isStream) {
-            const { id, version } = server;
-            log.write('streamBegun', { request: requestId, server: id, version });
-          }
+          streamVersion.begun(server);
           metrics.firstByte.observe({ service }, (clock.now() - arrivedAt) / 1_000);
         },
         loadReceived(load) {
@@ -443,6 +469,21 @@
     else refuse('time limit', DECLINED_RETRY_MS, 0);
   }
 
+  /** Why a stream cannot be continued, if that is known before any server is asked. */
+  function resolveContinuationRefusal(): ContinuationRefusal | undefined {
+    if (lookup === undefined) return undefined;
+    if (lookup.kind === 'unknown') {
+      const isFinal = lookup.reason === 'not-recorded';
+      const retryAfterMs = isFinal ? LOST_STREAM_RETRY_MS : NO_ANSWER_RETRY_MS;
+      return { reason: 'stream-origin-unknown', retryAfterMs };
+    }
+    if (!route.targets.some((target) => target.service === service))
+      return { reason: 'stream-service-changed', retryAfterMs: LOST_STREAM_RETRY_MS };
+    if (!parts.fleet.available(service).some(streamVersion.allows))
+      return { reason: 'stream-version-gone', retryAfterMs: LOST_STREAM_RETRY_MS };
+    return undefined;
+  }
+
   function startTimer(): Timer {
     return clock.after(endAt - clock.now(), () => {
       timedOut = true;
@@ -462,6 +503,11 @@
         refuse('stopping', STOPPING_RETRY_MS, 0);
         return;
       }
+      const refusal = resolveContinuationRefusal();
+      if (refusal !== undefined) {
+        refuse(refusal.reason, refusal.retryAfterMs, 0);
+        return;
+      }
       parts.budget.requestReceived(service);
       const timer = startTimer();
       const placer = createPlacer();
--- a/src/relay/server-gate.ts
+++ b/src/relay/server-gate.ts
@@ -1,12 +1,13 @@
 /**
  * Decides whether a request may be sent to a server: not while the server is leaving or has asked for
- * a pause. Every send of a request passes this check, whichever placer selected the server.
+ * a pause, nor if the request's stream began at another software version. Every send of a request passes this check, whichever placer selected the server.
  */
 import type { Backpressure } from '../backpressure/index.js';
 import { resolveServerName, type Fleet, type RegisteredServer } from '../fleet/index.js';
 import type { AnswerHead } from './exchange.js';
 import type { AnswerFacts } from './protocol.js';
 import { isSuccess } from './send.js';
+import type { StreamVersion } from './stream-version.js';
 
 /** Dependencies of the gate. */
 export interface ServerGateParts {
@@ -15,6 +16,7 @@
   service: string;
   /** The caller's id for the request. */
   requestId: string | undefined;
+  streamVersion: Pick<StreamVersion, 'allows'>;
 }
 
 /** Checks servers before a request is sent to them. */
@@ -34,7 +36,7 @@
  * @param parts the fleet, the backpressure and the request
  */
 export function createServerGate(parts: ServerGateParts): ServerGate {
-  const { fleet, backpressure, service, requestId } = parts;
+  const { fleet, backpressure, service, requestId, streamVersion } = parts;
 
   function isPaused({ id }: RegisteredServer): boolean {
     return backpressure.msUntilResumed(id) > 0;
@@ -43,6 +45,7 @@
   return {
     withholdReason(server) {
       if (!fleet.isAvailable(server.id)) return 'the server leaves';
+      if (!streamVersion.allows(server)) return 'the stream began at another software version';
       return isPaused(server) ? 'the server asked for a pause' : undefined;
     },
     isPaused,
--- a/src/scheduling/candidates.ts
+++ b/src/scheduling/candidates.ts
@@ -47,11 +47,11 @@
     return preferred;
   }
 
-  /** Engines of a role that have not failed this request; decode engines also need room. */
+  /** Engines of a role that may serve this request; decode engines also need room. */
   function listEligible(job: Job, role: EngineRole): RegisteredServer[] {
     const eligible: RegisteredServer[] = [];
     for (const engine of parts.engines()) {
-      if (engine.role !== role || job.excluded.includes(engine.id)) continue;
+      if (engine.role !== role || !mayServe(engine, job)) continue;
       // requests can wait for a prefill engine; decoding has to follow the prefill at once
       if (role === 'prefill' || hasRoom(engine.id, job)) eligible.push(engine);
     }
@@ -79,8 +79,9 @@
     findSoonestAvailable(job) {
       let soonest: string | undefined;
       let leastMs = Number.POSITIVE_INFINITY;
-      for (const { id, role } of parts.engines()) {
-        if (role !== 'decode' || job.excluded.includes(id)) continue;
+      for (const engine of parts.engines()) {
+        const { id, role } = engine;
+        if (role !== 'decode' || !mayServe(engine, job)) continue;
         const untilRoomMs = limits.msUntilRoom(id);
         if (!limits.isLimited(id) || untilRoomMs >= leastMs) continue;
         soonest = id;
@@ -96,3 +97,9 @@
     },
   };
 }
+
+/** Whether an engine has not failed a request, and has the version that the request's stream began at. */
+function mayServe({ id, version }: RegisteredServer, job: Job): boolean {
+  if (job.excluded.includes(id)) return false;
+  return job.version === undefined || job.version === version;
+}
--- a/src/scheduling/job.ts
+++ b/src/scheduling/job.ts
@@ -29,6 +29,8 @@
   isReturn: z.boolean(),
   /** The prefill is complete; only a decode engine is needed. */
   isRead: z.boolean(),
+  /** The software version of the engines that may serve it; absent if any may. */
+  version: z.string().optional(),
   /** The gateway's availability zone. */
   zone: z.string(),
   /** Engines that have failed this request; they are not used again. */
--- /dev/null
+++ b/src/streams/version-rows.ts
@@ -0,0 +1,98 @@
+/**
+ * Stores the software versions that may have begun streams, a small row for each service, so that gateways that all
+ * start again at once know whether there was more than one. A row changes when a version comes, and when it has been
+ * gone for as long as its streams may be continued.
+ */
+import * as z from 'zod';
+import type { Log } from '../events/index.js';
+import type { TableService } from '../ports/table-service.js';
+import { wait, type Clock } from '../task/index.js';
+import type { VersionHistory } from './version-history.js';
+
+const PREFIX = 'software-versions/';
+/** Most services to read. */
+const MAX_ROWS = 1_000;
+/** Delay between two attempts to reach the platform, in ms. */
+const RETRY_MS = 1_000;
+/** Interval between two comparisons of the rows with what is known, in ms. */
+const CHECK_MS = 500;
+
+const rowSchema = z.object({ versions: z.array(z.string()) });
+
+/** Dependencies of the rows. */
+export interface VersionRowsParts {
+  table: TableService;
+  clock: Clock;
+  log: Log;
+  signal: AbortSignal;
+  history: VersionHistory;
+  /** Services whose rows this gateway keeps up to date. */
+  services(): Iterable<string>;
+}
+
+/** Rows of software versions. */
+export interface VersionRows {
+  /** Reads the rows, retrying until the platform answers, and keeps them up to date from then on. */
+  start(): Promise<void>;
+  /** Writes all rows again after the store has lost them. */
+  rewrite(): void;
+}
+
+/**
+ * Creates the rows of a gateway.
+ *
+ * @param parts the platform's table and the history
+ */
+export function createVersionRows(parts: VersionRowsParts): VersionRows {
+  const { table, clock, log, signal, history } = parts;
+  /** What is stored, as far as known, by service. */
+  const stored = new Map<string, string>();
+
+  async function load(): Promise<boolean> {
+    const rows = await table.range({ prefix: PREFIX, limit: MAX_ROWS });
+    if (rows.isErr()) {
+      log.write('versionRowFailed', { reason: rows.error.message });
+      return false;
+    }
+    for (const { key, value } of rows.value) {
+      const service = key.slice(PREFIX.length);
+      const parsed = rowSchema.safeParse(value);
+      if (!parsed.success) {
+        log.write('versionRowFailed', { service, reason: z.prettifyError(parsed.error) });
+        continue;
+      }
+      const { versions } = parsed.data;
+      history.loaded(service, versions);
+      stored.set(service, versions.join());
+      log.write('versionsLoaded', { service, versions });
+    }
+    return true;
+  }
+
+  async function update(service: string): Promise<void> {
+    const { versions } = history.versions(service);
+    if (versions.length === 0 || stored.get(service) === versions.join()) return;
+    const puts = [{ key: `${PREFIX}${service}`, value: { versions } }];
+    const outcome = await table.transact({ conditions: [], puts, deletes: [] });
+    if (outcome.kind === 'committed') stored.set(service, versions.join());
+    log.write(outcome.kind === 'committed' ? 'versionsStored' : 'versionRowFailed', {
+      service,
+      versions,
+      outcome: outcome.kind,
+    });
+  }
+
+  return {
+    async start() {
+      while (!signal.aborted && !(await load())) await wait(clock, RETRY_MS);
+      while (!signal.aborted) {
+        for (const service of parts.services()) await update(service);
+        await wait(clock, CHECK_MS);
+      }
+    },
+    rewrite() {
+      stored.clear();
+      history.storedLost();
+    },
+  };
+}
--- a/test/gateway/two-versions.test.ts
+++ b/test/gateway/two-versions.test.ts
@@ -1,5 +1,7 @@
 import { expect } from 'chai';
+import { until, type GatewayFixture } from '../fixtures/gateway.js';
 import {
+  askAtOnce,
   askForStreams,
   EVENTS,
   startVersionFleet,
@@ -8,6 +10,8 @@
 } from '../fixtures/version-fleet.js';
 
 const STREAMS = 60;
+/** Streams that are begun before gateways end. */
+const BEGUN_AT_ONCE = 20;
 /** Share of the streams that are taken up which go on while servers of their version serve. */
 const CONTINUED_SHARE = 0.95;
 const VERSIONS = ['v1', 'v1.2'];
@@ -35,16 +39,120 @@
     fleet.breakStreams(({ headers }) => headers['last-event-id'] === undefined);
   }
 
-  it('go on only at the version that began them, within an answer and over several tries', async function () {
+  it('go on within an answer only at the version that began them', async function () {
     this.timeout(60_000);
     breakFirstSends();
-    const within = await askForStreams(STREAMS, () => fleet.gateways);
-    // three sends of each attempt break, so that a stream takes two attempts
-    fleet.breakStreams(({ headers }) => Number(headers['last-event-id'] ?? 0) + 1 < EVENTS);
+    const seen = await askForStreams(STREAMS, () => fleet.gateways);
+    expect(countMixed(seen)).to.equal(0);
+    expect(resolveWholeShare(seen)).to.be.at.least(CONTINUED_SHARE);
+  });
+
+  it('go on over several tries at other gateways only at the version that began them', async function () {
+    this.timeout(60_000);
+    breakEachSend();
     const seen = await askForStreams(STREAMS, () => fleet.gateways);
     expect(seen.filter(({ statuses }) => statuses.length > 1)).to.have.length.above(STREAMS / 2);
-    expect([countMixed(within), countMixed(seen)]).to.deep.equal([0, 0]);
-    expect(resolveWholeShare(within)).to.be.at.least(CONTINUED_SHARE);
+    expect(countMixed(seen)).to.equal(0);
+    expect(resolveWholeShare(seen)).to.be.at.least(CONTINUED_SHARE);
+  });
+
+  it('are refused as not run once no server of their version is left', async function () {
+    this.timeout(60_000);
+    breakEachSend();
+    let removal: Promise<void> | undefined;
+    const seen = await askForStreams(
+      STREAMS,
+      () => fleet.gateways,
+      true,
+      () => (removal ??= fleet.removeEntries('v1')),
+    );
+    const refused = seen.filter(({ statuses }) => statuses.includes(503));
+    expect(countMixed(seen)).to.equal(0);
+    expect(refused).to.have.length.above(0);
+    for (const { versions } of refused) expect([...versions]).to.deep.equal(['v1']);
+  });
+
+  it('are refused rather than continued at a guess if the caller does not say who began them', async function () {
+    this.timeout(60_000);
+    breakEachSend();
+    const seen = await askForStreams(STREAMS / 2, () => fleet.gateways, false);
+    expect(countMixed(seen)).to.equal(0);
+    expect(seen.some(({ statuses }) => statuses.includes(503))).to.equal(true);
+  });
+
+  /** Each send breaks, so that a stream of five events takes two attempts. */
+  function breakEachSend(): void {
+    fleet.breakStreams(({ headers }) => Number(headers['last-event-id'] ?? 0) + 1 < EVENTS);
+  }
+
+  it('go on at other gateways once the one that began them has ended', async function () {
+    this.timeout(60_000);
+    breakEachSend();
+    const [began, ...others] = fleet.gateways;
+    if (began === undefined) throw new Error('there is no gateway');
+    let open: readonly GatewayFixture[] = [began];
+    let stop: Promise<void> | undefined;
+    const seen = await askAtOnce(
+      BEGUN_AT_ONCE,
+      () => open,
+      true,
+      () => (stop ??= began.gateway.stop().then(() => void (open = others))),
+    );
+    const begun = seen.filter(({ versions }) => versions.size > 0);
+    expect(begun).to.have.length.above(BEGUN_AT_ONCE / 2);
+    expect(countMixed(seen)).to.equal(0);
+    expect(resolveWholeShare(begun)).to.be.at.least(CONTINUED_SHARE);
+  });
+
+  it('are not continued at a guess by gateways that have all just started', async function () {
+    this.timeout(60_000);
+    breakEachSend();
+    let replacement: Promise<void> | undefined;
+    const seen = await askAtOnce(
+      BEGUN_AT_ONCE,
+      () => fleet.gateways,
+      true,
+      () => (replacement ??= fleet.replaceGateways()),
+    );
+    expect(countMixed(seen)).to.equal(0);
+    expect(seen.filter(({ isWhole }) => isWhole)).to.have.length(0);
+  });
+});
+
+describe('streams of a service whose servers run one software version', () => {
+  let fleet: VersionFleet;
+
+  beforeEach(async function () {
+    this.timeout(60_000);
+    fleet = await startVersionFleet(3, ['v1']);
+  });
+
+  afterEach(() => fleet.close());
+
+  it('are continued by gateways that have all just started', async function () {
+    this.timeout(60_000);
+    await until(() => fleet.gateways.some(({ log }) => hasStoredVersions(log)));
+    fleet.breakStreams(({ headers }) => Number(headers['last-event-id'] ?? 0) + 1 < EVENTS);
+    let replacement: Promise<void> | undefined;
+    const seen = await askAtOnce(
+      BEGUN_AT_ONCE,
+      () => fleet.gateways,
+      true,
+      () => (replacement ??= fleet.replaceGateways()),
+    );
+    expect(resolveWholeShare(seen)).to.be.at.least(CONTINUED_SHARE);
+  });
+
+  it('are continued also if the caller does not say who began them', async function () {
+    this.timeout(60_000);
+    await until(() => fleet.gateways.some(({ log }) => hasStoredVersions(log)));
+    await fleet.replaceGateways();
+    fleet.breakStreams(({ headers }) => Number(headers['last-event-id'] ?? 0) + 1 < EVENTS);
+    const seen = await askForStreams(STREAMS / 2, () => fleet.gateways, false);
     expect(resolveWholeShare(seen)).to.be.at.least(CONTINUED_SHARE);
   });
 });
+
+function hasStoredVersions({ lines }: GatewayFixture['log']): boolean {
+  return lines.some(({ event }) => event === 'versionsStored');
+}
