fix(roles,relay): each software version keeps a decode engine; a server that has started again does not go on with a stream

A version with several engines that all prefill could not continue its streams: decode engines were split over the whole service. And a server that has started again under its name and address may answer in the place of the one before until its entry is known; events of a stream that goes on are forwarded only while the entry is the one that was chosen. Tests: test/roles/roles.test.ts.

--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -16,7 +16,12 @@
 import type { Log } from '../events/index.js';
 import { resolveEra } from '../ports/position.js';
 import type { Clock } from '../task/index.js';
-import type { RegisteredServer, RegistryChange, UnusableEntry } from './server.js';
+import {
+  resolveServerName,
+  type RegisteredServer,
+  type RegistryChange,
+  type UnusableEntry,
+} from './server.js';
 
 /** Time within which a removed entry may return once the store is back, in ms: the two seconds that the platform
  * promises, and the delay of a change in the store. */
@@ -55,6 +60,8 @@
   /** The store answers again after an outage. */
   storeReturned(): void;
   find(id: string): RegisteredServer | undefined;
+  /** Whether another incarnation, or another version, has taken a server's place under its name. */
+  isReplaced(server: RegisteredServer): boolean;
   /** Whether a server takes new requests. */
   isAvailable(id: string): boolean;
   /** Servers of a service, whether or not they take new requests. */
@@ -272,6 +279,11 @@
       startGrace(lostAtRevision ?? newest);
     },
     find: (id) => findEntry(id)?.change.server,
+    isReplaced(server) {
+      const current = entries.get(resolveServerName(server))?.change.server;
+      if (current === undefined) return false;
+      return current.id !== server.id || current.version !== server.version;
+    },
     isAvailable(id) {
       const entry = findEntry(id);
       return entry !== undefined && isAvailable(entry);
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -339,6 +339,9 @@
         answer,
         isStream: route.isStream,
         isContinuation: progress.isBegun,
+        // a server that starts again under its name takes requests for the one before until its entry is known
+        mayForwardEvent: () =>
+          streamVersion.required() === undefined || !parts.fleet.isReplaced(server),
         signal: abortController.signal,
         answerTimeoutMs: resolveAnswerTimeout(),
         mayTryAnother: () => parts.budget.hasLeft(service),
--- a/src/relay/send.ts
+++ b/src/relay/send.ts
@@ -48,6 +48,8 @@
   isStream: boolean;
   /** Whether the answer resumes an earlier one that ended early. */
   isContinuation: boolean;
+  /** Whether the next event of the stream may be forwarded. */
+  mayForwardEvent(): boolean;
   signal: AbortSignal;
   /** Time within which the answer has to begin, in ms; `undefined` for no timeout. */
   answerTimeoutMs: number | undefined;
@@ -173,6 +175,11 @@
 
     function forwardEvents(chunk: Buffer): void {
       for (const event of splitter?.push(chunk) ?? []) {
+        if (!send.mayForwardEvent()) {
+          settle({ kind: 'lost', reason: 'another incarnation of the server answers' });
+          exchange.abort();
+          return;
+        }
         begin();
         forward(event.bytes);
         send.eventForwarded(event.id);
--- a/src/roles/plan.ts
+++ b/src/roles/plan.ts
@@ -15,6 +15,9 @@
  * unavailable for seconds while its role changes. */
 const MIN_CHANGE_SHARE = 0.1;
 
+/** Engines of a software version from which on one of them is to decode. */
+const MIN_ENGINES_OF_VERSION = 2;
+
 /** A change of an engine's role. */
 export interface RoleChange {
   server: RegisteredServer;
@@ -38,7 +41,8 @@
 }
 
 /**
- * Lists the role changes that lead to the planned split. Engines are taken from the availability zone
+ * Lists the role changes that lead to the planned split, and before them those without which streams of a software
+ * version could not be continued. Engines are taken from the availability zone
  * with the most engines of the surplus role first, so that both roles stay spread over the zones.
  *
  * @param engines engines of a service with their current or pending roles
@@ -49,6 +53,8 @@
   engines: readonly RegisteredServer[],
   decodeLoad?: number,
 ): RoleChange[] {
+  const additions = resolveMissingDecode(engines);
+  if (additions.length > 0) return additions;
   const prefillEngines = engines.filter(({ role }) => role === 'prefill');
   const surplus = prefillEngines.length - resolvePrefillCount(engines.length, decodeLoad);
   const hasMinPrefill = prefillEngines.length >= resolvePrefillCount(engines.length);
@@ -59,17 +65,68 @@
     if (Math.abs(surplus) < MIN_CHANGE_SHARE * engines.length) return [];
   }
   const role: EngineRole = surplus > 0 ? 'decode' : 'prefill';
-  const pool = engines.filter((engine) => engine.role !== undefined && engine.role !== role);
+  const planned = [...engines];
   const changes: RoleChange[] = [];
   for (let index = 0; index < Math.abs(surplus); index += 1) {
-    const server = takeFromLargestZone(pool);
+    const server = pickFromLargestZone(listChangeable(planned, role));
     if (server === undefined) break;
+    planned.splice(planned.indexOf(server), 1, { ...server, role });
     changes.push({ server, role });
   }
   return changes;
 }
 
-function takeFromLargestZone(pool: RegisteredServer[]): RegisteredServer | undefined {
+/** Engines that may be given a role. A version keeps its last decode engine, which alone can continue its streams. */
+function listChangeable(
+  engines: readonly RegisteredServer[],
+  role: EngineRole,
+): readonly RegisteredServer[] {
+  const changeable = engines.filter((engine) => engine.role !== undefined && engine.role !== role);
+  if (role === 'decode') return changeable;
+  const kept = findLastDecode(engines);
+  return changeable.filter((engine) => !kept.has(engine));
+}
+
+/** Engines by software version. */
+function groupByVersion(engines: readonly RegisteredServer[]): RegisteredServer[][] {
+  const groups = new Map<string | undefined, RegisteredServer[]>();
+  for (const engine of engines) {
+    const group = groups.get(engine.version) ?? [];
+    groups.set(engine.version, group);
+    group.push(engine);
+  }
+  return [...groups.values()];
+}
+
+/**
+ * The changes after which every software version with several engines can continue its streams, while there is more
+ * than one version.
+ */
+function resolveMissingDecode(engines: readonly RegisteredServer[]): RoleChange[] {
+  const groups = groupByVersion(engines);
+  const changes: RoleChange[] = [];
+  for (const group of groups.length > 1 ? groups : []) {
+    if (group.length < MIN_ENGINES_OF_VERSION) continue;
+    if (group.some(({ role }) => role !== 'prefill')) continue;
+    const server = pickFromLargestZone(group);
+    if (server !== undefined) changes.push({ server, role: 'decode' });
+  }
+  return changes;
+}
+
+/** Decode engines that are the only ones of a version with several engines. */
+function findLastDecode(engines: readonly RegisteredServer[]): Set<RegisteredServer> {
+  const last = new Set<RegisteredServer>();
+  for (const group of groupByVersion(engines)) {
+    const decode = group.filter(({ role }) => role === 'decode');
+    const [only] = decode;
+    if (group.length < MIN_ENGINES_OF_VERSION || decode.length > 1) continue;
+    if (only !== undefined) last.add(only);
+  }
+  return last;
+}
+
+function pickFromLargestZone(pool: readonly RegisteredServer[]): RegisteredServer | undefined {
   const counts = new Map<string, number>();
   for (const { zone } of pool) {
     counts.set(zone, (counts.get(zone) ?? 0) + 1);
@@ -79,6 +136,5 @@
     const isLarger = (counts.get(server.zone) ?? 0) > (counts.get(best?.zone ?? '') ?? 0);
     if (best === undefined || isLarger) best = server;
   }
-  if (best !== undefined) pool.splice(pool.indexOf(best), 1);
   return best;
 }
--- a/test/roles/roles.test.ts
+++ b/test/roles/roles.test.ts
@@ -52,6 +52,39 @@
     expect(resolveChanges(fleet)).to.have.length(resolvePrefillCount(6));
   });
 
+  describe('with engines of two software versions', () => {
+    function versioned(roles: readonly EngineRole[], older: number): RegisteredServer[] {
+      return engines(roles).map((engine, index) => ({
+        ...engine,
+        version: index < older ? 'v1' : 'v2',
+      }));
+    }
+
+    it('give a version with several engines one that can continue its streams', () => {
+      const fleet = versioned(['prefill', 'prefill', 'prefill', 'decode', 'decode', 'prefill'], 3);
+      const changes = resolveChanges(fleet, 0.1);
+      expect(changes.map(({ server, role }) => [server.version, role])).to.deep.equal([
+        ['v1', 'decode'],
+      ]);
+    });
+
+    it('leave a version its last decode engine', () => {
+      const fleet = versioned(['prefill', 'decode', 'decode', 'decode', 'decode', 'decode'], 2);
+      const changes = resolveChanges(fleet, 0.1);
+      expect(changes).to.have.length.above(0);
+      for (const { server } of changes) expect(server.version).to.equal('v2');
+      const prefill = new Set(changes.map(({ server }) => server.id));
+      expect(
+        fleet.filter(({ id, version }) => version === 'v2' && !prefill.has(id)),
+      ).to.have.length.above(0);
+    });
+
+    it('are none for the sake of a version with one engine, or of the only version', () => {
+      const single = versioned(['prefill', 'prefill', 'prefill', 'prefill', 'decode', 'decode'], 1);
+      expect(resolveChanges(single)).to.deep.equal([]);
+    });
+  });
+
   it('are none if the split is as planned', () => {
     const roles: EngineRole[] = ['prefill', 'prefill', 'prefill', 'prefill', 'decode', 'decode'];
     expect(resolveChanges(engines(roles))).to.deep.equal([]);
