test(soak): engines of two versions, released in series; callers continue their streams at any gateway

Engines write their version into their events, start and start again at either of two versions, and a further version is released every 1.5 s, beside kills, cuts and a store that is away. Callers whose stream breaks off continue it with Resumes and Last-Event-Id. Judged: no stream holds events of two versions over all attempts; once all is calm, 40 streams begun at a gateway that is then killed go on at least half as often as new ones begin (the users' bound). Also: the test of a server that starts again under its name, which fails without the check of 'mayForwardEvent'.

--- a/test/gateway/two-versions.test.ts
+++ b/test/gateway/two-versions.test.ts
@@ -1,11 +1,18 @@
 import { expect } from 'chai';
-import { until, type GatewayFixture } from '../fixtures/gateway.js';
+import {
+  renderEvent,
+  sign,
+  writeEvents,
+  type ScriptedAnswer,
+} from '../../stand-ins/users-platform/index.js';
+import { register, until, type GatewayFixture } from '../fixtures/gateway.js';
 import {
   askAtOnce,
   askForStreams,
   EVENTS,
   startVersionFleet,
   type SeenStream,
+  type VersionedEngine,
   type VersionFleet,
 } from '../fixtures/version-fleet.js';
 
@@ -119,6 +126,47 @@
   });
 });
 
+describe('streams of servers that start again under their names with another software version', () => {
+  let fleet: VersionFleet;
+
+  beforeEach(async function () {
+    this.timeout(60_000);
+    fleet = await startVersionFleet(1, ['v1']);
+  });
+
+  afterEach(() => fleet.close());
+
+  it('get no event of the version that was not known when they were sent on', async function () {
+    this.timeout(60_000);
+    for (const engine of fleet.engines) {
+      if (engine.role === 'decode') restartOnContinuation(fleet, engine);
+    }
+    const [seen] = await askForStreams(1, () => fleet.gateways);
+    expect([...(seen?.versions ?? [])]).to.deep.equal(['v1']);
+    expect(seen?.ids).to.deep.equal([1]);
+  });
+});
+
+/** An engine breaks a new stream off after its first event; a stream that goes on finds it started again. */
+function restartOnContinuation(fleet: VersionFleet, { server }: VersionedEngine): void {
+  const answer: ScriptedAnswer = (request, response) => {
+    server.script(answer);
+    if (request.headers['last-event-id'] === undefined) {
+      response.writeHead(200, sign(request, server.id));
+      response.write(renderEvent(1, 'v1'), () => response.destroy());
+      return;
+    }
+    register(fleet.store, server, 'chat', { stage: 'decode', version: 'v2', born: Date.now() });
+    const [gateway] = fleet.gateways;
+    void until(
+      () => gateway?.log.lines.some(({ fields }) => fields.version === 'v2') === true,
+    ).then(() => {
+      writeEvents(request, response, EVENTS, 'v2');
+    });
+  };
+  server.script(answer);
+}
+
 describe('streams of a service whose servers run one software version', () => {
   let fleet: VersionFleet;
 
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -5,6 +5,7 @@
 import { judgeFirstAttempts } from '../../tools/soak/cuts.js';
 import { judge, type Account } from '../../tools/soak/judge.js';
 import { runSoak } from '../../tools/soak/soak.js';
+import { judgeContinued, judgeStory, tellStory } from '../../tools/soak/streams.js';
 
 describe('the fault soak', () => {
   it('finds nothing broken in a short run', async function () {
@@ -19,7 +20,14 @@
 
 describe('the judge of the soak', () => {
   function account(more: Partial<Account>): Account {
-    const base = { id: 'r', kind: 'once' as const, path: '/once/1', runs: ['s'], events: 3 };
+    const base = {
+      id: 'r',
+      kind: 'once' as const,
+      path: '/once/1',
+      runs: ['s'],
+      events: 3,
+      afterEvent: 0,
+    };
     return { ...base, answer: undefined, ...more };
   }
 
@@ -56,7 +64,7 @@
 
   it('finds streams with gaps, repeats and early ends', () => {
     const stream = (ids: number[], isWhole = true) => {
-      const body = ids.map((id) => `id: ${id}\ndata: x\n\n`).join('');
+      const body = ids.map((id) => `id: ${id}\ndata: part ${id}\n\n`).join('');
       return judge(account({ kind: 'stream', answer: answer(200, body, isWhole) }));
     };
     expect(stream([1, 2, 3])).to.have.length(0);
@@ -65,4 +73,23 @@
     expect(stream([1, 3, 2])).to.have.length(1);
     expect(stream([1, 1, 2, 3])).to.have.length(1);
   });
+
+  it('finds streams of two software versions, over all attempts of their callers', () => {
+    const events = (id: number, version: string) =>
+      answer(200, `id: ${id}\ndata: part ${id} by ${version}\n\n`, false);
+    const begun = tellStory(undefined, 'r', events(1, 'v1'));
+    const same = tellStory(begun, 'r2', events(2, 'v1'));
+    const mixed = tellStory(same, 'r3', events(3, 'v2'));
+    if (same === undefined || mixed === undefined) throw new Error('there were events');
+    expect(mixed).to.include({ begunBy: 'r', lastEvent: 3 });
+    expect(judgeStory(same)).to.equal(undefined);
+    expect(judgeStory(mixed)).to.be.a('string');
+  });
+
+  it('finds streams that go on less than half as often as new ones begin', () => {
+    const counts = { asked: 30, begun: 24, toContinue: 20, continued: 7 };
+    expect(judgeContinued(counts)).to.be.a('string');
+    expect(judgeContinued({ ...counts, continued: 8 })).to.equal(undefined);
+    expect(judgeContinued({ ...counts, toContinue: 11, continued: 0 })).to.equal(undefined);
+  });
 });
--- a/tools/soak/answers.ts
+++ b/tools/soak/answers.ts
@@ -1,7 +1,12 @@
 /**
  * Answers of the soak's servers, some of which break off.
  */
-import { sign, writeEvents, type ScriptedAnswer } from '../../stand-ins/users-platform/index.js';
+import {
+  renderEvent,
+  sign,
+  writeEvents,
+  type ScriptedAnswer,
+} from '../../stand-ins/users-platform/index.js';
 import type { RandomSource } from '../../src/task/index.js';
 
 /** Events that a whole stream has. */
@@ -29,14 +34,27 @@
 
 /** Writes a stream, which at times breaks off after its second event. */
 export function answerStream(
+  version: string,
   random: RandomSource,
   request: Parameters<ScriptedAnswer>[0],
   response: Parameters<ScriptedAnswer>[1],
 ): void {
   if (random.next() >= BROKEN_STREAM_SHARE || request.headers['last-event-id'] !== undefined) {
-    writeEvents(request, response, EVENTS);
+    writeEvents(request, response, EVENTS, version);
     return;
   }
+  breakStream(version, 2, request, response);
+}
+
+/** Writes some events of a stream and breaks off. */
+export function breakStream(
+  version: string,
+  events: number,
+  request: Parameters<ScriptedAnswer>[0],
+  response: Parameters<ScriptedAnswer>[1],
+): void {
+  const last = Number(request.headers['last-event-id'] ?? 0);
+  const ids = Array.from({ length: events }, (_, index) => last + index + 1);
   response.writeHead(200, { ...sign(request, ''), 'Content-Type': 'text/event-stream' });
-  response.write('id: 1\ndata: part 1\n\nid: 2\ndata: part 2\n\n', () => response.destroy());
+  response.write(ids.map((id) => renderEvent(id, version)).join(''), () => response.destroy());
 }
--- a/tools/soak/calm.ts
+++ b/tools/soak/calm.ts
@@ -8,11 +8,14 @@
 import type { FatalCount } from './fatal.js';
 import type { GatewayProcess } from './gateways.js';
 import type { Backend } from './soak.js';
+import { judgeContinued, type StreamCounts } from './streams.js';
 
 /** Time within which a change must be in force, in ms, as the users' pages have it. */
 export const IN_FORCE_MS = 2_000;
 /** Requests of each kind to each gateway after that. */
 const CALM_ROUNDS = 5;
+/** Streams that are begun at one gateway to see whether they go on. */
+const CONTINUED_STREAMS = 40;
 const NOT_FOUND = 404;
 /** How long after a cut first attempts are counted, in ms, and how many at each gateway. */
 const CUT_SETTLE_MS = 1_000;
@@ -44,6 +47,13 @@
     fatalName?: string,
   ): Promise<SeenStatus>;
   addServer(service: string): Promise<void>;
+  /** Has each send of a stream break off after an event, has callers wait, and counts anew what becomes of them. */
+  breakStreams(): void;
+  /** Has callers continue their streams, which do not break off any more. */
+  continueStreams(): void;
+  /** Kills a gateway and waits until it serves again. */
+  restart(gateway: GatewayProcess): Promise<void>;
+  streamCounts(): StreamCounts;
   announceLeaving(server: Backend): void;
   changeRoutes(): void;
   /** Has work waited for by `settle`. */
@@ -60,6 +70,7 @@
   return [
     ...(await judgeChanges(run)),
     ...(await judgeCut(run)),
+    ...(await judgeStreams(run)),
     ...(await judgeAsking(run)),
     ...(await judgeFatal(run)),
   ];
@@ -117,6 +128,23 @@
   return { asked: seen.length, served: seen.filter((status) => status === 200).length };
 }
 
+/** Streams go on at any gateway, also once the one that began them was killed. */
+async function judgeStreams(run: CalmRun): Promise<string[]> {
+  const gateway = run.gateways[Math.floor(run.random.next() * run.gateways.length)];
+  if (gateway === undefined) return ['no gateway is left'];
+  run.breakStreams();
+  for (let count = 0; count < CONTINUED_STREAMS; count += 1) {
+    run.track(run.sendOne(gateway, 'stream').then(() => undefined));
+    await pause(run.requestIntervalMs);
+  }
+  await run.settle();
+  await run.restart(gateway);
+  run.continueStreams();
+  await run.settle();
+  const found = judgeContinued(run.streamCounts());
+  return found === undefined ? [] : [found];
+}
+
 /** Servers that ask for less get less. */
 async function judgeAsking(run: CalmRun): Promise<string[]> {
   run.asking.judge();
--- a/tools/soak/controls.ts
+++ b/tools/soak/controls.ts
@@ -55,6 +55,20 @@
     to: 'void eventId;',
     finds: /got event 1 in place of/,
   },
+  {
+    name: 'callers continue streams at any software version',
+    file: 'src/relay/stream-version.ts',
+    from: 'let required: RequiredVersion | undefined = origin;',
+    to: 'let required: RequiredVersion | undefined;',
+    finds: /holds events of versions/,
+  },
+  {
+    name: 'no gateway replicates where a stream began',
+    file: 'src/streams/stream-origins.ts',
+    from: 'for (const peer of replicas.toRecord(attempt))',
+    to: 'for (const peer of [])',
+    finds: /streams went on, while/,
+  },
   {
     name: 'leaving servers go on getting requests',
     file: 'src/fleet/fleet.ts',
--- a/tools/soak/judge.ts
+++ b/tools/soak/judge.ts
@@ -2,6 +2,7 @@
  * What the soak holds the gateways to, from what callers and backend servers saw.
  */
 import type { SeenAnswer } from './callers.js';
+import { parseEvents } from './streams.js';
 
 /** A request as its caller and the servers saw it. */
 export interface Account {
@@ -14,6 +15,8 @@
   runs: string[];
   /** Events that its stream has. */
   events: number;
+  /** The last event that the caller had of an earlier attempt; 0 at first. */
+  afterEvent: number;
 }
 
 /** Statuses by which a gateway promises that a request did not run and never will. */
@@ -49,10 +52,12 @@
 }
 
 function judgeEvents(account: Account, answer: SeenAnswer): string[] {
-  const ids = [...answer.body.matchAll(/^id: (\d+)$/gm)].map((found) => Number(found[1]));
+  const { afterEvent } = account;
+  const { ids } = parseEvents(answer.body);
   for (const [index, id] of ids.entries()) {
-    if (id !== index + 1) return [`got event ${id} in place of ${index + 1}`];
+    const due = afterEvent + index + 1;
+    if (id !== due) return [`got event ${id} in place of ${due}`];
   }
-  const isComplete = ids.length === account.events;
+  const isComplete = afterEvent + ids.length === account.events;
   return answer.isWhole && !isComplete ? ['got a stream that ended before its last event'] : [];
 }
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -11,7 +11,7 @@
   type StoreStandIn,
 } from '../../stand-ins/users-platform/index.js';
 import { createSeededRandom, type RandomSource } from '../../src/task/index.js';
-import { answerPage, answerStream, EVENTS } from './answers.js';
+import { answerPage, answerStream, breakStream, EVENTS } from './answers.js';
 import { createAskingServers, type Asks } from './asking.js';
 import { ask } from './callers.js';
 import { PATIENCE_MS, renderConfiguration, renderHeaders, renderPrompt } from './configuration.js';
@@ -21,6 +21,14 @@
 import { createGatewayProcess, type GatewayProcess } from './gateways.js';
 import { judge, type Account } from './judge.js';
 import { createRetryCount } from './retries.js';
+import {
+  judgeStory,
+  MAX_ATTEMPTS,
+  renderContinuation,
+  tellStory,
+  type StreamCounts,
+  type StreamStory,
+} from './streams.js';
 import { startProxy, type Disturbance, type DisturbingProxy } from './proxy.js';
 
 const BUILT_PROGRAM = 'dist/platform/main.js';
@@ -42,6 +50,10 @@
 const CUT_MS = 1_400;
 /** Part of the requests that end their servers while faults go on. */
 const FATAL_SHARE = 0.01;
+/** Time between two releases of the engines' software, in ms; two versions serve side by side from one to the next. */
+const RELEASE_MS = 1_500;
+/** Events up to which each send of a stream breaks off, while streams are to be continued by their callers. */
+const BROKEN_EVENTS = 2;
 /** Time after which the operator and the servers have written again what a restored store lacks, in ms. */
 const REWRITE_MS = 1_500;
 
@@ -72,6 +84,8 @@
   server: ServerStandIn;
   proxy: DisturbingProxy;
   bornAtMs: number;
+  /** Of its software. */
+  version: string;
 }
 
 /**
@@ -100,30 +114,56 @@
   /** Apart from the faults, as above. */
   const cutRandom = createSeededRandom(terms.seed + 1);
   const cuts = createCuts(GATEWAYS, cutRandom);
+  /** Apart from the faults, as above. */
+  const versionRandom = createSeededRandom(terms.seed + 2);
+  /** Software versions at which engines start. */
+  let versions = ['v1', 'v2'];
+  /** Each send of a stream breaks off. */
+  let isBreakingStreams = false;
+  /** By the attempt that began each stream. */
+  const stories = new Map<string, StreamStory>();
+  const attemptsByStream = new Map<string, number>();
+  /** Streams whose callers wait before they continue them; `undefined` while callers do not wait. */
+  let held: StreamStory[] | undefined;
+  const streamCounts: StreamCounts = { asked: 0, begun: 0, toContinue: 0, continued: 0 };
   const copies = [store.copy()];
   let configuration: unknown;
   let faults = 0;
   let counter = 0;
   let version = 1;
 
-  async function addBackend(service: string, role?: 'prefill' | 'decode'): Promise<void> {
+  async function addBackend(
+    service: string,
+    role?: 'prefill' | 'decode',
+    version = drawVersion(),
+  ): Promise<void> {
     counter += 1;
-    await startBackend(`${service}-${counter}`, service, role);
+    await startBackend(`${service}-${counter}`, service, role, version);
+  }
+
+  function drawVersion(): string {
+    return versions[Math.floor(versionRandom.next() * versions.length)] ?? 'v1';
   }
 
-  async function startBackend(id: string, service: string, role: Backend['role']): Promise<void> {
+  async function startBackend(
+    id: string,
+    service: string,
+    role: Backend['role'],
+    version: string,
+  ): Promise<void> {
     const events = service === 'chat' ? { events: EVENTS } : {};
     const server = await startServerStandIn({ id, ...events, ...(role && { role }) });
     const proxy = await startProxy(server.address);
     await cuts.open(proxy.address);
-    const backend: Backend = { id, service, role, server, proxy, bornAtMs: Date.now() };
+    const backend: Backend = { id, service, role, server, proxy, bornAtMs: Date.now(), version };
     backends.push(backend);
     register(backend, 'ready');
     scriptRuns(backend);
   }
 
-  function register({ id, service, role, proxy, bornAtMs }: Backend, state: string): void {
-    const place = { backend: service, address: proxy.address, zone: 'zone-a', version: 'v1' };
+  function register(backend: Backend, state: string): void {
+    const { id, service, role, proxy, bornAtMs, version } = backend;
+    const place = { backend: service, address: proxy.address, zone: 'zone-a', version };
     const own = { slots: 64, state, coldRemainingMs: 0, stage: role, sequence: 1, born: bornAtMs };
     store.put('servers', id, { ...place, ...own });
   }
@@ -139,7 +179,7 @@
     if (index < 0) return;
     backends.splice(index, 1);
     await Promise.all([gone.server.close(), gone.proxy.close()]);
-    await startBackend(gone.id, gone.service, gone.role);
+    await startBackend(gone.id, gone.service, gone.role, drawVersion());
   }
 
   /** The store is back from an older copy; what the operator and the servers wrote is written again. */
@@ -203,17 +243,38 @@
           return;
         }
         if (random.next() < 0.03) response.socket?.resetAndDestroy();
-        else if (backend.service === 'chat') answerStream(random, request, response);
+        else if (backend.service === 'chat') answerAsEngine(backend.version, request, response);
         else answerPage(backend.id, random, request, response);
       }
     };
     backend.server.script(answer);
   }
 
+  const answerAsEngine = (version: string, ...[request, response]: Parameters<ScriptedAnswer>) => {
+    const last = Number(request.headers['last-event-id'] ?? 0);
+    if (isBreakingStreams && last < BROKEN_EVENTS) breakStream(version, 1, request, response);
+    else answerStream(version, random, request, response);
+  };
+
+  /** A further version is released: engines of the oldest one are replaced by some of the newest. */
+  async function release(): Promise<void> {
+    const [, newest = 'v1'] = versions;
+    versions = [newest, `v${Number(newest.slice(1)) + 1}`];
+    const outdated = backends.filter(
+      ({ service, version }) => service === 'chat' && !versions.includes(version),
+    );
+    for (const engine of outdated) await replaceBackend(engine);
+  }
+
   async function removeBackend(): Promise<void> {
-    const index = Math.floor(random.next() * backends.length);
-    const [gone] = backends.splice(index, 1);
-    if (gone === undefined) return;
+    const gone = backends[Math.floor(random.next() * backends.length)];
+    if (gone !== undefined) await replaceBackend(gone);
+  }
+
+  async function replaceBackend(gone: Backend): Promise<void> {
+    const index = backends.indexOf(gone);
+    if (index < 0) return;
+    backends.splice(index, 1);
     if (random.next() < 0.5) register(gone, 'draining');
     else store.remove('servers', gone.id);
     await addBackend(gone.service, gone.role);
@@ -266,22 +327,59 @@
     gateway: GatewayProcess,
     route: Account['kind'] | 'changed' = pick(['once', 'any', 'stream'] as const) ?? 'any',
     fatalName?: string,
+    story?: StreamStory,
   ): Promise<SeenStatus> {
     counter += 1;
     const id = `r-${terms.seed}-${counter}`;
     const kind = route === 'changed' ? 'any' : route;
     const path = fatalName === undefined ? `/${route}/${counter}` : fatal.pathOf(route, fatalName);
-    const account: Account = { id, kind, path, answer: undefined, runs: [], events: EVENTS };
+    const account: Account = {
+      id,
+      kind,
+      path,
+      answer: undefined,
+      runs: [],
+      events: EVENTS,
+      afterEvent: story?.lastEvent ?? 0,
+    };
     accounts.set(id, account);
     sentTo.set(id, gateway.node);
     retries.requested(kind === 'stream' ? 'chat' : 'pages');
-    const headers = { ...renderHeaders(id), ...(kind === 'stream' ? renderPrompt(id) : {}) };
+    const prompt = kind === 'stream' ? renderPrompt(id) : {};
+    const headers = { ...renderHeaders(id), ...prompt, ...renderContinuation(story) };
     const { host, frontPort: port } = gateway;
     const timeoutMs = PATIENCE_MS + 500;
     account.answer = await ask({ host, port, method: 'POST', path, headers, timeoutMs });
+    if (kind === 'stream' && fatalName === undefined) countStream(account, story);
     return account.answer?.status;
   }
 
+  function countStream({ id, answer }: Account, story: StreamStory | undefined): void {
+    const next = tellStory(story, id, answer);
+    const hasEvents = next !== story;
+    if (story === undefined) {
+      streamCounts.asked += 1;
+      if (hasEvents) streamCounts.begun += 1;
+    } else {
+      streamCounts.toContinue += 1;
+      if (hasEvents) streamCounts.continued += 1;
+    }
+    if (next === undefined) return;
+    stories.set(next.begunBy, next);
+    if (next.lastEvent === EVENTS) return;
+    if (held === undefined) track(continueStream(next));
+    else held.push(next);
+  }
+
+  /** A caller continues its stream at any gateway, until it has all events or has made too many attempts. */
+  async function continueStream(story: StreamStory): Promise<void> {
+    const attempts = (attemptsByStream.get(story.begunBy) ?? 1) + 1;
+    attemptsByStream.set(story.begunBy, attempts);
+    const gateway = gateways[Math.floor(versionRandom.next() * gateways.length)];
+    if (gateway === undefined || attempts > MAX_ATTEMPTS) return;
+    await sendOne(gateway, 'stream', undefined, story);
+  }
+
   async function sendAll(until: number): Promise<void> {
     while (performance.now() < until) {
       const gateway = pick(gateways);
@@ -292,6 +390,11 @@
     }
   }
 
+  /** Waits for all work, and for what it leads to. */
+  async function settle(): Promise<void> {
+    while (pending.size > 0) await Promise.all(pending);
+  }
+
   function track(work: Promise<void>): void {
     pending.add(work);
     void work.finally(() => pending.delete(work));
@@ -311,6 +414,13 @@
     }
   }
 
+  async function releaseAll(until: number): Promise<void> {
+    while (performance.now() < until) {
+      track(release());
+      await pause(RELEASE_MS);
+    }
+  }
+
   async function askForLessAll(until: number): Promise<void> {
     while (performance.now() < until) {
       askForLess();
@@ -339,8 +449,10 @@
   }
 
   configure();
-  for (const role of ['prefill', 'prefill', 'decode', 'decode'] as const) {
-    await addBackend('chat', role);
+  for (const engineVersion of versions) {
+    for (const role of ['prefill', 'decode', 'decode'] as const) {
+      await addBackend('chat', role, engineVersion);
+    }
   }
   for (let index = 0; index < 3; index += 1) {
     await addBackend('pages');
@@ -363,8 +475,14 @@
       gateway.start();
     }
   }, FAULT_MS);
-  await Promise.all([sendAll(until), causeAll(until), askForLessAll(until), cutAll(until)]);
-  await Promise.all(pending);
+  await Promise.all([
+    sendAll(until),
+    causeAll(until),
+    askForLessAll(until),
+    cutAll(until),
+    releaseAll(until),
+  ]);
+  await settle();
   await pause(FAULT_MS * 4);
   store.setFault('none');
   for (const gateway of gateways) {
@@ -385,14 +503,27 @@
       announceLeaving(leaving) {
         register(leaving, 'draining');
       },
+      breakStreams() {
+        isBreakingStreams = true;
+        held = [];
+        Object.assign(streamCounts, { asked: 0, begun: 0, toContinue: 0, continued: 0 });
+      },
+      continueStreams() {
+        isBreakingStreams = false;
+        for (const story of held ?? []) track(continueStream(story));
+        held = undefined;
+      },
+      async restart(gateway) {
+        gateway.signal('SIGKILL');
+        await serves(gateway);
+      },
+      streamCounts: () => streamCounts,
       changeRoutes() {
         configuration = renderConfiguration(version, 'changed');
         store.put('op', 'config', configuration);
       },
       track,
-      async settle() {
-        await Promise.all(pending);
-      },
+      settle,
     })),
   );
   clearInterval(restarts);
@@ -403,6 +534,10 @@
     if (account.answer?.status === 200) succeeded += 1;
     broken.push(...judge(account).map((what) => `${account.id} (${account.path}) ${what}`));
   }
+  for (const [attempt, story] of stories) {
+    const found = judgeStory(story);
+    if (found !== undefined) broken.push(`the stream of ${attempt} ${found}`);
+  }
   return { requests: accounts.size, succeeded, faults, broken };
 }
 
