fix(streams): the stored versions are complete soon after the first start of all gateways

A row that is not there shows that no gateway of this release has begun a stream; it is read until it is there, and gateways of an earlier release, which write none, are counted for as long as their streams may be continued. Also: ports of the stand-in's paths do not collide between its processes, which could keep a cut from being healed; the soak reports work of its own that does not end.

--- a/src/gateway/origin-keeping.ts
+++ b/src/gateway/origin-keeping.ts
@@ -49,16 +49,28 @@
   const { clock, log, metrics, node, table, signal, routes } = parts;
   let recording: readonly string[] = [];
   let recordingFrom: readonly GatewayState[] | undefined;
+  let lastEarlierReleaseAt = Number.NEGATIVE_INFINITY;
 
   /** Peers that keep records; the same array until they change. */
   function listRecording(): readonly string[] {
     const peers = parts.overlay().peers();
     if (peers === recordingFrom) return recording;
+    if (hasEarlierRelease()) lastEarlierReleaseAt = clock.now();
     recordingFrom = peers;
     recording = peers.filter((peer) => peer.recordsOrigins === true).map((peer) => peer.node);
     return recording;
   }
 
+  /** Whether a peer was of a release that keeps neither records nor rows, when the peers were last looked at. */
+  function hasEarlierRelease(): boolean {
+    return recording.length < (recordingFrom?.length ?? 0);
+  }
+
+  function findLastEarlierRelease(): number {
+    listRecording();
+    return hasEarlierRelease() ? clock.now() : lastEarlierReleaseAt;
+  }
+
   /** The longest time for which a stream of any route may be continued, in milliseconds. */
   function resolveLongestKeepMs(): number {
     let longestMs = 0;
@@ -68,15 +80,13 @@
     return resolveKeepMs(longestMs);
   }
 
-  /** Services whose streams may be continued and whose versions this gateway stores. */
-  function* listOwnServices(): Generator<string> {
+  /** Services whose streams may be continued. */
+  function listServices(): Set<string> {
     const found = new Set<string>();
     for (const { isResumable, targets } of routes.index()?.table.routes ?? []) {
       for (const { service } of isResumable ? targets : []) found.add(service);
     }
-    for (const service of found) {
-      if (parts.holderOf(service) === node) yield service;
-    }
+    return found;
   }
 
   const history = createVersionHistory({
@@ -85,6 +95,7 @@
       for (const { version } of parts.fleet().registered(service)) yield version;
     },
     keepMs: resolveLongestKeepMs,
+    lastWithoutRowsAt: findLastEarlierRelease,
   });
   const streams = createStreamOrigins({
     clock,
@@ -96,6 +107,14 @@
     isCurrentAlone: () => parts.overlay().knownGateways() === 1 && parts.isStoreReachable(),
     send: (peer, message) => parts.overlay().send(peer, message),
   });
-  const rows = createVersionRows({ table, clock, log, signal, history, services: listOwnServices });
+  const rows = createVersionRows({
+    table,
+    clock,
+    log,
+    signal,
+    history,
+    services: listServices,
+    isOwn: (service) => parts.holderOf(service) === node,
+  });
   return { streams, history, rows };
 }
--- a/src/streams/version-history.ts
+++ b/src/streams/version-history.ts
@@ -22,6 +22,8 @@
   registered(service: string): Iterable<string | undefined>;
   /** How long after its beginning a stream may be continued, in milliseconds. */
   keepMs(): number;
+  /** When a gateway was last there that stores no versions, by the same clock as `now`. */
+  lastWithoutRowsAt(): number;
 }
 
 /** Versions by service. */
@@ -30,6 +32,8 @@
   seen(service: string, version: string | undefined): void;
   /** The versions stored for a service were read; with those seen since, they are all. */
   loaded(service: string, versions: readonly string[]): void;
+  /** Whether the versions stored for a service were read. */
+  isLoaded(service: string): boolean;
   /** What is stored may be older than what is known; it counts no more as all. */
   storedLost(): void;
   versions(service: string): KnownVersions;
@@ -61,6 +65,7 @@
       for (const version of versions) seen(service, version);
       loadedServices.add(service);
     },
+    isLoaded: (service) => loadedServices.has(service),
     storedLost() {
       loadedServices.clear();
     },
@@ -73,7 +78,8 @@
         if (at > since) versions.add(version);
         else times.delete(version);
       }
-      const isComplete = beganAt <= since || loadedServices.has(service);
+      const isStored = loadedServices.has(service) && parts.lastWithoutRowsAt() <= since;
+      const isComplete = beganAt <= since || isStored;
       return { versions: [...versions].sort(), isComplete };
     },
   };
--- a/src/streams/version-rows.ts
+++ b/src/streams/version-rows.ts
@@ -1,7 +1,8 @@
 /**
  * Stores the software versions that may have begun streams, a small row for each service, so that gateways that all
  * start again at once know whether there was more than one. A row changes when a version comes, and when it has been
- * gone for as long as its streams may be continued.
+ * gone for as long as its streams may be continued. Where there is no row, no gateway has begun a stream before; the one
+ * that is written then has all versions since.
  */
 import * as z from 'zod';
 import type { Log } from '../events/index.js';
@@ -26,13 +27,15 @@
   log: Log;
   signal: AbortSignal;
   history: VersionHistory;
-  /** Services whose rows this gateway keeps up to date. */
+  /** Services whose streams may be continued. */
   services(): Iterable<string>;
+  /** Whether this gateway keeps a service's row up to date. */
+  isOwn(service: string): boolean;
 }
 
 /** Rows of software versions. */
 export interface VersionRows {
-  /** Reads the rows, retrying until the platform answers, and keeps them up to date from then on. */
+  /** Reads the rows until each is there, and keeps the own ones up to date. */
   start(): Promise<void>;
   /** Writes all rows again after the store has lost them. */
   rewrite(): void;
@@ -47,13 +50,22 @@
   const { table, clock, log, signal, history } = parts;
   /** What is stored, as far as known, by service. */
   const stored = new Map<string, string>();
+  /** Whether the platform has said which rows there are. */
+  let isRead = false;
+  let loadedAt = Number.NEGATIVE_INFINITY;
 
-  async function load(): Promise<boolean> {
+  /** Whether a service's row was not read yet. */
+  function isMissing(service: string): boolean {
+    return !history.isLoaded(service);
+  }
+
+  async function load(): Promise<void> {
     const rows = await table.range({ prefix: PREFIX, limit: MAX_ROWS });
     if (rows.isErr()) {
       log.write('versionRowFailed', { reason: rows.error.message });
-      return false;
+      return;
     }
+    isRead = true;
     for (const { key, value } of rows.value) {
       const service = key.slice(PREFIX.length);
       const parsed = rowSchema.safeParse(value);
@@ -66,7 +78,6 @@
       stored.set(service, versions.join());
       log.write('versionsLoaded', { service, versions });
     }
-    return true;
   }
 
   async function update(service: string): Promise<void> {
@@ -82,16 +93,30 @@
     });
   }
 
+  async function check(): Promise<void> {
+    const services = [...parts.services()];
+    const isDue = clock.now() - loadedAt >= RETRY_MS;
+    if (isDue && (!isRead || services.some(isMissing))) {
+      loadedAt = clock.now();
+      await load();
+    }
+    // a row that was not read yet may have versions that are gone
+    if (!isRead) return;
+    for (const service of services) {
+      if (parts.isOwn(service)) await update(service);
+    }
+  }
+
   return {
     async start() {
-      while (!signal.aborted && !(await load())) await wait(clock, RETRY_MS);
       while (!signal.aborted) {
-        for (const service of parts.services()) await update(service);
+        await check();
         await wait(clock, CHECK_MS);
       }
     },
     rewrite() {
       stored.clear();
+      isRead = false;
       history.storedLost();
     },
   };
--- a/stand-ins/network/path-process.ts
+++ b/stand-ins/network/path-process.ts
@@ -8,7 +8,11 @@
 
 /** Ports below those that systems give to outgoing connections, so that a listener finds its own port free again. */
 const FIRST_PORT = 20_000;
-const PORTS = 12_000;
+/** Ports of one such process. Another one that took a port whose listener is closed during a cut would keep it from being
+ * healed. */
+const PORTS = 750;
+/** The share of the ports that this process has, from 0. */
+const share = Number(process.argv[2] ?? 0);
 /** Connections that the system accepts for a process that does not run; further ones hang. Enough for the bursts of a
  * gateway while the process runs: one that finds the queue full is tried again by the system after a second only. */
 const BACKLOG = 32;
@@ -45,7 +49,7 @@
     join(near, far, sockets);
     join(far, near, sockets);
   });
-  return { server, port: FIRST_PORT + randomInt(PORTS), sockets };
+  return { server, port: FIRST_PORT + share * PORTS + randomInt(PORTS), sockets };
 }
 
 function listen({ server, port }: Forwarder): Promise<boolean> {
--- a/stand-ins/network/paths.ts
+++ b/stand-ins/network/paths.ts
@@ -10,6 +10,11 @@
 /** Connections that fill the queue of a stopped listener, so that further ones hang; more than it holds. */
 const FILLING = 40;
 
+/** Shares into which the ports of paths are divided. */
+const PORT_SHARES = 16;
+/** Paths that were started by this process. */
+let started = 0;
+
 /** How paths are cut: without any sign, with resets, or so that only new connections are refused. */
 export type PathCut = 'silent' | 'reset' | 'refused';
 
@@ -33,7 +38,8 @@
 /** Starts the process that forwards. */
 export function startPaths(): Paths {
   const program = fileURLToPath(new URL('path-process.js', import.meta.url));
-  const child = fork(program, { stdio: 'ignore' });
+  const child = fork(program, [String(started % PORT_SHARES)], { stdio: 'ignore' });
+  started += 1;
   const addresses = new Map<string, string>();
   const filling = new Set<Socket>();
 
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -36,6 +36,26 @@
     expect(fleet.isAvailable('s')).to.equal(false);
   });
 
+  it('completes an entry that a peer of an earlier release relayed without the software version', () => {
+    const { fleet } = setUp();
+    fleet.learn(change('s', 5), 'peer');
+    fleet.learn(change('s', 5, { version: 'v1' }), 'store');
+    fleet.learn(change('s', 5), 'peer');
+    expect(fleet.find('s')?.version).to.equal('v1');
+  });
+
+  it('knows whether another incarnation or version has taken a server’s place', () => {
+    const { fleet } = setUp();
+    fleet.learn(change('s', 1, { version: 'v1' }), 'store');
+    const chosen = fleet.find('s');
+    if (chosen === undefined) throw new Error('the server is registered');
+    expect(fleet.isReplaced(chosen)).to.equal(false);
+    fleet.learn(removal('s', 2), 'store');
+    expect(fleet.isReplaced(chosen)).to.equal(false);
+    fleet.learn(change('s', 3, { version: 'v2' }), 'store');
+    expect(fleet.isReplaced(chosen)).to.equal(true);
+  });
+
   it('does not bring back a server whose removal is known', () => {
     const { fleet, left } = setUp();
     fleet.learn(change('s', 1), 'store');
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -527,6 +527,40 @@
     expect(scheduler.size()).to.equal(0);
   });
 
+  describe('with engines of two software versions', () => {
+    const v1 = { version: 'v1' };
+    const v2 = { version: 'v2' };
+    const versioned = [
+      { ...engine('r1', 'prefill'), ...v1 },
+      { ...engine('r2', 'prefill'), ...v2 },
+      { ...engine('g1', 'decode'), ...v1 },
+      { ...engine('g2', 'decode'), ...v2 },
+    ];
+
+    it('prefills and decodes a stream that has begun at its own version', () => {
+      const { submit, scheduler } = setUp(versioned, NO_LOCAL_PREFILL);
+      for (let index = 0; index < 4; index += 1) {
+        const continued = job({ version: 'v2' }, `own-${index}`);
+        expect(placementOf(submit(continued))).to.include({ reader: 'r2', generator: 'g2' });
+        scheduler.prefillCompleted(continued.id);
+        scheduler.firstTokenReceived(continued.id);
+      }
+    });
+
+    it('prefills it on the decode engine if no other engine of the version prefills', () => {
+      const { submit } = setUp(versioned.filter(({ id }) => id !== 'r2'));
+      const placement = placementOf(submit(job({ version: 'v2' })));
+      expect(placement).to.include({ generator: 'g2' });
+      expect(placement).not.to.have.property('reader');
+    });
+
+    it('declines it at once if no engine of the version decodes', () => {
+      const { submit } = setUp(versioned.filter(({ id }) => id !== 'g2'));
+      expect(submit(job({ version: 'v2' }))).to.include({ kind: 'declined', reason: 'no-engine' });
+      expect(submit(job())).to.include({ kind: 'placed' });
+    });
+  });
+
   it('declines without a decode engine', () => {
     const { submit } = setUp([engine('r1', 'prefill')]);
     expect(submit(job())).to.include({ kind: 'declined', reason: 'no-engine' });
--- a/test/streams/stream-origins.test.ts
+++ b/test/streams/stream-origins.test.ts
@@ -222,6 +222,7 @@
       now: () => 0,
       registered: () => registered,
       keepMs: () => KEEP_MS,
+      lastWithoutRowsAt: () => Number.NEGATIVE_INFINITY,
     });
     history.loaded(SERVICE, ['v1']);
     expect(resolveOnlyVersion([history.versions(SERVICE)])).to.equal(undefined);
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -127,6 +127,7 @@
   let held: StreamStory[] | undefined;
   const streamCounts: StreamCounts = { asked: 0, begun: 0, toContinue: 0, continued: 0 };
   const copies = [store.copy()];
+  const broken: string[] = [];
   let configuration: unknown;
   let faults = 0;
   let counter = 0;
@@ -392,7 +393,11 @@
 
   /** Waits for all work, and for what it leads to. */
   async function settle(): Promise<void> {
-    while (pending.size > 0) await Promise.all(pending);
+    const until = performance.now() + SETTLE_MS;
+    while (pending.size > 0 && performance.now() < until) {
+      await Promise.race([Promise.all(pending), pause(SETTLE_MS)]);
+    }
+    if (pending.size > 0) broken.push(`${pending.size} pieces of the run's own work did not end`);
   }
 
   function track(work: Promise<void>): void {
@@ -465,7 +470,6 @@
     gateways.push(gateway);
     gateway.start();
   }
-  const broken: string[] = [];
   for (const gateway of gateways) {
     if (!(await serves(gateway))) broken.push(`${gateway.node} did not start to serve`);
   }
@@ -475,13 +479,8 @@
       gateway.start();
     }
   }, FAULT_MS);
-  await Promise.all([
-    sendAll(until),
-    causeAll(until),
-    askForLessAll(until),
-    cutAll(until),
-    releaseAll(until),
-  ]);
+  for (const work of [sendAll, causeAll, askForLessAll, cutAll, releaseAll]) track(work(until));
+  await pause(terms.seconds * 1_000);
   await settle();
   await pause(FAULT_MS * 4);
   store.setFault('none');
