--- a/src/relay/next-step.ts
+++ b/src/relay/next-step.ts
@@ -70,7 +70,7 @@
         return { kind: 'again', costs: true, reason: 'failed' };
       })
       .with({ kind: 'lost' }, { kind: 'overdue' }, { kind: 'cut' }, ({ kind, reason }) => {
-        const canContinue = !progress.isBegun || (route.isStream && route.isResumable);
+        const canContinue = !progress.isBegun || isContinuable(route);
         if (!mayRepeat || !hasAttempts || !canContinue) return { kind: 'fail', reason };
         return { kind: 'again', costs: true, reason: kind };
       })
@@ -80,5 +80,10 @@
 
 /** Whether a route's requests may be sent again after they may have run. */
 export function isRepeatable(route: Route): boolean {
-  return route.repetition === 'any' || (route.isStream && route.isResumable);
+  return route.repetition === 'any' || isContinuable(route);
+}
+
+/** Whether a broken answer of a route may be continued by another server. */
+export function isContinuable({ isStream, isResumable }: Route): boolean {
+  return isStream && isResumable;
 }
--- a/src/relay/stream-version.ts
+++ b/src/relay/stream-version.ts
@@ -11,6 +11,7 @@
   type StreamOrigin,
   type StreamOrigins,
 } from '../streams/index.js';
+import { isContinuable } from './next-step.js';
 import type { CallerHead } from './protocol.js';
 
 /** A version that servers have to have; `undefined` if that of the first event is unknown, so that none has it. */
@@ -41,7 +42,7 @@
 
 /** Whether a request continues a stream that an earlier attempt has begun. */
 export function isContinuation(route: Route, { resumes, lastEventId }: CallerHead): boolean {
-  return route.isResumable && (resumes !== undefined || lastEventId !== undefined);
+  return isContinuable(route) && (resumes !== undefined || lastEventId !== undefined);
 }
 
 /**
@@ -69,7 +70,7 @@
   let required: RequiredVersion | undefined = origin;
 
   function record(attempt: string | undefined, version: string | undefined): void {
-    if (!route.isResumable || attempt === undefined || version === undefined) return;
+    if (attempt === undefined || version === undefined) return;
     origins.record(attempt, { service, version }, resolveKeepMs(route.timeoutMs));
   }
 
@@ -80,7 +81,7 @@
       return required.version !== undefined && required.version === version;
     },
     begun({ id, version }) {
-      if (!route.isStream) return;
+      if (!isContinuable(route)) return;
       required ??= { version };
       // gateways may have been lost since the stream began, so a continued one is recorded anew
       record(origin === undefined ? head.requestId : head.resumes, required.version);
--- a/src/streams/version-rows.ts
+++ b/src/streams/version-rows.ts
@@ -13,8 +13,9 @@
 const PREFIX = 'software-versions/';
 /** Most services to read. */
 const MAX_ROWS = 1_000;
-/** Delay between two attempts to reach the platform, in ms. */
+/** Delays between the first two and between later attempts to read the rows, in ms. */
 const RETRY_MS = 1_000;
+const MAX_RETRY_MS = 30_000;
 /** Interval between two comparisons of the rows with what is known, in ms. */
 const CHECK_MS = 500;
 
@@ -48,15 +49,16 @@
  */
 export function createVersionRows(parts: VersionRowsParts): VersionRows {
   const { table, clock, log, signal, history } = parts;
-  /** What is stored, as far as known, by service. */
+  /** What is stored, by service; of those whose rows this gateway keeps, as another may write the rest. */
   const stored = new Map<string, string>();
   /** Whether the platform has said which rows there are. */
   let isRead = false;
-  let loadedAt = Number.NEGATIVE_INFINITY;
+  let nextLoadAt = Number.NEGATIVE_INFINITY;
+  let retryMs = RETRY_MS;
 
-  /** Whether a service's row was not read yet. */
+  /** Whether a service's row was not read yet, though there is one or will be. */
   function isMissing(service: string): boolean {
-    return !history.isLoaded(service);
+    return !history.isLoaded(service) && history.versions(service).versions.length > 0;
   }
 
   async function load(): Promise<void> {
@@ -95,15 +97,16 @@
 
   async function check(): Promise<void> {
     const services = [...parts.services()];
-    const isDue = clock.now() - loadedAt >= RETRY_MS;
-    if (isDue && (!isRead || services.some(isMissing))) {
-      loadedAt = clock.now();
+    if (clock.now() >= nextLoadAt && (!isRead || services.some(isMissing))) {
+      nextLoadAt = clock.now() + retryMs;
+      retryMs = Math.min(MAX_RETRY_MS, 2 * retryMs);
       await load();
     }
     // a row that was not read yet may have versions that are gone
     if (!isRead) return;
     for (const service of services) {
       if (parts.isOwn(service)) await update(service);
+      else stored.delete(service);
     }
   }
 
@@ -117,6 +120,8 @@
     rewrite() {
       stored.clear();
       isRead = false;
+      nextLoadAt = Number.NEGATIVE_INFINITY;
+      retryMs = RETRY_MS;
       history.storedLost();
     },
   };
