fix(stand-ins): a cut can be healed though servers came meanwhile

A port is now drawn that no forwarder of the process has, and each process has ports of its own. The product is not concerned.

--- a/stand-ins/network/path-process.ts
+++ b/stand-ins/network/path-process.ts
@@ -49,7 +49,17 @@
     join(near, far, sockets);
     join(far, near, sockets);
   });
-  return { server, port: FIRST_PORT + share * PORTS + randomInt(PORTS), sockets };
+  return { server, port: drawPort(), sockets };
+}
+
+/** A port of this process's share that no forwarder has, whether or not it listens now. */
+function drawPort(): number {
+  const taken = new Set([...forwarders.values()].map(({ port }) => port));
+  let port: number;
+  do {
+    port = FIRST_PORT + share * PORTS + randomInt(PORTS);
+  } while (taken.has(port));
+  return port;
 }
 
 function listen({ server, port }: Forwarder): Promise<boolean> {
