refactor(relay): a request's stream version decides itself why a stream is not continued

Read again: the reasons and times to come back of a continuation stood in request.ts, which had grown by them, and the origin of a lookup was taken out in two places. They are in stream-version.ts now. Servers of a plain service are listed without a copy while any version will do, as for every request that is no stream. No change of behaviour; the tests of the two versions, of the relay and of the roles pass unchanged.

--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -32,7 +32,7 @@
 import { sendOnce, type SendOutcome } from './send.js';
 import { createServerGate } from './server-gate.js';
 import { createServicePlacer, type ServerLoads } from './service-placer.js';
-import { createStreamVersion, findOrigin } from './stream-version.js';
+import { createStreamVersion, findOrigin, resolveOrigin } from './stream-version.js';
 import type { CallerRetries } from './caller-retries.js';
 
 /** Retry-After while there is no configuration yet, in ms. */
@@ -51,17 +51,6 @@
 /** Retry-After while the same request is on trial at another server, in ms. */
 const TRIAL_RETRY_MS = 300;
 
-/** Retry-After for a stream that can hardly be continued, in ms: a server of its version may start again. */
-const LOST_STREAM_RETRY_MS = 1_000;
-/** Retry-After for a stream to be continued while no peer answers, in ms. */
-const NO_ANSWER_RETRY_MS = 300;
-
-/** Why a stream is not continued. */
-interface ContinuationRefusal {
-  reason: string;
-  retryAfterMs: number;
-}
-
 /** Why a request ends without a retry that the route would allow. */
 const SPENT_REASON = 'the retry budget is spent';
 
@@ -139,8 +128,8 @@
     return;
   }
   const lookup = await findOrigin(parts.streams, route, head);
-  const origin = lookup?.kind === 'known' ? lookup.origin : undefined;
-  const request = createRequest(parts, callerRequest, route, origin?.service ?? service, lookup);
+  const servedBy = resolveOrigin(lookup)?.service ?? service;
+  const request = createRequest(parts, callerRequest, route, servedBy, lookup);
   try {
     await request.serve();
   } finally {
@@ -195,7 +184,7 @@
     head,
     route,
     service,
-    origin: lookup?.kind === 'known' ? lookup.origin : undefined,
+    lookup,
   });
 
   const gate = createServerGate({
@@ -300,7 +289,7 @@
   function createPlacer(): Placer {
     if (prompt !== undefined) return createEnginePlacer(context, prompt, parts.scheduler);
     return createServicePlacer(() => ({
-      servers: parts.fleet.available(service).filter(streamVersion.allows),
+      servers: streamVersion.listAllowed(parts.fleet.available(service)),
       zone: parts.zone,
       health: parts.health,
       loads: parts.loads,
@@ -472,21 +461,6 @@
     else refuse('time limit', DECLINED_RETRY_MS, 0);
   }
 
-  /** Why a stream cannot be continued, if that is known before any server is asked. */
-  function resolveContinuationRefusal(): ContinuationRefusal | undefined {
-    if (lookup === undefined) return undefined;
-    if (lookup.kind === 'unknown') {
-      const isFinal = lookup.reason === 'not-recorded';
-      const retryAfterMs = isFinal ? LOST_STREAM_RETRY_MS : NO_ANSWER_RETRY_MS;
-      return { reason: 'stream-origin-unknown', retryAfterMs };
-    }
-    if (!route.targets.some((target) => target.service === service))
-      return { reason: 'stream-service-changed', retryAfterMs: LOST_STREAM_RETRY_MS };
-    if (!parts.fleet.available(service).some(streamVersion.allows))
-      return { reason: 'stream-version-gone', retryAfterMs: LOST_STREAM_RETRY_MS };
-    return undefined;
-  }
-
   function startTimer(): Timer {
     return clock.after(endAt - clock.now(), () => {
       timedOut = true;
@@ -506,7 +480,7 @@
         refuse('stopping', STOPPING_RETRY_MS, 0);
         return;
       }
-      const refusal = resolveContinuationRefusal();
+      const refusal = streamVersion.findRefusal(parts.fleet.available(service));
       if (refusal !== undefined) {
         refuse(refusal.reason, refusal.retryAfterMs, 0);
         return;
--- a/src/relay/server-gate.ts
+++ b/src/relay/server-gate.ts
@@ -1,6 +1,7 @@
 /**
  * Decides whether a request may be sent to a server: not while the server is leaving or has asked for
- * a pause, nor if the request's stream began at another software version. Every send of a request passes this check, whichever placer selected the server.
+ * a pause, nor if the request's stream began at another software version. Every send of a request
+ * passes this check, whichever placer selected the server.
  */
 import type { Backpressure } from '../backpressure/index.js';
 import { resolveServerName, type Fleet, type RegisteredServer } from '../fleet/index.js';
--- a/src/relay/stream-version.ts
+++ b/src/relay/stream-version.ts
@@ -14,6 +14,17 @@
 import { isContinuable } from './next-step.js';
 import type { CallerHead } from './protocol.js';
 
+/** Retry-After for a stream that can hardly be continued, in ms: a server of its version may start again. */
+const LOST_STREAM_RETRY_MS = 1_000;
+/** Retry-After for a stream to be continued while no peer answers, in ms. */
+const NO_ANSWER_RETRY_MS = 300;
+
+/** Why a stream is not continued. */
+export interface ContinuationRefusal {
+  reason: 'stream-origin-unknown' | 'stream-service-changed' | 'stream-version-gone';
+  retryAfterMs: number;
+}
+
 /** A version that servers have to have; `undefined` if that of the first event is unknown, so that none has it. */
 export interface RequiredVersion {
   version: string | undefined;
@@ -25,6 +36,14 @@
   required: () => RequiredVersion | undefined;
   /** Whether a server may be given the request. */
   allows: (server: RegisteredServer) => boolean;
+  /** The servers that may be given the request; all of them while any version will do. */
+  listAllowed: (servers: readonly RegisteredServer[]) => readonly RegisteredServer[];
+  /**
+   * Why the stream cannot be continued, if that is known before any server is asked.
+   *
+   * @param servers the servers that take requests now
+   */
+  findRefusal(servers: readonly RegisteredServer[]): ContinuationRefusal | undefined;
   /** The first event of this answer is about to reach the caller. */
   begun(server: RegisteredServer): void;
 }
@@ -36,12 +55,12 @@
   head: CallerHead;
   route: Route;
   service: string;
-  /** Where the stream began, if this request continues it. */
-  origin: StreamOrigin | undefined;
+  /** Where the stream began, if this request continues one. */
+  lookup: OriginLookup | undefined;
 }
 
 /** Whether a request continues a stream that an earlier attempt has begun. */
-export function isContinuation(route: Route, { resumes, lastEventId }: CallerHead): boolean {
+function isContinuation(route: Route, { resumes, lastEventId }: CallerHead): boolean {
   return isContinuable(route) && (resumes !== undefined || lastEventId !== undefined);
 }
 
@@ -60,13 +79,19 @@
   return origins.find({ requestId: head.requestId, attempt: head.resumes, services });
 }
 
+/** Where a stream began, as far as a lookup knows it. */
+export function resolveOrigin(lookup: OriginLookup | undefined): StreamOrigin | undefined {
+  return lookup?.kind === 'known' ? lookup.origin : undefined;
+}
+
 /**
  * Creates the version of one request.
  *
  * @param parts the request and where its stream began
  */
 export function createStreamVersion(parts: StreamVersionParts): StreamVersion {
-  const { log, origins, head, route, service, origin } = parts;
+  const { log, origins, head, route, service, lookup } = parts;
+  const origin = resolveOrigin(lookup);
   let required: RequiredVersion | undefined = origin;
 
   function record(attempt: string | undefined, version: string | undefined): void {
@@ -74,11 +99,27 @@
     origins.record(attempt, { service, version }, resolveKeepMs(route.timeoutMs));
   }
 
+  function allows({ version }: RegisteredServer): boolean {
+    if (required === undefined) return true;
+    return required.version !== undefined && required.version === version;
+  }
+
   return {
     required: () => required,
-    allows({ version }) {
-      if (required === undefined) return true;
-      return required.version !== undefined && required.version === version;
+    allows,
+    listAllowed: (servers) => (required === undefined ? servers : servers.filter(allows)),
+    findRefusal(servers) {
+      if (lookup === undefined) return undefined;
+      if (lookup.kind === 'unknown') {
+        const isFinal = lookup.reason === 'not-recorded';
+        const retryAfterMs = isFinal ? LOST_STREAM_RETRY_MS : NO_ANSWER_RETRY_MS;
+        return { reason: 'stream-origin-unknown', retryAfterMs };
+      }
+      if (!route.targets.some((target) => target.service === service))
+        return { reason: 'stream-service-changed', retryAfterMs: LOST_STREAM_RETRY_MS };
+      if (!servers.some(allows))
+        return { reason: 'stream-version-gone', retryAfterMs: LOST_STREAM_RETRY_MS };
+      return undefined;
     },
     begun({ id, version }) {
       if (!isContinuable(route)) return;
--- a/src/roles/plan.ts
+++ b/src/roles/plan.ts
@@ -42,8 +42,8 @@
 
 /**
  * Lists the role changes that lead to the planned split, and before them those without which streams of a software
- * version could not be continued. Engines are taken from the availability zone
- * with the most engines of the surplus role first, so that both roles stay spread over the zones.
+ * version could not be continued. Engines are taken from the availability zone with the most engines of the surplus
+ * role first, so that both roles stay spread over the zones.
  *
  * @param engines engines of a service with their current or pending roles
  * @param decodeLoad decode work, as the number of engines that it would keep busy; `undefined` if
