--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -105,7 +105,7 @@
       const body = { kvHandle: `handle-${handles}`, tokens: 1, version: 1 };
       response.writeHead(200, echo(request)).end(JSON.stringify(body));
     } else if (terms.events !== undefined) {
-      if (terms.breaksStream?.(request) === true) breakStream(request, response);
+      if (terms.breaksStream?.(request) === true) breakStream(request, response, 1, terms.version);
       else writeEvents(request, response, terms.events, terms.version);
     } else {
       const body = `${id} answers ${request.path}`;
@@ -113,13 +113,6 @@
     }
   }
 
-  /** Writes one more event of a stream and breaks off. */
-  function breakStream(request: ReceivedRequest, response: ServerResponse): void {
-    beginStream(request, response);
-    const event = resolveLastEvent(request) + 1;
-    response.write(renderEvent(event, terms.version), () => response.destroy());
-  }
-
   /** Time that reading a request's prompt takes; none where another engine has read it. */
   function resolveReadMs({ headers }: ReceivedRequest): number {
     if (headers['x-stage'] === 'prefill') return readMs;
@@ -221,6 +214,19 @@
   response.end();
 }
 
+/** Writes some more events of a stream and breaks off. */
+export function breakStream(
+  request: ReceivedRequest,
+  response: ServerResponse,
+  events: number,
+  version?: string,
+): void {
+  beginStream(request, response);
+  const last = resolveLastEvent(request);
+  const ids = Array.from({ length: events }, (_, index) => last + index + 1);
+  response.write(ids.map((id) => renderEvent(id, version)).join(''), () => response.destroy());
+}
+
 function beginStream(request: ReceivedRequest, response: ServerResponse): void {
   response.writeHead(200, {
     ...sign(request, String(request.headers['x-target-instance'] ?? '')),
@@ -233,7 +239,7 @@
 }
 
 /** One event; it names the version of the software that made it, if there is one. */
-export function renderEvent(event: number, version?: string): string {
+function renderEvent(event: number, version?: string): string {
   const author = version === undefined ? '' : ` by ${version}`;
   return `id: ${event}\ndata: part ${event}${author}\n\n`;
 }
--- a/test/gateway/two-versions.test.ts
+++ b/test/gateway/two-versions.test.ts
@@ -1,7 +1,6 @@
 import { expect } from 'chai';
 import {
-  renderEvent,
-  sign,
+  breakStream,
   writeEvents,
   type ScriptedAnswer,
 } from '../../stand-ins/users-platform/index.js';
@@ -152,8 +151,7 @@
   const answer: ScriptedAnswer = (request, response) => {
     server.script(answer);
     if (request.headers['last-event-id'] === undefined) {
-      response.writeHead(200, sign(request, server.id));
-      response.write(renderEvent(1, 'v1'), () => response.destroy());
+      breakStream(request, response, 1, 'v1');
       return;
     }
     register(fleet.store, server, 'chat', { stage: 'decode', version: 'v2', born: Date.now() });
--- a/tools/soak/answers.ts
+++ b/tools/soak/answers.ts
@@ -2,7 +2,7 @@
  * Answers of the soak's servers, some of which break off.
  */
 import {
-  renderEvent,
+  breakStream,
   sign,
   writeEvents,
   type ScriptedAnswer,
@@ -13,7 +13,9 @@
 export const EVENTS = 5;
 /** Part of the pages that break off in their body. */
 const BROKEN_PAGE_SHARE = 0.03;
-/** Part of the streams that break off after their second event. */
+/** Events after which streams break off. */
+const EVENTS_BEFORE_BREAK = 2;
+/** Part of the streams that break off after these. */
 const BROKEN_STREAM_SHARE = 0.05;
 
 /** Writes a page, which at times breaks off. */
@@ -43,18 +45,5 @@
     writeEvents(request, response, EVENTS, version);
     return;
   }
-  breakStream(version, 2, request, response);
-}
-
-/** Writes some events of a stream and breaks off. */
-export function breakStream(
-  version: string,
-  events: number,
-  request: Parameters<ScriptedAnswer>[0],
-  response: Parameters<ScriptedAnswer>[1],
-): void {
-  const last = Number(request.headers['last-event-id'] ?? 0);
-  const ids = Array.from({ length: events }, (_, index) => last + index + 1);
-  response.writeHead(200, { ...sign(request, ''), 'Content-Type': 'text/event-stream' });
-  response.write(ids.map((id) => renderEvent(id, version)).join(''), () => response.destroy());
+  breakStream(request, response, EVENTS_BEFORE_BREAK, version);
 }
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -4,6 +4,7 @@
  * must serve again.
  */
 import {
+  breakStream,
   startServerStandIn,
   startStoreStandIn,
   type ScriptedAnswer,
@@ -11,7 +12,7 @@
   type StoreStandIn,
 } from '../../stand-ins/users-platform/index.js';
 import { createSeededRandom, type RandomSource } from '../../src/task/index.js';
-import { answerPage, answerStream, breakStream, EVENTS } from './answers.js';
+import { answerPage, answerStream, EVENTS } from './answers.js';
 import { createAskingServers, type Asks } from './asking.js';
 import { ask } from './callers.js';
 import { PATIENCE_MS, renderConfiguration, renderHeaders, renderPrompt } from './configuration.js';
@@ -251,11 +252,15 @@
     backend.server.script(answer);
   }
 
-  const answerAsEngine = (version: string, ...[request, response]: Parameters<ScriptedAnswer>) => {
+  function answerAsEngine(
+    version: string,
+    request: Parameters<ScriptedAnswer>[0],
+    response: Parameters<ScriptedAnswer>[1],
+  ): void {
     const last = Number(request.headers['last-event-id'] ?? 0);
-    if (isBreakingStreams && last < BROKEN_EVENTS) breakStream(version, 1, request, response);
+    if (isBreakingStreams && last < BROKEN_EVENTS) breakStream(request, response, 1, version);
     else answerStream(version, random, request, response);
-  };
+  }
 
   /** A further version is released: engines of the oldest one are replaced by some of the newest. */
   async function release(): Promise<void> {
