fix(streams): a response to a query of an earlier process is not taken for that of another stream

Found in reading: queries were numbered by gateway name and from 1 in each process. A peer that stood still and answers after a gateway has started again (its links are replaced, so the response goes to the new process) could answer another stream's query with the origin of the first: a stream would go on at the wrong version. Nobody was seen to be hit. Ids now begin with a part drawn by each process. The test failed before: the second process took 'known' from a response to the first one's query.

--- a/src/gateway/origin-keeping.ts
+++ b/src/gateway/origin-keeping.ts
@@ -101,7 +101,6 @@
     clock,
     log,
     metrics,
-    node,
     replicas: createReplicas(node, listRecording),
     history,
     isCurrentAlone: () => parts.overlay().knownGateways() === 1 && parts.isStoreReachable(),
--- a/src/streams/messages.ts
+++ b/src/streams/messages.ts
@@ -39,7 +39,7 @@
   /** Absent without a record. */
   origin: originSchema.optional(),
   /** Versions of the service that may have begun streams, as far as the sender knows. */
-  versions: z.array(z.string()),
+  versions: z.array(z.string()).readonly(),
   /** Whether the sender knows all of them. */
   isComplete: z.boolean(),
 });
--- a/src/streams/stream-origins.ts
+++ b/src/streams/stream-origins.ts
@@ -5,6 +5,7 @@
  * waiting for them. A gateway that is to continue a stream looks the record up. Without a record, the version is known
  * only if no other can have begun the stream.
  */
+import { randomUUID } from 'node:crypto';
 import type { Log } from '../events/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
 import { setPeerTimeout, type Clock } from '../task/index.js';
@@ -37,7 +38,6 @@
   clock: Clock;
   log: Log;
   metrics: Pick<GatewayMetrics, 'streamsContinued'>;
-  node: string;
   replicas: Replicas;
   history: Pick<VersionHistory, 'versions'>;
   /** Whether this gateway's own view of the servers is up to date though there is no peer to confirm it. */
@@ -79,6 +79,8 @@
   const { clock, log, replicas, history } = parts;
   const records = createOriginRecords();
   const queries = new Map<string, Query>();
+  /** Of the queries of this process: a late response to one that ran before under the same name is not taken. */
+  const idPrefix = randomUUID();
   let counter = 0;
 
   function versionsOf(service: string | undefined): KnownVersions {
@@ -93,7 +95,7 @@
     const { attempt } = stream;
     const service = serviceOf(stream);
     counter += 1;
-    const id = `${parts.node}/${counter}`;
+    const id = `${idPrefix}/${counter}`;
     const awaited = new Set<string>();
     for (const peer of replicas.toQuery(attempt ?? '')) {
       if (parts.send(peer, { kind: 'origin.query', id, attempt, service })) awaited.add(peer);
@@ -191,7 +193,7 @@
         kind: 'origin.response',
         id,
         origin,
-        versions: [...versions],
+        versions,
         isComplete,
       });
     },
--- a/test/streams/stream-origins.test.ts
+++ b/test/streams/stream-origins.test.ts
@@ -2,11 +2,16 @@
 import {
   createOriginRecords,
   createReplicas,
+  createStreamOrigins,
   createVersionHistory,
   MAX_RECORDS,
   resolveOnlyVersion,
+  type OriginMessage,
 } from '../../src/streams/index.js';
+import { createSilentLog } from '../../src/events/index.js';
+import { createGatewayMetrics } from '../../src/metrics/index.js';
 import { createSeededRandom } from '../../src/task/index.js';
+import { createFakeClock } from '../fixtures/fake-clock.js';
 import {
   createOriginFleet,
   KEEP_MS,
@@ -161,6 +166,41 @@
   return wrong;
 }
 
+describe('a query about where a stream began', () => {
+  /** Resolves once all that can be decided now is decided. */
+  function settled(): Promise<string> {
+    return new Promise((resolve) => {
+      setImmediate(resolve, 'unanswered');
+    });
+  }
+
+  function start() {
+    const sent: OriginMessage[] = [];
+    const streams = createStreamOrigins({
+      clock: createFakeClock().clock,
+      log: createSilentLog(),
+      metrics: createGatewayMetrics(),
+      replicas: createReplicas('gateway-0', () => ['gateway-1']),
+      history: { versions: () => ({ versions: BOTH, isComplete: true }) },
+      isCurrentAlone: () => false,
+      send: (_node, message) => sent.push(message) > 0,
+    });
+    return { streams, sent };
+  }
+
+  it('is not answered by a late response to the process that ran before under the same name', async () => {
+    const before = start();
+    void before.streams.find({ requestId: 'r1', attempt: 'a', services: [SERVICE] });
+    const [query] = before.sent;
+    if (query?.kind !== 'origin.query') throw new Error('a query was sent');
+    const { streams } = start();
+    const found = streams.find({ requestId: 'r2', attempt: 'b', services: [SERVICE] });
+    const response = { kind: 'origin.response', versions: [], isComplete: false } as const;
+    streams.received('gateway-1', { ...response, id: query.id, origin: ORIGIN });
+    expect(await Promise.race([found, settled()])).to.equal('unanswered');
+  });
+});
+
 describe('records of where streams began', () => {
   it('hold the first origin of an attempt until it expires', () => {
     const records = createOriginRecords();
