--- a/src/membership/shard-records.ts
+++ b/src/membership/shard-records.ts
@@ -1,6 +1,6 @@
 /**
- * Who holds which shard, as far as holders' own words have come round. A pure table that never goes
- * backwards: a higher fence wins, then the word that a shard was given up, then the sequence.
+ * Who holds which shard, by the holders' summaries that have arrived here. A pure table that never goes
+ * backwards: a higher fence wins, then a release of the shard, then a higher sequence.
  */
 import type { ShardSummary } from '../links/index.js';
 
--- a/src/streams/origin-records.ts
+++ b/src/streams/origin-records.ts
@@ -4,7 +4,7 @@
  */
 import type { StreamOrigin } from './messages.js';
 
-/** Most records; when there are more, the oldest is dropped. Each takes some 200 bytes. */
+/** Most records; when there are more, the oldest is dropped. Each takes some 240 bytes. */
 export const MAX_RECORDS = 30_000;
 /** Records that are checked for expiry with each new one, so that expiry never takes long at once. */
 const CHECKED_PER_RECORD = 2;
