feat(arrivals): how long requests wait before they are read, turns of the event loop, connections accepted

Hypotheses 1 and 2 of docs/incidents/inc-unread.md could not be told apart: no line or metric showed the time before a head is read. Metrics reedtally_gateway_read_delay_seconds, _turn_seconds, _connections_accepted_total; the line requestsWaitedUnread, one a second at most. Nothing is decided by them yet.

--- /dev/null
+++ b/src/arrivals/arrivals.ts
@@ -0,0 +1,108 @@
+/**
+ * When requests arrived, as opposed to when they were read. A busy event loop leaves new connections in the queue of the
+ * kernel, and bytes of open ones unread; time limits have to count that wait. The exact moment is unknown: it is taken to
+ * lie in the middle of the time in which it may have been.
+ */
+import type { Socket } from 'node:net';
+import type { BoundedLog } from '../events/index.js';
+import type { GatewayMetrics } from '../metrics/index.js';
+import type { Clock } from '../task/index.js';
+import { createTurns, type Turn, type TurnsParts } from './turns.js';
+
+/** Wait before reading from which it is logged that requests wait, in ms. */
+const LONG_WAIT_MS = 100;
+/** Least time between two such lines, in ms. */
+const LONG_WAIT_LINE_MS = 1_000;
+
+/** Dependencies of the arrivals. */
+export interface ArrivalsParts extends Pick<TurnsParts, 'idleMs' | 'atTurnEnd'> {
+  clock: Clock;
+  log: Pick<BoundedLog, 'write'>;
+  metrics: Pick<GatewayMetrics, 'readDelay' | 'turns' | 'connectionsAccepted'>;
+}
+
+/** Times at which requests arrived. */
+export interface Arrivals {
+  /** A caller's connection was accepted. */
+  accepted(socket: Socket): void;
+  /** The queue of connections that wait to be accepted was seen empty. */
+  queueEmptied: () => void;
+  /**
+   * The head of a request was read.
+   *
+   * @returns when it arrived, in ms on the clock
+   */
+  requestRead(socket: Socket): number;
+}
+
+/** An accepted connection whose first request was not read yet. */
+interface NewConnection {
+  arrivedAt: number;
+  turn: number;
+}
+
+/**
+ * Creates the arrivals of one listening address.
+ *
+ * @param parts the clock, the event loop and what hears of waits
+ */
+export function createArrivals(parts: ArrivalsParts): Arrivals {
+  const { clock, log, metrics } = parts;
+  const unread = new WeakMap<Socket, NewConnection>();
+  const turns = createTurns({ ...parts, ended: turnEnded });
+  /** When no connection waited to be accepted. */
+  let emptyAt = clock.now();
+  let acceptedInTurn = 0;
+  let longestWaitMs = 0;
+  let lineAt = Number.NEGATIVE_INFINITY;
+
+  function turnEnded(turn: Turn, durationMs: number): void {
+    metrics.turns.observe(durationMs / 1_000);
+    if (acceptedInTurn === 0) emptyAt = Math.max(emptyAt, turn.startedAt);
+    if (longestWaitMs >= LONG_WAIT_MS && clock.now() - lineAt >= LONG_WAIT_LINE_MS) {
+      log.write('requestsWaitedUnread', {
+        longestWaitMs: Math.round(longestWaitMs),
+        turnMs: Math.round(durationMs),
+        accepted: acceptedInTurn,
+        queuedForMs: Math.round(clock.now() - emptyAt),
+      });
+      lineAt = clock.now();
+      longestWaitMs = 0;
+    }
+    acceptedInTurn = 0;
+  }
+
+  function resolveMiddle(since: number): number {
+    return (since + clock.now()) / 2;
+  }
+
+  function resolveArrival(socket: Socket): number {
+    const turn = turns.current();
+    const connection = unread.get(socket);
+    unread.delete(socket);
+    // what is read no later than in the turn after has waited with its connection
+    const cameAtOnce = connection !== undefined && turn.number <= connection.turn + 1;
+    return cameAtOnce ? connection.arrivedAt : resolveMiddle(turn.since);
+  }
+
+  return {
+    accepted(socket) {
+      const turn = turns.current();
+      // the loop waited for events: nothing was queued
+      if (acceptedInTurn === 0 && turn.since === turn.startedAt) emptyAt = turn.startedAt;
+      acceptedInTurn += 1;
+      metrics.connectionsAccepted.inc();
+      unread.set(socket, { arrivedAt: resolveMiddle(emptyAt), turn: turn.number });
+    },
+    queueEmptied() {
+      emptyAt = clock.now();
+    },
+    requestRead(socket) {
+      const arrivedAt = resolveArrival(socket);
+      const waitMs = clock.now() - arrivedAt;
+      metrics.readDelay.observe(waitMs / 1_000);
+      longestWaitMs = Math.max(longestWaitMs, waitMs);
+      return arrivedAt;
+    },
+  };
+}
--- /dev/null
+++ b/src/arrivals/index.ts
@@ -0,0 +1,3 @@
+/** When requests arrived, and the turns of the event loop. */
+export * from './arrivals.js';
+export * from './turns.js';
--- /dev/null
+++ b/src/arrivals/turns.ts
@@ -0,0 +1,78 @@
+/**
+ * Turns of the event loop, as those who read from sockets see them. What is read in a turn has arrived since the turn
+ * before began, or has only just arrived if the loop waited for events in between.
+ */
+import { performance } from 'node:perf_hooks';
+import type { Clock } from '../task/index.js';
+
+/** Idle time that shows that the loop waited for events, in ms. */
+const MIN_IDLE_MS = 0.05;
+
+/** A turn of the event loop in which something was read. */
+export interface Turn {
+  /** Counts the turns in which something was read. */
+  readonly number: number;
+  /** When its first event was handled, in ms on the clock. */
+  readonly startedAt: number;
+  /** What is read in this turn arrived after this time, in ms on the clock. */
+  readonly since: number;
+}
+
+/** Follows the turns of the event loop. */
+export interface Turns {
+  /** Returns the present turn; begins it on the first call in a turn. */
+  current: () => Turn;
+}
+
+/** What the turns need. */
+export interface TurnsParts {
+  clock: Clock;
+  /** Total time that the loop has waited for events, in ms. */
+  idleMs(): number;
+  /** Calls back at the end of the present turn. */
+  atTurnEnd(ended: () => void): void;
+  /** A turn has ended. */
+  ended(turn: Turn, durationMs: number): void;
+}
+
+/** The event loop of this process. */
+export const ownLoop: Pick<TurnsParts, 'idleMs' | 'atTurnEnd'> = {
+  idleMs: () => performance.nodeTiming.idleTime,
+  atTurnEnd(ended) {
+    setImmediate(ended);
+  },
+};
+
+/**
+ * Creates a follower of the turns.
+ *
+ * @param parts the clock and the event loop
+ */
+export function createTurns(parts: TurnsParts): Turns {
+  const { clock } = parts;
+  let turn: Turn = { number: 0, startedAt: clock.now(), since: clock.now() };
+  let isOpen = false;
+  let idleMsBefore = parts.idleMs();
+
+  function begin(): void {
+    const now = clock.now();
+    const idleMs = parts.idleMs();
+    const hasWaited = idleMs - idleMsBefore > MIN_IDLE_MS;
+    turn = { number: turn.number + 1, startedAt: now, since: hasWaited ? now : turn.startedAt };
+    idleMsBefore = idleMs;
+    isOpen = true;
+    parts.atTurnEnd(end);
+  }
+
+  function end(): void {
+    isOpen = false;
+    parts.ended(turn, clock.now() - turn.startedAt);
+  }
+
+  return {
+    current() {
+      if (!isOpen) begin();
+      return turn;
+    },
+  };
+}
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -118,6 +118,11 @@
   requestFailed: { id: 7044, level: 'warn', text: 'request failed; it may have run' },
   callerLeft: { id: 7045, level: 'info', text: 'caller left before the end of the answer' },
   promptRead: { id: 7046, level: 'info', text: 'the reading of a prompt at an engine ended' },
+  requestsWaitedUnread: {
+    id: 7059,
+    level: 'warn',
+    text: 'requests of callers waited unread, since the event loop was busy',
+  },
   releaseFailed: { id: 7047, level: 'info', text: 'a prompt read in vain was not freed' },
   requestMalformed: { id: 7048, level: 'info', text: 'bytes of a caller were no request' },
   retryDecided: { id: 7049, level: 'info', text: 'a retry was allowed or denied by the budget' },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,6 +3,7 @@
  */
 import { randomUUID } from 'node:crypto';
 import type { Server } from 'node:http';
+import { createArrivals, ownLoop } from '../arrivals/index.js';
 import { createBackpressure, type ServerSignals } from '../backpressure/index.js';
 import type { BoundedLog } from '../events/index.js';
 import {
@@ -352,6 +353,7 @@
     clock,
     log,
     protocol: platform.protocol,
+    arrivals: createArrivals({ clock, log, metrics, ...ownLoop }),
     limits: () => routes.index()?.table.limits,
     serve: (request) => serveRequest(relay, request),
   });
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -172,6 +172,23 @@
       buckets,
       registers,
     }),
+    readDelay: new Histogram({
+      name: 'reedtally_gateway_read_delay_seconds',
+      help: 'Time from the estimated arrival of a request to the reading of its head',
+      buckets,
+      registers,
+    }),
+    turns: new Histogram({
+      name: 'reedtally_gateway_turn_seconds',
+      help: 'Length of turns of the event loop in which callers were read',
+      buckets,
+      registers,
+    }),
+    connectionsAccepted: new Counter({
+      name: 'reedtally_gateway_connections_accepted_total',
+      help: 'Connections accepted from callers',
+      registers,
+    }),
     storeCalls: new Counter({
       name: 'reedtally_gateway_store_calls_total',
       help: 'Calls to the store, by operation and outcome',
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -5,6 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
+import type { Arrivals } from '../arrivals/index.js';
 import type { Log } from '../events/index.js';
 import type { CallerLimits } from '../routing/index.js';
 import type { Clock } from '../task/index.js';
@@ -30,6 +31,7 @@
   clock: Clock;
   log: Log;
   protocol: BackendProtocol;
+  arrivals: Arrivals;
   limits(): CallerLimits | undefined;
   serve(request: CallerRequest): Promise<void>;
 }
@@ -55,7 +57,7 @@
  * @param parts the relay and the limits
  */
 export function createFront(parts: FrontParts): Front {
-  const { clock, log, protocol } = parts;
+  const { clock, log, protocol, arrivals } = parts;
   const sockets = new Set<Socket>();
   let closing = false;
   let inFlight = 0;
@@ -70,6 +72,7 @@
   );
   refreshLimits();
   server.on('connection', (socket) => {
+    arrivals.accepted(socket);
     sockets.add(socket);
     socket.on('close', () => sockets.delete(socket));
   });
@@ -93,6 +96,7 @@
 
   async function receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAt = clock.now();
+    arrivals.requestRead(request.socket);
     inFlight += 1;
     const callerLeft = new AbortController();
     response.on('close', () => {
--- a/test/gateway/guards.test.ts
+++ b/test/gateway/guards.test.ts
@@ -1,5 +1,7 @@
 import { expect } from 'chai';
 import { createPeering, type PeeringParts } from '../../src/gateway/peering.js';
+import { createGatewayMetrics } from '../../src/metrics/index.js';
+import { createArrivals, ownLoop } from '../../src/arrivals/index.js';
 import { createFront } from '../../src/relay/index.js';
 import type { Scheduler } from '../../src/scheduling/index.js';
 import { createSystemClock } from '../../src/task/index.js';
@@ -52,6 +54,12 @@
       clock: createSystemClock(),
       log,
       protocol: createHeaderProtocol(),
+      arrivals: createArrivals({
+        clock: createSystemClock(),
+        log,
+        metrics: createGatewayMetrics(),
+        ...ownLoop,
+      }),
       limits: () => undefined,
       serve({ head, answer }) {
         if (head.requestId === 'bad') return Promise.reject(new Error('no such engine'));
