fix(arrivals): all connections that wait are accepted in one turn of the event loop

Callers saw: requests of a route with 1,200 ms answered 1.5 to 2.0 s after they were sent, though their server took 82 ms; retries, each on a new connection, waited longest. Cause: Node accepts one connection in each turn of its loop. A busy gateway (turns of 10 to 20 ms) accepts 50 to 100 a second; what comes faster waits in the kernel, where nothing of ours sees it. Ruled out: several listeners with SO_REUSEPORT (needs native code as well, splits the queue by hash, resets what waits at one that closes), a process that accepts and hands over (the platform starts none, one more copy of each byte), a shorter backlog (a dropped opening packet comes again after a second or more), short turns alone (one accept each, and turns are long for other reasons too). The test failed before: 100 callers on new connections read over 101 turns, now within 3.

--- /dev/null
+++ b/src/arrivals/accept-waiting.ts
@@ -0,0 +1,78 @@
+/**
+ * Makes a server accept all connections that wait, in each turn in which it accepts one. Otherwise, callers on new
+ * connections wait for as many turns of a busy event loop as there are of them.
+ */
+import { closeSync } from 'node:fs';
+import { Socket, type Server } from 'node:net';
+import type { Log } from '../events/index.js';
+import { loadNativeAccept, type NativeAccept } from './native-accept.js';
+
+/** Connections accepted in one turn, so that open ones are read again before a flood of new ones has ended. */
+const MAX_PER_TURN = 256;
+
+/** What accepting needs. */
+export interface AcceptWaitingParts {
+  log: Pick<Log, 'write'>;
+  /** Whether callers may end their side before they have their answer; as the server's own connections have it, which
+   * for HTTP is true. */
+  allowHalfOpen?: boolean;
+  /** No connection waits any more. */
+  queueEmptied?: () => void;
+}
+
+/** A server with its descriptor, which Node does not declare. */
+interface ServerWithHandle {
+  _handle?: { fd?: unknown } | null;
+}
+
+/**
+ * Makes a server accept all connections that wait. Connections accepted this way are given to the server's listeners
+ * like all others.
+ *
+ * @param server an HTTP or plain server; its `close` waits for the connections only that it accepted by itself
+ * @param parts the log, and how connections are opened
+ */
+export async function acceptWaiting(server: Server, parts: AcceptWaitingParts): Promise<void> {
+  const { log, allowHalfOpen = true } = parts;
+  const accept = await loadNativeAccept(log);
+  if (accept === undefined) return;
+  let isAccepting = false;
+
+  server.on('connection', () => {
+    const listeningFd = readDescriptor(server);
+    if (isAccepting || listeningFd === undefined) return;
+    isAccepting = true;
+    try {
+      acceptAll(accept, listeningFd);
+    } finally {
+      isAccepting = false;
+    }
+  });
+
+  function acceptAll(take: NativeAccept, listeningFd: number): void {
+    for (let count = 0; count < MAX_PER_TURN; count += 1) {
+      const fd = take(listeningFd);
+      if (fd === 'queue-empty') parts.queueEmptied?.();
+      // Node meets a lasting failure itself, with the next connection
+      if (fd === 'queue-empty' || fd === 'failed') return;
+      const socket = openSocket(fd);
+      if (socket !== undefined) server.emit('connection', socket);
+    }
+  }
+
+  function openSocket(fd: number): Socket | undefined {
+    try {
+      const socket = new Socket({ fd, allowHalfOpen, readable: true, writable: true });
+      return socket.setNoDelay(true);
+    } catch (error) {
+      closeSync(fd);
+      log.write('connectionNotOpened', { reason: String(error) });
+      return undefined;
+    }
+  }
+}
+
+function readDescriptor(server: Server): number | undefined {
+  const fd = (server as ServerWithHandle)._handle?.fd;
+  return typeof fd === 'number' && fd >= 0 ? fd : undefined;
+}
--- a/src/arrivals/index.ts
+++ b/src/arrivals/index.ts
@@ -1,3 +1,5 @@
-/** When requests arrived, and the turns of the event loop. */
+/** How connections are accepted, when requests arrived, and the turns of the event loop. */
+export * from './accept-waiting.js';
 export * from './arrivals.js';
+export * from './native-accept.js';
 export * from './turns.js';
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -18,6 +18,12 @@
  * 4xxx configuration, 5xxx membership and links, 6xxx claims, 7xxx gateways. */
 export const eventCatalogue = {
   nodeStarted: { id: 1001, level: 'info', text: 'node started' },
+  acceptsSingly: {
+    id: 1009,
+    level: 'warn',
+    text: 'servers accept one connection in each turn of the event loop; callers wait when it is busy',
+  },
+  connectionNotOpened: { id: 1010, level: 'warn', text: 'an accepted connection was not usable' },
   nodeStopping: { id: 1002, level: 'info', text: 'node is stopping; in-flight requests finish' },
   nodeStopped: { id: 1003, level: 'info', text: 'node stopped' },
   portTaken: { id: 1004, level: 'error', text: 'a listening address is taken' },
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -411,14 +411,17 @@
 
   function startStatusServers(): Promise<Server[]> {
     const pending = [
-      startStatusServer(settings.readiness, () => platform.readinessResponse(isReady())),
+      startStatusServer(settings.readiness, log, () => platform.readinessResponse(isReady())),
       startStatusServer(
         settings.metrics,
+        log,
         (request) => answerBans(quarantine, request) ?? renderMetrics(request),
       ),
     ];
     if (settings.directory !== undefined) {
-      pending.push(startStatusServer(settings.directory, ({ url = '' }) => answerDirectory(url)));
+      pending.push(
+        startStatusServer(settings.directory, log, ({ url = '' }) => answerDirectory(url)),
+      );
     }
     return Promise.all(pending);
   }
--- a/src/gateway/status-servers.ts
+++ b/src/gateway/status-servers.ts
@@ -2,6 +2,8 @@
  * HTTP servers of a gateway for readiness, directory and metrics.
  */
 import { createServer, type IncomingMessage, type Server } from 'node:http';
+import { acceptWaiting } from '../arrivals/index.js';
+import type { Log } from '../events/index.js';
 import type { ListenAddress } from './settings.js';
 
 /** A response of a status server. */
@@ -17,7 +19,11 @@
 /**
  * Starts a status server.
  */
-export function startStatusServer(address: ListenAddress, handle: StatusHandler): Promise<Server> {
+export async function startStatusServer(
+  address: ListenAddress,
+  log: Log,
+  handle: StatusHandler,
+): Promise<Server> {
   const server = createServer({ noDelay: true }, (request, response) => {
     request.resume();
     void Promise.resolve(handle(request)).then(({ status, contentType, body }) => {
@@ -26,6 +32,7 @@
       response.end(body);
     });
   });
+  await acceptWaiting(server, { log });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(address.port, address.host, () => {
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -5,6 +5,8 @@
 import { createServer, type IncomingMessage, type Server } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { WebSocket, WebSocketServer, type RawData } from 'ws';
+import { acceptWaiting } from '../arrivals/index.js';
+import type { Log } from '../events/index.js';
 import type { Clock } from '../task/index.js';
 import { decodeMessage, encodeMessage, type GatewayState, type PeerMessage } from './messages.js';
 
@@ -60,7 +62,7 @@
 }
 
 /** Creates the links of a gateway. */
-export type LinksFactory = (clock: Clock, listener: LinkListener) => PeerLinks;
+export type LinksFactory = (clock: Clock, log: Log, listener: LinkListener) => PeerLinks;
 
 interface Link {
   socket: WebSocket;
@@ -86,9 +88,10 @@
  * Creates an empty set of links.
  *
  * @param clock the gateway's clock
+ * @param log hears of connections that cannot be used
  * @param listener receives their events
  */
-export const createPeerLinks: LinksFactory = (clock, listener) => {
+export const createPeerLinks: LinksFactory = (clock, log, listener) => {
   const links = new Set<Link>();
   const byNode = new Map<string, Link>();
   const dialling = new Set<string>();
@@ -212,18 +215,19 @@
   }
 
   return {
-    listen(host, port) {
-      return new Promise((resolve, reject) => {
-        const upgrader = new WebSocketServer({ noServer: true, ...serverOptions });
-        const created = createServer((_request, response) => {
-          response.writeHead(UPGRADE_REQUIRED).end();
-        });
-        created.on('upgrade', (request, connection, head) => {
-          if (listener.upgradeRequested(request, connection, head)) return;
-          upgrader.handleUpgrade(request, connection, head, (socket) => {
-            introduce(addLink(socket));
-          });
+    async listen(host, port) {
+      const upgrader = new WebSocketServer({ noServer: true, ...serverOptions });
+      const created = createServer((_request, response) => {
+        response.writeHead(UPGRADE_REQUIRED).end();
+      });
+      created.on('upgrade', (request, connection, head) => {
+        if (listener.upgradeRequested(request, connection, head)) return;
+        upgrader.handleUpgrade(request, connection, head, (socket) => {
+          introduce(addLink(socket));
         });
+      });
+      await acceptWaiting(created, { log });
+      await new Promise<void>((resolve, reject) => {
         created.once('error', reject);
         created.listen(port, host, () => {
           created.off('error', reject);
--- a/src/peers/overlay.ts
+++ b/src/peers/overlay.ts
@@ -143,7 +143,7 @@
     clock,
     () => countAlive() + members.suspected().length + discovery.count(),
   );
-  const links = (parts.createLinks ?? createPeerLinks)(clock, {
+  const links = (parts.createLinks ?? createPeerLinks)(clock, parts.log, {
     ownState: membership.ownState,
     opened,
     received: receive,
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -5,7 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import type { Arrivals } from '../arrivals/index.js';
+import { acceptWaiting, type Arrivals } from '../arrivals/index.js';
 import type { Log } from '../events/index.js';
 import type { CallerLimits } from '../routing/index.js';
 import type { Clock } from '../task/index.js';
@@ -125,8 +125,9 @@
   }
 
   return {
-    listen(host, port) {
-      return new Promise((resolve, reject) => {
+    async listen(host, port) {
+      await acceptWaiting(server, { log, queueEmptied: arrivals.queueEmptied });
+      await new Promise<void>((resolve, reject) => {
         server.once('error', reject);
         server.listen({ host, port, backlog: LISTEN_BACKLOG }, () => {
           server.off('error', reject);
--- /dev/null
+++ b/test/arrivals/busy-loop.test.ts
@@ -0,0 +1,61 @@
+import { expect } from 'chai';
+import { createHeaderProtocol } from '../../platform/headers.js';
+import { createArrivals, ownLoop } from '../../src/arrivals/index.js';
+import { createGatewayMetrics } from '../../src/metrics/index.js';
+import { createFront } from '../../src/relay/index.js';
+import { createSystemClock } from '../../src/task/index.js';
+import { sendWhileBlocked } from '../fixtures/caller-thread.js';
+import { createKeptLog, findPort } from '../fixtures/gateway.js';
+
+const CALLERS = 100;
+/** A turn to accept connections and one to read them, and one that was already under way. */
+const TURNS = 3;
+
+function writeRequest(path: string, id: string, waitMs: number): string {
+  const lines = [
+    `GET ${path} HTTP/1.1`,
+    'Host: desk.example',
+    `X-Request-Id: ${id}`,
+    `X-Request-Deadline-Ms: ${waitMs}`,
+    'Connection: close',
+  ];
+  return [...lines, '', ''].join('\r\n');
+}
+
+describe('requests that arrive while the event loop is busy', () => {
+  // without this, a hundred callers on new connections were read over a hundred turns
+  it('are all read soon after the loop goes on, whatever the number of connections', async () => {
+    const clock = createSystemClock();
+    const log = createKeptLog();
+    const metrics = createGatewayMetrics();
+    let turns = 0;
+    const readAfter: number[] = [];
+    const front = createFront({
+      clock,
+      log,
+      protocol: createHeaderProtocol(),
+      arrivals: createArrivals({ clock, log, metrics, ...ownLoop }),
+      limits: () => undefined,
+      serve({ answer }) {
+        readAfter.push(turns);
+        answer.refuse(503, 'not run: for the test', 100);
+        return Promise.resolve();
+      },
+    });
+    const port = await findPort();
+    await front.listen('127.0.0.1', port);
+    const requests = Array.from({ length: CALLERS }, (_, index) =>
+      writeRequest('/', `r${index}`, 2_000),
+    );
+    const { statusLines } = sendWhileBlocked(port, requests, 0);
+    function countTurns(): void {
+      turns += 1;
+      if (readAfter.length < CALLERS) setImmediate(countTurns);
+    }
+    countTurns();
+    expect(new Set(await statusLines)).to.deep.equal(new Set(['HTTP/1.1 503 Service Unavailable']));
+    front.close();
+    expect(readAfter).to.have.length(CALLERS);
+    expect(Math.max(...readAfter)).to.be.at.most(TURNS);
+  });
+});
