fix(relay): time limits count from the arrival of a request, not from its reading

Callers saw: a request whose time limit had passed while it waited unread was sent to a server, ran, and was answered long after. Cause: the clock of a request started when its head was read; everything that goes by its age (the route's limit, the deadline passed on to servers, the objective, the refusal at once) took it for new. Change: the clock starts at the estimated arrival, the middle of the time in which the request may have come (since the queue of connections was last seen empty; since the turn before for a kept connection; now, if the loop waited for events). A request whose limit has passed is refused at once; it did not run.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -350,7 +350,6 @@
     canFinish,
   };
   const front = createFront({
-    clock,
     log,
     protocol: platform.protocol,
     arrivals: createArrivals({ clock, log, metrics, ...ownLoop }),
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -160,14 +160,14 @@
     }),
     firstByte: new Histogram({
       name: 'reedtally_gateway_first_byte_seconds',
-      help: 'Time from the head of a request to the first byte of its answer, by service',
+      help: 'Time from the arrival of a request to the first byte of its answer, by service',
       labelNames: ['service'],
       buckets,
       registers,
     }),
     duration: new Histogram({
       name: 'reedtally_gateway_request_seconds',
-      help: 'Time from the head of a request to its end, by service',
+      help: 'Time from the arrival of a request to its end, by service',
       labelNames: ['service'],
       buckets,
       registers,
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -8,7 +8,6 @@
 import { acceptWaiting, type Arrivals } from '../arrivals/index.js';
 import type { Log } from '../events/index.js';
 import type { CallerLimits } from '../routing/index.js';
-import type { Clock } from '../task/index.js';
 import { createCallerAnswer } from './caller-answer.js';
 import type { BackendProtocol } from './protocol.js';
 import { statuses } from './responder.js';
@@ -28,7 +27,6 @@
 
 /** What the front needs. */
 export interface FrontParts {
-  clock: Clock;
   log: Log;
   protocol: BackendProtocol;
   arrivals: Arrivals;
@@ -57,7 +55,7 @@
  * @param parts the relay and the limits
  */
 export function createFront(parts: FrontParts): Front {
-  const { clock, log, protocol, arrivals } = parts;
+  const { log, protocol, arrivals } = parts;
   const sockets = new Set<Socket>();
   let closing = false;
   let inFlight = 0;
@@ -95,8 +93,7 @@
   }
 
   async function receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const arrivedAt = clock.now();
-    arrivals.requestRead(request.socket);
+    const arrivedAt = arrivals.requestRead(request.socket);
     inFlight += 1;
     const callerLeft = new AbortController();
     response.on('close', () => {
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -92,7 +92,7 @@
   path: string;
   head: CallerHead;
   body: Buffer | undefined;
-  /** When its head arrived, in ms on the gateway's clock. */
+  /** When its head arrived, which may be long before it was read, in ms on the gateway's clock. */
   arrivedAt: number;
   answer: CallerAnswer;
   /** Aborted when the caller closes the connection. */
@@ -480,6 +480,10 @@
         refuse('stopping', STOPPING_RETRY_MS, 0);
         return;
       }
+      if (clock.now() >= endAt) {
+        refuse('time limit', DECLINED_RETRY_MS, 0);
+        return;
+      }
       const refusal = streamVersion.findRefusal(parts.fleet.available(service));
       if (refusal !== undefined) {
         refuse(refusal.reason, refusal.retryAfterMs, 0);
--- a/test/arrivals/busy-loop.test.ts
+++ b/test/arrivals/busy-loop.test.ts
@@ -4,12 +4,23 @@
 import { createGatewayMetrics } from '../../src/metrics/index.js';
 import { createFront } from '../../src/relay/index.js';
 import { createSystemClock } from '../../src/task/index.js';
+import { startServerStandIn, startStoreStandIn } from '../../stand-ins/users-platform/index.js';
 import { sendWhileBlocked } from '../fixtures/caller-thread.js';
-import { createKeptLog, findPort } from '../fixtures/gateway.js';
+import {
+  configuration,
+  createKeptLog,
+  findPort,
+  register,
+  startGatewayFixture,
+  until,
+} from '../fixtures/gateway.js';
 
 const CALLERS = 100;
 /** A turn to accept connections and one to read them, and one that was already under way. */
 const TURNS = 3;
+/** Far above the time limit of the requests that wait for it. */
+const BLOCKED_MS = 1_000;
+const TIME_LIMIT_MS = 300;
 
 function writeRequest(path: string, id: string, waitMs: number): string {
   const lines = [
@@ -31,7 +42,6 @@
     let turns = 0;
     const readAfter: number[] = [];
     const front = createFront({
-      clock,
       log,
       protocol: createHeaderProtocol(),
       arrivals: createArrivals({ clock, log, metrics, ...ownLoop }),
@@ -58,4 +68,26 @@
     expect(readAfter).to.have.length(CALLERS);
     expect(Math.max(...readAfter)).to.be.at.most(TURNS);
   });
+
+  // without this, they ran at a server and were answered long after their time limit
+  it('are refused and do not run if their time limit has passed', async () => {
+    const store = await startStoreStandIn();
+    const page = await startServerStandIn({ id: 'page-1' });
+    store.put('op', 'config', configuration(1));
+    register(store, page, 'pages');
+    const fixture = await startGatewayFixture('node-1', store.address);
+    await until(() => fixture.log.lines.some(({ event }) => event === 'serverChanged'));
+    await until(() => fixture.log.lines.some(({ event }) => event === 'routesApplied'));
+    const { statusLines } = sendWhileBlocked(
+      fixture.settings.callers.port,
+      [writeRequest('/once/1', 'r1', TIME_LIMIT_MS)],
+      BLOCKED_MS,
+    );
+    const answers = await statusLines;
+    const arrived = page.received().length;
+    await fixture.gateway.stop();
+    await Promise.all([store.close(), page.close()]);
+    expect(answers).to.deep.equal(['HTTP/1.1 503 Service Unavailable']);
+    expect(arrived).to.equal(0);
+  });
 });
--- a/test/gateway/guards.test.ts
+++ b/test/gateway/guards.test.ts
@@ -51,7 +51,6 @@
   it('while serving a request closes its connection and does not affect the next', async () => {
     const log = createKeptLog();
     const front = createFront({
-      clock: createSystemClock(),
       log,
       protocol: createHeaderProtocol(),
       arrivals: createArrivals({
