--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -243,6 +243,7 @@
         server: server.id,
         outcome: outcome.kind,
         fingerprint: outcome.kind === 'lost' ? fingerprint.full() : undefined,
+        parts: outcome.kind === 'lost' ? listSharedParts() : undefined,
         reason: 'reason' in outcome ? outcome.reason : undefined,
         status: 'status' in outcome ? outcome.status : undefined,
         ms: Math.round(clock.now() - arrivedAt),
@@ -252,6 +253,11 @@
     recordHealth,
   };
 
+  /** Parts of the prompt that other requests may share; the last one is the request's own. */
+  function listSharedParts(): string[] | undefined {
+    return head.prompt?.parts.slice(0, -1).map(({ id }) => id);
+  }
+
   function createOutgoing(
     server: RegisteredServer,
     terms: Omit<SendTerms, 'serverId' | 'timeLeftMs'>,
@@ -411,6 +417,7 @@
       server: placed.server.id,
       outcome: outcome.kind,
       fingerprint: outcome.kind === 'lost' ? fingerprint.full() : undefined,
+      parts: outcome.kind === 'lost' ? listSharedParts() : undefined,
       reason: 'reason' in outcome ? outcome.reason : undefined,
       move: step.kind,
       ms: Math.round(clock.now() - arrivedAt),
