test(gateway): a part of prompts ends every engine that writes on it, known to fail

Callers saw: engines end one after the other under requests that have one part in common and differ in everything else.

--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -60,6 +60,8 @@
   breaksStream?: (request: ReceivedRequest) => boolean;
   /** The process ends, and with it all connections, when it begins to run a request with this body. */
   endsOn?: string;
+  /** The process ends when it begins to write an answer on a prompt with this part. */
+  endsOnPart?: string;
   /** Time that an engine takes to read a prompt, in ms; twice as long where it generates. */
   readMs?: number;
   /** Parts of prompts that an engine says it has cached, with their tokens. */
@@ -91,7 +93,7 @@
     }
     const target = request.headers['x-target-instance'];
     const isReading = request.headers['x-stage'] === 'prefill';
-    if (terms.endsOn !== undefined && request.body.toString() === terms.endsOn && !isReading) {
+    if (!isReading && endsServer(request)) {
       ended = true;
       void closeServer(server);
       return;
@@ -113,6 +115,12 @@
     }
   }
 
+  function endsServer({ headers, body }: ReceivedRequest): boolean {
+    const parts = String(headers['x-prompt-prefix'] ?? '').split(',');
+    const hasPart = parts.some((part) => part.split(':', 1)[0] === terms.endsOnPart);
+    return hasPart || (terms.endsOn !== undefined && body.toString() === terms.endsOn);
+  }
+
   /** Time that reading a request's prompt takes; none where another engine has read it. */
   function resolveReadMs({ headers }: ReceivedRequest): number {
     if (headers['x-stage'] === 'prefill') return readMs;
