fix(quarantine): a part of prompts that crashes engines is known, whatever request has it

Callers saw: engines ended one after the other (26 and 27 in two waves), under requests that had one part of their prompts in common and differed in everything else; the rest of their route was refused or lost with the engines. Cause: crashes were counted by the identity of the whole request, while their cause lay in a part of it. Each of these requests counted alone, had one crash, and was sent once. Change: each shared part of a lost prompt (all but the last) is counted like the request, in the same records, rows and trials. Since parts are shared with sound requests: - a part on which an answer was completed within 30 s, at any gateway, is not counted, or cleared at once by the gateway that saw it; - a request that is banned as a whole explains its crashes, its parts keep what they had; - of parts banned for one crash, requests that have only some may still run, one at a time: a success clears these. Checked again right before each send and prefill, so what waited in a queue is not sent after a ban. The check of three to six engines for a request that repeats itself stands unchanged.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -143,11 +143,15 @@
   gatewaysChanged: { id: 7060, level: 'info', text: 'peer gateways were found or lost' },
   gatewayRowFailed: { id: 7062, level: 'warn', text: 'own address could not be published' },
   serverEnded: { id: 7063, level: 'warn', text: 'a server ended with requests at work there' },
-  crashesKnown: { id: 7064, level: 'info', text: 'how often servers ended under a request' },
+  crashesKnown: {
+    id: 7064,
+    level: 'info',
+    text: 'how often servers ended under a request or a part',
+  },
   requestBanned: {
     id: 7065,
     level: 'warn',
-    text: 'a request ends its servers; refused from now on',
+    text: 'a request, or a part of prompts, ends its servers; refused from now on',
   },
   banRowFailed: {
     id: 7066,
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -243,12 +243,12 @@
     }),
     bans: new Counter({
       name: 'reedtally_gateway_bans_total',
-      help: 'Requests that came to be refused because servers ended under them',
+      help: 'Requests and parts of prompts that came to be refused because servers ended under them',
       registers,
     }),
     banned: new Gauge({
       name: 'reedtally_gateway_banned_requests',
-      help: 'Requests that are refused now because servers ended under them',
+      help: 'Requests and parts of prompts that are refused now because servers ended under them',
       registers,
     }),
     settingsSince: new Gauge({
--- a/src/quarantine/crash-ledger.ts
+++ b/src/quarantine/crash-ledger.ts
@@ -41,6 +41,9 @@
   send(node: string, message: CrashesMessage): void;
   /** A ban was set or lifted by this gateway; its stored row is out of date. */
   banChanged: (fingerprint: string) => void;
+  /** Whether this gateway has seen what a fingerprint stands for succeed lately, which clears it of a crash that another
+   * gateway has counted. */
+  hasSucceeded: (fingerprint: string) => boolean;
   /** A request has been banned, by any gateway. */
   banned: (fingerprint: string) => void;
   /** A request's crash count has returned to zero. */
@@ -79,6 +82,7 @@
   /** Whether a request with this fingerprint prefix may have a record. */
   mayContain: (prefix: string) => boolean;
   find: (fingerprint: string) => CrashRecord | undefined;
+  list: () => CrashRecord[];
   /** Counts a crash; returns the request's crash count including it. */
   count: (attempt: CrashedAttempt) => number;
   /** Clears the record of a request that was answered with success. */
@@ -159,6 +163,10 @@
     log.write('crashesKnown', { fingerprint, crashes, cleared, ageMs, ...source });
     scheduleSend(fingerprint);
     if (crashes === 0) parts.cleared(fingerprint);
+    else if (parts.hasSucceeded(fingerprint)) {
+      clear(record, 'earlier success');
+      return;
+    }
     if (!isBan(record) || isBan(before)) return;
     log.write('requestBanned', {
       fingerprint,
@@ -217,6 +225,7 @@
   return {
     mayContain: records.mayContain,
     find,
+    list: () => records.list(clock.now()),
     count,
     succeeded(record) {
       clear(record, 'success');
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -1,7 +1,8 @@
 /**
- * Fleet-wide quarantine of requests that crash servers. Each gateway counts the servers that crashed while a request of
- * its own was running on them, and shares the counts with its peers. A request whose count reaches the limit is refused
- * by all gateways, whatever its request id.
+ * Fleet-wide quarantine of requests that crash servers, and of parts of prompts that do. Each gateway counts the servers
+ * that crashed while a request of its own was running on them, for the request and for the parts of its prompt, and shares
+ * the counts with its peers. A request is refused by all gateways, whatever its request id, once its count or that of one
+ * of its parts reaches the limit.
  */
 import type { Log } from '../events/index.js';
 import type { RegisteredServer } from '../fleet/index.js';
@@ -15,9 +16,10 @@
   type CrashLedger,
   type CrashLedgerParts,
 } from './crash-ledger.js';
-import type { Fingerprint } from './fingerprint.js';
 import type { CrashesMessage } from './messages.js';
-import type { CrashRecord } from './records.js';
+import { isPartKey } from './part-keys.js';
+import { createPartSuccesses } from './part-successes.js';
+import { createSuspects, type Suspects, type SuspectTerms } from './suspects.js';
 import { createTrials, type Trial, type TrialMessage } from './trials.js';
 
 /** Dependencies of the quarantine. */
@@ -66,9 +68,10 @@
   /**
    * Tracks a request from its arrival to its end.
    *
+   * @param terms the request's content
    * @param banned called if the request is banned while it is at this gateway
    */
-  watch(fingerprint: Fingerprint, service: string, banned: () => void): WatchedRequest;
+  watch(terms: SuspectTerms, banned: () => void): WatchedRequest;
   /** A server's entry was removed from the registry. */
   serverRemoved: (id: string, hasSuccessor: boolean) => void;
   received: (node: string, message: CrashesMessage | TrialMessage) => void;
@@ -77,13 +80,14 @@
 
 /** An attempt whose answer was lost. */
 interface LostAttempt {
-  fingerprint: Fingerprint;
-  countsAtSend: CrashCounts;
+  suspects: Suspects;
+  /** Of the request and its parts, by key. */
+  countsAtSend: ReadonlyMap<string, CrashCounts>;
   sentAt: number;
   /** The request's last lost attempt before this one was sent; it may be counted only after this one was sent. */
   previous: LostAttempt | undefined;
-  /** The request's crash count including this attempt; 0 while no crash is confirmed. */
-  counted: number;
+  /** Crash counts including this attempt, by key; empty while no crash is confirmed. */
+  counted: Map<string, number>;
 }
 
 const noCrashes: CrashCounts = { cleared: 0, crashes: 0, discounted: 0 };
@@ -96,9 +100,11 @@
 export function createQuarantine(parts: QuarantineParts): Quarantine {
   const { clock, log, metrics } = parts;
   /** Requests at this gateway, each with its ban callback. */
-  const requests = new Map<Fingerprint, () => void>();
+  const requests = new Map<Suspects, () => void>();
+  const successes = createPartSuccesses(clock);
   const ledger = createCrashLedger({
     ...parts,
+    hasSucceeded: successes.isRecent,
     banned: stopRequests,
     cleared(fingerprint) {
       trials.cleared(fingerprint);
@@ -122,78 +128,73 @@
     mergeRows: ledger.mergeRows,
   });
 
-  /** Hashes the body only if there is a record with the same prefix. */
-  function find(fingerprint: Fingerprint): CrashRecord | undefined {
-    return ledger.mayContain(fingerprint.prefix()) ? ledger.find(fingerprint.full()) : undefined;
-  }
-
   function count(attempt: LostAttempt, server: RegisteredServer, sign: CrashSign): void {
-    const { countsAtSend, sentAt, previous } = attempt;
+    const { suspects, countsAtSend, sentAt, previous, counted } = attempt;
     metrics.crashesCounted.inc({ sign });
-    attempt.counted = ledger.count({
-      fingerprint: attempt.fingerprint.full(),
-      server: server.id,
-      countsAtSend,
-      sentAt,
-      countedBefore: previous?.counted ?? 0,
-    });
+    for (const key of suspects.listKeys()) {
+      if (successes.isRecent(key)) continue;
+      // listed after its request: one that is banned itself has caused its crashes, not its parts, which others share
+      if (isPartKey(key) && suspects.isRequestBanned()) continue;
+      const count = ledger.count({
+        fingerprint: key,
+        server: server.id,
+        countsAtSend: countsAtSend.get(key) ?? noCrashes,
+        sentAt,
+        countedBefore: previous?.counted.get(key) ?? 0,
+      });
+      counted.set(key, count);
+    }
   }
 
-  /** Stops the queued and running requests with a fingerprint that was just banned. */
-  function stopRequests(full: string): void {
-    for (const [fingerprint, banned] of [...requests]) {
-      if (find(fingerprint)?.fingerprint === full) banned();
+  /** Stops the queued and running requests with a fingerprint or a part that was just banned. */
+  function stopRequests(key: string): void {
+    for (const [suspects, banned] of [...requests]) {
+      if (suspects.listRecords().some(({ fingerprint }) => fingerprint === key)) banned();
     }
   }
 
-  function watch(fingerprint: Fingerprint, service: string, banned: () => void): WatchedRequest {
+  function watch(terms: SuspectTerms, banned: () => void): WatchedRequest {
+    const suspects = createSuspects(ledger, terms);
     let lastLost: LostAttempt | undefined;
     let crashCheck: Promise<void> = Promise.resolve();
     let trial: Trial | undefined;
-    requests.set(fingerprint, banned);
+    requests.set(suspects, banned);
 
     async function admit(signal: AbortSignal): Promise<Admission> {
       if (signal.aborted) return 'aborted';
-      const record = find(fingerprint);
-      if (trial !== undefined || record === undefined || record.crashes === 0) return 'admitted';
-      const answer = await trials.requestTrial(service, record.fingerprint, signal);
+      const record = suspects.findTrialRecord();
+      if (trial !== undefined || record === undefined) return 'admitted';
+      const answer = await trials.requestTrial(terms.service, record.fingerprint, signal);
       if (answer.kind !== 'granted') return answer.kind;
       ({ trial } = answer);
       return 'admitted';
     }
 
     return {
-      ban() {
-        const record = find(fingerprint);
-        return record === undefined ? undefined : ledger.ban(record.fingerprint);
-      },
+      ban: () => suspects.findBan(),
       admit,
       serversToAvoid: () => trial?.serversToAvoid ?? [],
       sent(server) {
-        const { cleared, crashes, discounted } = find(fingerprint) ?? noCrashes;
+        const countsAtSend = suspects.readCounts();
         const previous = lastLost;
         const sentAt = clock.now();
         trial?.placed(server.id);
         return {
           lost() {
-            lastLost = {
-              fingerprint,
-              countsAtSend: { cleared, crashes, discounted },
-              sentAt,
-              previous,
-              counted: 0,
-            };
+            lastLost = { suspects, countsAtSend, sentAt, previous, counted: new Map() };
             crashCheck = detector.lost(server, lastLost);
             return crashCheck;
           },
         };
       },
       succeeded() {
-        const record = find(fingerprint);
-        if (record !== undefined && record.crashes > 0) ledger.succeeded(record);
+        successes.record(suspects.partKeys);
+        for (const record of suspects.listRecords()) {
+          if (record.crashes > 0) ledger.succeeded(record);
+        }
       },
       ended() {
-        requests.delete(fingerprint);
+        requests.delete(suspects);
         // the next trial must start only after the result of this one is counted
         if (trial !== undefined) void crashCheck.then(trial.ended);
       },
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -166,7 +166,9 @@
   let timedOut = false;
   /** Set once the request is banned from all servers. */
   let ban: Ban | undefined;
-  const watched = parts.quarantine.watch(fingerprint, service, stopBanned);
+  /** Ids of the prompt's parts that other requests may share; the last one is the request's own. */
+  const sharedParts = head.prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [];
+  const watched = parts.quarantine.watch({ fingerprint, service, sharedParts }, stopBanned);
 
   const { refuse, fail, forwardFailure, recordOutcome } = createResponder({
     parts,
@@ -243,7 +245,7 @@
         server: server.id,
         outcome: outcome.kind,
         fingerprint: outcome.kind === 'lost' ? fingerprint.full() : undefined,
-        parts: outcome.kind === 'lost' ? listSharedParts() : undefined,
+        parts: outcome.kind === 'lost' ? sharedParts : undefined,
         reason: 'reason' in outcome ? outcome.reason : undefined,
         status: 'status' in outcome ? outcome.status : undefined,
         ms: Math.round(clock.now() - arrivedAt),
@@ -253,11 +255,6 @@
     recordHealth,
   };
 
-  /** Parts of the prompt that other requests may share; the last one is the request's own. */
-  function listSharedParts(): string[] | undefined {
-    return head.prompt?.parts.slice(0, -1).map(({ id }) => id);
-  }
-
   function createOutgoing(
     server: RegisteredServer,
     terms: Omit<SendTerms, 'serverId' | 'timeLeftMs'>,
@@ -274,7 +271,7 @@
       path,
       rawHeaders: protocol.sendHeaders(head, sendTerms, body?.length ?? 0),
       body,
-      withholdReason: () => gate.withholdReason(server),
+      withholdReason: () => withholdBanned() ?? gate.withholdReason(server),
       watchPath: (abandon) =>
         parts.paths.watch(server, () => {
           if (mayAbandon()) abandon();
@@ -394,6 +391,7 @@
 
   /** Makes one send; returns whether another is to follow. */
   async function attempt(placer: Placer): Promise<boolean> {
+    if (stopIfBanned()) return false;
     const admission = await watched.admit(abortController.signal);
     if (admission === 'busy') refuse('on-trial', TRIAL_RETRY_MS, 0);
     if (admission === 'aborted') stop();
@@ -417,7 +415,7 @@
       server: placed.server.id,
       outcome: outcome.kind,
       fingerprint: outcome.kind === 'lost' ? fingerprint.full() : undefined,
-      parts: outcome.kind === 'lost' ? listSharedParts() : undefined,
+      parts: outcome.kind === 'lost' ? sharedParts : undefined,
       reason: 'reason' in outcome ? outcome.reason : undefined,
       move: step.kind,
       ms: Math.round(clock.now() - arrivedAt),
@@ -425,6 +423,17 @@
     return take(step, outcome);
   }
 
+  /** The request, or a part of its prompt, may have been banned while it was placed or its prompt was prefilled. */
+  function withholdBanned(): string | undefined {
+    return watched.ban() === undefined ? undefined : 'ends-servers';
+  }
+
+  function stopIfBanned(): boolean {
+    ban = watched.ban();
+    if (ban !== undefined) stop();
+    return ban !== undefined;
+  }
+
   function take(step: NextStep, outcome: SendOutcome): boolean {
     if (step.kind === 'again') {
       if (!step.costs || retries.pay(step.reason)) return true;
@@ -450,7 +459,7 @@
   function stopBanned(): void {
     if (progress.isBegun) return;
     ban = watched.ban();
-    abortController.abort();
+    if (ban !== undefined) abortController.abort();
   }
 
   /** Ends a request that is banned, has reached its time limit, or whose caller has left. */
@@ -478,11 +487,7 @@
   return {
     close: watched.ended,
     async serve(): Promise<void> {
-      ban = watched.ban();
-      if (ban !== undefined) {
-        stop();
-        return;
-      }
+      if (stopIfBanned()) return;
       if (!parts.canFinish(timeLimitMs)) {
         refuse('stopping', STOPPING_RETRY_MS, 0);
         return;
--- a/test/gateway/parts-that-end-servers.test.ts
+++ b/test/gateway/parts-that-end-servers.test.ts
@@ -81,12 +81,29 @@
     return answer.status;
   }
 
+  /** Removes the entries of engines that have ended, as the platform does once they are silent. */
+  async function removeEnded(): Promise<void> {
+    for (const engine of engines) {
+      if (!engine.hasEnded() || store.read('servers', engine.id) === undefined) continue;
+      store.remove('servers', engine.id);
+      await until(() => gateways.every((gateway) => knowsGone(gateway, engine)));
+    }
+  }
+
+  function knowsGone({ log }: GatewayFixture, { id }: ServerStandIn): boolean {
+    const changes = log.lines.filter(({ fields }) => fields.server === id);
+    return changes.some(
+      ({ event, fields }) => event === 'serverChanged' && fields.state === 'gone',
+    );
+  }
+
   async function askMixed(): Promise<{ sound: number[]; fatal: number[] }> {
     const sound: number[] = [];
     const fatal: number[] = [];
     for (let attempt = 0; attempt < ATTEMPTS; attempt += 1) {
       sound.push(await askWith(['aa', 'bb'], `sound-${attempt}`));
       fatal.push(await askWith(['aa', FATAL_PART, 'bb'], `fatal-${attempt}`));
+      await removeEnded();
     }
     return { sound, fatal };
   }
--- a/test/quarantine/spreading.test.ts
+++ b/test/quarantine/spreading.test.ts
@@ -58,7 +58,10 @@
 /** Lets servers crash one after the other under a request of a gateway. */
 async function crashServers({ quarantine }: Member, path: string, times: number): Promise<void> {
   for (let time = 0; time < times; time += 1) {
-    const watched = quarantine.watch(createRequest(path), 'pages', () => undefined);
+    const watched = quarantine.watch(
+      { fingerprint: createRequest(path), service: 'pages', sharedParts: [] },
+      () => undefined,
+    );
     const server = { id: `server-${path}-${time}`, address: 'x' } as RegisteredServer;
     await watched.sent(server).lost();
     watched.ended();
