--- a/tools/soak/calm.ts
+++ b/tools/soak/calm.ts
@@ -7,7 +7,7 @@
 import { judgeFirstAttempts, type AttemptCount, type Cuts } from './cuts.js';
 import type { FatalCount } from './fatal.js';
 import type { GatewayProcess } from './gateways.js';
-import type { Backend } from './soak.js';
+import type { Backend, SoakRoute } from './soak.js';
 import { judgeContinued, type StreamCounts } from './streams.js';
 
 /** Time within which a change must be in force, in ms, as the users' pages have it. */
@@ -41,11 +41,7 @@
   /** Time between two requests, in milliseconds. */
   requestIntervalMs: number;
   /** Sends a request; the kind is drawn where none is named. */
-  sendOne(
-    gateway: GatewayProcess,
-    route?: 'any' | 'stream' | 'changed',
-    fatalName?: string,
-  ): Promise<SeenStatus>;
+  sendOne(gateway: GatewayProcess, route?: SoakRoute, fatalName?: string): Promise<SeenStatus>;
   addServer(service: string): Promise<void>;
   /** Has each send of a stream break off after an event, has callers wait, and counts anew what becomes of them. */
   breakStreams(): void;
@@ -173,7 +169,20 @@
     }
     found.push(...run.fatal.judge(run.fatal.pathOf(route, 'in-calm')));
   }
-  return found;
+  return [...found, ...(await judgeFatalPart(run))];
+}
+
+/** A part of prompts that ends its engines is refused everywhere in time, in requests that differ, beside sound ones. */
+async function judgeFatalPart(run: CalmRun): Promise<string[]> {
+  for (let round = 0; round < FATAL_ROUNDS; round += 1) {
+    for (const gateway of run.gateways) {
+      await Promise.all([
+        run.sendOne(gateway, 'stream'),
+        run.sendOne(gateway, 'stream-with-fatal-part'),
+      ]);
+    }
+  }
+  return run.fatal.judgePart();
 }
 
 /** Waits for a time in milliseconds. */
--- a/tools/soak/configuration.ts
+++ b/tools/soak/configuration.ts
@@ -11,9 +11,10 @@
   return { Host: 'soak.example', 'X-Request-Id': id, 'X-Request-Deadline-Ms': deadline };
 }
 
-/** Headers of a prompt with a shared part. */
-export function renderPrompt(id: string): Record<string, string> {
-  return { 'X-Model': 'm', 'X-Token-Count': '3000,50', 'X-Prompt-Prefix': `aa:2000,${id}:1000` };
+/** Headers of a prompt with a shared part, and with a further one where that is named. */
+export function renderPrompt(id: string, more?: string): Record<string, string> {
+  const shared = more === undefined ? 'aa:2000' : `aa:2000,${more}:500`;
+  return { 'X-Model': 'm', 'X-Token-Count': '3500,50', 'X-Prompt-Prefix': `${shared},${id}:1000` };
 }
 
 /** The operator's configuration; with a route more where that is named. */
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -18,7 +18,7 @@
 import { PATIENCE_MS, renderConfiguration, renderHeaders, renderPrompt } from './configuration.js';
 import { judgeCalm, pause, IN_FORCE_MS, type SeenStatus } from './calm.js';
 import { createCuts } from './cuts.js';
-import { createFatalCount } from './fatal.js';
+import { createFatalCount, FATAL_PART } from './fatal.js';
 import { createGatewayProcess, type GatewayProcess } from './gateways.js';
 import { judge, type Account } from './judge.js';
 import { createRetryCount } from './retries.js';
@@ -77,6 +77,19 @@
   program?: string;
 }
 
+/** Where a request of the soak goes. */
+export type SoakRoute = Account['kind'] | 'changed' | 'stream-with-fatal-part';
+
+function resolveKind(route: SoakRoute): Account['kind'] {
+  if (route === 'changed') return 'any';
+  return route === 'stream-with-fatal-part' ? 'stream' : route;
+}
+
+/** The first segment of a request's path. */
+function resolvePrefix(route: SoakRoute): string {
+  return route === 'changed' ? route : resolveKind(route);
+}
+
 /** A server with the proxy before it. */
 export interface Backend {
   id: string;
@@ -240,7 +253,7 @@
         response.writeHead(200, { 'X-Request-Id': id }).end(JSON.stringify({ kvHandle: id }));
       } else {
         accounts.get(id)?.runs.push(backend.id);
-        if (fatal.ends(request.path)) {
+        if (fatal.ends(request.path, String(request.headers['x-prompt-prefix'] ?? ''))) {
           track(restart(backend));
           return;
         }
@@ -331,14 +344,17 @@
 
   async function sendOne(
     gateway: GatewayProcess,
-    route: Account['kind'] | 'changed' = pick(['once', 'any', 'stream'] as const) ?? 'any',
+    route: SoakRoute = pick(['once', 'any', 'stream'] as const) ?? 'any',
     fatalName?: string,
     story?: StreamStory,
   ): Promise<SeenStatus> {
     counter += 1;
     const id = `r-${terms.seed}-${counter}`;
-    const kind = route === 'changed' ? 'any' : route;
-    const path = fatalName === undefined ? `/${route}/${counter}` : fatal.pathOf(route, fatalName);
+    const kind = resolveKind(route);
+    const path =
+      fatalName === undefined
+        ? `/${resolvePrefix(route)}/${counter}`
+        : fatal.pathOf(route, fatalName);
     const account: Account = {
       id,
       kind,
@@ -351,12 +367,13 @@
     accounts.set(id, account);
     sentTo.set(id, gateway.node);
     retries.requested(kind === 'stream' ? 'chat' : 'pages');
-    const prompt = kind === 'stream' ? renderPrompt(id) : {};
+    const fatalPart = route === 'stream-with-fatal-part' ? FATAL_PART : undefined;
+    const prompt = kind === 'stream' ? renderPrompt(id, fatalPart) : {};
     const headers = { ...renderHeaders(id), ...prompt, ...renderContinuation(story) };
     const { host, frontPort: port } = gateway;
     const timeoutMs = PATIENCE_MS + 500;
     account.answer = await ask({ host, port, method: 'POST', path, headers, timeoutMs });
-    if (kind === 'stream' && fatalName === undefined) countStream(account, story);
+    if (route === 'stream' && fatalName === undefined) countStream(account, story);
     return account.answer?.status;
   }
 
