--- a/src/quarantine/trials.ts
+++ b/src/quarantine/trials.ts
@@ -136,7 +136,7 @@
         signal.removeEventListener('abort', abort);
         log.write('trialAnswered', {
           fingerprint,
-          at: coordinatorNode,
+          coordinator: coordinatorNode,
           answer,
           beside: serversToAvoid.length,
         });
--- a/test/quarantine/trials.test.ts
+++ b/test/quarantine/trials.test.ts
@@ -1,11 +1,11 @@
 import { expect } from 'chai';
-import { createSilentLog } from '../../src/events/index.js';
 import {
   createTrialCoordinator,
   createTrials,
   type TrialMessage,
 } from '../../src/quarantine/index.js';
 import { createFakeClock } from '../fixtures/fake-clock.js';
+import { createKeptLog } from '../fixtures/gateway.js';
 
 function createRequest(node: string, id: string, fingerprint = 'f') {
   return { node, id, service: 's', fingerprint };
@@ -44,20 +44,29 @@
   function createCase(coordinator: string) {
     const { clock, advance, runUntil } = createFakeClock();
     const sent: TrialMessage[] = [];
+    const log = createKeptLog();
     const trials = createTrials({
       clock,
-      log: createSilentLog(),
+      log,
       node: 'a',
       coordinatorOf: () => coordinator,
       send: (_node, message) => sent.push(message),
       rowsOf: () => [],
       mergeRows: () => undefined,
     });
-    return { trials, sent, advance, runUntil };
+    return { trials, sent, log, advance, runUntil };
   }
 
   const signal = new AbortController().signal;
 
+  it('are logged with their coordinator, and leave the time of the line as it is', async () => {
+    const { trials, log } = createCase('a');
+    await trials.requestTrial('s', 'f', signal);
+    const [line] = log.lines;
+    expect(line?.fields).to.include({ coordinator: 'a', answer: 'granted' });
+    expect(line?.fields).not.to.have.property('at');
+  });
+
   it('are granted at once by a local coordinator', async () => {
     const { trials } = createCase('a');
     const answer = await trials.requestTrial('s', 'f', signal);
