--- a/src/quarantine/crash-ledger.ts
+++ b/src/quarantine/crash-ledger.ts
@@ -41,9 +41,9 @@
   send(node: string, message: CrashesMessage): void;
   /** A ban was set or lifted by this gateway; its stored row is out of date. */
   banChanged: (fingerprint: string) => void;
-  /** Whether this gateway has seen what a fingerprint stands for succeed lately, which clears it of a crash that another
-   * gateway has counted. */
-  hasSucceeded: (fingerprint: string) => boolean;
+  /** Whether a success that this gateway has seen excuses what a fingerprint stands for of a crash that another gateway
+   * has counted. */
+  excuses: (fingerprint: string, server: string | undefined) => boolean;
   /** A request has been banned, by any gateway. */
   banned: (fingerprint: string) => void;
   /** A request's crash count has returned to zero. */
@@ -163,10 +163,6 @@
     log.write('crashesKnown', { fingerprint, crashes, cleared, ageMs, ...source });
     scheduleSend(fingerprint);
     if (crashes === 0) parts.cleared(fingerprint);
-    else if (parts.hasSucceeded(fingerprint)) {
-      clear(record, 'earlier success');
-      return;
-    }
     if (!isBan(record) || isBan(before)) return;
     log.write('requestBanned', {
       fingerprint,
@@ -214,9 +210,16 @@
     return record === undefined ? [] : [toCrashRow(record, clock.now())];
   }
 
+  function mergeRow(row: CrashRow, source: string): void {
+    const record = fromCrashRow(row, clock.now());
+    const isExcused = row.crashes > 0 && parts.excuses(row.fingerprint, row.server);
+    if (isExcused) clear(record, 'earlier success');
+    else merge(record, { source });
+  }
+
   function mergeRows(rows: readonly CrashRow[], source: string): void {
     for (const row of rows) {
-      merge(fromCrashRow(row, clock.now()), { source });
+      mergeRow(row, source);
       const { server, fingerprint, crashes } = row;
       if (server !== undefined) correlator.reported({ server, fingerprint, crashes });
     }
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -104,7 +104,7 @@
   const successes = createPartSuccesses(clock);
   const ledger = createCrashLedger({
     ...parts,
-    hasSucceeded: successes.isRecent,
+    excuses: successes.excuses,
     banned: stopRequests,
     cleared(fingerprint) {
       trials.cleared(fingerprint);
@@ -132,7 +132,7 @@
     const { suspects, countsAtSend, sentAt, previous, counted } = attempt;
     metrics.crashesCounted.inc({ sign });
     for (const key of suspects.listKeys()) {
-      if (successes.isRecent(key)) continue;
+      if (successes.excuses(key, server.id)) continue;
       // listed after its request: one that is banned itself has caused its crashes, not its parts, which others share
       if (isPartKey(key) && suspects.isRequestBanned()) continue;
       const count = ledger.count({
--- a/test/quarantine/part-successes.test.ts
+++ b/test/quarantine/part-successes.test.ts
@@ -10,9 +10,24 @@
     const successes = createPartSuccesses(clock);
     successes.record(['a']);
     await advance(20_000);
-    expect([successes.isRecent('a'), successes.isRecent('b')]).to.deep.equal([true, false]);
+    expect([successes.excuses('a', undefined), successes.excuses('b', undefined)]).to.deep.equal([
+      true,
+      false,
+    ]);
     await advance(20_000);
-    expect(successes.isRecent('a')).to.equal(false);
+    expect(successes.excuses('a', undefined)).to.equal(false);
+  });
+
+  // engines of a new version that do not stand a part would otherwise crash for as long as it was served by those before
+  it('excuse a part of the crashes of few servers, until it succeeds again', () => {
+    const { clock } = createFakeClock();
+    const successes = createPartSuccesses(clock);
+    successes.record(['a']);
+    const servers = ['s1', 's2', 's2', 's3', 's4', 's5'];
+    const excused = servers.map((server) => successes.excuses('a', server));
+    expect(excused).to.deep.equal([true, true, true, true, false, false]);
+    successes.record(['a']);
+    expect(successes.excuses('a', 's6')).to.equal(true);
   });
 
   it('are forgotten in the order of their age when callers invent many parts', () => {
@@ -20,7 +35,10 @@
     const successes = createPartSuccesses(clock);
     successes.record(['old', 'used']);
     for (let index = 0; index < FLOOD; index += 1) successes.record([`part-${index}`, 'used']);
-    expect([successes.isRecent('old'), successes.isRecent('used')]).to.deep.equal([false, true]);
+    expect([
+      successes.excuses('old', undefined),
+      successes.excuses('used', undefined),
+    ]).to.deep.equal([false, true]);
   });
 });
 
