--- a/test/gateway/parts-that-end-servers.test.ts
+++ b/test/gateway/parts-that-end-servers.test.ts
@@ -13,7 +13,7 @@
   countPeers,
   heads,
   register,
-  startGatewayFixture,
+  startGatewayFixtures,
   until,
   type GatewayFixture,
 } from '../fixtures/gateway.js';
@@ -45,13 +45,7 @@
       ),
     );
     for (const engine of engines) register(store, engine, 'chat', { stage: 'decode' });
-    gateways = [];
-    const seeds: string[] = [];
-    for (let index = 0; index < GATEWAYS; index += 1) {
-      const fixture = await startGatewayFixture(`node-${index}`, store.address, seeds);
-      seeds.push(`127.0.0.1:${fixture.settings.peers.port}`);
-      gateways.push(fixture);
-    }
+    gateways = await startGatewayFixtures(GATEWAYS, store.address);
     await until(() => gateways.every(isServing));
   });
 
--- a/test/gateway/requests-that-end-servers.test.ts
+++ b/test/gateway/requests-that-end-servers.test.ts
@@ -14,6 +14,7 @@
   promptHeads,
   register,
   startGatewayFixture,
+  startGatewayFixtures,
   until,
   type GatewayFixture,
 } from '../fixtures/gateway.js';
@@ -41,13 +42,7 @@
     for (const engine of engines) register(store, engine, 'chat', { stage: 'decode' });
     register(store, reader, 'chat', { stage: 'prefill' });
     engines.push(reader);
-    gateways = [];
-    const seeds: string[] = [];
-    for (let index = 0; index < GATEWAYS; index += 1) {
-      const fixture = await startGatewayFixture(`node-${index}`, store.address, seeds);
-      seeds.push(`127.0.0.1:${fixture.settings.peers.port}`);
-      gateways.push(fixture);
-    }
+    gateways = await startGatewayFixtures(GATEWAYS, store.address);
     await until(() => gateways.every(isServing));
   });
 
