fix(arrivals): a request on a connection that was opened early counts from when it was sent

Found in reading the diff: in a quiet gateway the next turn with callers may come seconds after a connection was accepted, and the request read in it was taken for one that had waited with its connection: it was refused at once as past its time limit. Now only if the loop was not idle in between.

--- a/src/arrivals/arrivals.ts
+++ b/src/arrivals/arrivals.ts
@@ -80,8 +80,10 @@
     const turn = turns.current();
     const connection = unread.get(socket);
     unread.delete(socket);
-    // what is read no later than in the turn after has waited with its connection
-    const cameAtOnce = connection !== undefined && turn.number <= connection.turn + 1;
+    if (connection === undefined) return resolveMiddle(turn.since);
+    // what is read no later than in the turn after has waited with its connection, unless the loop was idle in between
+    const isIdleBetween = turn.number > connection.turn && turn.since === turn.startedAt;
+    const cameAtOnce = turn.number <= connection.turn + 1 && !isIdleBetween;
     return cameAtOnce ? connection.arrivedAt : resolveMiddle(turn.since);
   }
 
--- a/test/arrivals/busy-loop.test.ts
+++ b/test/arrivals/busy-loop.test.ts
@@ -1,9 +1,11 @@
+import { once } from 'node:events';
+import { connect } from 'node:net';
 import { expect } from 'chai';
 import { createHeaderProtocol } from '../../platform/headers.js';
 import { createArrivals, ownLoop } from '../../src/arrivals/index.js';
 import { createGatewayMetrics } from '../../src/metrics/index.js';
 import { createFront } from '../../src/relay/index.js';
-import { createSystemClock } from '../../src/task/index.js';
+import { createSystemClock, wait } from '../../src/task/index.js';
 import { startServerStandIn, startStoreStandIn } from '../../stand-ins/users-platform/index.js';
 import { sendWhileBlocked } from '../fixtures/caller-thread.js';
 import {
@@ -69,6 +71,34 @@
     expect(Math.max(...readAfter)).to.be.at.most(TURNS);
   });
 
+  // without this, a request on a connection that had been opened early passed for one that had waited as long
+  it('count from when they were sent if their caller had connected long before', async () => {
+    const log = createKeptLog();
+    const clock = createSystemClock();
+    const ages: number[] = [];
+    const front = createFront({
+      log,
+      protocol: createHeaderProtocol(),
+      arrivals: createArrivals({ clock, log, metrics: createGatewayMetrics(), ...ownLoop }),
+      limits: () => undefined,
+      serve({ answer, arrivedAt }) {
+        ages.push(clock.now() - arrivedAt);
+        answer.refuse(503, 'not run: for the test', 100);
+        return Promise.resolve();
+      },
+    });
+    const port = await findPort();
+    await front.listen('127.0.0.1', port);
+    const socket = connect(port, '127.0.0.1');
+    await wait(clock, BLOCKED_MS);
+    socket.write(writeRequest('/', 'r1', TIME_LIMIT_MS));
+    await once(socket, 'data');
+    socket.destroy();
+    front.close();
+    expect(ages).to.have.length(1);
+    expect(ages[0]).to.be.below(BLOCKED_MS / 2);
+  });
+
   // without this, they ran at a server and were answered long after their time limit
   it('are refused and do not run if their time limit has passed', async () => {
     const store = await startStoreStandIn();
