refactor(arrivals): connections are opened half open without an option that nobody sets

Found in reading the whole change: allowHalfOpen of acceptWaiting was never given, all its servers are HTTP servers, which open their own connections so. The option is gone and the servers' type says HTTP; behaviour is the same. Types, lint, the tests of arrivals, peers, the front and the lifecycle of a gateway pass.

--- a/src/arrivals/accept-waiting.ts
+++ b/src/arrivals/accept-waiting.ts
@@ -3,7 +3,8 @@
  * connections wait for as many turns of a busy event loop as there are of them.
  */
 import { closeSync } from 'node:fs';
-import { Socket, type Server } from 'node:net';
+import type { Server } from 'node:http';
+import { Socket } from 'node:net';
 import type { Log } from '../events/index.js';
 import { loadNativeAccept, type NativeAccept } from './native-accept.js';
 
@@ -13,9 +14,6 @@
 /** What accepting needs. */
 export interface AcceptWaitingParts {
   log: Pick<Log, 'write'>;
-  /** Whether callers may end their side before they have their answer; as the server's own connections have it, which
-   * for HTTP is true. */
-  allowHalfOpen?: boolean;
   /** No connection waits any more. */
   queueEmptied?: () => void;
 }
@@ -29,11 +27,11 @@
  * Makes a server accept all connections that wait. Connections accepted this way are given to the server's listeners
  * like all others.
  *
- * @param server an HTTP or plain server; its `close` waits for the connections only that it accepted by itself
- * @param parts the log, and how connections are opened
+ * @param server an HTTP server; its `close` waits only for the connections that it accepted by itself
+ * @param parts the log, and what hears of an empty queue
  */
 export async function acceptWaiting(server: Server, parts: AcceptWaitingParts): Promise<void> {
-  const { log, allowHalfOpen = true } = parts;
+  const { log } = parts;
   const accept = await loadNativeAccept(log);
   if (accept === undefined) return;
   let isAccepting = false;
@@ -62,7 +60,8 @@
 
   function openSocket(fd: number): Socket | undefined {
     try {
-      const socket = new Socket({ fd, allowHalfOpen, readable: true, writable: true });
+      // half open, as HTTP servers open them: a caller may end its side before it has its answer
+      const socket = new Socket({ fd, allowHalfOpen: true, readable: true, writable: true });
       return socket.setNoDelay(true);
     } catch (error) {
       closeSync(fd);
