feat(relay): how old a request is as it is written to a server

Nothing tells a limit that a timer kept late from an age estimated too low: requestSent has the age at the placing, reedtally_gateway_send_delay_seconds the age at the write, and a send past the time limit has a line of its own. Nothing is decided by them.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -129,6 +129,11 @@
     level: 'warn',
     text: 'requests of callers waited unread, since the event loop was busy',
   },
+  requestSentLate: {
+    id: 7094,
+    level: 'warn',
+    text: 'a request reached a server connection after its time limit',
+  },
   releaseFailed: { id: 7047, level: 'info', text: 'a prompt read in vain was not freed' },
   requestMalformed: { id: 7048, level: 'info', text: 'bytes of a caller were no request' },
   retryDecided: { id: 7049, level: 'info', text: 'a retry was allowed or denied by the budget' },
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -178,6 +178,12 @@
       buckets,
       registers,
     }),
+    sendDelay: new Histogram({
+      name: 'reedtally_gateway_send_delay_seconds',
+      help: 'Time from the estimated arrival of a request to the moment at which it is written to a server',
+      buckets,
+      registers,
+    }),
     turns: new Histogram({
       name: 'reedtally_gateway_turn_seconds',
       help: 'Length of turns of the event loop in which callers were read',
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -272,13 +272,28 @@
       rawHeaders: protocol.sendHeaders(head, sendTerms, body?.length ?? 0),
       body,
       withholdReason: () => withholdBanned() ?? gate.withholdReason(server),
-      watchPath: (abandon) =>
-        parts.paths.watch(server, () => {
+      watchPath(abandon) {
+        recordSent(server);
+        return parts.paths.watch(server, () => {
           if (mayAbandon()) abandon();
-        }),
+        });
+      },
     };
   }
 
+  /** Records how old the request is as it is written to a server. */
+  function recordSent(server: RegisteredServer): void {
+    const ageMs = clock.now() - arrivedAt;
+    metrics.sendDelay.observe(ageMs / 1_000);
+    if (ageMs < timeLimitMs) return;
+    log.write('requestSentLate', {
+      request: requestId,
+      server: server.id,
+      ms: Math.round(ageMs),
+      limitMs: timeLimitMs,
+    });
+  }
+
   function recordHealth(
     server: RegisteredServer,
     exchangeOutcome: ExchangeOutcome,
@@ -319,6 +334,7 @@
       server: server.id,
       version: server.version,
       attempt: progress.attempts,
+      ms: Math.round(clock.now() - arrivedAt),
       resumes: head.resumes,
       afterEvent: lastEventId ?? head.lastEventId,
     });
