test(arrivals): a request whose limit passes while the loop is busy is sent all the same, known to fail

The event loop is blocked for 1,000 ms right before the send of a request with a limit of 300 ms, on an open connection to its server: it is sent and fails with 504, after its caller's limit.

--- a/test/arrivals/busy-loop.test.ts
+++ b/test/arrivals/busy-loop.test.ts
@@ -3,18 +3,21 @@
 import { expect } from 'chai';
 import { createHeaderProtocol } from '../../platform/headers.js';
 import { createArrivals, ownLoop } from '../../src/arrivals/index.js';
+import type { EventName } from '../../src/events/index.js';
 import { createGatewayMetrics } from '../../src/metrics/index.js';
 import { createFront } from '../../src/relay/index.js';
 import { createSystemClock, wait } from '../../src/task/index.js';
 import { startServerStandIn, startStoreStandIn } from '../../stand-ins/users-platform/index.js';
 import { sendWhileBlocked } from '../fixtures/caller-thread.js';
 import {
+  ask,
   configuration,
   createKeptLog,
   findPort,
   register,
   startGatewayFixture,
   until,
+  type KeptLog,
 } from '../fixtures/gateway.js';
 
 const CALLERS = 100;
@@ -35,6 +38,25 @@
   return [...lines, '', ''].join('\r\n');
 }
 
+function askWithLimit(port: number, id: string): ReturnType<typeof ask> {
+  const headers = {
+    host: 'desk.example',
+    'X-Request-Id': id,
+    'X-Request-Deadline-Ms': String(TIME_LIMIT_MS),
+  };
+  return ask(port, { path: `/once/${id}`, headers });
+}
+
+/** Blocks the event loop each time that an event is logged. */
+function blockAt(log: KeptLog, blocking: EventName): void {
+  const write = log.write.bind(log);
+  log.write = (event, fields) => {
+    write(event, fields);
+    if (event === blocking)
+      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, BLOCKED_MS);
+  };
+}
+
 describe('requests that arrive while the event loop is busy', () => {
   // without this, a hundred callers on new connections were read over a hundred turns
   it('are all read soon after the loop goes on, whatever the number of connections', async () => {
@@ -99,6 +121,28 @@
     expect(ages[0]).to.be.below(BLOCKED_MS / 2);
   });
 
+  // without this, the timer of the limit had no turn before the send, and the server ran what nobody waited for
+  it('are not sent if their time limit passes between their reading and their send', async () => {
+    const store = await startStoreStandIn();
+    const page = await startServerStandIn({ id: 'page-1' });
+    store.put('op', 'config', configuration(1));
+    register(store, page, 'pages');
+    const fixture = await startGatewayFixture('node-1', store.address);
+    const { log, settings } = fixture;
+    await until(() => log.lines.some(({ event }) => event === 'serverChanged'));
+    await until(() => log.lines.some(({ event }) => event === 'routesApplied'));
+    // leaves an open connection to the server, on which a send needs no further turn
+    const before = await askWithLimit(settings.callers.port, 'r0');
+    blockAt(log, 'requestSent');
+    const late = await askWithLimit(settings.callers.port, 'r1');
+    const arrived = page.received().map(({ path }) => path);
+    await fixture.gateway.stop();
+    await Promise.all([store.close(), page.close()]);
+    expect([before.status, late.status]).to.deep.equal([200, 503]);
+    expect(late.body).to.equal('not run: time limit\n');
+    expect(arrived).to.deep.equal(['/once/r0']);
+  });
+
   // without this, they ran at a server and were answered long after their time limit
   it('are refused and do not run if their time limit has passed', async () => {
     const store = await startStoreStandIn();
