fix(relay): the time limit is checked at the send itself, whatever timers the loop has had no turn for

Callers saw requests answered or run after their route's limit. The limit was kept by a timer alone; a busy loop gives it no turn between the placing and the write, and nothing looked at the clock there. Now each send, of a prefill too, is withheld if the limit has passed or the request is over, and what ends before its write counts as not run.

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -61,6 +61,8 @@
 export interface Exchange {
   /** Closes the connection; the receiver is not called again. */
   abort(): void;
+  /** False only if the server certainly received no part of the request. */
+  isSent(): boolean;
   pause(): void;
   resume(): void;
 }
@@ -119,7 +121,8 @@
   /** The server may have begun to leave or pause while the request waited for a connection. */
   function withhold(): boolean {
     const reason = request.withholdReason?.();
-    if (reason === undefined || finished) return false;
+    if (finished) return true;
+    if (reason === undefined) return false;
     finish();
     receiver.onError({ sent: false, isWithheld: true, aborted: false, isPathLost: false, reason });
     outgoing.destroy();
@@ -194,6 +197,7 @@
       // ignores errors caused by closing the connection
       outgoing.on('error', () => undefined);
     },
+    isSent: () => sent,
     pause() {
       answer?.pause();
     },
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -29,7 +29,7 @@
 import type { BackendProtocol, CallerHead, SendTerms } from './protocol.js';
 import { releasePrompt } from './release-prompt.js';
 import { createRequestRetries } from './request-retries.js';
-import { sendOnce, type SendOutcome } from './send.js';
+import { OVER_REASON, sendOnce, type SendOutcome } from './send.js';
 import { createServerGate } from './server-gate.js';
 import { createServicePlacer, type ServerLoads } from './service-placer.js';
 import { createStreamVersion, findOrigin, resolveOrigin } from './stream-version.js';
@@ -271,7 +271,7 @@
       path,
       rawHeaders: protocol.sendHeaders(head, sendTerms, body?.length ?? 0),
       body,
-      withholdReason: () => withholdBanned() ?? gate.withholdReason(server),
+      withholdReason: () => withholdOver() ?? withholdBanned() ?? gate.withholdReason(server),
       watchPath(abandon) {
         recordSent(server);
         return parts.paths.watch(server, () => {
@@ -408,6 +408,10 @@
   /** Makes one send; returns whether another is to follow. */
   async function attempt(placer: Placer): Promise<boolean> {
     if (stopIfBanned()) return false;
+    if (isOver()) {
+      stop();
+      return false;
+    }
     const admission = await watched.admit(abortController.signal);
     if (admission === 'busy') refuse('on-trial', TRIAL_RETRY_MS, 0);
     if (admission === 'aborted') stop();
@@ -439,6 +443,16 @@
     return take(step, outcome);
   }
 
+  /** Its timer and the end of its caller's connection may wait for a turn of a busy event loop, behind the send. */
+  function isOver(): boolean {
+    if (clock.now() >= endAt) reachLimit();
+    return abortController.signal.aborted;
+  }
+
+  function withholdOver(): string | undefined {
+    return isOver() ? OVER_REASON : undefined;
+  }
+
   /** The request, or a part of its prompt, may have been banned while it was placed or its prompt was prefilled. */
   function withholdBanned(): string | undefined {
     return watched.ban() === undefined ? undefined : 'ends-servers';
@@ -493,11 +507,13 @@
     else refuse('time limit', DECLINED_RETRY_MS, 0);
   }
 
+  function reachLimit(): void {
+    timedOut ||= !abortController.signal.aborted;
+    abortController.abort();
+  }
+
   function startTimer(): Timer {
-    return clock.after(endAt - clock.now(), () => {
-      timedOut = true;
-      abortController.abort();
-    });
+    return clock.after(endAt - clock.now(), reachLimit);
   }
 
   return {
--- a/src/relay/send.ts
+++ b/src/relay/send.ts
@@ -21,6 +21,9 @@
 /** Size at which a buffered answer is forwarded while the rest still arrives, in bytes. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
 
+/** Why nothing is sent any more for a request whose limit has passed, whose caller has left or that is banned. */
+export const OVER_REASON = 'the request is over';
+
 /** How one send ended. */
 export type SendOutcome =
   /** The complete answer was forwarded. */
@@ -31,7 +34,7 @@
   | { kind: 'declined'; status: number; isOtherServer: boolean }
   /** The server received nothing. */
   | { kind: 'unsent'; reason: string }
-  /** Nothing was sent, because the server is leaving or has asked for a pause. */
+  /** Nothing was sent, because the server is leaving or has asked for a pause, or the request is over. */
   | { kind: 'withheld'; reason: string }
   /** Nothing was sent, because the credit that had paid for the retry has expired. */
   | { kind: 'unpaid'; reason: string }
@@ -41,9 +44,12 @@
   | { kind: 'overdue'; reason: string }
   /** The request may have run; the path to the server was lost before the answer was complete. */
   | { kind: 'cut'; reason: string }
-  /** Aborted by the signal. */
+  /** Aborted by the signal; the request may have run. */
   | { kind: 'aborted' };
 
+/** The outcome of a send for a request that was over before. */
+const overOutcome: SendOutcome = { kind: 'withheld', reason: OVER_REASON };
+
 /** One send. */
 export interface Send {
   request: OutgoingRequest;
@@ -83,7 +89,7 @@
   protocol: BackendProtocol,
   clock: Clock,
 ): Promise<SendOutcome> {
-  if (send.signal.aborted) return Promise.resolve({ kind: 'aborted' });
+  if (send.signal.aborted) return Promise.resolve(overOutcome);
   return new Promise((resolve) => {
     let head: AnswerHead | undefined;
     let facts: AnswerFacts | undefined;
@@ -138,7 +144,7 @@
 
     function abort(): void {
       exchange.abort();
-      settle({ kind: 'aborted' });
+      settle(exchange.isSent() ? { kind: 'aborted' } : overOutcome);
     }
 
     function settle(outcome: SendOutcome): void {
