fix(arrivals): what the loop did between its last wait and a read counts as waiting

If the loop had waited for events for 0.05 ms since the turn before, what was read passed for new, whatever the loop had done after that wait: timers, promise callbacks, peers' messages, engines' answers, none of which are reads of callers. Now the earliest arrival is the end of the last wait, as far as it can be told: the end of the turn before plus the idle time since.

--- a/src/arrivals/arrivals.ts
+++ b/src/arrivals/arrivals.ts
@@ -30,14 +30,31 @@
   /**
    * The head of a request was read.
    *
-   * @returns when it arrived, in ms on the clock
+   * @param socket its connection
    */
-  requestRead(socket: Socket): number;
+  requestRead(socket: Socket): Arrival;
+}
+
+/** A request that was just read. */
+export interface Arrival {
+  /** When it arrived, by estimate, in ms on the clock. */
+  at: number;
+  /** How long it waited to be read, in ms. */
+  waitedMs: number;
+  /** How long the event loop has had work without a pause, in ms. */
+  busyForMs: number;
+  /** Whether it is the first one to be read in this turn of the event loop. */
+  isFirstOfTurn: boolean;
+}
+
+/** The time in which something arrived, in ms on the clock. */
+interface Span {
+  since: number;
+  until: number;
 }
 
 /** An accepted connection whose first request was not read yet. */
-interface NewConnection {
-  arrivedAt: number;
+interface NewConnection extends Span {
   turn: number;
 }
 
@@ -55,6 +72,7 @@
   let acceptedInTurn = 0;
   let longestWaitMs = 0;
   let lineAt = Number.NEGATIVE_INFINITY;
+  let lastReadIn = 0;
 
   function turnEnded(turn: Turn, durationMs: number): void {
     metrics.turns.observe(durationMs / 1_000);
@@ -72,39 +90,40 @@
     acceptedInTurn = 0;
   }
 
-  function resolveMiddle(since: number): number {
-    return (since + clock.now()) / 2;
-  }
-
-  function resolveArrival(socket: Socket): number {
-    const turn = turns.current();
+  /** The time in which a request that is read now has arrived. */
+  function resolveSpan(socket: Socket, turn: Turn): Span {
     const connection = unread.get(socket);
     unread.delete(socket);
-    if (connection === undefined) return resolveMiddle(turn.since);
+    const inTurn = { since: turn.since, until: clock.now() };
+    if (connection === undefined) return inTurn;
     // what is read no later than in the turn after has waited with its connection, unless the loop was idle in between
-    const isIdleBetween = turn.number > connection.turn && turn.since === turn.startedAt;
+    const isIdleBetween = turn.number > connection.turn && turn.hasWaited;
     const cameAtOnce = turn.number <= connection.turn + 1 && !isIdleBetween;
-    return cameAtOnce ? connection.arrivedAt : resolveMiddle(turn.since);
+    return cameAtOnce ? connection : inTurn;
   }
 
   return {
     accepted(socket) {
       const turn = turns.current();
-      // the loop waited for events: nothing was queued
-      if (acceptedInTurn === 0 && turn.since === turn.startedAt) emptyAt = turn.startedAt;
+      if (acceptedInTurn === 0 && turn.hasWaited) emptyAt = turn.idleAt;
       acceptedInTurn += 1;
       metrics.connectionsAccepted.inc();
-      unread.set(socket, { arrivedAt: resolveMiddle(emptyAt), turn: turn.number });
+      unread.set(socket, { since: emptyAt, until: clock.now(), turn: turn.number });
     },
     queueEmptied() {
       emptyAt = clock.now();
     },
     requestRead(socket) {
-      const arrivedAt = resolveArrival(socket);
-      const waitMs = clock.now() - arrivedAt;
-      metrics.readDelay.observe(waitMs / 1_000);
-      longestWaitMs = Math.max(longestWaitMs, waitMs);
-      return arrivedAt;
+      const turn = turns.current();
+      const { since, until } = resolveSpan(socket, turn);
+      const now = clock.now();
+      const at = (since + until) / 2;
+      const waitedMs = now - at;
+      metrics.readDelay.observe(waitedMs / 1_000);
+      longestWaitMs = Math.max(longestWaitMs, waitedMs);
+      const isFirstOfTurn = lastReadIn !== turn.number;
+      lastReadIn = turn.number;
+      return { at, waitedMs, busyForMs: now - turn.idleAt, isFirstOfTurn };
     },
   };
 }
--- a/src/arrivals/turns.ts
+++ b/src/arrivals/turns.ts
@@ -16,6 +16,10 @@
   readonly startedAt: number;
   /** What is read in this turn arrived after this time, in ms on the clock. */
   readonly since: number;
+  /** Whether the loop has waited for events since the turn before. */
+  readonly hasWaited: boolean;
+  /** When the loop waited for events last, in ms on the clock: nothing was queued then. */
+  readonly idleAt: number;
 }
 
 /** Follows the turns of the event loop. */
@@ -50,23 +54,35 @@
  */
 export function createTurns(parts: TurnsParts): Turns {
   const { clock } = parts;
-  let turn: Turn = { number: 0, startedAt: clock.now(), since: clock.now() };
+  const createdAt = clock.now();
+  let turn: Turn = {
+    number: 0,
+    startedAt: createdAt,
+    since: createdAt,
+    hasWaited: false,
+    idleAt: createdAt,
+  };
+  let endedAt = createdAt;
   let isOpen = false;
   let idleMsBefore = parts.idleMs();
 
   function begin(): void {
     const now = clock.now();
-    const idleMs = parts.idleMs();
-    const hasWaited = idleMs - idleMsBefore > MIN_IDLE_MS;
-    turn = { number: turn.number + 1, startedAt: now, since: hasWaited ? now : turn.startedAt };
-    idleMsBefore = idleMs;
+    const idleMs = parts.idleMs() - idleMsBefore;
+    const hasWaited = idleMs > MIN_IDLE_MS;
+    // the loop may have worked on something else between its last wait and now
+    const idleAt = hasWaited ? Math.min(now, endedAt + idleMs) : turn.idleAt;
+    const since = hasWaited ? idleAt : turn.startedAt;
+    turn = { number: turn.number + 1, startedAt: now, since, hasWaited, idleAt };
+    idleMsBefore += idleMs;
     isOpen = true;
     parts.atTurnEnd(end);
   }
 
   function end(): void {
     isOpen = false;
-    parts.ended(turn, clock.now() - turn.startedAt);
+    endedAt = clock.now();
+    parts.ended(turn, endedAt - turn.startedAt);
   }
 
   return {
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -93,7 +93,7 @@
   }
 
   async function receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const arrivedAt = arrivals.requestRead(request.socket);
+    const { at: arrivedAt } = arrivals.requestRead(request.socket);
     inFlight += 1;
     const callerLeft = new AbortController();
     response.on('close', () => {
