feat(gateway): a stopping gateway ends once its callers have moved

Now it ends when the directory's answers of before have expired, nothing is in flight, no tunnel is carried and no request has come for half a second; at the end of the grace period as before. The drain is a module of its own.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -37,6 +37,7 @@
 import { createGuardedClock, wait, type Clock, type RandomSource } from '../task/index.js';
 import { answerBans } from './answer-bans.js';
 import { resolveGatewayAddresses } from './directory.js';
+import { createDraining } from './draining.js';
 import { createPauseAwareCalls } from './engine-calls.js';
 import { createFollowers } from './followers.js';
 import { startFollowing } from './following.js';
@@ -50,16 +51,6 @@
 import { createStoreHealth } from './store-health.js';
 import { startStatusServer, type StatusResponse, type StatusHandler } from './status-servers.js';
 
-/** End of the grace period reserved for closing connections, in ms, so that the process exits before it is
- * killed. */
-const SHUTDOWN_RESERVE_MS = 1_200;
-/** How long a stopping gateway accepts every request, in ms. Requests that callers send within three seconds of
- * the stop signal may fail with the process, later ones may not. */
-const ACCEPT_ALL_MS = 2_500;
-/** Upper bound of that time as a share of the grace period. */
-const ACCEPT_ALL_SHARE = 0.3;
-/** Poll interval while stopping, in ms. */
-const STOP_POLL_MS = 50;
 /** Share of the longest directory TTL that is used, so that callers leave a stopping gateway within its grace
  * period. */
 const TTL_SHARE = 0.4;
@@ -126,8 +117,6 @@
   const { node, zone } = settings;
   const mechanisms = parts.mechanisms ?? allMechanisms;
   const shutdown = new AbortController();
-  let isStopping = false;
-  let stoppingAt = Number.POSITIVE_INFINITY;
 
   const storeHealth = createStoreHealth(clock, log, {
     lost() {
@@ -147,7 +136,7 @@
     fleet: () => fleet,
     overlay: () => overlay,
     limitConnections,
-    isStopping: () => isStopping,
+    isStopping: () => draining.isStopping(),
   });
   const { connections, paths } = serverPaths;
   const loads = createServerLoads(clock);
@@ -347,7 +336,7 @@
     backpressure,
     scheduler: submitter,
     streams,
-    canFinish,
+    canFinish: (timeLimitMs) => draining.canFinish(timeLimitMs),
   };
   const front = createFront({
     log,
@@ -364,6 +353,14 @@
     serve: (request) => serveRequest(relay, request),
   });
 
+  const draining = createDraining({
+    clock,
+    bounds: () => settings.bounds,
+    front: () => front,
+    tunnels: () => serverPaths.tunnelHost.carried(),
+    directoryTtlMs: resolveDirectoryTtl,
+  });
+
   function findService(service: string): Service | undefined {
     return routes.index()?.table.services.get(service);
   }
@@ -375,19 +372,8 @@
     return Math.max(MIN_CONNECTIONS, part);
   }
 
-  /**
-   * Whether a request may be accepted. A stopping gateway accepts all for a while, since callers learn of the
-   * stop with delay; after that only those whose time limit ends within the grace period.
-   */
-  function canFinish(timeLimitMs: number): boolean {
-    const { graceMs } = settings.bounds;
-    const stoppingForMs = clock.now() - stoppingAt;
-    if (stoppingForMs < Math.min(ACCEPT_ALL_MS, graceMs * ACCEPT_ALL_SHARE)) return true;
-    return stoppingForMs + timeLimitMs < graceMs - SHUTDOWN_RESERVE_MS;
-  }
-
   function isReady(): boolean {
-    return !isStopping && routes.version() > 0;
+    return !draining.isStopping() && routes.version() > 0;
   }
 
   function* engineServices(): Generator<string> {
@@ -405,6 +391,10 @@
     return [...engineServices()].flatMap((name) => schedulers.preferred(name));
   }
 
+  function resolveDirectoryTtl(): number {
+    return settings.bounds.directoryTtlMs * TTL_SHARE;
+  }
+
   function answerDirectory(url: string): StatusResponse {
     const own = { address: formatAddress(settings.callers), zone, isReady: isReady() };
     const addresses = resolveGatewayAddresses(
@@ -412,7 +402,7 @@
       overlay.peers(),
       platform.readDirectoryZone(url),
     );
-    return platform.directoryResponse(addresses, settings.bounds.directoryTtlMs * TTL_SHARE);
+    return platform.directoryResponse(addresses, resolveDirectoryTtl());
   }
 
   function startStatusServers(): Promise<Server[]> {
@@ -501,25 +491,19 @@
 
   /** Keeps serving until callers have moved to other gateways, then finishes what is in flight. */
   async function stop(): Promise<void> {
-    const startedAt = clock.now();
-    const { bounds } = settings;
-    const endAt = startedAt + bounds.graceMs - SHUTDOWN_RESERVE_MS;
-    isStopping = true;
-    stoppingAt = startedAt;
-    log.write('gatewayStopping', { inFlight: front.inFlight(), graceMs: bounds.graceMs });
+    draining.begin();
+    log.write('gatewayStopping', {
+      inFlight: front.inFlight(),
+      graceMs: settings.bounds.graceMs,
+    });
     front.startClosing();
     roleController.stop();
     overlay.publish();
     await publishing.withdraw();
-    while (clock.now() < endAt) {
-      await wait(clock, STOP_POLL_MS);
-    }
+    const end = await draining.callersMoved();
     front.stopListening();
-    const killAt = startedAt + bounds.graceMs - SHUTDOWN_RESERVE_MS / 2;
-    while (front.inFlight() > 0 && clock.now() < killAt) {
-      await wait(clock, STOP_POLL_MS);
-    }
-    log.write('gatewayStopped', { inFlight: front.inFlight() });
+    await draining.finished();
+    log.write('gatewayStopped', { inFlight: front.inFlight(), end });
     shutdown.abort();
     front.close();
     overlay.close();
--- a/src/paths/tunnel-host.ts
+++ b/src/paths/tunnel-host.ts
@@ -37,6 +37,8 @@
 export interface TunnelHost {
   /** Handles a request to upgrade a connection; false if it asks for no tunnel. */
   upgradeRequested(request: IncomingMessage, connection: Duplex, head: Buffer): boolean;
+  /** Number of tunnels, those that are being opened included. */
+  carried: () => number;
   close(): void;
 }
 
@@ -136,6 +138,7 @@
       });
       return true;
     },
+    carried: () => tunnels.size + opening,
     close() {
       for (const tunnel of tunnels) tunnel.destroy();
       upgrader.close();
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -44,6 +44,8 @@
   startClosing(): void;
   /** Number of requests in progress. */
   inFlight(): number;
+  /** Number of requests read so far. */
+  received(): number;
   /** Stops listening and closes idle connections; active ones close with their answer. */
   stopListening(): void;
   /** Closes the server and all connections at once. */
@@ -60,6 +62,7 @@
   const sockets = new Set<Socket>();
   let closing = false;
   let inFlight = 0;
+  let received = 0;
   const server: Server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, keepAlive: false, requestTimeout: 0 },
     (request, response) => {
@@ -94,6 +97,7 @@
   }
 
   async function receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    received += 1;
     const arrival = arrivals.requestRead(request.socket);
     const head = protocol.readCaller(request.rawHeaders);
     const answer = createCallerAnswer(response, protocol, head.requestId, () => closing);
@@ -160,6 +164,7 @@
       closing = true;
     },
     inFlight: () => inFlight,
+    received: () => received,
     stopListening() {
       server.close();
       server.closeIdleConnections();
--- a/test/gateway/lifecycle.test.ts
+++ b/test/gateway/lifecycle.test.ts
@@ -157,6 +157,46 @@
     await stopping;
   });
 
+  // without this, each restart in turn left the others without a gateway that only waited for its grace period to end
+  it('ends before its grace period does once its callers have moved', async () => {
+    store.put('op', 'config', configuration(1));
+    const { gateway, log } = await startGatewayFixture('node-1', store.address, [], {
+      graceMs: 30_000,
+      directoryTtlMs: 500,
+    });
+    await gateway.stop();
+    const [stopped] = log.lines.filter(({ event }) => event === 'gatewayStopped');
+    expect(stopped?.fields).to.deep.equal({ inFlight: 0, end: 'callers-moved' });
+  });
+
+  it('serves until its grace period ends while callers still come', async () => {
+    store.put('op', 'config', configuration(1));
+    register(store, page, 'pages');
+    const bounds = { graceMs: 3_000, directoryTtlMs: 500 };
+    const { gateway, log, settings } = await startGatewayFixture(
+      'node-1',
+      store.address,
+      [],
+      bounds,
+    );
+    await until(() => log.lines.some(({ event }) => event === 'serverChanged'));
+    await until(() => log.lines.some(({ event }) => event === 'routesApplied'));
+    function hasStopped(): boolean {
+      return log.lines.some(({ event }) => event === 'gatewayStopped');
+    }
+    const stopping = gateway.stop();
+    const statuses = new Set<number>();
+    for (let count = 0; !hasStopped(); count += 1) {
+      const short = heads(`r${count}`, { 'X-Request-Deadline-Ms': '100' });
+      const asked = ask(settings.callers.port, { path: `/once/${count}`, headers: short });
+      statuses.add(await asked.then(({ status }) => status).catch(() => 0));
+    }
+    await stopping;
+    const [stopped] = log.lines.filter(({ event }) => event === 'gatewayStopped');
+    expect(stopped?.fields.end).to.equal('grace-period');
+    expect(statuses).to.include(200);
+  });
+
   it('exports which settings and routes are in force since when', async () => {
     store.put('op', 'config', configuration(1));
     const fixture = await start('node-1');
