--- a/src/arrivals/admission.ts
+++ b/src/arrivals/admission.ts
@@ -58,6 +58,7 @@
   /** When the present overload began, in ms on the clock. */
   let overloadedSince: number | undefined;
   let refused = 0;
+  let refusedAt = Number.NEGATIVE_INFINITY;
 
   function resolveIntervalMs(): number {
     return Math.max(MIN_INTERVAL_MS, parts.objectiveMs() ?? 0);
@@ -65,8 +66,11 @@
 
   function updateState(arrival: Arrival, intervalMs: number): void {
     const { busyForMs, turnMs } = arrival;
-    // lasts until the loop has waited for events since it began
-    if (overloadedSince !== undefined && busyForMs < clock.now() - overloadedSince) relieved();
+    if (overloadedSince !== undefined) {
+      // a single pause is no end: what comes then would fill the loop again
+      const hasPaused = busyForMs < clock.now() - overloadedSince;
+      if (hasPaused && clock.now() - refusedAt > intervalMs) relieved();
+    }
     const isOverloaded = busyForMs > intervalMs || turnMs > intervalMs * MAX_TURN_SHARE;
     if (isOverloaded && overloadedSince === undefined) overloaded(arrival, intervalMs);
   }
@@ -110,6 +114,7 @@
         return { isAdmitted: true };
       }
       refused += 1;
+      refusedAt = clock.now();
       metrics.refusals.inc({ reason: 'overloaded' });
       return { isAdmitted: false, retryAfterMs: resolveRetryAfter(intervalMs, callerWaitMs) };
     },
