refactor(relay): the time limit of a request is a module of its own

The limit, its timer, the signal and the late timer stood in four places of request.ts. The admission compares points in time instead of differences, which rounding could tell apart. Behaviour is the same.

--- a/src/arrivals/admission.ts
+++ b/src/arrivals/admission.ts
@@ -9,16 +9,16 @@
 import type { Clock, RandomSource } from '../task/index.js';
 import type { Arrival } from './arrivals.js';
 
-/** The loop is overloaded once it has not waited for events for this long, in ms; at least, where the latency
- * objectives of the routes are shorter. */
+/** The loop is overloaded once it has not waited for events for an interval: the routes' shortest latency objective, or
+ * this, in ms, where that is shorter. */
 const MIN_INTERVAL_MS = 100;
 /** It is overloaded at once if it reads callers for this share of the interval in one turn: a flood would fill turns of
  * the interval's length before the loop was known to be overloaded. */
 const MAX_TURN_SHARE = 0.2;
-/** Longest wait of an admitted request under overload, as a share of that interval. */
+/** Longest wait of an admitted request under overload, as a share of the interval. */
 const TARGET_SHARE = 0.05;
-/** Least Retry-After under overload, as a share of the interval: a pause that ends sooner relieves nobody. */
-const MIN_RETRY_INTERVALS = 2;
+/** An overload is expected to last at least for so many intervals: callers who came back sooner would prolong it. */
+const MIN_EXPECTED_INTERVALS = 2;
 /** Longest Retry-After, as a share of the time that the caller waits, so that it can still be served then. */
 const MAX_RETRY_SHARE = 0.3;
 /** Longest Retry-After for callers that do not say for how long they wait, in ms. */
@@ -42,7 +42,7 @@
   /**
    * Decides on a request that was just read.
    *
-   * @param arrival how long it waited, and for how long the event loop has been busy
+   * @param arrival how long it waited, and when the event loop had a pause
    * @param callerWaitMs how long its caller waits, in ms, if it says so
    */
   decide(arrival: Arrival, callerWaitMs: number | undefined): AdmissionDecision;
@@ -65,22 +65,23 @@
   }
 
   function updateState(arrival: Arrival, intervalMs: number): void {
-    const { busyForMs, turnMs } = arrival;
+    const { idleAt, turnMs } = arrival;
+    const now = clock.now();
     if (overloadedSince !== undefined) {
       // a single pause is no end: what comes then would fill the loop again
-      const hasPaused = busyForMs < clock.now() - overloadedSince;
-      if (hasPaused && clock.now() - refusedAt > intervalMs) relieved();
+      const hasPaused = idleAt > overloadedSince;
+      if (hasPaused && now - refusedAt > intervalMs) relieved();
     }
-    const isOverloaded = busyForMs > intervalMs || turnMs > intervalMs * MAX_TURN_SHARE;
+    const isOverloaded = now - idleAt > intervalMs || turnMs > intervalMs * MAX_TURN_SHARE;
     if (isOverloaded && overloadedSince === undefined) overloaded(arrival, intervalMs);
   }
 
-  function overloaded({ busyForMs, turnMs, waitedMs }: Arrival, intervalMs: number): void {
-    overloadedSince = clock.now() - busyForMs;
+  function overloaded({ idleAt, turnMs, waitedMs }: Arrival, intervalMs: number): void {
+    overloadedSince = idleAt;
     refused = 0;
     metrics.overloaded.set(1);
     log.write('loopOverloaded', {
-      busyForMs: Math.round(busyForMs),
+      busyForMs: Math.round(clock.now() - idleAt),
       turnMs: Math.round(turnMs),
       waitedMs: Math.round(waitedMs),
       intervalMs,
@@ -100,7 +101,7 @@
   /** An overload is expected to last as long again as it has lasted; callers return spread over the second half. */
   function resolveRetryAfter(intervalMs: number, callerWaitMs: number | undefined): number {
     const mostMs = callerWaitMs === undefined ? MAX_RETRY_MS : callerWaitMs * MAX_RETRY_SHARE;
-    const expectedMs = Math.max(MIN_RETRY_INTERVALS * intervalMs, overloadedForMs());
+    const expectedMs = Math.max(MIN_EXPECTED_INTERVALS * intervalMs, overloadedForMs());
     return Math.min(mostMs, expectedMs) * (0.5 + 0.5 * random.next());
   }
 
--- a/src/arrivals/arrivals.ts
+++ b/src/arrivals/arrivals.ts
@@ -41,8 +41,8 @@
   at: number;
   /** How long it waited to be read, in ms. */
   waitedMs: number;
-  /** How long the event loop has had work without a pause, in ms. */
-  busyForMs: number;
+  /** When the event loop waited for events last, in ms on the clock. */
+  idleAt: number;
   /** How long callers have been read in this turn of the event loop, in ms; 0 for the first one. */
   turnMs: number;
 }
@@ -125,7 +125,7 @@
       longestWaitMs = Math.max(longestWaitMs, waitedMs);
       if (lastReadIn !== turn.number) readingSince = now;
       lastReadIn = turn.number;
-      return { at, waitedMs, busyForMs: now - turn.idleAt, turnMs: now - readingSince };
+      return { at, waitedMs, idleAt: turn.idleAt, turnMs: now - readingSince };
     },
   };
 }
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -134,7 +134,7 @@
 
   function refuseOverloaded(
     request: string | undefined,
-    { waitedMs, busyForMs }: Arrival,
+    { waitedMs }: Arrival,
     retryAfterMs: number,
     answer: CallerAnswer,
   ): void {
@@ -143,7 +143,6 @@
       reason: 'overloaded',
       retryAfterMs: Math.round(retryAfterMs),
       ms: Math.round(waitedMs),
-      busyForMs: Math.round(busyForMs),
     });
     answer.refuse(statuses.unavailable, 'not run: overloaded', retryAfterMs);
   }
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -17,7 +17,7 @@
 import type { RetryBudget } from '../retries/index.js';
 import { chooseTarget, type Route, type RoutingReplica } from '../routing/index.js';
 import type { OriginLookup, StreamOrigins } from '../streams/index.js';
-import { wait, type Clock, type RandomSource, type Timer } from '../task/index.js';
+import { wait, type Clock, type RandomSource } from '../task/index.js';
 import type { CallerAnswer } from './caller-answer.js';
 import type { Connections } from './connections.js';
 import { createResponder, statuses } from './responder.js';
@@ -33,6 +33,7 @@
 import { createServerGate } from './server-gate.js';
 import { createServicePlacer, type ServerLoads } from './service-placer.js';
 import { createStreamVersion, findOrigin, resolveOrigin } from './stream-version.js';
+import { createTimeLimit } from './time-limit.js';
 import type { CallerRetries } from './caller-retries.js';
 
 /** Retry-After while there is no configuration yet, in ms. */
@@ -148,12 +149,11 @@
   const { clock, log, metrics, protocol } = parts;
   const { head, answer, arrivedAt } = callerRequest;
   const requestId = head.requestId;
-  const timeLimitMs = Math.min(route.timeoutMs, head.waitMs ?? route.timeoutMs);
-  const endAt = arrivedAt + timeLimitMs;
+  const limitMs = Math.min(route.timeoutMs, head.waitMs ?? route.timeoutMs);
+  const limit = createTimeLimit(clock, arrivedAt, limitMs);
   const engineTerms = parts.routes.index()?.table.services.get(service)?.engine;
   /** The prompt, if engines serve the request; a scheduler then places it. */
   const prompt = engineTerms === undefined ? undefined : head.prompt;
-  const abortController = new AbortController();
   const { method, path, body } = callerRequest;
   const fingerprint = createFingerprint({ method, host: head.host, path, body });
   const progress: Progress = {
@@ -163,7 +163,6 @@
     isBegun: false,
   };
   let lastEventId: string | undefined;
-  let timedOut = false;
   /** Set once the request is banned from all servers. */
   let ban: Ban | undefined;
   /** Ids of the prompt's parts that other requests may share; the last one is the request's own. */
@@ -205,10 +204,10 @@
     rank: route.rank,
     maxEventGapMs: route.maxEventGapMs,
     isCallerRetry: lookup !== undefined || parts.callerRetries.isRetry(route.name, head.waitMs),
-    signal: abortController.signal,
-    elapsedMs: () => clock.now() - arrivedAt,
-    aimLeftMs: () => route.latencyObjectiveMs - (clock.now() - arrivedAt),
-    timeLeftMs: () => endAt - clock.now(),
+    signal: limit.signal,
+    elapsedMs: limit.elapsedMs,
+    aimLeftMs: () => route.latencyObjectiveMs - limit.elapsedMs(),
+    timeLeftMs: limit.leftMs,
     find: (id) => parts.fleet.find(id),
     requiredVersion: () => streamVersion.required()?.version,
     withholdReason: gate.withholdReason,
@@ -248,7 +247,7 @@
         parts: outcome.kind === 'lost' ? sharedParts : undefined,
         reason: 'reason' in outcome ? outcome.reason : undefined,
         status: 'status' in outcome ? outcome.status : undefined,
-        ms: Math.round(clock.now() - arrivedAt),
+        ms: Math.round(limit.elapsedMs()),
       });
     },
     headReceived: gate.headReceived,
@@ -263,7 +262,7 @@
     const sendTerms = {
       ...terms,
       serverId: resolveServerName(server),
-      timeLeftMs: endAt - clock.now(),
+      timeLeftMs: limit.leftMs(),
     };
     return {
       address: server.address,
@@ -283,14 +282,14 @@
 
   /** Records how old the request is as it is written to a server. */
   function recordSent(server: RegisteredServer): void {
-    const ageMs = clock.now() - arrivedAt;
+    const ageMs = limit.elapsedMs();
     metrics.sendDelay.observe(ageMs / 1_000);
-    if (ageMs < timeLimitMs) return;
+    if (limit.leftMs() > 0) return;
     log.write('requestSentLate', {
       request: requestId,
       server: server.id,
       ms: Math.round(ageMs),
-      limitMs: timeLimitMs,
+      limitMs,
     });
   }
 
@@ -334,7 +333,7 @@
       server: server.id,
       version: server.version,
       attempt: progress.attempts,
-      ms: Math.round(clock.now() - arrivedAt),
+      ms: Math.round(limit.elapsedMs()),
       resumes: head.resumes,
       afterEvent: lastEventId ?? head.lastEventId,
     });
@@ -350,7 +349,7 @@
         // a server that starts again under its name takes requests for the one before until its entry is known
         mayForwardEvent: () =>
           streamVersion.required() === undefined || !parts.fleet.isReplaced(server),
-        signal: abortController.signal,
+        signal: limit.signal,
         answerTimeoutMs: resolveAnswerTimeout(),
         mayTryAnother: () => parts.budget.hasLeft(service),
         eventForwarded(eventId) {
@@ -361,7 +360,7 @@
           if (progress.isBegun) return;
           progress.isBegun = true;
           streamVersion.begun(server);
-          metrics.firstByte.observe({ service }, (clock.now() - arrivedAt) / 1_000);
+          metrics.firstByte.observe({ service }, limit.elapsedMs() / 1_000);
         },
         loadReceived(load) {
           parts.loads.record(server.id, load);
@@ -392,7 +391,7 @@
       MIN_ANSWER_TIMEOUT_MS,
       ANSWER_TIMEOUT_FACTOR * route.latencyObjectiveMs,
     );
-    return endAt - clock.now() - timeoutMs > route.latencyObjectiveMs ? timeoutMs : undefined;
+    return limit.leftMs() - timeoutMs > route.latencyObjectiveMs ? timeoutMs : undefined;
   }
 
   /** Updates the request's progress after a send. */
@@ -408,11 +407,11 @@
   /** Makes one send; returns whether another is to follow. */
   async function attempt(placer: Placer): Promise<boolean> {
     if (stopIfBanned()) return false;
-    if (isOver()) {
+    if (limit.isOver()) {
       stop();
       return false;
     }
-    const admission = await watched.admit(abortController.signal);
+    const admission = await watched.admit(limit.signal);
     if (admission === 'busy') refuse('on-trial', TRIAL_RETRY_MS, 0);
     if (admission === 'aborted') stop();
     if (admission !== 'admitted') return false;
@@ -438,19 +437,14 @@
       parts: outcome.kind === 'lost' ? sharedParts : undefined,
       reason: 'reason' in outcome ? outcome.reason : undefined,
       move: step.kind,
-      ms: Math.round(clock.now() - arrivedAt),
+      ms: Math.round(limit.elapsedMs()),
     });
     return take(step, outcome);
   }
 
   /** Its timer and the end of its caller's connection may wait for a turn of a busy event loop, behind the send. */
-  function isOver(): boolean {
-    if (clock.now() >= endAt) reachLimit();
-    return abortController.signal.aborted;
-  }
-
   function withholdOver(): string | undefined {
-    return isOver() ? OVER_REASON : undefined;
+    return limit.isOver() ? OVER_REASON : undefined;
   }
 
   /** The request, or a part of its prompt, may have been banned while it was placed or its prompt was prefilled. */
@@ -489,7 +483,7 @@
   function stopBanned(): void {
     if (progress.isBegun) return;
     ban = watched.ban();
-    if (ban !== undefined) abortController.abort();
+    if (ban !== undefined) limit.end();
   }
 
   /** Ends a request that is banned, has reached its time limit, or whose caller has left. */
@@ -498,8 +492,8 @@
       refuse('ends-servers', ban.leftMs, 0);
       return;
     }
-    if (!timedOut) {
-      log.write('callerLeft', { request: requestId, ms: Math.round(clock.now() - arrivedAt) });
+    if (!limit.isReached()) {
+      log.write('callerLeft', { request: requestId, ms: Math.round(limit.elapsedMs()) });
       recordOutcome('caller-left');
       return;
     }
@@ -507,24 +501,15 @@
     else refuse('time limit', DECLINED_RETRY_MS, 0);
   }
 
-  function reachLimit(): void {
-    timedOut ||= !abortController.signal.aborted;
-    abortController.abort();
-  }
-
-  function startTimer(): Timer {
-    return clock.after(endAt - clock.now(), reachLimit);
-  }
-
   return {
     close: watched.ended,
     async serve(): Promise<void> {
       if (stopIfBanned()) return;
-      if (!parts.canFinish(timeLimitMs)) {
+      if (!parts.canFinish(limitMs)) {
         refuse('stopping', STOPPING_RETRY_MS, 0);
         return;
       }
-      if (clock.now() >= endAt) {
+      if (limit.isOver()) {
         refuse('time limit', DECLINED_RETRY_MS, 0);
         return;
       }
@@ -534,20 +519,17 @@
         return;
       }
       parts.budget.requestReceived(service);
-      const timer = startTimer();
+      const timer = limit.start();
       const placer = createPlacer();
-      function abort(): void {
-        abortController.abort();
-      }
-      callerRequest.callerLeft.addEventListener('abort', abort);
-      if (callerRequest.callerLeft.aborted) abort();
+      callerRequest.callerLeft.addEventListener('abort', limit.end);
+      if (callerRequest.callerLeft.aborted) limit.end();
       try {
         while (await attempt(placer)) {
           // each iteration makes one send
         }
       } finally {
         timer.cancel();
-        callerRequest.callerLeft.removeEventListener('abort', abort);
+        callerRequest.callerLeft.removeEventListener('abort', limit.end);
         placer.close();
         retries.close();
       }
--- a/test/arrivals/arrivals.test.ts
+++ b/test/arrivals/arrivals.test.ts
@@ -59,9 +59,9 @@
     const socket = openConnection(loop);
     loop.wait(1);
     loop.work(400);
-    const { waitedMs, busyForMs } = loop.arrivals.requestRead(socket);
+    const { waitedMs, at, idleAt } = loop.arrivals.requestRead(socket);
     expect(waitedMs).to.equal(200);
-    expect(busyForMs).to.equal(400);
+    expect(at - idleAt).to.equal(200);
   });
 
   it('is nothing where the loop was idle until then', () => {
