--- a/src/arrivals/arrivals.ts
+++ b/src/arrivals/arrivals.ts
@@ -7,7 +7,7 @@
 import type { BoundedLog } from '../events/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
 import type { Clock } from '../task/index.js';
-import { createTurns, type Turn, type TurnsParts } from './turns.js';
+import { createTurns, type EventLoop, type Turn } from './turns.js';
 
 /** Wait before reading from which it is logged that requests wait, in ms. */
 const LONG_WAIT_MS = 100;
@@ -15,7 +15,7 @@
 const LONG_WAIT_LINE_MS = 1_000;
 
 /** Dependencies of the arrivals. */
-export interface ArrivalsParts extends Pick<TurnsParts, 'idleMs' | 'atTurnEnd'> {
+export interface ArrivalsParts extends EventLoop {
   clock: Clock;
   log: Pick<BoundedLog, 'write'>;
   metrics: Pick<GatewayMetrics, 'readDelay' | 'turns' | 'connectionsAccepted'>;
--- a/src/arrivals/turns.ts
+++ b/src/arrivals/turns.ts
@@ -28,19 +28,23 @@
   current: () => Turn;
 }
 
-/** What the turns need. */
-export interface TurnsParts {
-  clock: Clock;
+/** An event loop. */
+export interface EventLoop {
   /** Total time that the loop has waited for events, in ms. */
   idleMs(): number;
   /** Calls back at the end of the present turn. */
   atTurnEnd(ended: () => void): void;
+}
+
+/** What the turns need. */
+export interface TurnsParts extends EventLoop {
+  clock: Clock;
   /** A turn has ended. */
   ended(turn: Turn, durationMs: number): void;
 }
 
 /** The event loop of this process. */
-export const ownLoop: Pick<TurnsParts, 'idleMs' | 'atTurnEnd'> = {
+export const ownLoop: EventLoop = {
   idleMs: () => performance.nodeTiming.idleTime,
   atTurnEnd(ended) {
     setImmediate(ended);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -3,7 +3,13 @@
  */
 import { randomUUID } from 'node:crypto';
 import type { Server } from 'node:http';
-import { createAdmission, createArrivals, ownLoop } from '../arrivals/index.js';
+import {
+  createAdmission,
+  createArrivals,
+  ownLoop,
+  type Admission,
+  type EventLoop,
+} from '../arrivals/index.js';
 import { createBackpressure, type ServerSignals } from '../backpressure/index.js';
 import type { BoundedLog } from '../events/index.js';
 import {
@@ -97,6 +103,11 @@
   metrics: GatewayMetrics;
   /** Enabled scheduling mechanisms; all by default. */
   mechanisms?: SchedulingMechanisms;
+  /** Decides which requests are taken in; by default from the load of the event loop, which then has to be the gateway's
+   * own. */
+  admission?: Admission;
+  /** The event loop, from which the age of requests is estimated; by default that of this process. */
+  loop?: EventLoop;
 }
 
 /** A running gateway. */
@@ -341,14 +352,16 @@
   const front = createFront({
     log,
     protocol: platform.protocol,
-    arrivals: createArrivals({ clock, log, metrics, ...ownLoop }),
-    admission: createAdmission({
-      clock,
-      random,
-      log,
-      metrics,
-      objectiveMs: () => routes.index()?.leastObjectiveMs,
-    }),
+    arrivals: createArrivals({ clock, log, metrics, ...(parts.loop ?? ownLoop) }),
+    admission:
+      parts.admission ??
+      createAdmission({
+        clock,
+        random,
+        log,
+        metrics,
+        objectiveMs: () => routes.index()?.leastObjectiveMs,
+      }),
     limits: () => routes.index()?.table.limits,
     serve: (request) => serveRequest(relay, request),
   });
