--- a/src/arrivals/turns.ts
+++ b/src/arrivals/turns.ts
@@ -1,6 +1,6 @@
 /**
  * Turns of the event loop, as those who read from sockets see them. What is read in a turn has arrived since the turn
- * before began, or has only just arrived if the loop waited for events in between.
+ * before began, or, if the loop waited for events in between, since the end of that wait.
  */
 import { performance } from 'node:perf_hooks';
 import type { Clock } from '../task/index.js';
