--- a/src/relay/time-limit.ts
+++ b/src/relay/time-limit.ts
@@ -8,8 +8,6 @@
 export interface TimeLimit {
   /** Aborted once the limit is reached, or the request was ended before. */
   readonly signal: AbortSignal;
-  /** How long the request may take, in ms. */
-  readonly limitMs: number;
   /** Time since the request arrived, in ms. */
   elapsedMs: () => number;
   /** Time until the limit, in ms; negative once it has passed. */
@@ -47,7 +45,6 @@
 
   return {
     signal,
-    limitMs,
     elapsedMs: () => clock.now() - arrivedAt,
     leftMs,
     isOver() {
