--- a/src/arrivals/accept-waiting.ts
+++ b/src/arrivals/accept-waiting.ts
@@ -4,7 +4,7 @@
  */
 import { closeSync } from 'node:fs';
 import type { Server } from 'node:http';
-import { Socket } from 'node:net';
+import { Socket, type ListenOptions } from 'node:net';
 import type { Log } from '../events/index.js';
 import { loadNativeAccept, type NativeAccept } from './native-accept.js';
 
@@ -24,13 +24,29 @@
 }
 
 /**
- * Makes a server accept all connections that wait. Connections accepted this way are given to the server's listeners
- * like all others.
+ * Makes a server listen and accept all connections that wait. Connections accepted this way are given to the server's
+ * listeners like all others.
  *
  * @param server an HTTP server; its `close` waits only for the connections that it accepted by itself
+ * @param address where it listens; rejects with the system's error if it cannot
  * @param parts the log, and what hears of an empty queue
  */
-export async function acceptWaiting(server: Server, parts: AcceptWaitingParts): Promise<void> {
+export async function listenAccepting(
+  server: Server,
+  address: ListenOptions,
+  parts: AcceptWaitingParts,
+): Promise<void> {
+  await acceptWaiting(server, parts);
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(address, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
+
+async function acceptWaiting(server: Server, parts: AcceptWaitingParts): Promise<void> {
   const { log } = parts;
   const accept = await loadNativeAccept(log);
   if (accept === undefined) return;
--- a/src/gateway/status-servers.ts
+++ b/src/gateway/status-servers.ts
@@ -2,7 +2,7 @@
  * HTTP servers of a gateway for readiness, directory and metrics.
  */
 import { createServer, type IncomingMessage, type Server } from 'node:http';
-import { acceptWaiting } from '../arrivals/index.js';
+import { listenAccepting } from '../arrivals/index.js';
 import type { Log } from '../events/index.js';
 import type { ListenAddress } from './settings.js';
 
@@ -32,12 +32,6 @@
       response.end(body);
     });
   });
-  await acceptWaiting(server, { log });
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(address.port, address.host, () => {
-      server.off('error', reject);
-      resolve(server);
-    });
-  });
+  await listenAccepting(server, address, { log });
+  return server;
 }
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -5,7 +5,7 @@
 import { createServer, type IncomingMessage, type Server } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { WebSocket, WebSocketServer, type RawData } from 'ws';
-import { acceptWaiting } from '../arrivals/index.js';
+import { listenAccepting } from '../arrivals/index.js';
 import type { Log } from '../events/index.js';
 import type { Clock } from '../task/index.js';
 import { decodeMessage, encodeMessage, type GatewayState, type PeerMessage } from './messages.js';
@@ -226,15 +226,8 @@
           introduce(addLink(socket));
         });
       });
-      await acceptWaiting(created, { log });
-      await new Promise<void>((resolve, reject) => {
-        created.once('error', reject);
-        created.listen(port, host, () => {
-          created.off('error', reject);
-          server = created;
-          resolve();
-        });
-      });
+      await listenAccepting(created, { host, port }, { log });
+      server = created;
     },
     port() {
       const bound = server?.address();
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -5,7 +5,7 @@
  */
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
-import { acceptWaiting, type Admission, type Arrival, type Arrivals } from '../arrivals/index.js';
+import { listenAccepting, type Admission, type Arrival, type Arrivals } from '../arrivals/index.js';
 import type { Log } from '../events/index.js';
 import type { CallerLimits } from '../routing/index.js';
 import { createCallerAnswer, type CallerAnswer } from './caller-answer.js';
@@ -148,15 +148,10 @@
   }
 
   return {
-    async listen(host, port) {
-      await acceptWaiting(server, { log, queueEmptied: arrivals.queueEmptied });
-      await new Promise<void>((resolve, reject) => {
-        server.once('error', reject);
-        server.listen({ host, port, backlog: LISTEN_BACKLOG }, () => {
-          server.off('error', reject);
-          resolve();
-        });
-      });
+    listen(host, port) {
+      const { queueEmptied } = arrivals;
+      const address = { host, port, backlog: LISTEN_BACKLOG };
+      return listenAccepting(server, address, { log, queueEmptied });
     },
     refreshLimits,
     startClosing() {
