--- a/src/arrivals/accept-waiting.ts
+++ b/src/arrivals/accept-waiting.ts
@@ -8,7 +8,7 @@
 import type { Log } from '../events/index.js';
 import { loadNativeAccept, type NativeAccept } from './native-accept.js';
 
-/** Connections accepted in one turn, so that open ones are read again before a flood of new ones has ended. */
+/** Connections accepted in one turn, so that open ones are read again before a burst of new ones has ended. */
 const MAX_PER_TURN = 256;
 
 /** What accepting needs. */
--- a/src/arrivals/admission.ts
+++ b/src/arrivals/admission.ts
@@ -9,10 +9,10 @@
 import type { Clock, RandomSource } from '../task/index.js';
 import type { Arrival } from './arrivals.js';
 
-/** The loop is overloaded once it has not waited for events for an interval: the routes' shortest latency objective, or
+/** The loop is overloaded once it has not been idle for an interval: the routes' shortest latency objective, or
  * this, in ms, where that is shorter. */
 const MIN_INTERVAL_MS = 100;
-/** It is overloaded at once if it reads callers for this share of the interval in one turn: a flood would fill turns of
+/** It is overloaded at once if it reads callers for this share of the interval in one turn: a burst would fill turns of
  * the interval's length before the loop was known to be overloaded. */
 const MAX_TURN_SHARE = 0.2;
 /** Longest wait of an admitted request under overload, as a share of the interval. */
@@ -42,7 +42,7 @@
   /**
    * Decides on a request that was just read.
    *
-   * @param arrival how long it waited, and when the event loop had a pause
+   * @param arrival how long it waited, and when the event loop was idle
    * @param callerWaitMs how long its caller waits, in ms, if it says so
    */
   decide(arrival: Arrival, callerWaitMs: number | undefined): AdmissionDecision;
@@ -68,19 +68,19 @@
     const { idleAt, turnMs } = arrival;
     const now = clock.now();
     if (overloadedSince !== undefined) {
-      // a single pause is no end: what comes then would fill the loop again
-      const hasPaused = idleAt > overloadedSince;
-      if (hasPaused && now - refusedAt > intervalMs) relieved();
+      // to be idle once is not enough: what comes then would fill the loop again
+      const wasIdle = idleAt > overloadedSince;
+      if (wasIdle && now - refusedAt > intervalMs) ended();
     }
     const isOverloaded = now - idleAt > intervalMs || turnMs > intervalMs * MAX_TURN_SHARE;
-    if (isOverloaded && overloadedSince === undefined) overloaded(arrival, intervalMs);
+    if (isOverloaded && overloadedSince === undefined) began(arrival, intervalMs);
   }
 
-  function overloaded({ idleAt, turnMs, waitedMs }: Arrival, intervalMs: number): void {
+  function began({ idleAt, turnMs, waitedMs }: Arrival, intervalMs: number): void {
     overloadedSince = idleAt;
     refused = 0;
     metrics.overloaded.set(1);
-    log.write('loopOverloaded', {
+    log.write('overloadBegan', {
       busyForMs: Math.round(clock.now() - idleAt),
       turnMs: Math.round(turnMs),
       waitedMs: Math.round(waitedMs),
@@ -88,8 +88,8 @@
     });
   }
 
-  function relieved(): void {
-    log.write('loopRelieved', { overloadedForMs: Math.round(overloadedForMs()), refused });
+  function ended(): void {
+    log.write('overloadEnded', { overloadedForMs: Math.round(overloadedForMs()), refused });
     metrics.overloaded.set(0);
     overloadedSince = undefined;
   }
--- a/src/arrivals/arrivals.ts
+++ b/src/arrivals/arrivals.ts
@@ -41,7 +41,7 @@
   at: number;
   /** How long it waited to be read, in ms. */
   waitedMs: number;
-  /** When the event loop waited for events last, in ms on the clock. */
+  /** When the event loop was idle last, in ms on the clock. */
   idleAt: number;
   /** How long callers have been read in this turn of the event loop, in ms; 0 for the first one. */
   turnMs: number;
@@ -99,7 +99,7 @@
     const inTurn = { since: turn.since, until: clock.now() };
     if (connection === undefined) return inTurn;
     // what is read no later than in the turn after has waited with its connection, unless the loop was idle in between
-    const isIdleBetween = turn.number > connection.turn && turn.hasWaited;
+    const isIdleBetween = turn.number > connection.turn && turn.wasIdle;
     const cameAtOnce = turn.number <= connection.turn + 1 && !isIdleBetween;
     return cameAtOnce ? connection : inTurn;
   }
@@ -107,7 +107,7 @@
   return {
     accepted(socket) {
       const turn = turns.current();
-      if (acceptedInTurn === 0 && turn.hasWaited) emptyAt = turn.idleAt;
+      if (acceptedInTurn === 0 && turn.wasIdle) emptyAt = turn.idleAt;
       acceptedInTurn += 1;
       metrics.connectionsAccepted.inc();
       unread.set(socket, { since: emptyAt, until: clock.now(), turn: turn.number });
--- a/src/arrivals/turns.ts
+++ b/src/arrivals/turns.ts
@@ -1,11 +1,11 @@
 /**
  * Turns of the event loop, as those who read from sockets see them. What is read in a turn has arrived since the turn
- * before began, or, if the loop waited for events in between, since the end of that wait.
+ * before began, or, if the loop was idle in between, since the end of that time.
  */
 import { performance } from 'node:perf_hooks';
 import type { Clock } from '../task/index.js';
 
-/** Idle time that shows that the loop waited for events, in ms. */
+/** Shortest time of waiting for events that counts as idle, in ms. */
 const MIN_IDLE_MS = 0.05;
 
 /** A turn of the event loop in which something was read. */
@@ -16,9 +16,9 @@
   readonly startedAt: number;
   /** What is read in this turn arrived after this time, in ms on the clock. */
   readonly since: number;
-  /** Whether the loop has waited for events since the turn before. */
-  readonly hasWaited: boolean;
-  /** When the loop waited for events last, in ms on the clock: nothing was queued then. */
+  /** Whether the loop has been idle, waiting for events, since the turn before. */
+  readonly wasIdle: boolean;
+  /** When the loop was idle last, in ms on the clock: nothing was queued then. */
   readonly idleAt: number;
 }
 
@@ -30,7 +30,7 @@
 
 /** An event loop. */
 export interface EventLoop {
-  /** Total time that the loop has waited for events, in ms. */
+  /** Total time that the loop has been idle, in ms. */
   idleMs(): number;
   /** Calls back at the end of the present turn. */
   atTurnEnd(ended: () => void): void;
@@ -63,7 +63,7 @@
     number: 0,
     startedAt: createdAt,
     since: createdAt,
-    hasWaited: false,
+    wasIdle: false,
     idleAt: createdAt,
   };
   let endedAt = createdAt;
@@ -73,11 +73,11 @@
   function begin(): void {
     const now = clock.now();
     const idleMs = parts.idleMs() - idleMsBefore;
-    const hasWaited = idleMs > MIN_IDLE_MS;
-    // the loop may have worked on something else between its last wait and now
-    const idleAt = hasWaited ? Math.min(now, endedAt + idleMs) : turn.idleAt;
-    const since = hasWaited ? idleAt : turn.startedAt;
-    turn = { number: turn.number + 1, startedAt: now, since, hasWaited, idleAt };
+    const wasIdle = idleMs > MIN_IDLE_MS;
+    // the loop may have worked on something else between its idle time and now
+    const idleAt = wasIdle ? Math.min(now, endedAt + idleMs) : turn.idleAt;
+    const since = wasIdle ? idleAt : turn.startedAt;
+    turn = { number: turn.number + 1, startedAt: now, since, wasIdle, idleAt };
     idleMsBefore += idleMs;
     isOpen = true;
     parts.atTurnEnd(end);
--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -129,12 +129,12 @@
     level: 'warn',
     text: 'requests of callers waited unread, since the event loop was busy',
   },
-  loopOverloaded: {
+  overloadBegan: {
     id: 7095,
     level: 'warn',
     text: 'the event loop has more to do than it can; requests that wait for it are refused',
   },
-  loopRelieved: {
+  overloadEnded: {
     id: 7096,
     level: 'warn',
     text: 'the event loop keeps up again; all requests are taken in',
--- a/test/arrivals/busy-loop.test.ts
+++ b/test/arrivals/busy-loop.test.ts
@@ -133,7 +133,7 @@
       ({ event, fields }) => event === 'requestRefused' && fields.reason === 'overloaded',
     );
     expect(told).to.have.length(refused.length);
-    expect(log.lines.some(({ event }) => event === 'loopOverloaded')).to.equal(true);
+    expect(log.lines.some(({ event }) => event === 'overloadBegan')).to.equal(true);
   });
 
   // without this, a request on a connection that had been opened early passed for one that had waited as long
