feat(relay): an answer that bears another id than its request is logged

Whether a decline was of the request itself could not be told from the logs: they named outcomes, never whose answer had brought them.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -144,6 +144,11 @@
     level: 'warn',
     text: 'a request reached a server connection after its time limit',
   },
+  answerNotOwn: {
+    id: 7097,
+    level: 'warn',
+    text: 'an answer on a connection bears an id other than that of its request',
+  },
   releaseFailed: { id: 7047, level: 'info', text: 'a prompt read in vain was not freed' },
   requestMalformed: { id: 7048, level: 'info', text: 'bytes of a caller were no request' },
   retryDecided: { id: 7049, level: 'info', text: 'a retry was allowed or denied by the budget' },
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -189,6 +189,7 @@
   });
 
   const gate = createServerGate({
+    log,
     fleet: parts.fleet,
     backpressure: parts.backpressure,
     service,
