fix(relay): nothing of an answer is used before it is known to be the request's own

Cause: a faulty server sends an answer a second time, where that to the next request is due. findDefect compared ids only after it had passed answers that decline; the head's load, pause, limit and leaving had been taken in before. Reading a prompt took a decline and, like the gate, a handle or a signal from an answer without an id as well.

Change: an exchange decodes a head through readOwnAnswer, which gives nothing for an answer whose id is not the request's; sends, reading prompts and releasing them all get facts from there and nowhere else. The id is left out only where the request had none. The connection is then read on, since the answer that is due may stand right behind: up to four answers of others, 64 KiB each, on a connection that is taken out of the pool and carries nothing else afterwards.

An answer that comes in one piece with that of another is lost all the same.

Ruled out by a test: the same id twice on one connection (a request is sent to a server once, both placers leave out those that were tried).

--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -240,6 +240,12 @@
       labelNames: ['reason'],
       registers,
     }),
+    answersNotOwn: new Counter({
+      name: 'reedtally_gateway_answers_not_own_total',
+      help: 'Answers of servers that bear the id of another request, by whether they declined it',
+      labelNames: ['declined'],
+      registers,
+    }),
     withheld: new Counter({
       name: 'reedtally_gateway_sends_withheld_total',
       help: 'Sends that were not made since the server wanted nothing, by why',
--- a/src/relay/prefill.ts
+++ b/src/relay/prefill.ts
@@ -47,9 +47,9 @@
       server,
       { isPrefill: true },
       {
-        onHead(received) {
+        onHead(received, stated) {
           head = received;
-          facts = protocol.readAnswer(received);
+          facts = stated;
           context.headReceived(server, received, facts);
         },
         onData(chunk) {
@@ -80,10 +80,8 @@
     function resolveOutcome(): PrefillOutcome {
       const status = head?.status ?? 0;
       if (facts?.isDeclined === true) return { kind: 'declined', status };
-      const matchesRequest =
-        facts?.requestId === undefined || facts.requestId === context.requestId;
       const handle = protocol.parseHandle(Buffer.concat(chunks));
-      if (status !== 200 || !matchesRequest || handle === undefined) {
+      if (status !== 200 || handle === undefined) {
         return { kind: 'lost', reason: `status ${status} without a usable handle` };
       }
       return { kind: 'read', handle };
--- a/src/relay/release-prompt.ts
+++ b/src/relay/release-prompt.ts
@@ -5,6 +5,7 @@
 import type { Backpressure } from '../backpressure/index.js';
 import type { RegisteredServer } from '../fleet/index.js';
 import type { Clock } from '../task/index.js';
+import { readOwnAnswer, type AnswerReaderParts } from './answer-reader.js';
 import type { Connections } from './connections.js';
 import { startExchange } from './exchange.js';
 import type { BackendProtocol, PrefilledPrompt } from './protocol.js';
@@ -14,6 +15,7 @@
 export interface ReleaseParts {
   clock: Clock;
   log: Log;
+  metrics: AnswerReaderParts['metrics'];
   protocol: BackendProtocol;
   connections: Connections;
   backpressure: Pick<Backpressure, 'limits'>;
@@ -47,12 +49,20 @@
   parts.backpressure.limits.take(server.id);
   const { method, path } = protocol.releaseCall(prompt);
   startExchange(
-    { address, method, path, rawHeaders: ['Host', address], body: undefined },
+    {
+      address,
+      method,
+      path,
+      rawHeaders: ['Host', address],
+      body: undefined,
+      // the call has no id
+      readAnswer: (head) => readOwnAnswer(parts, undefined, server, head),
+    },
     parts.connections.agentFor(server.id),
     clock,
     {
-      onHead(head) {
-        gate.headReceived(server, head, protocol.readAnswer(head));
+      onHead(head, facts) {
+        gate.headReceived(server, head, facts);
       },
       onData: () => undefined,
       onEnd: () => undefined,
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -18,6 +18,7 @@
 import { chooseTarget, type Route, type RoutingReplica } from '../routing/index.js';
 import type { OriginLookup, StreamOrigins } from '../streams/index.js';
 import { wait, type Clock, type RandomSource } from '../task/index.js';
+import { readOwnAnswer } from './answer-reader.js';
 import type { CallerAnswer } from './caller-answer.js';
 import type { Connections } from './connections.js';
 import { createResponder, statuses } from './responder.js';
@@ -189,11 +190,9 @@
   });
 
   const gate = createServerGate({
-    log,
     fleet: parts.fleet,
     backpressure: parts.backpressure,
     service,
-    requestId,
     streamVersion,
   });
 
@@ -271,6 +270,7 @@
       path,
       rawHeaders: protocol.sendHeaders(head, sendTerms, body?.length ?? 0),
       body,
+      readAnswer: (answerHead) => readOwnAnswer(parts, requestId, server, answerHead),
       withholdReason: () => withholdOver() ?? withholdBanned() ?? gate.withholdReason(server),
       watchPath(abandon) {
         recordSent(server);
@@ -341,7 +341,6 @@
     return sendOnce(
       {
         request: createOutgoing(server, { source, urgency, lastEventId }, mayContinueElsewhere),
-        requestId,
         server,
         agent: parts.connections.agentFor(server.id),
         answer,
@@ -370,7 +369,6 @@
           gate.headReceived(server, head, facts);
         },
       },
-      protocol,
       clock,
     );
   }
--- a/src/relay/send.ts
+++ b/src/relay/send.ts
@@ -16,7 +16,7 @@
   type Exchange,
   type OutgoingRequest,
 } from './exchange.js';
-import type { AnswerFacts, BackendProtocol, ServerLoad } from './protocol.js';
+import type { AnswerFacts, ServerLoad } from './protocol.js';
 
 /** Size at which a buffered answer is forwarded while the rest still arrives, in bytes. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
@@ -53,7 +53,6 @@
 /** One send. */
 export interface Send {
   request: OutgoingRequest;
-  requestId: string | undefined;
   server: RegisteredServer;
   agent: Agent;
   answer: CallerAnswer;
@@ -81,14 +80,9 @@
  * Sends a request.
  *
  * @param send the request, its server and the answer to its caller
- * @param protocol the wire protocol of backend servers
  * @param clock the gateway's clock
  */
-export function sendOnce(
-  send: Send,
-  protocol: BackendProtocol,
-  clock: Clock,
-): Promise<SendOutcome> {
+export function sendOnce(send: Send, clock: Clock): Promise<SendOutcome> {
   if (send.signal.aborted) return Promise.resolve(overOutcome);
   return new Promise((resolve) => {
     let head: AnswerHead | undefined;
@@ -100,12 +94,12 @@
     const splitter = send.isStream ? createEventSplitter() : undefined;
 
     const exchange: Exchange = startExchange(send.request, send.agent, clock, {
-      onHead(received) {
+      onHead(received, stated) {
         head = received;
-        facts = protocol.readAnswer(received);
+        facts = stated;
         if (facts.load !== undefined) send.loadReceived(facts.load);
         send.headReceived(received, facts);
-        const defect = findDefect(facts, received, send.requestId);
+        const defect = findDefect(facts, received);
         if (defect === undefined) return;
         settle({ kind: 'lost', reason: defect });
         exchange.abort();
@@ -250,13 +244,8 @@
 }
 
 /** Why an answer cannot be forwarded; `undefined` if it can. */
-function findDefect(
-  facts: AnswerFacts,
-  head: AnswerHead,
-  requestId: string | undefined,
-): string | undefined {
+function findDefect(facts: AnswerFacts, head: AnswerHead): string | undefined {
   if (facts.isDeclined) return undefined;
-  if (facts.requestId !== requestId) return 'the answer belongs to another request';
   if (isSuccess(head.status) && !facts.isSigned) return 'the answer lacks the signature';
   if (isSuccess(head.status) && head.headers['content-encoding'] !== undefined) {
     return 'the answer has a content encoding that was not requested';
--- a/src/relay/server-gate.ts
+++ b/src/relay/server-gate.ts
@@ -4,7 +4,6 @@
  * passes this check, whichever placer selected the server.
  */
 import type { Backpressure } from '../backpressure/index.js';
-import type { Log } from '../events/index.js';
 import { resolveServerName, type Fleet, type RegisteredServer } from '../fleet/index.js';
 import type { AnswerHead } from './exchange.js';
 import type { AnswerFacts } from './protocol.js';
@@ -13,12 +12,9 @@
 
 /** Dependencies of the gate. */
 export interface ServerGateParts {
-  log: Log;
   fleet: Fleet;
   backpressure: Backpressure;
   service: string;
-  /** The caller's id for the request. */
-  requestId: string | undefined;
   streamVersion: Pick<StreamVersion, 'allows'>;
 }
 
@@ -39,7 +35,7 @@
  * @param parts the fleet, the backpressure and the request
  */
 export function createServerGate(parts: ServerGateParts): ServerGate {
-  const { log, fleet, backpressure, service, requestId, streamVersion } = parts;
+  const { fleet, backpressure, service, streamVersion } = parts;
 
   function isPaused({ id }: RegisteredServer): boolean {
     return backpressure.msUntilResumed(id) > 0;
@@ -62,19 +58,9 @@
     },
     headReceived(server, head, facts) {
       const { serverId, signals } = facts;
-      if (facts.requestId !== requestId) {
-        log.write('answerNotOwn', {
-          request: requestId,
-          server: server.id,
-          answered: facts.requestId,
-          status: head.status,
-          isDeclined: facts.isDeclined,
-        });
-      }
       // signals of another incarnation do not apply to this one
       if (serverId !== undefined && serverId !== resolveServerName(server)) return;
-      const matchesRequest = facts.requestId === undefined || facts.requestId === requestId;
-      const isSuccessful = matchesRequest && isSuccess(head.status) && !facts.isDeclined;
+      const isSuccessful = isSuccess(head.status) && !facts.isDeclined;
       backpressure.signalsReceived(server, signals, isSuccessful);
     },
   };
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -101,7 +101,7 @@
     if (turningAway !== undefined) {
       response.writeHead(503, { ...echo(request), 'X-Not-Executed': '1', ...turningAway }).end();
     } else if (target !== undefined && target !== id) {
-      response.writeHead(421, { 'X-Instance-Id': id }).end();
+      response.writeHead(421, { ...echo(request), 'X-Instance-Id': id }).end();
     } else if (isReading) {
       handles += 1;
       const body = { kvHandle: `handle-${handles}`, tokens: 1, version: 1 };
--- /dev/null
+++ b/test/relay/answers-of-others.test.ts
@@ -0,0 +1,245 @@
+// Guards against acting on an answer before it is known whose it is: a faulty server sends an answer again, where that
+// to the next request is due. Its words then made a request that had run pass for one that had not.
+import { expect } from 'chai';
+import { createCaller } from '../../platform/calls.js';
+import { startStoreStandIn, type StoreStandIn } from '../../stand-ins/users-platform/index.js';
+import {
+  ask,
+  configuration,
+  heads,
+  promptHeads,
+  register,
+  startGatewayFixture,
+  until,
+  type GatewayFixture,
+} from '../fixtures/gateway.js';
+import {
+  idOf,
+  renderAnswer,
+  startRawServer,
+  type RawRequest,
+  type RawServer,
+} from '../fixtures/raw-server.js';
+
+/** Time from an answer that belongs to an earlier request to the one that is due, in ms. */
+const APART_MS = 20;
+
+function renderPage(id: string): string {
+  return renderAnswer(200, { 'X-Request-Id': id, 'X-Server-Signature': 's' }, `page of ${id}`);
+}
+
+function renderDecline(id: string, more: Record<string, string> = {}): string {
+  return renderAnswer(503, { 'X-Request-Id': id, 'X-Not-Executed': '1', ...more });
+}
+
+function write({ connection }: RawRequest, text: string): void {
+  if (!connection.destroyed) connection.write(text);
+}
+
+function writeLater(request: RawRequest, text: string, delayMs = APART_MS): void {
+  setTimeout(write, delayMs, request, text);
+}
+
+describe('an answer that belongs to another request', () => {
+  let store: StoreStandIn;
+  let fixture: GatewayFixture;
+  let port: number;
+  let answer: (request: RawRequest) => void;
+  const servers: RawServer[] = [];
+
+  beforeEach(async () => {
+    store = await startStoreStandIn();
+    store.put('op', 'config', configuration(1));
+    answer = (request) => {
+      write(request, renderPage(idOf(request)));
+    };
+  });
+
+  afterEach(async () => {
+    await fixture.gateway.stop();
+    await Promise.all([store, ...servers.splice(0)].map((part) => part.close()));
+  });
+
+  async function start(
+    count: number,
+    backend = 'pages',
+    more: Record<string, unknown> = {},
+  ): Promise<void> {
+    for (let index = 1; index <= count; index += 1) {
+      const server = await startRawServer((request) => {
+        answer(request);
+      });
+      servers.push(server);
+      const entry = { id: `${backend}-${index}`, address: server.address };
+      register(store, entry as Parameters<typeof register>[1], backend, more);
+    }
+    fixture = await startGatewayFixture('node-1', store.address);
+    port = fixture.settings.callers.port;
+    await until(
+      () => fixture.log.lines.filter((line) => line.event === 'serverChanged').length >= count,
+    );
+    await until(() => fixture.log.lines.some((line) => line.event === 'routesApplied'));
+  }
+
+  function receivedIds(): string[] {
+    return servers.flatMap((server) => server.received().map(idOf));
+  }
+
+  it('does not make a request that runs pass for one that did not run', async () => {
+    await start(1);
+    await ask(port, { path: '/once/1', headers: heads('r1') });
+    answer = (request) => {
+      write(request, renderDecline('r1'));
+      writeLater(request, renderPage(idOf(request)));
+    };
+    const second = await ask(port, { path: '/once/2', headers: heads('r2') });
+    expect(second).to.include({ status: 200, body: 'page of r2', isWhole: true });
+  });
+
+  it('does not send a request that runs to another server', async () => {
+    await start(2);
+    store.put('op', 'config', configuration(2, [twice]));
+    await until(() => fixture.log.lines.some((line) => line.fields.version === 2));
+    for (const id of ['r1', 'r2', 'r3', 'r4']) {
+      await ask(port, { path: '/twice/1', headers: heads(id) });
+    }
+    answer = (request) => {
+      write(request, renderDecline('r1'));
+      writeLater(request, renderPage(idOf(request)));
+    };
+    const last = await ask(port, { path: '/twice/2', headers: heads('r5') });
+    expect(last).to.include({ status: 200, body: 'page of r5' });
+    expect(receivedIds().filter((id) => id === 'r5')).to.have.length(1);
+  });
+
+  it('leaves the request failed, not refused, when the answer that is due never comes', async () => {
+    await start(1);
+    await ask(port, { path: '/once/1', headers: heads('r1') });
+    answer = (request) => {
+      write(request, renderDecline('r1'));
+      setTimeout(() => request.connection.destroy(), APART_MS);
+    };
+    const second = await ask(port, { path: '/once/2', headers: heads('r2') });
+    expect(second.status).to.equal(502);
+  });
+
+  it('is not believed: neither a pause nor that the server leaves', async () => {
+    await start(1);
+    await ask(port, { path: '/once/1', headers: heads('r1') });
+    answer = (request) => {
+      write(request, renderDecline('r1', { 'Retry-After': '5', 'Server-Leaving': '1' }));
+      writeLater(request, renderPage(idOf(request)));
+    };
+    await ask(port, { path: '/once/2', headers: heads('r2') });
+    answer = (request) => {
+      write(request, renderPage(idOf(request)));
+    };
+    const third = await ask(port, { path: '/once/3', headers: heads('r3') });
+    expect(third.status).to.equal(200);
+  });
+
+  it('is not taken for one without an id, which a server sends only to a request that has none', async () => {
+    await start(1);
+    answer = (request) => {
+      write(request, renderAnswer(503, { 'X-Not-Executed': '1' }));
+      writeLater(request, renderPage(idOf(request)));
+    };
+    const first = await ask(port, { path: '/once/1', headers: heads('r1') });
+    expect(first).to.include({ status: 200, body: 'page of r1' });
+  });
+
+  // the id of a late second answer to the first send would be the one that is expected
+  it('cannot be one of the same request: a request is sent to a server once', async () => {
+    await start(2);
+    store.put('op', 'config', configuration(2, [{ ...twice, maxAttempts: 4 }]));
+    await until(() => fixture.log.lines.some((line) => line.fields.version === 2));
+    answer = (request) => {
+      write(request, renderDecline(idOf(request)));
+    };
+    const { status } = await ask(port, { path: '/twice/1', headers: heads('r1') });
+    expect(status).to.equal(503);
+    expect(servers.map((server) => server.received().length)).to.deep.equal([1, 1]);
+  });
+
+  it('gives no handle of a prompt', async () => {
+    await start(2, 'chat', { stage: 'decode' });
+    const reader = await startRawServer((request) => {
+      if (request.headers.get('x-stage') !== 'prefill') return;
+      const isFirst = reader.received().length === 1;
+      const own = renderAnswer(200, { 'X-Request-Id': idOf(request) }, renderHandle('own'));
+      if (!isFirst) write(request, renderAnswer(200, {}, renderHandle('other')));
+      writeLater(request, own);
+    });
+    servers.push(reader);
+    const entry = { id: 'reader', address: reader.address } as Parameters<typeof register>[1];
+    register(store, entry, 'chat', { stage: 'prefill' });
+    await until(() => fixture.log.lines.some((line) => line.fields.server === 'reader'));
+    answer = (request) => {
+      const head = `X-Request-Id: ${idOf(request)}\r\nX-Server-Signature: s\r\n`;
+      write(request, `HTTP/1.1 200 OK\r\n${head}Connection: close\r\n\r\nid: 1\ndata: x\n\n`);
+      request.connection.end();
+    };
+    for (const id of ['r1', 'r2']) {
+      await ask(port, { path: '/single/1', headers: promptHeads(id) });
+    }
+    const sources = servers
+      .flatMap((server) => server.received())
+      .map(({ headers }) => headers.get('x-kv-source'))
+      .filter((source) => source !== undefined);
+    expect(sources).to.have.length(2);
+    for (const source of sources) expect(source).to.match(/\/own$/);
+  });
+
+  it('does not keep a request waiting for ever where one follows the other', async () => {
+    await start(1);
+    answer = (request) => {
+      const timer = setInterval(() => {
+        if (request.connection.destroyed) clearInterval(timer);
+        else write(request, renderDecline('other'));
+      }, 1);
+    };
+    const first = await ask(port, { path: '/once/1', headers: heads('r1') });
+    expect(first.status).to.equal(502);
+    await until(() => servers[0]?.received()[0]?.connection.destroyed === true);
+  });
+});
+
+describe('calls to engines and the store', () => {
+  it('do not take a late second answer for their own', async () => {
+    let count = 0;
+    const server = await startRawServer((request) => {
+      count += 1;
+      const text = renderAnswer(200, {}, String(count));
+      write(request, text);
+      // comes once the first has been taken in, before the next call
+      if (count === 1) writeLater(request, text);
+    });
+    const call = createCaller();
+    async function send(): Promise<string> {
+      const { address } = server;
+      const result = await call({ address, method: 'GET', path: '/report', timeoutMs: 10_000 });
+      return result.isOk() ? result.value.body : result.error.reason;
+    }
+    expect(await send()).to.equal('1');
+    await new Promise((resolve) => setTimeout(resolve, 3 * APART_MS));
+    expect(await send()).to.equal('2');
+    expect(await send()).to.equal('3');
+    await server.close();
+  });
+});
+
+const twice = {
+  hostname: 'desk.example',
+  timeoutMs: 1_500,
+  targetLatencyMs: 400,
+  name: 'twice',
+  pathPrefix: '/twice/',
+  kind: 'non_idempotent',
+  backend: 'pages',
+  priority: 2,
+  maxAttempts: 2,
+};
+
+function renderHandle(kvHandle: string): string {
+  return JSON.stringify({ kvHandle, tokens: 1, version: 1 });
+}
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -246,9 +246,9 @@
         !isOther && (isRefusing || asking.isPaused(backend.id) || random.next() < 0.03);
       retries.arrived(backend.service, id, isPrefill && !isTurnedAway && !isOther);
       if (isOther) {
-        response.writeHead(421, { 'X-Instance-Id': backend.id }).end();
+        response.writeHead(421, { 'X-Request-Id': id, 'X-Instance-Id': backend.id }).end();
       } else if (isTurnedAway) {
-        response.writeHead(503, { 'X-Not-Executed': '1' }).end();
+        response.writeHead(503, { 'X-Request-Id': id, 'X-Not-Executed': '1' }).end();
       } else if (isPrefill) {
         response.writeHead(200, { 'X-Request-Id': id }).end(JSON.stringify({ kvHandle: id }));
       } else {
