--- a/test/relay/answers-of-others.test.ts
+++ b/test/relay/answers-of-others.test.ts
@@ -2,6 +2,8 @@
 // to the next request is due. Its words then made a request that had run pass for one that had not.
 import { expect } from 'chai';
 import { createCaller } from '../../platform/calls.js';
+import { createEngineCalls } from '../../platform/engines.js';
+import type { RegisteredServer } from '../../src/fleet/index.js';
 import { startStoreStandIn, type StoreStandIn } from '../../stand-ins/users-platform/index.js';
 import {
   ask,
@@ -226,8 +228,32 @@
     expect(await send()).to.equal('3');
     await server.close();
   });
+
+  // calls have no id: a state that came twice passed for the acceptance of an order that the engine had refused
+  it('do not take the second answer to a question for the answer to an order', async () => {
+    const state = renderAnswer(200, {}, JSON.stringify(engineState));
+    const server = await startRawServer((request) => {
+      const isOrder = request.path === '/order';
+      const isFirst = server.received()[0]?.connection === request.connection;
+      if (isOrder && isFirst) write(request, state);
+      writeLater(request, isOrder ? renderAnswer(409, {}) : state);
+    });
+    const calls = createEngineCalls(createCaller());
+    const engine = { id: 'engine-1', service: 'chat', address: server.address } as RegisteredServer;
+    expect((await calls.state(engine)).isOk()).to.equal(true);
+    const answered = await calls.order(engine, {
+      role: 'decode',
+      holder: 'node-1',
+      fence: 1,
+      ordersBefore: 0,
+    });
+    expect(answered).to.deep.equal({ kind: 'refused', status: 409 });
+    await server.close();
+  });
 });
 
+const engineState = { stage: 'prefill', busy: false, sequence: 0 };
+
 const twice = {
   hostname: 'desk.example',
   timeoutMs: 1_500,
