feat(streams): where streams began is stored on the platform, so that it outlives all gateways

Cause: the version at which a stream began was in the memory of four gateways at most; only the list of versions was on the platform. With more than one listed, a gateway without a record rightly does not guess.

Change: the first of a bucket's replicas, which have each record already, stores it: every 400 ms at most, all its buckets in one transaction, in segments of 64 streams, only while a service has more than one version, and what it holds when a second comes. A gateway that is asked and has no record reads the bucket once (the result holds for two seconds). Segments are removed once their streams are over, by whoever is first then. A gateway that stops stores what came in the last second. What cannot be read makes the refusal one to try again ("no-answer"), not final. A gateway takes no buckets until it has had time to find the others, or 100 that start at once would each read all of them.

Weighed: each gateway storing its own (grows with the gateways); a version that follows from the attempt's id (changes with the list of versions); servers (most drop a run with its connection); asking callers (they name the attempt alone).

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -184,6 +184,26 @@
     level: 'info',
     text: 'where a stream began that a caller continues, and how that is known',
   },
+  originBucketsTaken: {
+    id: 7098,
+    level: 'info',
+    text: 'this gateway now stores where streams of these buckets began',
+  },
+  originsLoaded: {
+    id: 7099,
+    level: 'info',
+    text: 'stored records of where streams began were read',
+  },
+  originsDropped: {
+    id: 7100,
+    level: 'warn',
+    text: 'records of where streams began were not stored, since too many wait',
+  },
+  originRowFailed: {
+    id: 7101,
+    level: 'warn',
+    text: 'records of where streams began could not be read or stored; tried again',
+  },
   versionsLoaded: {
     id: 7091,
     level: 'info',
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -128,6 +128,7 @@
   const { node, zone } = settings;
   const mechanisms = parts.mechanisms ?? allMechanisms;
   const shutdown = new AbortController();
+  let hasReadAddresses = false;
 
   const storeHealth = createStoreHealth(clock, log, {
     lost() {
@@ -198,6 +199,7 @@
     streams,
     history,
     rows: versionRows,
+    stored: storedOrigins,
   } = createOriginKeeping({
     clock,
     log,
@@ -209,6 +211,7 @@
     routes,
     overlay: () => overlay,
     isStoreReachable: () => storeHealth.isReachable(),
+    hasReadAddresses: () => hasReadAddresses,
     holderOf: (service) => schedulers.holderOf(service),
   });
   const { quarantine, banRows } = createPersistentQuarantine({
@@ -478,8 +481,12 @@
       overlay.addAddress(address);
     },
   });
-  void publishing.done.then(banRows.load);
+  void publishing.done.then(() => {
+    hasReadAddresses = true;
+    return banRows.load();
+  });
   void versionRows.start();
+  void storedOrigins.start();
   platform.onRestored(() => {
     // all gateways have lost their rows at the same time
     clock.after(REWRITE_SPREAD_MS * random.next(), rewriteRows);
@@ -488,6 +495,7 @@
   function rewriteRows(): void {
     void publishing.rewrite();
     versionRows.rewrite();
+    storedOrigins.rewrite();
     for (const { fingerprint } of quarantine.bans()) banRows.changed(fingerprint);
   }
 
@@ -516,6 +524,7 @@
     const end = await draining.callersMoved();
     front.stopListening();
     await draining.finished();
+    await storedOrigins.flush();
     log.write('gatewayStopped', { inFlight: front.inFlight(), end });
     shutdown.abort();
     front.close();
--- a/src/gateway/origin-keeping.ts
+++ b/src/gateway/origin-keeping.ts
@@ -1,6 +1,6 @@
 /**
- * Composes what a gateway knows of where streams began: its records, their replicas at peers, and the software versions
- * of servers, stored on the platform.
+ * Composes what a gateway knows of where streams began: its records, their replicas at peers, and what the platform stores
+ * of them and of the software versions of servers.
  */
 import type { Log } from '../events/index.js';
 import type { Fleet } from '../fleet/index.js';
@@ -9,11 +9,14 @@
 import type { TableService } from '../ports/table-service.js';
 import type { RoutingReplica } from '../routing/index.js';
 import {
+  createOriginRecords,
   createReplicas,
+  createStoredOrigins,
   createStreamOrigins,
   createVersionHistory,
   createVersionRows,
   resolveKeepMs,
+  type StoredOrigins,
   type StreamOrigins,
   type VersionHistory,
   type VersionRows,
@@ -31,8 +34,10 @@
   signal: AbortSignal;
   fleet(): Pick<Fleet, 'registered'>;
   routes: Pick<RoutingReplica, 'index'>;
-  overlay(): Pick<Overlay, 'send' | 'peers' | 'knownGateways'>;
+  overlay(): Pick<Overlay, 'send' | 'peers' | 'knownGateways' | 'fleetSize'>;
   isStoreReachable(): boolean;
+  /** Whether the addresses of all gateways were read since this one started. */
+  hasReadAddresses(): boolean;
   /** The gateway that stores the versions of a service. */
   holderOf(service: string): string;
 }
@@ -42,12 +47,14 @@
   streams: StreamOrigins;
   history: VersionHistory;
   rows: VersionRows;
+  stored: StoredOrigins;
 }
 
 /** Creates the records without any. */
 export function createOriginKeeping(parts: OriginKeepingParts): OriginKeeping {
   const { clock, log, metrics, node, table, signal, routes } = parts;
   let recording: readonly string[] = [];
+  let foundPeers = false;
   let recordingFrom: readonly GatewayState[] | undefined;
   let lastEarlierReleaseAt = Number.NEGATIVE_INFINITY;
 
@@ -97,11 +104,32 @@
     keepMs: resolveLongestKeepMs,
     lastWithoutRowsAt: findLastEarlierRelease,
   });
+  function hasFoundPeers(): boolean {
+    foundPeers ||= parts.hasReadAddresses() && parts.overlay().fleetSize() !== undefined;
+    return foundPeers;
+  }
+
+  const replicas = createReplicas(node, listRecording);
+  const records = createOriginRecords();
+  const stored = createStoredOrigins({
+    clock,
+    log,
+    metrics,
+    table,
+    signal,
+    records,
+    replicas,
+    history,
+    hasFoundPeers,
+    services: listServices,
+  });
   const streams = createStreamOrigins({
     clock,
     log,
     metrics,
-    replicas: createReplicas(node, listRecording),
+    replicas,
+    records,
+    stored,
     history,
     isCurrentAlone: () => parts.overlay().knownGateways() === 1 && parts.isStoreReachable(),
     send: (peer, message) => parts.overlay().send(peer, message),
@@ -115,5 +143,5 @@
     services: listServices,
     isOwn: (service) => parts.holderOf(service) === node,
   });
-  return { streams, history, rows };
+  return { streams, history, rows, stored };
 }
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -246,6 +246,12 @@
       labelNames: ['declined'],
       registers,
     }),
+    originsStored: new Counter({
+      name: 'reedtally_gateway_origin_segments_total',
+      help: 'Segments of where streams began that were to be stored, by outcome; streams where they were dropped',
+      labelNames: ['outcome'],
+      registers,
+    }),
     withheld: new Counter({
       name: 'reedtally_gateway_sends_withheld_total',
       help: 'Sends that were not made since the server wanted nothing, by why',
--- a/src/streams/messages.ts
+++ b/src/streams/messages.ts
@@ -42,6 +42,8 @@
   versions: z.array(z.string()).readonly(),
   /** Whether the sender knows all of them. */
   isComplete: z.boolean(),
+  /** Whether the sender has read what the platform stores; absent from senders that store nothing there. */
+  isStoredRead: z.boolean().optional(),
 });
 
 export const originMessageSchemas = [recordSchema, querySchema, responseSchema] as const;
--- a/src/streams/origin-records.ts
+++ b/src/streams/origin-records.ts
@@ -25,6 +25,8 @@
    */
   add(attempt: string, origin: StreamOrigin, keepMs: number, now: number): void;
   find(attempt: string, now: number): StreamOrigin | undefined;
+  /** The records that have not expired, with how long their streams may still be continued, in milliseconds. */
+  list(now: number): Iterable<[attempt: string, origin: StreamOrigin, keepMs: number]>;
   size(): number;
 }
 
@@ -56,6 +58,11 @@
       const record = records.get(attempt);
       return record === undefined || record.expiresAt <= now ? undefined : record.origin;
     },
+    *list(now) {
+      for (const [attempt, { origin, expiresAt }] of records) {
+        if (expiresAt > now) yield [attempt, origin, expiresAt - now];
+      }
+    },
     size: () => records.size,
   };
 }
--- /dev/null
+++ b/src/streams/origin-segments.ts
@@ -0,0 +1,84 @@
+/**
+ * Segments in which the platform stores where streams began: one row holds the records of some streams of one bucket.
+ * The open segment of a bucket is written anew with each record added to it until it is full, so that the number of
+ * rows follows the number of streams, however often they are written.
+ */
+import { randomUUID } from 'node:crypto';
+import * as z from 'zod';
+import type { StreamOrigin } from './messages.js';
+
+/** Start of the keys of all segments. */
+const PREFIX = 'stream-origins/';
+/** Most records in a segment: what is written anew with a record stays small beside the cost of a call. */
+const MAX_RECORDS = 64;
+/** Most characters of the attempts in a segment, far below the largest row of the platform. */
+const MAX_CHARACTERS = 16_000;
+
+const segmentSchema = z.object({
+  /** How long streams may be continued, in ms after they were recorded. */
+  keepMs: z.number(),
+  origins: z.array(
+    z.object({ service: z.string(), version: z.string(), attempts: z.array(z.string()) }),
+  ),
+});
+
+/** The value of a stored segment. */
+export type StoredSegment = z.infer<typeof segmentSchema>;
+
+/** A segment that this gateway writes. */
+export interface Segment {
+  key: string;
+  bucket: number;
+  /**
+   * Adds a record.
+   *
+   * @returns false if the segment is full
+   */
+  add(attempt: string, origin: StreamOrigin, keepMs: number): boolean;
+  has(attempt: string): boolean;
+  size(): number;
+  /** What is to be stored. */
+  encode(): StoredSegment;
+}
+
+/** Start of the keys of a bucket's segments. */
+export function resolveSegmentPrefix(bucket: number): string {
+  return `${PREFIX}${String(bucket).padStart(2, '0')}/`;
+}
+
+/** Reads the value of a stored segment; fails with a text for what other writers have left there. */
+export function parseSegment(value: unknown): z.ZodSafeParseResult<StoredSegment> {
+  return segmentSchema.safeParse(value);
+}
+
+/** Creates an empty segment of a bucket, under a key that no other has. */
+export function createSegment(bucket: number): Segment {
+  const records = new Map<string, StreamOrigin>();
+  let characters = 0;
+  let keepMs = 0;
+  return {
+    key: `${resolveSegmentPrefix(bucket)}${randomUUID()}`,
+    bucket,
+    add(attempt, origin, kept) {
+      const isFull = records.size >= MAX_RECORDS || characters + attempt.length > MAX_CHARACTERS;
+      // one that alone is too long for a segment has one of its own
+      if (isFull && records.size > 0) return false;
+      records.set(attempt, origin);
+      characters += attempt.length;
+      keepMs = Math.max(keepMs, kept);
+      return true;
+    },
+    has: (attempt) => records.has(attempt),
+    size: () => records.size,
+    encode() {
+      const byOrigin = new Map<string, StoredSegment['origins'][number]>();
+      for (const [attempt, { service, version }] of records) {
+        const name = JSON.stringify([service, version]);
+        const group = byOrigin.get(name) ?? { service, version, attempts: [] };
+        byOrigin.set(name, group);
+        group.attempts.push(attempt);
+      }
+      return { keepMs, origins: [...byOrigin.values()] };
+    },
+  };
+}
--- a/src/streams/stream-origins.ts
+++ b/src/streams/stream-origins.ts
@@ -2,16 +2,17 @@
  * Where streams began. Servers of different software versions write events that do not fit together, so a stream may
  * only be continued at the version that began it; a caller may continue it at any gateway. The gateway whose answer
  * begins a stream therefore records the version and sends the record to replicas before the first event, without
- * waiting for them. A gateway that is to continue a stream looks the record up. Without a record, the version is known
- * only if no other can have begun the stream.
+ * waiting for them. A gateway that is to continue a stream looks the record up, at last on the platform. Without a
+ * record, the version is known only if no other can have begun the stream.
  */
 import { randomUUID } from 'node:crypto';
 import type { Log } from '../events/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
-import { setPeerTimeout, type Clock } from '../task/index.js';
+import { setPeerTimeout, wait, type Clock } from '../task/index.js';
 import type { OriginMessage, StreamOrigin } from './messages.js';
-import { createOriginRecords } from './origin-records.js';
+import type { OriginRecords } from './origin-records.js';
 import type { Replicas } from './replicas.js';
+import type { StoredOrigins } from './stored-origins.js';
 import { resolveOnlyVersion, type KnownVersions, type VersionHistory } from './version-history.js';
 
 /** Timeout of a query, in ms: many times the way there and back, well below what callers wait. */
@@ -29,8 +30,8 @@
 
 /** Where a stream began, and how that is known. */
 export type OriginLookup =
-  | { kind: 'known'; origin: StreamOrigin; source: 'own' | 'peer' | 'only-version' }
-  /** `no-answer`: no peer answered, asking again may help; `not-recorded`: it will not. */
+  | { kind: 'known'; origin: StreamOrigin; source: 'own' | 'peer' | 'stored' | 'only-version' }
+  /** `no-answer`: no peer or not the platform answered, asking again may help; `not-recorded`: it will not. */
   | { kind: 'unknown'; reason: 'no-answer' | 'not-recorded' };
 
 /** Dependencies of the origins. */
@@ -39,6 +40,8 @@
   log: Log;
   metrics: Pick<GatewayMetrics, 'streamsContinued'>;
   replicas: Replicas;
+  records: OriginRecords;
+  stored: Pick<StoredOrigins, 'recorded' | 'load'>;
   history: Pick<VersionHistory, 'versions'>;
   /** Whether this gateway's own view of the servers is up to date though there is no peer to confirm it. */
   isCurrentAlone(): boolean;
@@ -59,13 +62,22 @@
   received(node: string, message: OriginMessage): void;
 }
 
+/** What a peer without a record knows. */
+interface PeerView extends KnownVersions {
+  isStoredRead: boolean;
+}
+
 interface Query {
-  stream: ContinuedStream;
   /** Peers that have not answered yet. */
   awaited: Set<string>;
-  /** What peers without a record know. */
-  views: KnownVersions[];
-  resolve(lookup: OriginLookup): void;
+  views: PeerView[];
+  resolve(answer: QueryAnswer): void;
+}
+
+/** What peers know of a stream: where it began, or what those that answered know otherwise. */
+interface QueryAnswer {
+  origin: StreamOrigin | undefined;
+  views: readonly PeerView[];
 }
 
 const noVersions: KnownVersions = { versions: [], isComplete: false };
@@ -76,8 +88,7 @@
  * @param parts the peers and the versions of the servers
  */
 export function createStreamOrigins(parts: StreamOriginsParts): StreamOrigins {
-  const { clock, log, replicas, history } = parts;
-  const records = createOriginRecords();
+  const { clock, log, replicas, history, records, stored } = parts;
   const queries = new Map<string, Query>();
   /** Of the queries of this process: a late response to one that ran before under the same name is not taken. */
   const idPrefix = randomUUID();
@@ -91,7 +102,12 @@
     return services.length === 1 ? services[0] : undefined;
   }
 
-  function ask(stream: ContinuedStream): Promise<OriginLookup> {
+  /** Whether the version of a stream does not follow from the versions that its service has had. */
+  function needsRecord(service: string | undefined): boolean {
+    return resolveOnlyVersion([versionsOf(service)]) === undefined;
+  }
+
+  function askPeers(stream: ContinuedStream): Promise<QueryAnswer> {
     const { attempt } = stream;
     const service = serviceOf(stream);
     counter += 1;
@@ -100,65 +116,103 @@
     for (const peer of replicas.toQuery(attempt ?? '')) {
       if (parts.send(peer, { kind: 'origin.query', id, attempt, service })) awaited.add(peer);
     }
-    if (awaited.size === 0) return Promise.resolve(infer(stream, []));
+    if (awaited.size === 0) return Promise.resolve({ origin: undefined, views: [] });
     return new Promise((resolve) => {
       const timer = setPeerTimeout(clock, QUERY_TIMEOUT_MS, () => {
-        end(id);
+        end(id, undefined);
       });
       queries.set(id, {
-        stream,
         awaited,
         views: [],
-        resolve(lookup) {
+        resolve(answer) {
           timer.cancel();
-          resolve(lookup);
+          resolve(answer);
         },
       });
     });
   }
 
-  /** Ends a query that found no record. */
-  function end(id: string): void {
+  function end(id: string, origin: StreamOrigin | undefined): void {
     const query = queries.get(id);
     if (query === undefined) return;
     queries.delete(id);
-    query.resolve(infer(query.stream, query.views));
+    query.resolve({ origin, views: query.views });
   }
 
-  /** Infers where a stream began from the versions that can have begun it. A gateway that nobody answers may have
-   * missed the start of another version. */
-  function infer(stream: ContinuedStream, views: readonly KnownVersions[]): OriginLookup {
+  /** Infers where a stream without a record began from the versions that can have begun it. A gateway that nobody
+   * answers may have missed the start of another version. */
+  function infer(
+    stream: ContinuedStream,
+    views: readonly KnownVersions[],
+    isStoredRead: boolean,
+  ): OriginLookup {
     const service = serviceOf(stream);
     if (views.length === 0 && !parts.isCurrentAlone())
       return { kind: 'unknown', reason: 'no-answer' };
     const version = resolveOnlyVersion([versionsOf(service), ...views]);
-    if (service === undefined || version === undefined)
-      return { kind: 'unknown', reason: 'not-recorded' };
-    return { kind: 'known', origin: { service, version }, source: 'only-version' };
+    if (service !== undefined && version !== undefined)
+      return { kind: 'known', origin: { service, version }, source: 'only-version' };
+    return { kind: 'unknown', reason: isStoredRead ? 'not-recorded' : 'no-answer' };
   }
 
   function responseReceived(node: string, response: OriginMessage & { kind: 'origin.response' }) {
-    const { id, origin, versions, isComplete } = response;
+    const { id, origin, versions, isComplete, isStoredRead = false } = response;
     const query = queries.get(id);
     if (query?.awaited.delete(node) !== true) return;
-    if (origin !== undefined) {
-      queries.delete(id);
-      query.resolve({ kind: 'known', origin, source: 'peer' });
-      return;
-    }
-    query.views.push({ versions, isComplete });
-    if (query.awaited.size === 0) end(id);
+    query.views.push({ versions, isComplete, isStoredRead });
+    if (origin !== undefined || query.awaited.size === 0) end(id, origin);
+  }
+
+  /** Reads what the platform stores of an attempt's bucket; false if that fails or takes long. */
+  function load(attempt: string): Promise<boolean> {
+    return Promise.race([stored.load(attempt), wait(clock, QUERY_TIMEOUT_MS).then(() => false)]);
+  }
+
+  function findOwn(attempt: string | undefined): StreamOrigin | undefined {
+    return attempt === undefined ? undefined : records.find(attempt, clock.now());
   }
 
   async function lookUp(stream: ContinuedStream): Promise<OriginLookup> {
     const { attempt } = stream;
-    const own = attempt === undefined ? undefined : records.find(attempt, clock.now());
-    return own === undefined ? ask(stream) : { kind: 'known', origin: own, source: 'own' };
+    const own = findOwn(attempt);
+    if (own !== undefined) return { kind: 'known', origin: own, source: 'own' };
+    const { origin, views } = await askPeers(stream);
+    if (origin !== undefined) return { kind: 'known', origin, source: 'peer' };
+    if (attempt === undefined || !needsRecord(serviceOf(stream))) return infer(stream, views, true);
+    if (views.some((view) => view.isStoredRead)) return infer(stream, views, true);
+    const isRead = await load(attempt);
+    const found = findOwn(attempt);
+    if (found !== undefined) return { kind: 'known', origin: found, source: 'stored' };
+    return infer(stream, views, isRead);
+  }
+
+  async function answer(node: string, query: OriginMessage & { kind: 'origin.query' }) {
+    const { id, attempt, service } = query;
+    let origin = findOwn(attempt);
+    let isStoredRead = false;
+    if (attempt !== undefined && origin === undefined && needsRecord(service)) {
+      isStoredRead = await load(attempt);
+      origin = findOwn(attempt);
+    }
+    const { versions, isComplete } = versionsOf(service);
+    parts.send(node, {
+      kind: 'origin.response',
+      id,
+      origin,
+      versions,
+      isComplete,
+      isStoredRead,
+    });
+  }
+
+  function add(attempt: string, origin: StreamOrigin, keepMs: number): void {
+    records.add(attempt, origin, keepMs, clock.now());
+    stored.recorded(attempt, origin, keepMs);
   }
 
   return {
     record(attempt, origin, keepMs) {
-      records.add(attempt, origin, keepMs, clock.now());
+      add(attempt, origin, keepMs);
       for (const peer of replicas.toRecord(attempt)) {
         parts.send(peer, { kind: 'origin.record', attempt, origin, keepMs });
       }
@@ -179,23 +233,14 @@
     },
     received(node, message) {
       if (message.kind === 'origin.record') {
-        records.add(message.attempt, message.origin, message.keepMs, clock.now());
+        add(message.attempt, message.origin, message.keepMs);
         return;
       }
       if (message.kind === 'origin.response') {
         responseReceived(node, message);
         return;
       }
-      const { id, attempt, service } = message;
-      const origin = attempt === undefined ? undefined : records.find(attempt, clock.now());
-      const { versions, isComplete } = versionsOf(service);
-      parts.send(node, {
-        kind: 'origin.response',
-        id,
-        origin,
-        versions,
-        isComplete,
-      });
+      void answer(node, message);
     },
   };
 }
--- a/test/streams/mixed-releases.test.ts
+++ b/test/streams/mixed-releases.test.ts
@@ -37,9 +37,11 @@
       overlay: () => ({
         peers: () => peers,
         knownGateways: () => 3,
+        fleetSize: () => 3,
         send: (to, message) => sent.push({ to, message }) > 0,
       }),
       isStoreReachable: () => true,
+      hasReadAddresses: () => true,
       holderOf: () => 'self',
     });
     streams.record('a', { service: 'chat', version: 'v1' }, 1_000);
