--- a/src/gateway/origin-keeping.ts
+++ b/src/gateway/origin-keeping.ts
@@ -131,7 +131,8 @@
     records,
     stored,
     history,
-    isCurrentAlone: () => parts.overlay().knownGateways() === 1 && parts.isStoreReachable(),
+    isCurrentAlone: () =>
+      hasFoundPeers() && parts.overlay().knownGateways() === 1 && parts.isStoreReachable(),
     send: (peer, message) => parts.overlay().send(peer, message),
   });
   const rows = createVersionRows({
