--- a/src/ports/http/channel.ts
+++ b/src/ports/http/channel.ts
@@ -81,6 +81,8 @@
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 4_000;
+/** Largest body of a whole answer, in bytes. */
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
 
 /**
  * Creates a channel. Idle connections close by themselves and do not keep the process alive.
@@ -182,6 +184,7 @@
   }
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
+    let bytes = 0;
     let head: AnswerHead = { status: 0, headers: {} };
 
     const exchange = start(request, {
@@ -190,6 +193,8 @@
       },
       onData(chunk) {
         chunks.push(chunk);
+        bytes += chunk.length;
+        if (bytes > MAX_BODY_BYTES) exchange.abort(`the answer is over ${MAX_BODY_BYTES} bytes`);
       },
       onEnd() {
         settle(Ok({ ...head, body: Buffer.concat(chunks) }));
--- a/src/relay/event-stream.ts
+++ b/src/relay/event-stream.ts
@@ -13,32 +13,63 @@
 export interface EventSplitter {
   /** Adds a chunk; returns the events that it completes. */
   push(chunk: Buffer): StreamEvent[];
-  /** Bytes of the last, incomplete event. */
-  remainder(): Buffer;
+  /** Bytes of the last event so far, which is not complete. */
+  waitingBytes(): number;
 }
 
+/** Size up to which an event is waited for, in bytes. */
+export const MAX_EVENT_BYTES = 256 * 1024;
+
+/** Bytes before a piece that may belong to a blank line which ends in it. */
+const BLANK_LINE_BYTES = 3;
+
 const BLANK_LINE = /\r\n\r\n|\n\n|\r\r/g;
 const ID_LINE = /(?:^|\n|\r)id: ?([^\r\n]*)/;
 
 /** Creates a splitter for a new stream. */
 export function createEventSplitter(): EventSplitter {
-  let remainder: Buffer = Buffer.alloc(0);
+  let waiting: Buffer[] = [];
+  let waitingBytes = 0;
+  /** The last bytes of what waits. */
+  let tail: Buffer = Buffer.alloc(0);
+
+  function keep(bytes: Buffer): void {
+    if (bytes.length > 0) waiting.push(bytes);
+    waitingBytes += bytes.length;
+    tail = Buffer.concat([tail, bytes.subarray(-BLANK_LINE_BYTES)]).subarray(-BLANK_LINE_BYTES);
+  }
+
+  function takeAll(): Buffer {
+    const bytes = Buffer.concat(waiting);
+    waiting = [];
+    waitingBytes = 0;
+    tail = Buffer.alloc(0);
+    return bytes;
+  }
+
+  function split(bytes: Buffer): StreamEvent[] {
+    // latin1 maps each byte to one character, so indexes in the text are byte offsets
+    const text = bytes.toString('latin1');
+    const events: StreamEvent[] = [];
+    let start = 0;
+    for (const { 0: blank, index } of text.matchAll(BLANK_LINE)) {
+      const end = index + blank.length;
+      const id = ID_LINE.exec(text.slice(start, end))?.[1];
+      events.push({ id, bytes: bytes.subarray(start, end) });
+      start = end;
+    }
+    keep(bytes.subarray(start));
+    return events;
+  }
+
   return {
     push(chunk) {
-      const bytes = remainder.length === 0 ? chunk : Buffer.concat([remainder, chunk]);
-      // latin1 maps each byte to one character, so indexes in the text are byte offsets
-      const text = bytes.toString('latin1');
-      const events: StreamEvent[] = [];
-      let start = 0;
-      for (const { 0: blank, index } of text.matchAll(BLANK_LINE)) {
-        const end = index + blank.length;
-        const id = ID_LINE.exec(text.slice(start, end))?.[1];
-        events.push({ id, bytes: bytes.subarray(start, end) });
-        start = end;
-      }
-      remainder = bytes.subarray(start);
-      return events;
+      if (waitingBytes === 0) return split(chunk);
+      // all that waits is put together once an event is complete, not with each piece
+      const mayEnd = Buffer.concat([tail, chunk]).toString('latin1').search(BLANK_LINE) >= 0;
+      keep(chunk);
+      return mayEnd ? split(takeAll()) : [];
     },
-    remainder: () => remainder,
+    waitingBytes: () => waitingBytes,
   };
 }
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -19,6 +19,11 @@
 /** Answers to other requests that are read past until the one that is due. */
 const MAX_ANSWERS_OF_OTHERS = 4;
 
+/** Longest rest of an answer that is read for its connection to be used again, in bytes. */
+const MAX_DISCARDED_BYTES = 64 * 1024;
+/** Time within which that rest has to come, in ms. */
+const DISCARD_MS = 1_000;
+
 /** A request to a backend server. */
 export interface OutgoingRequest {
   /** `host:port`. */
@@ -73,6 +78,9 @@
 export interface Exchange {
   /** Closes the connection; the receiver is not called again. */
   abort(): void;
+  /** Ends the exchange where the rest of its answer is of no use; the receiver is not called again. The connection can be
+   * used again if the rest is short and comes soon, and is closed otherwise. */
+  discard(): void;
   /** False only if the server certainly received no part of the request. */
   isSent(): boolean;
   pause(): void;
@@ -241,6 +249,11 @@
       // ignores errors caused by closing the connection
       source.on('error', () => undefined);
     },
+    discard() {
+      if (finished) return;
+      finish();
+      if (answer !== undefined) discardRest(answer, clock);
+    },
     isSent: () => sent,
     pause() {
       answer?.pause();
@@ -251,6 +264,18 @@
   };
 }
 
+function discardRest(answer: IncomingMessage, clock: Clock): void {
+  let bytes = 0;
+  const timer = clock.after(DISCARD_MS, () => answer.destroy());
+  answer.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (bytes > MAX_DISCARDED_BYTES) answer.destroy();
+  });
+  answer.on('close', () => {
+    timer.cancel();
+  });
+}
+
 /** Whether the answer is delimited by the close of its connection. */
 export function isEndedByClose({ headers }: Pick<AnswerHead, 'headers'>): boolean {
   return headers['content-length'] === undefined && headers['transfer-encoding'] === undefined;
--- a/src/relay/prefill.ts
+++ b/src/relay/prefill.ts
@@ -8,6 +8,9 @@
 import { isOtherIncarnation } from './send.js';
 import type { AnswerFacts } from './protocol.js';
 
+/** Largest answer to a prefill, in bytes: it holds a handle and two numbers. */
+const MAX_ANSWER_BYTES = 64 * 1024;
+
 /** How a prefill ended. */
 export type PrefillOutcome =
   | { kind: 'read'; handle: string }
@@ -38,6 +41,7 @@
   if (context.signal.aborted) return Promise.resolve({ kind: 'aborted' });
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
+    let bytes = 0;
     let head: AnswerHead | undefined;
     let facts: AnswerFacts | undefined;
     let settled = false;
@@ -51,9 +55,16 @@
           head = received;
           facts = stated;
           context.headReceived(server, received, facts);
+          if (!facts.isDeclined) return;
+          settle({ kind: 'declined', status: received.status });
+          exchange.discard();
         },
         onData(chunk) {
           chunks.push(chunk);
+          bytes += chunk.length;
+          if (bytes <= MAX_ANSWER_BYTES) return;
+          settle({ kind: 'lost', reason: 'the answer is too large' });
+          exchange.abort();
         },
         onEnd() {
           settle(resolveOutcome());
@@ -79,7 +90,6 @@
 
     function resolveOutcome(): PrefillOutcome {
       const status = head?.status ?? 0;
-      if (facts?.isDeclined === true) return { kind: 'declined', status };
       const handle = protocol.parseHandle(Buffer.concat(chunks));
       if (status !== 200 || handle === undefined) {
         return { kind: 'lost', reason: `status ${status} without a usable handle` };
--- a/src/relay/release-prompt.ts
+++ b/src/relay/release-prompt.ts
@@ -48,7 +48,7 @@
   }
   parts.backpressure.limits.take(server.id);
   const { method, path } = protocol.releaseCall(prompt);
-  startExchange(
+  const exchange = startExchange(
     {
       address,
       method,
@@ -63,6 +63,7 @@
     {
       onHead(head, facts) {
         gate.headReceived(server, head, facts);
+        exchange.discard();
       },
       onData: () => undefined,
       onEnd: () => undefined,
--- a/src/relay/send.ts
+++ b/src/relay/send.ts
@@ -8,7 +8,7 @@
 import { resolveServerName, type RegisteredServer } from '../fleet/index.js';
 import { setPeerTimeout, type Clock } from '../task/index.js';
 import type { CallerAnswer } from './caller-answer.js';
-import { createEventSplitter, type EventSplitter } from './event-stream.js';
+import { createEventSplitter, MAX_EVENT_BYTES, type EventSplitter } from './event-stream.js';
 import {
   isEndedByClose,
   startExchange,
@@ -20,6 +20,8 @@
 
 /** Size at which a buffered answer is forwarded while the rest still arrives, in bytes. */
 const MAX_BUFFERED_BYTES = 64 * 1024;
+/** Largest body of a failure, in bytes; it is buffered whole, since the request may be sent to another server. */
+const MAX_FAILURE_BYTES = 256 * 1024;
 
 /** Why nothing is sent any more for a request whose limit has passed, whose caller has left or that is banned. */
 export const OVER_REASON = 'the request is over';
@@ -86,7 +88,6 @@
   if (send.signal.aborted) return Promise.resolve(overOutcome);
   return new Promise((resolve) => {
     let head: AnswerHead | undefined;
-    let facts: AnswerFacts | undefined;
     let buffered: Buffer[] = [];
     let bufferedBytes = 0;
     let isForwarding = false;
@@ -94,19 +95,21 @@
     const splitter = send.isStream ? createEventSplitter() : undefined;
 
     const exchange: Exchange = startExchange(send.request, send.agent, clock, {
-      onHead(received, stated) {
+      onHead(received, facts) {
         head = received;
-        facts = stated;
         if (facts.load !== undefined) send.loadReceived(facts.load);
         send.headReceived(received, facts);
+        if (facts.isDeclined) {
+          settleDeclined(received, facts);
+          exchange.discard();
+          return;
+        }
         const defect = findDefect(facts, received);
-        if (defect === undefined) return;
-        settle({ kind: 'lost', reason: defect });
-        exchange.abort();
+        if (defect !== undefined) lose(defect);
       },
       onData(chunk) {
         if (settled) return;
-        if (!isSuccessful()) buffer(chunk);
+        if (!isSuccessful()) bufferFailure(chunk);
         else if (splitter === undefined) forwardBody(chunk);
         else forwardEvents(chunk);
       },
@@ -117,7 +120,6 @@
         if (error.isWithheld) settle({ kind: 'withheld', reason: error.reason });
         else if (!error.sent) settle({ kind: 'unsent', reason: error.reason });
         else if (error.isPathLost) settle({ kind: 'cut', reason: error.reason });
-        else if (facts?.isDeclined === true) settleDeclined();
         else settle({ kind: 'lost', reason: error.reason });
       },
     });
@@ -149,8 +151,13 @@
       resolve(outcome);
     }
 
+    function lose(reason: string): void {
+      settle({ kind: 'lost', reason });
+      exchange.abort();
+    }
+
     function isSuccessful(): boolean {
-      return head !== undefined && isSuccess(head.status) && facts?.isDeclined !== true;
+      return head !== undefined && isSuccess(head.status);
     }
 
     function buffer(chunk: Buffer): void {
@@ -158,6 +165,11 @@
       bufferedBytes += chunk.length;
     }
 
+    function bufferFailure(chunk: Buffer): void {
+      buffer(chunk);
+      if (bufferedBytes > MAX_FAILURE_BYTES) lose('the body of the failure is too large');
+    }
+
     function begin(): void {
       if (isForwarding || head === undefined) return;
       isForwarding = true;
@@ -182,14 +194,15 @@
     function forwardEvents(chunk: Buffer): void {
       for (const event of splitter?.push(chunk) ?? []) {
         if (!send.mayForwardEvent()) {
-          settle({ kind: 'lost', reason: 'another incarnation of the server answers' });
-          exchange.abort();
+          lose('another incarnation of the server answers');
           return;
         }
         begin();
         forward(event.bytes);
         send.eventForwarded(event.id);
       }
+      const waitingBytes = splitter?.waitingBytes() ?? 0;
+      if (waitingBytes > MAX_EVENT_BYTES) lose('an event of the stream is too large');
     }
 
     function forward(bytes: Buffer): void {
@@ -200,14 +213,14 @@
       });
     }
 
-    function settleDeclined(): void {
+    function settleDeclined({ status }: AnswerHead, facts: AnswerFacts): void {
       const isOtherServer = isOtherIncarnation(facts, resolveServerName(send.server));
-      settle({ kind: 'declined', status: head?.status ?? 0, isOtherServer });
+      settle({ kind: 'declined', status, isOtherServer });
     }
 
     /** Why a stream that has ended is not whole. */
     function findTruncation(events: EventSplitter, answer: AnswerHead): string | undefined {
-      if (events.remainder().length > 0) return 'the stream ended within an event';
+      if (events.waitingBytes() > 0) return 'the stream ended within an event';
       // an engine that crashes before its first event closes the connection, which ends such an answer
       const isEmpty = !isForwarding && !send.isContinuation;
       return isEmpty && isEndedByClose(answer)
@@ -217,10 +230,6 @@
 
     function finish(): void {
       if (head === undefined) return;
-      if (facts?.isDeclined === true) {
-        settleDeclined();
-        return;
-      }
       if (!isSuccessful()) {
         settle({ kind: 'failed', head, body: Buffer.concat(buffered) });
         return;
@@ -245,7 +254,6 @@
 
 /** Why an answer cannot be forwarded; `undefined` if it can. */
 function findDefect(facts: AnswerFacts, head: AnswerHead): string | undefined {
-  if (facts.isDeclined) return undefined;
   if (isSuccess(head.status) && !facts.isSigned) return 'the answer lacks the signature';
   if (isSuccess(head.status) && head.headers['content-encoding'] !== undefined) {
     return 'the answer has a content encoding that was not requested';
--- /dev/null
+++ b/test/relay/bytes-without-end.test.ts
@@ -0,0 +1,213 @@
+// Guards against servers whose answers never end: their bytes were gathered without a bound, until the gateway ran out of
+// memory, and the callers had no answer before their time limits.
+import { expect } from 'chai';
+import type { Socket } from 'node:net';
+import { createCaller } from '../../platform/calls.js';
+import { createEventSplitter, MAX_EVENT_BYTES } from '../../src/relay/event-stream.js';
+import { startStoreStandIn, type StoreStandIn } from '../../stand-ins/users-platform/index.js';
+import {
+  ask,
+  configuration,
+  heads,
+  promptHeads,
+  register,
+  startGatewayFixture,
+  until,
+  type GatewayFixture,
+} from '../fixtures/gateway.js';
+import {
+  idOf,
+  renderAnswer,
+  startRawServer,
+  type RawRequest,
+  type RawServer,
+} from '../fixtures/raw-server.js';
+
+/** What a server gets rid of before it is stopped, in bytes. Most of it waits in the system's buffers of the two sockets. */
+const MAX_TAKEN_BYTES = 64 * 1024 * 1024;
+/** What a server writes in the end if nobody stops it, in bytes. */
+const GIVEN_UP_BYTES = 256 * 1024 * 1024;
+const PIECE = 'x'.repeat(64 * 1024);
+
+/** Writes pieces as fast as they are read, until the connection is closed. */
+function writeWithoutEnd(connection: Socket, piece = PIECE): void {
+  function writeMore(): void {
+    while (!connection.destroyed && connection.bytesWritten < GIVEN_UP_BYTES) {
+      if (connection.write(piece)) continue;
+      connection.once('drain', writeMore);
+      return;
+    }
+    connection.destroy();
+  }
+  writeMore();
+}
+
+const CHUNK = `${PIECE.length.toString(16)}\r\n${PIECE}\r\n`;
+
+function begin({ connection }: RawRequest, status: number, headers: string, piece = CHUNK): void {
+  connection.write(`HTTP/1.1 ${status} Status\r\n${headers}Transfer-Encoding: chunked\r\n\r\n`);
+  writeWithoutEnd(connection, piece);
+}
+
+describe('an answer that never ends', () => {
+  let store: StoreStandIn;
+  let fixture: GatewayFixture;
+  let port: number;
+  let answer: (request: RawRequest) => void;
+  const servers: RawServer[] = [];
+
+  beforeEach(async () => {
+    store = await startStoreStandIn();
+    store.put('op', 'config', configuration(1));
+  });
+
+  afterEach(async () => {
+    await fixture.gateway.stop();
+    await Promise.all([store, ...servers.splice(0)].map((part) => part.close()));
+  });
+
+  async function start(backend = 'pages', more: Record<string, unknown> = {}): Promise<void> {
+    const server = await startRawServer((request) => {
+      answer(request);
+    });
+    servers.push(server);
+    const entry = { id: `${backend}-1`, address: server.address };
+    register(store, entry as Parameters<typeof register>[1], backend, more);
+    fixture = await startGatewayFixture('node-1', store.address);
+    port = fixture.settings.callers.port;
+    await until(() => fixture.log.lines.some((line) => line.event === 'serverChanged'));
+    await until(() => fixture.log.lines.some((line) => line.event === 'routesApplied'));
+  }
+
+  /** Waits until the gateway has closed all connections on which an answer did not end. */
+  async function closed(): Promise<void> {
+    for (const { connection } of servers.flatMap((server) => server.received())) {
+      await until(() => connection.destroyed);
+      expect(connection.bytesWritten).to.be.below(MAX_TAKEN_BYTES);
+    }
+  }
+
+  it('with which a server fails ends the request, which may have run', async () => {
+    await start();
+    answer = (request) => {
+      begin(request, 500, `X-Request-Id: ${idOf(request)}\r\nX-Server-Signature: s\r\n`);
+    };
+    const { status } = await ask(port, { path: '/once/1', headers: heads('r1') });
+    expect(status).to.equal(502);
+    await closed();
+  });
+
+  it('by which a server turns a request away still says that it has not run', async () => {
+    await start();
+    answer = (request) => {
+      begin(request, 503, `X-Request-Id: ${idOf(request)}\r\nX-Not-Executed: 1\r\n`);
+    };
+    const { status } = await ask(port, { path: '/once/1', headers: heads('r1') });
+    expect(status).to.equal(503);
+    await closed();
+  });
+
+  it('by which a server turns a request away does so at once, though no byte of its body comes', async () => {
+    await start();
+    answer = (request) => {
+      const head = `X-Request-Id: ${idOf(request)}\r\nX-Not-Executed: 1\r\nContent-Length: 5\r\n`;
+      request.connection.write(`HTTP/1.1 503 Status\r\n${head}\r\n`);
+    };
+    const { status } = await ask(port, { path: '/once/1', headers: heads('r1') });
+    expect(status).to.equal(503);
+    await closed();
+  });
+
+  it('of another request ends the request, which may have run', async () => {
+    await start();
+    answer = (request) => {
+      begin(request, 200, 'X-Request-Id: other\r\n');
+    };
+    const { status } = await ask(port, { path: '/once/1', headers: heads('r1') });
+    expect(status).to.equal(502);
+    await closed();
+  });
+
+  it('with a head that never ends ends the request', async () => {
+    await start();
+    answer = ({ connection }) => {
+      connection.write('HTTP/1.1 200 Status\r\nX-A: ');
+      writeWithoutEnd(connection);
+    };
+    const { status } = await ask(port, { path: '/once/1', headers: heads('r1') });
+    expect(status).to.equal(502);
+    await closed();
+  });
+
+  it('with an event that never ends ends the stream', async () => {
+    await start('chat', { stage: 'decode' });
+    answer = (request) => {
+      begin(request, 200, `X-Request-Id: ${idOf(request)}\r\nX-Server-Signature: s\r\n`);
+    };
+    const { status } = await ask(port, { path: '/single/1', headers: promptHeads('r1') });
+    expect(status).to.equal(502);
+    await closed();
+  });
+
+  it('to the reading of a prompt ends it', async () => {
+    await start('chat', { stage: 'prefill' });
+    const generator = await startRawServer((request) => {
+      const head = `X-Request-Id: ${idOf(request)}\r\nX-Server-Signature: s\r\n`;
+      request.connection.end(`HTTP/1.1 200 OK\r\n${head}\r\nid: 1\ndata: x\n\n`);
+    });
+    servers.push(generator);
+    const entry = { id: 'generator', address: generator.address };
+    register(store, entry as Parameters<typeof register>[1], 'chat', { stage: 'decode' });
+    await until(() => fixture.log.lines.some((line) => line.fields.server === 'generator'));
+    answer = (request) => {
+      begin(request, 200, `X-Request-Id: ${idOf(request)}\r\n`);
+    };
+    const { status } = await ask(port, { path: '/resumable/1', headers: promptHeads('r1') });
+    const reads = servers[0]?.received().filter(({ headers }) => headers.has('x-stage'));
+    expect(reads).to.have.length(1);
+    expect(status).to.equal(200);
+    await closed();
+  });
+});
+
+describe('a call whose answer never ends', () => {
+  it('fails, and its connection is closed', async () => {
+    const server = await startRawServer((request) => {
+      begin(request, 200, '');
+    });
+    const call = createCaller();
+    const { address } = server;
+    const result = await call({ address, method: 'GET', path: '/', timeoutMs: 20_000 });
+    expect(result.isErr() && result.error).to.deep.include({ sent: true });
+    const [request] = server.received();
+    await until(() => request?.connection.destroyed === true);
+    expect(request?.connection.bytesWritten).to.be.below(MAX_TAKEN_BYTES);
+    await server.close();
+  });
+
+  it('does not keep an ordinary answer from being taken', async () => {
+    const body = 'x'.repeat(1024 * 1024);
+    const server = await startRawServer(({ connection }) => {
+      connection.write(renderAnswer(200, {}, body));
+    });
+    const { address } = server;
+    const result = await createCaller()({ address, method: 'GET', path: '/', timeoutMs: 20_000 });
+    expect(result.isOk() && result.value.body.length).to.equal(body.length);
+    await server.close();
+  });
+});
+
+describe('an event that comes a piece at a time', () => {
+  it('is kept up to the largest size', () => {
+    const splitter = createEventSplitter();
+    const piece = Buffer.alloc(64, 'x');
+    let kept = 0;
+    while (kept + piece.length < MAX_EVENT_BYTES) {
+      expect(splitter.push(piece)).to.deep.equal([]);
+      kept += piece.length;
+    }
+    expect(splitter.waitingBytes()).to.equal(kept);
+    const [event] = splitter.push(Buffer.from('\n\n'));
+    expect(event?.bytes).to.have.length(kept + 2);
+  });
+});
