--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -184,6 +184,11 @@
     level: 'info',
     text: 'where a stream began that a caller continues, and how that is known',
   },
+  statusRequestFailed: {
+    id: 7102,
+    level: 'warn',
+    text: 'a request for readiness, directory or metrics could not be answered',
+  },
   originBucketsTaken: {
     id: 7098,
     level: 'info',
