fix(streams): neither a peer's answer nor a stop waits long for stored records

A peer that reads the platform for a query answers within the time that the asker waits, or its view of the versions would be lost beside a slow platform; a gateway that stops waits half a second for its last records at most.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -69,6 +69,9 @@
  * have the same few seeds, which a fleet that starts at once would overload. */
 const MAX_SEED_DELAY_MS = 300;
 
+/** Longest time for which a gateway that stops waits for the platform to store its last records, in ms. */
+const MAX_FLUSH_MS = 500;
+
 /** Time over which gateways spread the rewriting of rows after the store was restored from a backup, in ms; rows
  * must be back within two seconds. */
 const REWRITE_SPREAD_MS = 1_500;
@@ -524,7 +527,7 @@
     const end = await draining.callersMoved();
     front.stopListening();
     await draining.finished();
-    await storedOrigins.flush();
+    await Promise.race([storedOrigins.flush(), wait(clock, MAX_FLUSH_MS)]);
     log.write('gatewayStopped', { inFlight: front.inFlight(), end });
     shutdown.abort();
     front.close();
--- a/src/gateway/origin-keeping.ts
+++ b/src/gateway/origin-keeping.ts
@@ -104,6 +104,8 @@
     keepMs: resolveLongestKeepMs,
     lastWithoutRowsAt: findLastEarlierRelease,
   });
+
+  /** Whether this gateway has had time to find the others since it started. */
   function hasFoundPeers(): boolean {
     foundPeers ||= parts.hasReadAddresses() && parts.overlay().fleetSize() !== undefined;
     return foundPeers;
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -106,8 +106,8 @@
   let finished = false;
   let answer: IncomingMessage | undefined;
   let watched: WatchedExchange | undefined;
-
   let answersOfOthers = 0;
+
   const outgoing = startRequest({
     host,
     port: Number(port),
@@ -163,6 +163,7 @@
     if (socket.connecting) socket.once('connect', connected);
     else connected();
   });
+
   function listen(listened: ClientRequest): void {
     source = listened;
     listened.on('error', (error: NodeJS.ErrnoException) => {
--- a/src/streams/stream-origins.ts
+++ b/src/streams/stream-origins.ts
@@ -17,6 +17,8 @@
 
 /** Timeout of a query, in ms: many times the way there and back, well below what callers wait. */
 const QUERY_TIMEOUT_MS = 250;
+/** Timeout of a read of the platform, in ms: a peer that asked still hears the answer. */
+const LOAD_TIMEOUT_MS = 150;
 
 /** A stream that a caller wants to be continued. */
 export interface ContinuedStream {
@@ -165,7 +167,7 @@
 
   /** Reads what the platform stores of an attempt's bucket; false if that fails or takes long. */
   function load(attempt: string): Promise<boolean> {
-    return Promise.race([stored.load(attempt), wait(clock, QUERY_TIMEOUT_MS).then(() => false)]);
+    return Promise.race([stored.load(attempt), wait(clock, LOAD_TIMEOUT_MS).then(() => false)]);
   }
 
   function findOwn(attempt: string | undefined): StreamOrigin | undefined {
