--- a/src/streams/stored-origins.ts
+++ b/src/streams/stored-origins.ts
@@ -25,8 +25,9 @@
 
 /** Interval between two transactions, in ms: streams that began within it may be lost with all gateways. */
 const WRITE_INTERVAL_MS = 400;
-/** A gateway that stops stores what came within this time, in ms, since the first replicas may stop as well. */
-const RECENT_MS = 1_000;
+/** A gateway that stops stores what came within this time, in ms: the first replicas may stop as well, or may not have
+ * found the others yet. */
+const RECENT_MS = 2_500;
 /** Longest interval between two transactions while they fail, in ms. */
 const MAX_RETRY_MS = 5_000;
 /** Most rows that a transaction writes, and most that it removes. */
@@ -292,10 +293,9 @@
 
   return {
     recorded(attempt, origin, keepMs) {
-      if (!mixed.has(origin.service)) return;
       recent.push({ attempt, origin, keepMs, cameAt: clock.now() });
       const bucket = resolveBucket(attempt);
-      if (own.has(bucket)) add(bucket, attempt, origin, keepMs);
+      if (own.has(bucket) && mixed.has(origin.service)) add(bucket, attempt, origin, keepMs);
     },
     load: async (attempt) => (await read(resolveBucket(attempt))) !== undefined,
     async start() {
@@ -306,8 +306,10 @@
     },
     flush() {
       dropEarlier();
-      for (const { attempt, origin, keepMs } of recent)
-        add(resolveBucket(attempt), attempt, origin, keepMs);
+      chooseOwn();
+      for (const { attempt, origin, keepMs } of recent) {
+        if (mixed.has(origin.service)) add(resolveBucket(attempt), attempt, origin, keepMs);
+      }
       return write();
     },
     rewrite() {
--- a/test/streams/stored-origins.test.ts
+++ b/test/streams/stored-origins.test.ts
@@ -182,6 +182,7 @@
     const late = Array.from({ length: 20 }, (_, index) => `late-${index}`);
     for (const attempt of late)
       last.streams.record(attempt, { service: SERVICE, version: 'v1' }, KEEP_MS);
+    fleet.advance(5);
     await last.stored.flush();
     loseAll(fleet);
     const begun = new Map(late.map((attempt) => [attempt, 'v1']));
@@ -189,6 +190,23 @@
     end(fleet);
   });
 
+  // what came before the next look at the versions was left out
+  it('are stored by a gateway that stops right after a second version came', async () => {
+    const fleet = createOriginFleet(3, ['v1']);
+    await fleet.settle(1_000);
+    fleet.register(BOTH);
+    const last = pick(fleet, 2);
+    const late = Array.from({ length: 20 }, (_, index) => `late-${index}`);
+    for (const attempt of late)
+      last.streams.record(attempt, { service: SERVICE, version: 'v1.2' }, KEEP_MS);
+    fleet.advance(5);
+    await last.stored.flush();
+    loseAll(fleet);
+    const begun = new Map(late.map((attempt) => [attempt, 'v1.2']));
+    expect(await count(fleet, begun)).to.deep.equal({ known: late.length, wrong: 0 });
+    end(fleet);
+  });
+
   it('are removed once their streams are over, also by gateways that did not write them', async () => {
     const fleet = createOriginFleet(3, BOTH);
     await fleet.settle(1_000);
