fix(relay): a stream that another server may continue has no length

A stream that is continued within one answer kept the Content-Length of its first server. Where the events of the second differ in size, an answer that was cut at that length passed for whole. Its end is now marked by chunks. The test fails before (whole, though its last event was cut). A stream that cannot be continued keeps its server's length.

--- a/src/relay/caller-answer.ts
+++ b/src/relay/caller-answer.ts
@@ -14,8 +14,12 @@
 export interface CallerAnswer {
   isBegun(): boolean;
   isEnded(): boolean;
-  /** Forwards a server's status and headers. */
-  begin(head: AnswerHead): void;
+  /**
+   * Forwards a server's status and headers.
+   *
+   * @param isLengthFixed false where another server may go on with the body, which then has another length
+   */
+  begin(head: AnswerHead, isLengthFixed: boolean): void;
   /** Forwards bytes; false if the caller's connection is full: wait for `onDrain`. */
   write(bytes: Buffer): boolean;
   /** Calls back once, when the caller's connection has drained. */
@@ -56,10 +60,10 @@
   return {
     isBegun: () => begun,
     isEnded: () => ended || response.destroyed,
-    begin(head) {
+    begin(head, isLengthFixed) {
       if (begun || ended) return;
       begun = true;
-      writeHead(head.status, protocol.answerHeaders(head));
+      writeHead(head.status, protocol.answerHeaders(head, isLengthFixed));
     },
     write: (bytes) => ended || response.write(bytes),
     onDrain(resume) {
--- a/src/relay/protocol.ts
+++ b/src/relay/protocol.ts
@@ -75,8 +75,12 @@
   /** Headers of one send, alternating names and values. */
   sendHeaders(head: CallerHead, terms: SendTerms, bodyBytes: number): string[];
   readAnswer(head: AnswerHead): AnswerFacts;
-  /** Headers of an answer to forward to the caller, alternating names and values. */
-  answerHeaders(head: AnswerHead): string[];
+  /**
+   * Headers of an answer to forward to the caller, alternating names and values.
+   *
+   * @param isLengthFixed whether the caller gets just the bytes whose length the head may state
+   */
+  answerHeaders(head: AnswerHead, isLengthFixed: boolean): string[];
   /** Headers of the gateway's own refusal or failure, alternating names and values. */
   refusalHeaders(requestId: string | undefined, retryAfterMs: number | undefined): string[];
   /** The handle in the answer to a prefill; `undefined` if there is none. */
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -25,7 +25,13 @@
 import { createEnginePlacer, type SchedulerClient } from './engine-placer.js';
 import { startExchange, type OutgoingRequest } from './exchange.js';
 import { hasReachedServer, resolveHealthOutcome, type ExchangeOutcome } from './health-outcome.js';
-import { isRepeatable, resolveNextStep, type NextStep, type Progress } from './next-step.js';
+import {
+  isContinuable,
+  isRepeatable,
+  resolveNextStep,
+  type NextStep,
+  type Progress,
+} from './next-step.js';
 import type { PlacedServer, Placer, PlacementContext } from './placer.js';
 import type { BackendProtocol, CallerHead, SendTerms } from './protocol.js';
 import { releasePrompt } from './release-prompt.js';
@@ -345,6 +351,7 @@
         agent: parts.connections.agentFor(server.id),
         answer,
         isStream: route.isStream,
+        isContinuable: isContinuable(route),
         isContinuation: progress.isBegun,
         // a server that starts again under its name takes requests for the one before until its entry is known
         mayForwardEvent: () =>
--- a/src/relay/responder.ts
+++ b/src/relay/responder.ts
@@ -60,7 +60,7 @@
       fail(statuses.badGateway, 'the continuation failed');
       return;
     }
-    answer.begin(outcome.head);
+    answer.begin(outcome.head, true);
     answer.write(outcome.body);
     answer.finish();
     recordOutcome('server-failure');
--- a/src/relay/send.ts
+++ b/src/relay/send.ts
@@ -59,6 +59,8 @@
   agent: Agent;
   answer: CallerAnswer;
   isStream: boolean;
+  /** Whether another server may go on with the answer if this one breaks off. */
+  isContinuable: boolean;
   /** Whether the answer resumes an earlier one that ended early. */
   isContinuation: boolean;
   /** Whether the next event of the stream may be forwarded. */
@@ -173,7 +175,7 @@
     function begin(): void {
       if (isForwarding || head === undefined) return;
       isForwarding = true;
-      if (!send.isContinuation) send.answer.begin(head);
+      if (!send.isContinuation) send.answer.begin(head, !send.isContinuable);
       send.answerBegun();
     }
 
--- a/test/gateway/relay.test.ts
+++ b/test/gateway/relay.test.ts
@@ -199,6 +199,28 @@
       // holds whichever engine was chosen first
       expect(answer.body).to.equal(expected);
     });
+
+    // events of another server differ in size: a stream that was cut at the first one's length passed for whole
+    it('does not promise the length of a stream that another server may continue', async () => {
+      const first = 'id: 1\ndata: part 1\n\n';
+      const second = 'id: 2\ndata: longer part 2\n\n';
+      register(store, spare, 'chat', { stage: 'decode' });
+      await until(() => fixture.log.lines.some((line) => line.fields.server === 'page-2'));
+      let sends = 0;
+      for (const server of [decodeEngine, spare]) {
+        const isLast = () => (sends += 1) > 1;
+        server.script((request, response) => {
+          const length = String(first.length + second.length);
+          response.writeHead(200, { ...sign(request, server.id), 'Content-Length': length });
+          // the last server breaks off as well, within its next event
+          if (isLast()) response.write(`${second}id: 3\nda`, () => response.destroy());
+          else response.write(first, () => response.destroy());
+        });
+      }
+      const answer = await ask(port, { path: '/resumable/7', headers: promptHeads('r1') });
+      expect(answer).to.include({ status: 200, body: `${first}${second}`, isWhole: false });
+      expect(answer.headers).not.to.have.property('content-length');
+    });
   });
 
   describe('requests that may run only once', () => {
