refactor(relay,streams): one way to read what is of no use; a segment leaves out what it has

Reading past an answer and reading the rest of a declined one counted bytes against the same bound, each by itself; both call readRest now. The dedupe of a segment's records stood in its caller, as a condition with effects. Behaviour as before; the tests of relay and streams pass (62).

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -13,15 +13,13 @@
 } from 'node:http';
 import { CONNECT_TIMEOUT_MS, onResetAtEnd, type WatchedExchange } from '../paths/index.js';
 import type { Clock } from '../task/index.js';
-import { readNextAnswer } from './next-answer.js';
+import { readNextAnswer, readRest } from './next-answer.js';
 import type { AnswerFacts } from './protocol.js';
 
 /** Answers to other requests that are read past until the one that is due. */
 const MAX_ANSWERS_OF_OTHERS = 4;
 
-/** Longest rest of an answer that is read for its connection to be used again, in bytes. */
-const MAX_DISCARDED_BYTES = 64 * 1024;
-/** Time within which that rest has to come, in ms. */
+/** Time within which the rest of an answer has to come for its connection to be used again, in ms. */
 const DISCARD_MS = 1_000;
 
 /** A request to a backend server. */
@@ -266,12 +264,8 @@
 }
 
 function discardRest(answer: IncomingMessage, clock: Clock): void {
-  let bytes = 0;
   const timer = clock.after(DISCARD_MS, () => answer.destroy());
-  answer.on('data', (chunk: Buffer) => {
-    bytes += chunk.length;
-    if (bytes > MAX_DISCARDED_BYTES) answer.destroy();
-  });
+  readRest(answer, () => answer.destroy());
   answer.on('close', () => {
     timer.cancel();
   });
--- a/src/relay/next-answer.ts
+++ b/src/relay/next-answer.ts
@@ -1,10 +1,10 @@
 /**
- * Reads past an answer that belongs to another request: the one that is due may stand right behind it on the
- * connection, and the request may not be repeatable.
+ * Reads past what is of no use on a connection: the rest of an answer, or all of one that belongs to another request.
+ * The answer that is due may stand right behind such a one, and its request may not be repeatable.
  */
 import { request as startRequest, type ClientRequest, type IncomingMessage } from 'node:http';
 
-/** Largest body that is read past, in bytes. */
+/** Largest body, or rest of one, that is read for the sake of what follows on its connection, in bytes. */
 const MAX_BODY_BYTES = 64 * 1024;
 
 /** How reading past an answer ends; one of the two is called, once. */
@@ -15,6 +15,19 @@
   onLost(reason: string): void;
 }
 
+/**
+ * Reads the rest of an answer without keeping it.
+ *
+ * @param exceeded called once it is too large to go on
+ */
+export function readRest(answer: IncomingMessage, exceeded: () => void): void {
+  let bytes = 0;
+  answer.on('data', (chunk: Buffer) => {
+    bytes += chunk.length;
+    if (bytes > MAX_BODY_BYTES) exceeded();
+  });
+}
+
 /**
  * Reads past an answer and gives the source of the one behind it.
  *
@@ -28,7 +41,6 @@
   receiver: NextAnswerReceiver,
 ): void {
   const { socket } = other;
-  let bytes = 0;
   let ended = false;
 
   function lose(reason: string): void {
@@ -40,9 +52,8 @@
 
   // the agent gives it to no other request: the answer that is due has not come yet
   socket.emit('agentRemove');
-  other.on('data', (chunk: Buffer) => {
-    bytes += chunk.length;
-    if (bytes > MAX_BODY_BYTES) lose('the answer belongs to another request and is too large');
+  readRest(other, () => {
+    lose('the answer belongs to another request and is too large');
   });
   other.on('end', () => {
     if (ended) return;
--- a/src/streams/origin-segments.ts
+++ b/src/streams/origin-segments.ts
@@ -30,12 +30,11 @@
   key: string;
   bucket: number;
   /**
-   * Adds a record.
+   * Adds a record, unless it is there.
    *
    * @returns false if the segment is full
    */
   add(attempt: string, origin: StreamOrigin, keepMs: number): boolean;
-  has(attempt: string): boolean;
   size(): number;
   /** What is to be stored. */
   encode(): StoredSegment;
@@ -60,6 +59,7 @@
     key: `${resolveSegmentPrefix(bucket)}${randomUUID()}`,
     bucket,
     add(attempt, origin, kept) {
+      if (records.has(attempt)) return true;
       const isFull = records.size >= MAX_RECORDS || characters + attempt.length > MAX_CHARACTERS;
       // one that alone is too long for a segment has one of its own
       if (isFull && records.size > 0) return false;
@@ -68,7 +68,6 @@
       keepMs = Math.max(keepMs, kept);
       return true;
     },
-    has: (attempt) => records.has(attempt),
     size: () => records.size,
     encode() {
       const byOrigin = new Map<string, StoredSegment['origins'][number]>();
--- a/src/streams/stored-origins.ts
+++ b/src/streams/stored-origins.ts
@@ -119,8 +119,7 @@
 
   function add(bucket: number, attempt: string, origin: StreamOrigin, keepMs: number): void {
     let segment = open.get(bucket);
-    const isKept = segment?.has(attempt) === true || segment?.add(attempt, origin, keepMs) === true;
-    if (segment === undefined || !isKept) {
+    if (segment?.add(attempt, origin, keepMs) !== true) {
       segment = createSegment(bucket);
       segment.add(attempt, origin, keepMs);
       open.set(bucket, segment);
