--- a/src/ports/http/channel.ts
+++ b/src/ports/http/channel.ts
@@ -8,6 +8,7 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import { Pool, type Dispatcher } from 'undici';
 import type { Clock } from '../../task/index.js';
+import { createBoundedBody } from '../bounded-body.js';
 
 /** A request to the peer. */
 export interface HttpRequest {
@@ -183,8 +184,7 @@
     return Promise.resolve(Err({ sent: false, aborted: true, reason: 'cancelled' }));
   }
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = createBoundedBody(MAX_BODY_BYTES);
     let head: AnswerHead = { status: 0, headers: {} };
 
     const exchange = start(request, {
@@ -192,12 +192,10 @@
         head = received;
       },
       onData(chunk) {
-        chunks.push(chunk);
-        bytes += chunk.length;
-        if (bytes > MAX_BODY_BYTES) exchange.abort(`the answer is over ${MAX_BODY_BYTES} bytes`);
+        if (!body.add(chunk)) exchange.abort(`the answer is larger than ${MAX_BODY_BYTES} bytes`);
       },
       onEnd() {
-        settle(Ok({ ...head, body: Buffer.concat(chunks) }));
+        settle(Ok({ ...head, body: body.bytes() }));
       },
       onLoss(loss) {
         settle(Err(loss));
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -7,6 +7,7 @@
 import type { Socket } from 'node:net';
 import { listenAccepting, type Admission, type Arrival, type Arrivals } from '../arrivals/index.js';
 import type { Log } from '../events/index.js';
+import { createBoundedBody } from '../ports/bounded-body.js';
 import type { CallerLimits } from '../routing/index.js';
 import { createCallerAnswer, type CallerAnswer } from './caller-answer.js';
 import type { BackendProtocol } from './protocol.js';
@@ -187,15 +188,12 @@
     return Promise.resolve(undefined);
   }
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = createBoundedBody(maxBytes);
     request.on('data', (chunk: Buffer) => {
-      bytes += chunk.length;
-      if (bytes > maxBytes) resolve('too-large');
-      else chunks.push(chunk);
+      if (!body.add(chunk)) resolve('too-large');
     });
     request.on('end', () => {
-      resolve(Buffer.concat(chunks));
+      resolve(body.bytes());
     });
     request.on('close', () => {
       resolve('broken');
--- a/src/relay/prefill.ts
+++ b/src/relay/prefill.ts
@@ -2,6 +2,7 @@
  * Prefills a prompt at one engine, which holds the KV cache for the engine that generates.
  */
 import { resolveServerName, type RegisteredServer } from '../fleet/index.js';
+import { createBoundedBody } from '../ports/bounded-body.js';
 import { setPeerTimeout } from '../task/index.js';
 import type { AnswerHead } from './exchange.js';
 import type { PlacementContext } from './placer.js';
@@ -40,8 +41,7 @@
   const { protocol } = context;
   if (context.signal.aborted) return Promise.resolve({ kind: 'aborted' });
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const body = createBoundedBody(MAX_ANSWER_BYTES);
     let head: AnswerHead | undefined;
     let facts: AnswerFacts | undefined;
     let settled = false;
@@ -60,9 +60,7 @@
           exchange.discard();
         },
         onData(chunk) {
-          chunks.push(chunk);
-          bytes += chunk.length;
-          if (bytes <= MAX_ANSWER_BYTES) return;
+          if (body.add(chunk)) return;
           settle({ kind: 'lost', reason: 'the answer is too large' });
           exchange.abort();
         },
@@ -90,7 +88,7 @@
 
     function resolveOutcome(): PrefillOutcome {
       const status = head?.status ?? 0;
-      const handle = protocol.parseHandle(Buffer.concat(chunks));
+      const handle = protocol.parseHandle(body.bytes());
       if (status !== 200 || handle === undefined) {
         return { kind: 'lost', reason: `status ${status} without a usable handle` };
       }
--- a/test/relay/answers-of-others.test.ts
+++ b/test/relay/answers-of-others.test.ts
@@ -4,24 +4,9 @@
 import { createCaller } from '../../platform/calls.js';
 import { createEngineCalls } from '../../platform/engines.js';
 import type { RegisteredServer } from '../../src/fleet/index.js';
-import { startStoreStandIn, type StoreStandIn } from '../../stand-ins/users-platform/index.js';
-import {
-  ask,
-  configuration,
-  heads,
-  promptHeads,
-  register,
-  startGatewayFixture,
-  until,
-  type GatewayFixture,
-} from '../fixtures/gateway.js';
-import {
-  idOf,
-  renderAnswer,
-  startRawServer,
-  type RawRequest,
-  type RawServer,
-} from '../fixtures/raw-server.js';
+import { ask, configuration, heads, promptHeads, until } from '../fixtures/gateway.js';
+import { startRawFleet, type RawFleet } from '../fixtures/raw-fleet.js';
+import { idOf, renderAnswer, startRawServer, type RawRequest } from '../fixtures/raw-server.js';
 
 /** Time from an answer that belongs to an earlier request to the one that is due, in ms. */
 const APART_MS = 20;
@@ -43,24 +28,19 @@
 }
 
 describe('an answer that belongs to another request', () => {
-  let store: StoreStandIn;
-  let fixture: GatewayFixture;
+  let fleet: RawFleet;
   let port: number;
   let answer: (request: RawRequest) => void;
-  const servers: RawServer[] = [];
 
   beforeEach(async () => {
-    store = await startStoreStandIn();
-    store.put('op', 'config', configuration(1));
+    fleet = await startRawFleet();
+    port = fleet.port;
     answer = (request) => {
       write(request, renderPage(idOf(request)));
     };
   });
 
-  afterEach(async () => {
-    await fixture.gateway.stop();
-    await Promise.all([store, ...servers.splice(0)].map((part) => part.close()));
-  });
+  afterEach(() => fleet.close());
 
   async function start(
     count: number,
@@ -68,23 +48,19 @@
     more: Record<string, unknown> = {},
   ): Promise<void> {
     for (let index = 1; index <= count; index += 1) {
-      const server = await startRawServer((request) => {
+      await fleet.add(`${backend}-${index}`, backend, more, (request) => {
         answer(request);
       });
-      servers.push(server);
-      const entry = { id: `${backend}-${index}`, address: server.address };
-      register(store, entry as Parameters<typeof register>[1], backend, more);
     }
-    fixture = await startGatewayFixture('node-1', store.address);
-    port = fixture.settings.callers.port;
-    await until(
-      () => fixture.log.lines.filter((line) => line.event === 'serverChanged').length >= count,
-    );
-    await until(() => fixture.log.lines.some((line) => line.event === 'routesApplied'));
+  }
+
+  async function configure(route: Record<string, unknown>): Promise<void> {
+    fleet.store.put('op', 'config', configuration(2, [route]));
+    await until(() => fleet.gateway.log.lines.some((line) => line.fields.version === 2));
   }
 
   function receivedIds(): string[] {
-    return servers.flatMap((server) => server.received().map(idOf));
+    return fleet.servers.flatMap((server) => server.received().map(idOf));
   }
 
   it('does not make a request that runs pass for one that did not run', async () => {
@@ -100,8 +76,7 @@
 
   it('does not send a request that runs to another server', async () => {
     await start(2);
-    store.put('op', 'config', configuration(2, [twice]));
-    await until(() => fixture.log.lines.some((line) => line.fields.version === 2));
+    await configure(twice);
     for (const id of ['r1', 'r2', 'r3', 'r4']) {
       await ask(port, { path: '/twice/1', headers: heads(id) });
     }
@@ -153,29 +128,24 @@
   // the id of a late second answer to the first send would be the one that is expected
   it('cannot be one of the same request: a request is sent to a server once', async () => {
     await start(2);
-    store.put('op', 'config', configuration(2, [{ ...twice, maxAttempts: 4 }]));
-    await until(() => fixture.log.lines.some((line) => line.fields.version === 2));
+    await configure({ ...twice, maxAttempts: 4 });
     answer = (request) => {
       write(request, renderDecline(idOf(request)));
     };
     const { status } = await ask(port, { path: '/twice/1', headers: heads('r1') });
     expect(status).to.equal(503);
-    expect(servers.map((server) => server.received().length)).to.deep.equal([1, 1]);
+    expect(fleet.servers.map((server) => server.received().length)).to.deep.equal([1, 1]);
   });
 
   it('gives no handle of a prompt', async () => {
     await start(2, 'chat', { stage: 'decode' });
-    const reader = await startRawServer((request) => {
+    const reader = await fleet.add('reader', 'chat', { stage: 'prefill' }, (request) => {
       if (request.headers.get('x-stage') !== 'prefill') return;
       const isFirst = reader.received().length === 1;
       const own = renderAnswer(200, { 'X-Request-Id': idOf(request) }, renderHandle('own'));
       if (!isFirst) write(request, renderAnswer(200, {}, renderHandle('other')));
       writeLater(request, own);
     });
-    servers.push(reader);
-    const entry = { id: 'reader', address: reader.address } as Parameters<typeof register>[1];
-    register(store, entry, 'chat', { stage: 'prefill' });
-    await until(() => fixture.log.lines.some((line) => line.fields.server === 'reader'));
     answer = (request) => {
       const head = `X-Request-Id: ${idOf(request)}\r\nX-Server-Signature: s\r\n`;
       write(request, `HTTP/1.1 200 OK\r\n${head}Connection: close\r\n\r\nid: 1\ndata: x\n\n`);
@@ -184,7 +154,7 @@
     for (const id of ['r1', 'r2']) {
       await ask(port, { path: '/single/1', headers: promptHeads(id) });
     }
-    const sources = servers
+    const sources = fleet.servers
       .flatMap((server) => server.received())
       .map(({ headers }) => headers.get('x-kv-source'))
       .filter((source) => source !== undefined);
@@ -202,7 +172,7 @@
     };
     const first = await ask(port, { path: '/once/1', headers: heads('r1') });
     expect(first.status).to.equal(502);
-    await until(() => servers[0]?.received()[0]?.connection.destroyed === true);
+    await until(() => fleet.servers[0]?.received()[0]?.connection.destroyed === true);
   });
 });
 
--- a/test/relay/bytes-without-end.test.ts
+++ b/test/relay/bytes-without-end.test.ts
@@ -4,24 +4,9 @@
 import type { Socket } from 'node:net';
 import { createCaller } from '../../platform/calls.js';
 import { createEventSplitter, MAX_EVENT_BYTES } from '../../src/relay/event-stream.js';
-import { startStoreStandIn, type StoreStandIn } from '../../stand-ins/users-platform/index.js';
-import {
-  ask,
-  configuration,
-  heads,
-  promptHeads,
-  register,
-  startGatewayFixture,
-  until,
-  type GatewayFixture,
-} from '../fixtures/gateway.js';
-import {
-  idOf,
-  renderAnswer,
-  startRawServer,
-  type RawRequest,
-  type RawServer,
-} from '../fixtures/raw-server.js';
+import { ask, heads, promptHeads, until } from '../fixtures/gateway.js';
+import { startRawFleet, type RawFleet } from '../fixtures/raw-fleet.js';
+import { idOf, renderAnswer, startRawServer, type RawRequest } from '../fixtures/raw-server.js';
 
 /** What a server gets rid of before it is stopped, in bytes. Most of it waits in the system's buffers of the two sockets. */
 const MAX_TAKEN_BYTES = 64 * 1024 * 1024;
@@ -50,38 +35,26 @@
 }
 
 describe('an answer that never ends', () => {
-  let store: StoreStandIn;
-  let fixture: GatewayFixture;
+  let fleet: RawFleet;
   let port: number;
   let answer: (request: RawRequest) => void;
-  const servers: RawServer[] = [];
 
   beforeEach(async () => {
-    store = await startStoreStandIn();
-    store.put('op', 'config', configuration(1));
+    fleet = await startRawFleet();
+    port = fleet.port;
   });
 
-  afterEach(async () => {
-    await fixture.gateway.stop();
-    await Promise.all([store, ...servers.splice(0)].map((part) => part.close()));
-  });
+  afterEach(() => fleet.close());
 
   async function start(backend = 'pages', more: Record<string, unknown> = {}): Promise<void> {
-    const server = await startRawServer((request) => {
+    await fleet.add(`${backend}-1`, backend, more, (request) => {
       answer(request);
     });
-    servers.push(server);
-    const entry = { id: `${backend}-1`, address: server.address };
-    register(store, entry as Parameters<typeof register>[1], backend, more);
-    fixture = await startGatewayFixture('node-1', store.address);
-    port = fixture.settings.callers.port;
-    await until(() => fixture.log.lines.some((line) => line.event === 'serverChanged'));
-    await until(() => fixture.log.lines.some((line) => line.event === 'routesApplied'));
   }
 
   /** Waits until the gateway has closed all connections on which an answer did not end. */
   async function closed(): Promise<void> {
-    for (const { connection } of servers.flatMap((server) => server.received())) {
+    for (const { connection } of fleet.servers.flatMap((server) => server.received())) {
       await until(() => connection.destroyed);
       expect(connection.bytesWritten).to.be.below(MAX_TAKEN_BYTES);
     }
@@ -151,19 +124,15 @@
 
   it('to the reading of a prompt ends it', async () => {
     await start('chat', { stage: 'prefill' });
-    const generator = await startRawServer((request) => {
+    await fleet.add('generator', 'chat', { stage: 'decode' }, (request) => {
       const head = `X-Request-Id: ${idOf(request)}\r\nX-Server-Signature: s\r\n`;
       request.connection.end(`HTTP/1.1 200 OK\r\n${head}\r\nid: 1\ndata: x\n\n`);
     });
-    servers.push(generator);
-    const entry = { id: 'generator', address: generator.address };
-    register(store, entry as Parameters<typeof register>[1], 'chat', { stage: 'decode' });
-    await until(() => fixture.log.lines.some((line) => line.fields.server === 'generator'));
     answer = (request) => {
       begin(request, 200, `X-Request-Id: ${idOf(request)}\r\n`);
     };
     const { status } = await ask(port, { path: '/resumable/1', headers: promptHeads('r1') });
-    const reads = servers[0]?.received().filter(({ headers }) => headers.has('x-stage'));
+    const reads = fleet.servers[0]?.received().filter(({ headers }) => headers.has('x-stage'));
     expect(reads).to.have.length(1);
     expect(status).to.equal(200);
     await closed();
