fix(ports): refusals and events of an engine that never end are given up at a bound

The class of the answers without end on the product's own side: the body of a refusal and an event without end were gathered without a bound. An event is bounded by the parser's own limit, a refusal by createBoundedBody.

--- a/src/ports/http/engine-stream.ts
+++ b/src/ports/http/engine-stream.ts
@@ -12,11 +12,16 @@
   type FailureCode,
 } from '../../errors/index.js';
 import { engineChunkSchema, engineRefusalSchema, type EngineChunk } from '../model-engine.js';
+import { createBoundedBody } from '../bounded-body.js';
 import type { AnswerHead, HttpChannel, HttpRequest, Loss } from './channel.js';
 import { parseJson } from './json.js';
 
 /** Chunks that may wait for the reader before the connection is paused. */
 const MAX_WAITING_CHUNKS = 256;
+/** Largest event, in characters; one holds a chunk of a few tokens. */
+const MAX_EVENT_CHARACTERS = 256 * 1024;
+/** Largest refusal, in bytes; it holds a reason. */
+const MAX_REFUSAL_BYTES = 64 * 1024;
 
 const END_OF_STREAM = '[DONE]';
 
@@ -43,7 +48,7 @@
   request: HttpRequest,
 ): ChunkSource {
   const queue: EngineChunk[] = [];
-  const refusal: Buffer[] = [];
+  const refusal = createBoundedBody(MAX_REFUSAL_BYTES);
   const decoder = new StringDecoder('utf8');
   let taken = 0;
   let head: AnswerHead | undefined;
@@ -54,9 +59,13 @@
   let abandoned = false;
 
   const parser: EventSourceParser = createParser({
+    maxBufferSize: MAX_EVENT_CHARACTERS,
     onEvent: (event) => {
       receive(event.data);
     },
+    onError: ({ type }) => {
+      if (type === 'max-buffer-size-exceeded') giveUp('an event of the stream is too large');
+    },
   });
 
   const exchange = channel.start(request, {
@@ -66,12 +75,12 @@
     onData(chunk) {
       if (ended) return;
       if (head?.status === 200) parser.feed(decoder.write(chunk));
-      else refusal.push(chunk);
+      else if (!refusal.add(chunk)) giveUp('the refusal is too large');
       pauseIfBehind();
     },
     onEnd() {
       if (ended) return;
-      end(describeEnd(peer, head, Buffer.concat(refusal)));
+      end(describeEnd(peer, head, refusal.bytes()));
     },
     onLoss(loss) {
       if (ended) return;
@@ -87,14 +96,19 @@
     }
     const chunk = parseJson(engineChunkSchema, data);
     if (chunk.isErr()) {
-      end(describeCut(peer, chunk.error));
-      exchange.abort('malformed chunk');
+      giveUp(chunk.error);
       return;
     }
     queue.push(chunk.value);
     wake?.();
   }
 
+  function giveUp(reason: string): void {
+    if (ended) return;
+    end(describeCut(peer, reason));
+    exchange.abort(reason);
+  }
+
   function end(reason: Failure | undefined): void {
     ended = true;
     failure = reason;
--- a/test/relay/bytes-without-end.test.ts
+++ b/test/relay/bytes-without-end.test.ts
@@ -1,39 +1,13 @@
 // Guards against servers whose answers never end: their bytes were gathered without a bound, until the gateway ran out of
 // memory, and the callers had no answer before their time limits.
 import { expect } from 'chai';
-import type { Socket } from 'node:net';
 import { createCaller } from '../../platform/calls.js';
 import { createEventSplitter, MAX_EVENT_BYTES } from '../../src/relay/event-stream.js';
 import { ask, heads, promptHeads, until } from '../fixtures/gateway.js';
 import { startRawFleet, type RawFleet } from '../fixtures/raw-fleet.js';
+import { beginWithoutEnd, MAX_TAKEN_BYTES, writeWithoutEnd } from '../fixtures/endless.js';
 import { idOf, renderAnswer, startRawServer, type RawRequest } from '../fixtures/raw-server.js';
 
-/** What a server gets rid of before it is stopped, in bytes. Most of it waits in the system's buffers of the two sockets. */
-const MAX_TAKEN_BYTES = 64 * 1024 * 1024;
-/** What a server writes in the end if nobody stops it, in bytes. */
-const GIVEN_UP_BYTES = 256 * 1024 * 1024;
-const PIECE = 'x'.repeat(64 * 1024);
-
-/** Writes pieces as fast as they are read, until the connection is closed. */
-function writeWithoutEnd(connection: Socket, piece = PIECE): void {
-  function writeMore(): void {
-    while (!connection.destroyed && connection.bytesWritten < GIVEN_UP_BYTES) {
-      if (connection.write(piece)) continue;
-      connection.once('drain', writeMore);
-      return;
-    }
-    connection.destroy();
-  }
-  writeMore();
-}
-
-const CHUNK = `${PIECE.length.toString(16)}\r\n${PIECE}\r\n`;
-
-function begin({ connection }: RawRequest, status: number, headers: string, piece = CHUNK): void {
-  connection.write(`HTTP/1.1 ${status} Status\r\n${headers}Transfer-Encoding: chunked\r\n\r\n`);
-  writeWithoutEnd(connection, piece);
-}
-
 describe('an answer that never ends', () => {
   let fleet: RawFleet;
   let port: number;
@@ -63,7 +37,7 @@
   it('with which a server fails ends the request, which may have run', async () => {
     await start();
     answer = (request) => {
-      begin(request, 500, `X-Request-Id: ${idOf(request)}\r\nX-Server-Signature: s\r\n`);
+      beginWithoutEnd(request, 500, `X-Request-Id: ${idOf(request)}\r\nX-Server-Signature: s\r\n`);
     };
     const { status } = await ask(port, { path: '/once/1', headers: heads('r1') });
     expect(status).to.equal(502);
@@ -73,7 +47,7 @@
   it('by which a server turns a request away still says that it has not run', async () => {
     await start();
     answer = (request) => {
-      begin(request, 503, `X-Request-Id: ${idOf(request)}\r\nX-Not-Executed: 1\r\n`);
+      beginWithoutEnd(request, 503, `X-Request-Id: ${idOf(request)}\r\nX-Not-Executed: 1\r\n`);
     };
     const { status } = await ask(port, { path: '/once/1', headers: heads('r1') });
     expect(status).to.equal(503);
@@ -94,7 +68,7 @@
   it('of another request ends the request, which may have run', async () => {
     await start();
     answer = (request) => {
-      begin(request, 200, 'X-Request-Id: other\r\n');
+      beginWithoutEnd(request, 200, 'X-Request-Id: other\r\n');
     };
     const { status } = await ask(port, { path: '/once/1', headers: heads('r1') });
     expect(status).to.equal(502);
@@ -115,7 +89,7 @@
   it('with an event that never ends ends the stream', async () => {
     await start('chat', { stage: 'decode' });
     answer = (request) => {
-      begin(request, 200, `X-Request-Id: ${idOf(request)}\r\nX-Server-Signature: s\r\n`);
+      beginWithoutEnd(request, 200, `X-Request-Id: ${idOf(request)}\r\nX-Server-Signature: s\r\n`);
     };
     const { status } = await ask(port, { path: '/single/1', headers: promptHeads('r1') });
     expect(status).to.equal(502);
@@ -129,7 +103,7 @@
       request.connection.end(`HTTP/1.1 200 OK\r\n${head}\r\nid: 1\ndata: x\n\n`);
     });
     answer = (request) => {
-      begin(request, 200, `X-Request-Id: ${idOf(request)}\r\n`);
+      beginWithoutEnd(request, 200, `X-Request-Id: ${idOf(request)}\r\n`);
     };
     const { status } = await ask(port, { path: '/resumable/1', headers: promptHeads('r1') });
     const reads = fleet.servers[0]?.received().filter(({ headers }) => headers.has('x-stage'));
@@ -142,7 +116,7 @@
 describe('a call whose answer never ends', () => {
   it('fails, and its connection is closed', async () => {
     const server = await startRawServer((request) => {
-      begin(request, 200, '');
+      beginWithoutEnd(request, 200, '');
     });
     const call = createCaller();
     const { address } = server;
