fix(streams): stored segments are bounded by bucket, and the log says so

The bound was over all buckets of one gateway, and what was removed beyond left no line, though docs and the aim say a bucket and a line; a read took 400 of a bucket, so what was beyond could not be known. Reads take 800, since two gateways may each have written. When segments are removed is a module of its own. The new test fails before (450 rows for 400).

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -202,7 +202,7 @@
   originsDropped: {
     id: 7100,
     level: 'warn',
-    text: 'records of where streams began were not stored, since too many wait',
+    text: 'records of where streams began are not kept on the platform, since there are too many',
   },
   originRowFailed: {
     id: 7101,
--- a/src/streams/index.ts
+++ b/src/streams/index.ts
@@ -3,6 +3,7 @@
 export * from './messages.js';
 export * from './origin-records.js';
 export * from './replicas.js';
+export * from './segment-removals.js';
 export * from './stored-origins.js';
 export * from './stream-origins.js';
 export * from './version-history.js';
--- a/src/streams/stored-origins.ts
+++ b/src/streams/stored-origins.ts
@@ -21,6 +21,11 @@
   type StoredSegment,
 } from './origin-segments.js';
 import { BUCKETS, resolveBucket, type Replicas } from './replicas.js';
+import {
+  createSegmentRemovals,
+  MAX_SEGMENTS_PER_BUCKET,
+  type RemovalTimes,
+} from './segment-removals.js';
 import type { VersionHistory } from './version-history.js';
 
 /** Interval between two transactions, in ms: streams that began within it may be lost with all gateways. */
@@ -34,8 +39,8 @@
 const MAX_ROWS_PER_WRITE = 40;
 /** Most segments that wait to be written; the oldest are dropped beyond. */
 const MAX_WAITING = 200;
-/** Most segments of a bucket; the oldest are removed beyond. */
-const MAX_ROWS_PER_BUCKET = 400;
+/** Most segments of a bucket that are read; two gateways may each have taken themselves for the first. */
+const MAX_ROWS_PER_READ = 2 * MAX_SEGMENTS_PER_BUCKET;
 /** Time for which a read of a bucket holds, in ms. */
 const READ_HOLDS_MS = 2_000;
 /** Time after a failed read of a bucket before the next, in ms. */
@@ -83,9 +88,6 @@
   cameAt: number;
 }
 
-/** When the segments that were found may be removed, on the gateway's clock in ms, by their keys. */
-type RemovalTimes = ReadonlyMap<string, number>;
-
 /** A read of a bucket. */
 interface BucketRead {
   startedAt: number;
@@ -110,8 +112,7 @@
   let recent: RecentRecord[] = [];
   /** Segments with records that are not stored yet, oldest first. */
   const waiting = new Map<string, Segment>();
-  /** When stored segments may be removed, on the gateway's clock in ms; oldest first. */
-  const removable = new Map<string, number>();
+  const removals = createSegmentRemovals();
   const reads = new Map<number, BucketRead>();
   let retryMs = WRITE_INTERVAL_MS;
   /** The last write; each waits for the one before. */
@@ -173,9 +174,7 @@
   }
 
   async function removeInTime(bucket: number): Promise<void> {
-    for (const [key, at] of (await read(bucket)) ?? []) {
-      if (!removable.has(key)) removable.set(key, at);
-    }
+    removals.found(bucket, (await read(bucket)) ?? new Map<string, number>());
   }
 
   function read(bucket: number): Promise<RemovalTimes | undefined> {
@@ -195,7 +194,7 @@
 
   async function readSegments(bucket: number): Promise<RemovalTimes | undefined> {
     const prefix = resolveSegmentPrefix(bucket);
-    const rows = await table.range({ prefix, limit: MAX_ROWS_PER_BUCKET });
+    const rows = await table.range({ prefix, limit: MAX_ROWS_PER_READ });
     if (rows.isErr()) {
       log.write('originRowFailed', { bucket, reason: rows.error.message });
       return undefined;
@@ -229,19 +228,6 @@
     return count;
   }
 
-  /** Segments that may be removed now: those that are over, and the oldest where there are too many. */
-  function listRemovable(): string[] {
-    const tooMany = removable.size - BUCKETS * MAX_ROWS_PER_BUCKET;
-    const found: string[] = [];
-    let index = 0;
-    for (const [key, at] of removable) {
-      if (found.length >= MAX_ROWS_PER_WRITE) break;
-      if (at <= clock.now() || index < tooMany) found.push(key);
-      index += 1;
-    }
-    return found;
-  }
-
   function write(): Promise<void> {
     writing = writing.then(writeWaiting);
     return writing;
@@ -256,28 +242,29 @@
     dropEarlier();
     chooseOwn();
     const segments = [...waiting.values()].slice(0, MAX_ROWS_PER_WRITE);
-    const deletes = listRemovable();
+    for (const [bucket, count] of removals.excess())
+      log.write('originsDropped', { bucket, segments: count });
+    const deletes = removals.due(clock.now(), MAX_ROWS_PER_WRITE);
     if (segments.length === 0 && deletes.length === 0) return;
     for (const { key } of segments) waiting.delete(key);
-    const puts = segments.map((segment) => ({ key: segment.key, value: segment.encode() }));
+    const writes = segments.map((segment) => ({ segment, value: segment.encode() }));
+    const puts = writes.map(({ segment, value }) => ({ key: segment.key, value }));
     const outcome = await table.transact({ conditions: [], puts, deletes });
     metrics.originsStored.inc({ outcome: outcome.kind }, segments.length);
-    if (outcome.kind === 'committed') committed(puts, deletes);
-    else failed(segments, outcome.kind);
+    if (outcome.kind !== 'committed') {
+      failed(segments, outcome.kind);
+      return;
+    }
+    retryMs = WRITE_INTERVAL_MS;
+    removed(deletes);
+    for (const { segment, value } of writes)
+      removals.written(segment.bucket, segment.key, clock.now() + value.keepMs);
   }
 
-  function committed(
-    puts: readonly { key: string; value: StoredSegment }[],
-    deletes: readonly string[],
-  ): void {
-    retryMs = WRITE_INTERVAL_MS;
-    for (const key of deletes) removable.delete(key);
+  function removed(keys: readonly string[]): void {
+    removals.removed(keys);
     for (const [bucket, { key }] of open) {
-      if (deletes.includes(key)) open.delete(bucket);
-    }
-    for (const { key, value } of puts) {
-      removable.delete(key);
-      removable.set(key, clock.now() + value.keepMs);
+      if (keys.includes(key)) open.delete(bucket);
     }
   }
 
--- a/test/streams/stored-origins.test.ts
+++ b/test/streams/stored-origins.test.ts
@@ -1,7 +1,7 @@
 // Guards against streams that nobody continues after all gateways were lost at once: where a stream began must be known
 // then as well, while servers of several software versions run.
 import { expect } from 'chai';
-import { BUCKETS } from '../../src/streams/index.js';
+import { BUCKETS, MAX_SEGMENTS_PER_BUCKET } from '../../src/streams/index.js';
 import {
   createOriginFleet,
   KEEP_MS,
@@ -238,6 +238,18 @@
     end(fleet);
   });
 
+  it('are bounded: of too many in a bucket, some are removed', async () => {
+    const fleet = createOriginFleet(1, BOTH);
+    for (let index = 0; index < 450; index += 1) {
+      const key = `stream-origins/03/${index}`;
+      const origins = [{ service: SERVICE, version: 'v1', attempts: [`a${index}`] }];
+      fleet.table.rows.set(key, { key, revision: 1, value: { keepMs: KEEP_MS, origins } });
+    }
+    await fleet.settle(5_000);
+    expect(fleet.table.rows.size).to.equal(MAX_SEGMENTS_PER_BUCKET);
+    end(fleet);
+  });
+
   it('that cannot be read are passed over and removed', async () => {
     const fleet = createOriginFleet(1, BOTH);
     const key = 'stream-origins/03/other';
