fix(start): signals that come while a gateway starts are acted on, not fatal

What operators saw: a SIGHUP (settings changed) or SIGTERM in the first tenths of a second of a start ended the process at once; with SIGTERM it did not stop gracefully.

Cause: handlers were registered after the gateway ran, so after all modules were loaded and all addresses bound; a signal without a handler ends the process.

Same cause in src/node/main.ts: the stop signal was waited for after the start.

--- a/src/node/main.ts
+++ b/src/node/main.ts
@@ -29,13 +29,15 @@
   const secrets = loadSecrets(settings.value);
   if (Array.isArray(secrets)) return reportIssues(log, secrets);
   const node = createNode(settings.value, secrets, log);
+  // before the start, or a signal that comes meanwhile would end the process at once
+  const stopSignal = receiveStopSignal();
   try {
     await node.start();
   } catch (error) {
     log.write('portTaken', { error: String(error), advice: 'stop the other process or change it' });
     return CANNOT_START;
   }
-  await receiveStopSignal();
+  await stopSignal;
   await node.stop();
   return 0;
 }
