fix(streams): what a server began after it had started again does not go on at the version before

Cause: a server that starts again under its name answers before its entry is known; what it began was recorded with the version of its former entry. When the new one came, the gateway took the running stream for one of the process before, broke it off and continued it at that version.

Change: a send that began a stream may go on, since all its events come over one connection. If another version has taken the server's place, the stream goes on nowhere else: a second record with the other version contradicts the first, at replicas and on the platform, and records that contradict each other tell nothing. fleet.successorOf in place of isReplaced.

Test changed: 'hold the first origin of an attempt until it expires' asked that the first of two contradicting records wins, which is what mixed; its place is taken by two, for the same origin and for contradicting ones. The test of fleet.isReplaced asks the same of successorOf.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -119,6 +119,11 @@
   requestPlaced: { id: 7040, level: 'info', text: 'engines chosen for a request' },
   requestSent: { id: 7041, level: 'info', text: 'request sent to a backend server' },
   streamBegun: { id: 7058, level: 'info', text: 'first event of a stream reaches its caller' },
+  streamVersionUnknown: {
+    id: 7068,
+    level: 'warn',
+    text: 'a stream began at one of two incarnations of a server, so it goes on nowhere else',
+  },
   sendEnded: { id: 7042, level: 'info', text: 'a send ended' },
   requestRefused: { id: 7043, level: 'info', text: 'request refused; it did not run' },
   requestFailed: { id: 7044, level: 'warn', text: 'request failed; it may have run' },
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -60,8 +60,8 @@
   /** The store answers again after an outage. */
   storeReturned(): void;
   find(id: string): RegisteredServer | undefined;
-  /** Whether another incarnation, or another version, has taken a server's place under its name. */
-  isReplaced(server: RegisteredServer): boolean;
+  /** The incarnation, or the version, that has taken a server's place under its name. */
+  successorOf(server: RegisteredServer): RegisteredServer | undefined;
   /** Whether a server takes new requests. */
   isAvailable(id: string): boolean;
   /** Servers of a service, whether or not they take new requests. */
@@ -279,10 +279,10 @@
       startGrace(lostAtRevision ?? newest);
     },
     find: (id) => findEntry(id)?.change.server,
-    isReplaced(server) {
+    successorOf(server) {
       const current = entries.get(resolveServerName(server))?.change.server;
-      if (current === undefined) return false;
-      return current.id !== server.id || current.version !== server.version;
+      const isSame = current?.id === server.id && current.version === server.version;
+      return isSame ? undefined : current;
     },
     isAvailable(id) {
       const entry = findEntry(id);
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -189,6 +189,7 @@
   const streamVersion = createStreamVersion({
     log,
     origins: parts.streams,
+    fleet: parts.fleet,
     head,
     route,
     service,
@@ -335,6 +336,7 @@
 
   function sendTo(placed: PlacedServer, placer: Placer): Promise<SendOutcome> {
     const { server, source, urgency } = placed;
+    const stream = streamVersion.sentTo(server);
     log.write('requestSent', {
       request: requestId,
       server: server.id,
@@ -353,9 +355,7 @@
         isStream: route.isStream,
         isContinuable: isContinuable(route),
         isContinuation: progress.isBegun,
-        // a server that starts again under its name takes requests for the one before until its entry is known
-        mayForwardEvent: () =>
-          streamVersion.required() === undefined || !parts.fleet.isReplaced(server),
+        mayForwardEvent: () => stream.mayForwardEvent(),
         signal: limit.signal,
         answerTimeoutMs: resolveAnswerTimeout(),
         mayTryAnother: () => parts.budget.hasLeft(service),
@@ -366,7 +366,7 @@
           placer.answerBegun();
           if (progress.isBegun) return;
           progress.isBegun = true;
-          streamVersion.begun(server);
+          stream.begun();
           metrics.firstByte.observe({ service }, limit.elapsedMs() / 1_000);
         },
         loadReceived(load) {
--- a/src/relay/stream-version.ts
+++ b/src/relay/stream-version.ts
@@ -2,7 +2,7 @@
  * The software version at which the stream of one request has to go on. A new stream may begin at any; from its first
  * event on, it goes on at the version of the server that made it, also when a caller continues it with another attempt.
  */
-import type { RegisteredServer } from '../fleet/index.js';
+import type { Fleet, RegisteredServer } from '../fleet/index.js';
 import type { Log } from '../events/index.js';
 import type { Route } from '../routing/index.js';
 import {
@@ -44,14 +44,26 @@
    * @param servers the servers that take requests now
    */
   findRefusal(servers: readonly RegisteredServer[]): ContinuationRefusal | undefined;
-  /** The first event of this answer is about to reach the caller. */
-  begun(server: RegisteredServer): void;
+  /** The request is sent to a server. */
+  sentTo(server: RegisteredServer): SentStream;
+}
+
+/**
+ * A stream as one send brings it. All its events come over one connection, so from one process; but a server that starts
+ * again under its name takes requests for the one before until its entry is known.
+ */
+export interface SentStream {
+  /** Whether the next event may be forwarded. */
+  mayForwardEvent(): boolean;
+  /** The first event of the caller's answer is about to reach the caller. */
+  begun(): void;
 }
 
 /** Dependencies of a request's version. */
 export interface StreamVersionParts {
   log: Log;
   origins: Pick<StreamOrigins, 'record'>;
+  fleet: Pick<Fleet, 'successorOf'>;
   head: CallerHead;
   route: Route;
   service: string;
@@ -90,13 +102,30 @@
  * @param parts the request and where its stream began
  */
 export function createStreamVersion(parts: StreamVersionParts): StreamVersion {
-  const { log, origins, head, route, service, lookup } = parts;
+  const { log, origins, fleet, head, route, service, lookup } = parts;
   const origin = resolveOrigin(lookup);
+  /** The attempt that began the stream. */
+  const firstAttempt = origin === undefined ? head.requestId : head.resumes;
   let required: RequiredVersion | undefined = origin;
 
-  function record(attempt: string | undefined, version: string | undefined): void {
-    if (attempt === undefined || version === undefined) return;
-    origins.record(attempt, { service, version }, resolveKeepMs(route.timeoutMs));
+  function record(version: string | undefined): void {
+    if (firstAttempt === undefined || version === undefined) return;
+    origins.record(firstAttempt, { service, version }, resolveKeepMs(route.timeoutMs));
+  }
+
+  /** The stream began at one of two incarnations with different versions: it goes on where it is, and nowhere else. */
+  function setUnknown(server: RegisteredServer, successor: RegisteredServer): void {
+    if (required?.version === undefined || successor.version === required.version) return;
+    required = { version: undefined };
+    // two records that contradict each other say at every gateway that it is not known
+    record(successor.version);
+    log.write('streamVersionUnknown', {
+      request: head.requestId,
+      server: server.id,
+      version: server.version,
+      successor: successor.id,
+      successorVersion: successor.version,
+    });
   }
 
   function allows({ version }: RegisteredServer): boolean {
@@ -121,12 +150,27 @@
         return { reason: 'stream-version-gone', retryAfterMs: LOST_STREAM_RETRY_MS };
       return undefined;
     },
-    begun({ id, version }) {
-      if (!isContinuable(route)) return;
-      required ??= { version };
-      // gateways may have been lost since the stream began, so a continued one is recorded anew
-      record(origin === undefined ? head.requestId : head.resumes, required.version);
-      log.write('streamBegun', { request: head.requestId, server: id, version });
+    sentTo(server) {
+      let isFirst = false;
+      return {
+        mayForwardEvent() {
+          const successor = fleet.successorOf(server);
+          if (successor === undefined || required === undefined) return true;
+          if (isFirst) setUnknown(server, successor);
+          return isFirst;
+        },
+        begun() {
+          if (!isContinuable(route)) return;
+          isFirst = required === undefined;
+          required ??= { version: server.version };
+          // gateways may have been lost since the stream began, so a continued one is recorded anew
+          record(required.version);
+          const successor = fleet.successorOf(server);
+          if (isFirst && successor !== undefined) setUnknown(server, successor);
+          const { id, version } = server;
+          log.write('streamBegun', { request: head.requestId, server: id, version });
+        },
+      };
     },
   };
 }
--- a/src/streams/messages.ts
+++ b/src/streams/messages.ts
@@ -12,7 +12,12 @@
 /** Where a stream began. Only servers of this service and version may continue it. */
 export type StreamOrigin = z.infer<typeof originSchema>;
 
-/** Replicates where a stream began. */
+/** Whether two streams began at the same service and version. */
+export function isSameOrigin(one: StreamOrigin, other: StreamOrigin): boolean {
+  return one.service === other.service && one.version === other.version;
+}
+
+/** Replicates where a stream began; a second one that differs tells that the first may be wrong. */
 const recordSchema = z.object({
   kind: z.literal('origin.record'),
   /** The caller's id of the attempt that began the stream. */
--- a/src/streams/origin-segments.ts
+++ b/src/streams/origin-segments.ts
@@ -52,32 +52,35 @@
 
 /** Creates an empty segment of a bucket, under a key that no other has. */
 export function createSegment(bucket: number): Segment {
-  const records = new Map<string, StreamOrigin>();
+  const groups = new Map<string, { origin: StreamOrigin; attempts: Set<string> }>();
+  let size = 0;
   let characters = 0;
   let keepMs = 0;
   return {
     key: `${resolveSegmentPrefix(bucket)}${randomUUID()}`,
     bucket,
     add(attempt, origin, kept) {
-      if (records.has(attempt)) return true;
-      const isFull = records.size >= MAX_RECORDS || characters + attempt.length > MAX_CHARACTERS;
+      const name = JSON.stringify([origin.service, origin.version]);
+      const group = groups.get(name) ?? { origin, attempts: new Set<string>() };
+      if (group.attempts.has(attempt)) return true;
+      const isFull = size >= MAX_RECORDS || characters + attempt.length > MAX_CHARACTERS;
       // one that alone is too long for a segment has one of its own
-      if (isFull && records.size > 0) return false;
-      records.set(attempt, origin);
+      if (isFull && size > 0) return false;
+      groups.set(name, group);
+      group.attempts.add(attempt);
+      size += 1;
       characters += attempt.length;
       keepMs = Math.max(keepMs, kept);
       return true;
     },
-    size: () => records.size,
+    size: () => size,
     encode() {
-      const byOrigin = new Map<string, StoredSegment['origins'][number]>();
-      for (const [attempt, { service, version }] of records) {
-        const name = JSON.stringify([service, version]);
-        const group = byOrigin.get(name) ?? { service, version, attempts: [] };
-        byOrigin.set(name, group);
-        group.attempts.push(attempt);
+      const origins: StoredSegment['origins'] = [];
+      for (const { origin, attempts } of groups.values()) {
+        const { service, version } = origin;
+        origins.push({ service, version, attempts: [...attempts] });
       }
-      return { keepMs, origins: [...byOrigin.values()] };
+      return { keepMs, origins };
     },
   };
 }
--- a/src/streams/stream-origins.ts
+++ b/src/streams/stream-origins.ts
@@ -184,10 +184,12 @@
     return attempt === undefined ? undefined : records.find(attempt, clock.now());
   }
 
-  async function lookUp(stream: ContinuedStream): Promise<OriginLookup> {
+  async function lookUp(stream: ContinuedStream, startedAt: number): Promise<OriginLookup> {
     const { attempt } = stream;
     const own = findOwn(attempt);
     if (own !== undefined) return { kind: 'known', origin: own, source: 'own' };
+    if (attempt !== undefined && records.isContradicted(attempt, startedAt))
+      return { kind: 'unknown', reason: 'not-recorded' };
     const { origin, views } = await askPeers(stream);
     if (origin !== undefined) return { kind: 'known', origin, source: 'peer' };
     if (attempt === undefined || !needsRecord(serviceOf(stream))) return infer(stream, views, true);
@@ -231,7 +233,7 @@
     },
     async find(stream) {
       const startedAt = clock.now();
-      const lookup = await lookUp(stream);
+      const lookup = await lookUp(stream, startedAt);
       const how = lookup.kind === 'known' ? lookup.source : lookup.reason;
       parts.metrics.streamsContinued.inc({ origin: how });
       log.write('streamOriginResolved', {
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -235,7 +235,8 @@
   response.write(ids.map((id) => renderEvent(id, version)).join(''), () => response.destroy());
 }
 
-function beginStream(request: ReceivedRequest, response: ServerResponse): void {
+/** Sends the head of a stream. */
+export function beginStream(request: ReceivedRequest, response: ServerResponse): void {
   response.writeHead(200, {
     ...sign(request, String(request.headers['x-target-instance'] ?? '')),
     'Content-Type': 'text/event-stream',
@@ -247,7 +248,7 @@
 }
 
 /** One event; it names the version of the software that made it, if there is one. */
-function renderEvent(event: number, version?: string): string {
+export function renderEvent(event: number, version?: string): string {
   const author = version === undefined ? '' : ` by ${version}`;
   return `id: ${event}\ndata: part ${event}${author}\n\n`;
 }
--- a/test/fleet/fleet.test.ts
+++ b/test/fleet/fleet.test.ts
@@ -44,16 +44,16 @@
     expect(fleet.find('s')?.version).to.equal('v1');
   });
 
-  it('knows whether another incarnation or version has taken a server’s place', () => {
+  it('knows which incarnation or version has taken a server’s place', () => {
     const { fleet } = setUp();
     fleet.learn(change('s', 1, { version: 'v1' }), 'store');
     const chosen = fleet.find('s');
     if (chosen === undefined) throw new Error('the server is registered');
-    expect(fleet.isReplaced(chosen)).to.equal(false);
+    expect(fleet.successorOf(chosen)).to.equal(undefined);
     fleet.learn(removal('s', 2), 'store');
-    expect(fleet.isReplaced(chosen)).to.equal(false);
+    expect(fleet.successorOf(chosen)).to.equal(undefined);
     fleet.learn(change('s', 3, { version: 'v2' }), 'store');
-    expect(fleet.isReplaced(chosen)).to.equal(true);
+    expect(fleet.successorOf(chosen)?.version).to.equal('v2');
   });
 
   it('does not bring back a server whose removal is known', () => {
--- a/test/gateway/two-versions.test.ts
+++ b/test/gateway/two-versions.test.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai';
 import {
+  beginStream,
   breakStream,
+  renderEvent,
   writeEvents,
   type ScriptedAnswer,
 } from '../../stand-ins/users-platform/index.js';
@@ -169,6 +171,65 @@
   });
 });
 
+describe('streams that servers begin after they have started again, before that is known', () => {
+  let fleet: VersionFleet;
+
+  beforeEach(async function () {
+    this.timeout(60_000);
+    fleet = await startVersionFleet(1, ['v1']);
+  });
+
+  afterEach(() => fleet.close());
+
+  /**
+   * Engines have started again with another version of their software; the entry of one comes once it has begun a stream.
+   *
+   * @param events how many events the stream then has before it breaks off
+   */
+  function restartBeforeEntries(events: number): void {
+    for (const { server, role } of fleet.engines) {
+      const answer: ScriptedAnswer = (request, response) => {
+        server.script(answer);
+        if (request.headers['last-event-id'] !== undefined) {
+          writeEvents(request, response, EVENTS, 'v1');
+          return;
+        }
+        beginStream(request, response);
+        response.write(renderEvent(1, 'v2'));
+        register(fleet.store, server, 'chat', { stage: role, version: 'v2', born: Date.now() });
+        void until(() => knowsVersion(fleet, 'v2')).then(() => {
+          for (let event = 2; event <= events; event += 1) response.write(renderEvent(event, 'v2'));
+          if (events === EVENTS) response.end();
+          else response.write('', () => response.destroy());
+        });
+      };
+      if (role === 'decode') server.script(answer);
+    }
+  }
+
+  it('go on there once it is known', async function () {
+    this.timeout(60_000);
+    restartBeforeEntries(EVENTS);
+    const [seen] = await askForStreams(1, () => fleet.gateways);
+    expect([...(seen?.versions ?? [])]).to.deep.equal(['v2']);
+    expect(seen?.ids).to.deep.equal([1, 2, 3, 4, 5]);
+  });
+
+  it('do not go on at the version before, within the answer or over their caller’s attempts', async function () {
+    this.timeout(60_000);
+    restartBeforeEntries(3);
+    const [seen] = await askForStreams(1, () => fleet.gateways);
+    expect([...(seen?.versions ?? [])]).to.deep.equal(['v2']);
+    expect(seen?.ids).to.deep.equal([1, 2, 3]);
+    expect(seen?.statuses).to.deep.equal([200, 503]);
+  });
+});
+
+function knowsVersion({ gateways }: VersionFleet, version: string): boolean {
+  const lines = gateways.flatMap(({ log }) => log.lines);
+  return lines.some(({ event, fields }) => event === 'serverChanged' && fields.version === version);
+}
+
 /** An engine breaks a new stream off after its first event; a stream that goes on finds it started again. */
 function restartOnContinuation(fleet: VersionFleet, { server }: VersionedEngine): void {
   const answer: ScriptedAnswer = (request, response) => {
@@ -178,10 +239,7 @@
       return;
     }
     register(fleet.store, server, 'chat', { stage: 'decode', version: 'v2', born: Date.now() });
-    const [gateway] = fleet.gateways;
-    void until(
-      () => gateway?.log.lines.some(({ fields }) => fields.version === 'v2') === true,
-    ).then(() => {
+    void until(() => knowsVersion(fleet, 'v2')).then(() => {
       writeEvents(request, response, EVENTS, 'v2');
     });
   };
--- a/test/streams/stored-origins.test.ts
+++ b/test/streams/stored-origins.test.ts
@@ -174,6 +174,26 @@
     end(fleet);
   });
 
+  // a stream that began at one of two incarnations of a server must not go on at a guess after all gateways were lost
+  it('that contradict each other tell that nobody knows where a stream began', async () => {
+    const fleet = createOriginFleet(5, BOTH);
+    await fleet.settle(1_000);
+    const attempts = Array.from({ length: 20 }, (_, index) => `a${index}`);
+    for (const version of BOTH) {
+      for (const attempt of attempts)
+        pick(fleet, 0).streams.record(attempt, { service: SERVICE, version }, KEEP_MS);
+      await fleet.settle(1_000);
+    }
+    for (const gateway of fleet.gateways)
+      expect(await fleet.find(gateway, 'a0')).to.include({ reason: 'not-recorded' });
+    loseAll(fleet);
+    for (const [index, attempt] of attempts.entries()) {
+      const lookup = await fleet.find(pick(fleet, index), attempt);
+      expect(lookup).to.include({ kind: 'unknown' });
+    }
+    end(fleet);
+  });
+
   // a stream that began while the gateways stopped one right after another was stored by none of them
   it('are stored by each gateway that stops, as the first of a bucket may have stopped before', async () => {
     const fleet = createOriginFleet(3, BOTH);
--- a/test/streams/stream-origins.test.ts
+++ b/test/streams/stream-origins.test.ts
@@ -216,14 +216,25 @@
 });
 
 describe('records of where streams began', () => {
-  it('hold the first origin of an attempt until it expires', () => {
+  it('hold the origin of an attempt until it expires', () => {
     const records = createOriginRecords();
     records.add('a', ORIGIN, 1_000, 0);
-    records.add('a', { service: SERVICE, version: 'v2' }, 2_000, 500);
+    records.add('a', ORIGIN, 2_000, 500);
     expect(records.find('a', 2_400)).to.deep.equal(ORIGIN);
     expect(records.find('a', 2_500)).to.equal(undefined);
   });
 
+  it('tell nothing while they contradict each other', () => {
+    const records = createOriginRecords();
+    records.add('a', ORIGIN, 1_000, 0);
+    records.add('a', { service: SERVICE, version: 'v2' }, 2_000, 500);
+    records.add('a', ORIGIN, 1_000, 600);
+    expect(records.find('a', 2_400)).to.equal(undefined);
+    expect(records.isContradicted('a', 2_400)).to.equal(true);
+    records.add('a', ORIGIN, 1_000, 2_500);
+    expect(records.find('a', 2_500)).to.deep.equal(ORIGIN);
+  });
+
   it('are bounded', () => {
     const records = createOriginRecords();
     for (let index = 0; index < MAX_RECORDS + 100; index += 1)
