--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -2,7 +2,6 @@
  * Composes a gateway, the process that callers connect to, from its parts and the platform's adapters.
  */
 import { randomUUID } from 'node:crypto';
-import type { Server } from 'node:http';
 import {
   createAdmission,
   createArrivals,
@@ -41,8 +40,6 @@
   type SchedulingMechanisms,
 } from '../scheduling/index.js';
 import { createGuardedClock, wait, type Clock, type RandomSource } from '../task/index.js';
-import { answerBans } from './answer-bans.js';
-import { resolveGatewayAddresses } from './directory.js';
 import { createDraining } from './draining.js';
 import { createPauseAwareCalls } from './engine-calls.js';
 import { createFollowers } from './followers.js';
@@ -53,9 +50,9 @@
 import { publishAddress } from './publish-address.js';
 import { createSchedulers } from './schedulers.js';
 import { createServerPaths } from './server-paths.js';
-import type { GatewaySettings, ListenAddress } from './settings.js';
+import { formatAddress, type GatewaySettings } from './settings.js';
 import { createStoreHealth } from './store-health.js';
-import { startStatusServer, type StatusResponse, type StatusHandler } from './status-servers.js';
+import { startStatus, type StatusFormat } from './status.js';
 
 /** Share of the longest directory TTL that is used, so that callers leave a stopping gateway within its grace
  * period. */
@@ -77,7 +74,7 @@
 const REWRITE_SPREAD_MS = 1_500;
 
 /** The platform's adapters. */
-export interface GatewayPlatform {
+export interface GatewayPlatform extends StatusFormat {
   protocol: BackendProtocol;
   table: TableService;
   /** Registers a listener for restores of the store from an older copy. */
@@ -90,10 +87,6 @@
   caches: CacheInventory;
   /** Decodes routes relayed by a peer; logs and returns `undefined` if they are invalid. */
   parseRoutes(text: string): RoutingDocument | undefined;
-  readinessResponse(isReady: boolean): StatusResponse;
-  /** Reads the caller's availability zone from a directory request. */
-  readDirectoryZone(url: string): string | undefined;
-  directoryResponse(addresses: readonly string[], ttlMs: number): StatusResponse;
 }
 
 /** Dependencies of a gateway. */
@@ -414,40 +407,6 @@
     return settings.bounds.directoryTtlMs * TTL_SHARE;
   }
 
-  function answerDirectory(url: string): StatusResponse {
-    const own = { address: formatAddress(settings.callers), zone, isReady: isReady() };
-    const addresses = resolveGatewayAddresses(
-      own,
-      overlay.peers(),
-      platform.readDirectoryZone(url),
-    );
-    return platform.directoryResponse(addresses, resolveDirectoryTtl());
-  }
-
-  function startStatusServers(): Promise<Server[]> {
-    const pending = [
-      startStatusServer(settings.readiness, log, () => platform.readinessResponse(isReady())),
-      startStatusServer(
-        settings.metrics,
-        log,
-        (request) => answerBans(quarantine, request) ?? renderMetrics(request),
-      ),
-    ];
-    if (settings.directory !== undefined) {
-      pending.push(
-        startStatusServer(settings.directory, log, ({ url = '' }) => answerDirectory(url)),
-      );
-    }
-    return Promise.all(pending);
-  }
-
-  const renderMetrics: StatusHandler = async () => {
-    metrics.peers.set(overlay.peers().length);
-    metrics.banned.set(quarantine.bans().length);
-    const { contentType } = metrics.registry;
-    return { status: 200, contentType, body: await metrics.registry.metrics() };
-  };
-
   function recordSettings(): void {
     metrics.settingsSince.reset();
     metrics.settingsSince.set({ fingerprint: settings.fingerprint }, Date.now() / 1_000);
@@ -472,7 +431,16 @@
   await overlay.listen(settings.peers.host, settings.peers.port);
   overlay.start();
   await front.listen(settings.callers.host, settings.callers.port);
-  const statusServers = await startStatusServers();
+  const status = await startStatus({
+    settings,
+    log,
+    metrics,
+    format: platform,
+    overlay,
+    quarantine,
+    isReady,
+    directoryTtlMs: resolveDirectoryTtl,
+  });
   const address = { node, address: formatAddress(settings.peers) };
   const publishing = publishAddress({
     table: platform.table,
@@ -533,10 +501,7 @@
     front.close();
     overlay.close();
     serverPaths.close();
-    for (const server of statusServers) {
-      server.close();
-      server.closeAllConnections();
-    }
+    status.close();
     log.flush();
   }
 
@@ -568,7 +533,3 @@
   }
   return disabled;
 }
-
-function formatAddress({ host, port }: ListenAddress): string {
-  return `${host}:${port}`;
-}
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -8,6 +8,11 @@
   port: number;
 }
 
+/** Renders an address as `host:port`. */
+export function formatAddress({ host, port }: ListenAddress): string {
+  return `${host}:${port}`;
+}
+
 /** Bounds set by operators. */
 export interface FleetBounds {
   /** Time from the stop signal until the process is killed, in milliseconds. */
