feat(relay): an answer of no further use that does not end is logged with its server

What operators saw: nothing. A server that turns requests away with bodies without end, or that never come, costs a connection each time, closed after 64 KiB or a second without a line. Now answerRestAbandoned (7069) names the request, the server and which bound it was, for sends, reading prompts and their release. The test fails before: there was no such line.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -154,6 +154,11 @@
     level: 'warn',
     text: 'an answer on a connection bears an id other than that of its request',
   },
+  answerRestAbandoned: {
+    id: 7069,
+    level: 'warn',
+    text: 'the rest of an answer that was of no use did not end; its connection was closed',
+  },
   releaseFailed: { id: 7047, level: 'info', text: 'a prompt read in vain was not freed' },
   requestMalformed: { id: 7048, level: 'info', text: 'bytes of a caller were no request' },
   retryDecided: { id: 7049, level: 'info', text: 'a retry was allowed or denied by the budget' },
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -33,6 +33,8 @@
   body: Buffer | undefined;
   /** Decodes the answer; `undefined` for one that belongs to another request, of which nothing is used. */
   readAnswer(head: AnswerHead): AnswerFacts | undefined;
+  /** The rest of an answer that was of no use did not end, so its connection was closed. */
+  restAbandoned(reason: string): void;
   /** Called right before sending; returns a reason not to send to this server now, if there is one. */
   withholdReason?: (() => string | undefined) | undefined;
   /**
@@ -251,7 +253,7 @@
     discard() {
       if (finished) return;
       finish();
-      if (answer !== undefined) discardRest(answer, clock);
+      if (answer !== undefined) discardRest(answer, clock, request);
     },
     isSent: () => sent,
     pause() {
@@ -263,9 +265,22 @@
   };
 }
 
-function discardRest(answer: IncomingMessage, clock: Clock): void {
-  const timer = clock.after(DISCARD_MS, () => answer.destroy());
-  readRest(answer, () => answer.destroy());
+function discardRest(
+  answer: IncomingMessage,
+  clock: Clock,
+  request: Pick<OutgoingRequest, 'restAbandoned'>,
+): void {
+  function abandon(reason: string): void {
+    if (answer.destroyed) return;
+    answer.destroy();
+    request.restAbandoned(reason);
+  }
+  const timer = clock.after(DISCARD_MS, () => {
+    abandon(`it had not ended after ${DISCARD_MS} ms`);
+  });
+  readRest(answer, () => {
+    abandon('it was too large');
+  });
   answer.on('close', () => {
     timer.cancel();
   });
--- a/src/relay/release-prompt.ts
+++ b/src/relay/release-prompt.ts
@@ -57,6 +57,9 @@
       body: undefined,
       // the call has no id
       readAnswer: (head) => readOwnAnswer(parts, undefined, server, head),
+      restAbandoned(reason) {
+        log.write('answerRestAbandoned', { request: requestId, server: server.id, reason });
+      },
     },
     parts.connections.agentFor(server.id),
     clock,
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -278,6 +278,9 @@
       rawHeaders: protocol.sendHeaders(head, sendTerms, body?.length ?? 0),
       body,
       readAnswer: (answerHead) => readOwnAnswer(parts, requestId, server, answerHead),
+      restAbandoned(reason) {
+        log.write('answerRestAbandoned', { request: requestId, server: server.id, reason });
+      },
       withholdReason: () => withholdOver() ?? withholdBanned() ?? gate.withholdReason(server),
       watchPath(abandon) {
         recordSent(server);
--- a/test/relay/bytes-without-end.test.ts
+++ b/test/relay/bytes-without-end.test.ts
@@ -65,6 +65,25 @@
     await closed();
   });
 
+  it('is logged with its server where nobody waits for its end', async () => {
+    await start();
+    for (const body of ['too large', 'never comes']) {
+      answer = (request) => {
+        const head = `X-Request-Id: ${idOf(request)}\r\nX-Not-Executed: 1\r\n`;
+        if (body === 'too large') beginWithoutEnd(request, 503, head);
+        else request.connection.write(`HTTP/1.1 503 Status\r\n${head}Content-Length: 5\r\n\r\n`);
+      };
+      await ask(port, { path: '/once/1', headers: heads(body.replace(' ', '-')) });
+    }
+    await closed();
+    const { lines } = fleet.gateway.log;
+    const abandoned = lines.filter(({ event }) => event === 'answerRestAbandoned');
+    expect(abandoned.map(({ fields }) => fields)).to.deep.equal([
+      { request: 'too-large', server: 'pages-1', reason: 'it was too large' },
+      { request: 'never-comes', server: 'pages-1', reason: 'it had not ended after 1000 ms' },
+    ]);
+  });
+
   it('of another request ends the request, which may have run', async () => {
     await start();
     answer = (request) => {
