test(soak): all gateways are killed at once while two versions serve, and streams must go on

Both are judged now, with the users' bound (half the share of new streams that begin), half a second after the last stream began. The test of signals has an address of its own run, as two runs may be beside each other.

--- a/test/gateway/signals.test.ts
+++ b/test/gateway/signals.test.ts
@@ -9,7 +9,8 @@
 import { startStoreStandIn, type StoreStandIn } from '../../stand-ins/users-platform/index.js';
 import { until } from '../fixtures/gateway.js';
 
-const HOST = '127.0.0.86';
+/** An address of this run alone, as the ports are fixed. */
+const HOST = `127.86.${(process.pid >> 8) & 0xff}.${Math.max(1, process.pid & 0xfe)}`;
 
 function renderSettings(store: string): string {
   return [
--- a/tools/soak/calm.ts
+++ b/tools/soak/calm.ts
@@ -14,8 +14,10 @@
 export const IN_FORCE_MS = 2_000;
 /** Requests of each kind to each gateway after that. */
 const CALM_ROUNDS = 5;
-/** Streams that are begun at one gateway to see whether they go on. */
+/** Streams that are begun at gateways which are then killed, to see whether they go on. */
 const CONTINUED_STREAMS = 40;
+/** Time for which streams have to have run to go on after all gateways were killed at once, in ms. */
+const STORED_MS = 500;
 const NOT_FOUND = 404;
 /** How long after a cut first attempts are counted, in ms, and how many at each gateway. */
 const CUT_SETTLE_MS = 1_000;
@@ -47,8 +49,8 @@
   breakStreams(): void;
   /** Has callers continue their streams, which do not break off any more. */
   continueStreams(): void;
-  /** Kills a gateway and waits until it serves again. */
-  restart(gateway: GatewayProcess): Promise<void>;
+  /** Kills gateways at once and waits until they serve again. */
+  restart(gateways: readonly GatewayProcess[]): Promise<void>;
   streamCounts(): StreamCounts;
   announceLeaving(server: Backend): void;
   changeRoutes(): void;
@@ -124,21 +126,35 @@
   return { asked: seen.length, served: seen.filter((status) => status === 200).length };
 }
 
-/** Streams go on at any gateway, also once the one that began them was killed. */
+/** Streams go on at any gateway, also once the one that began them was killed, or all. */
 async function judgeStreams(run: CalmRun): Promise<string[]> {
-  const gateway = run.gateways[Math.floor(run.random.next() * run.gateways.length)];
-  if (gateway === undefined) return ['no gateway is left'];
+  const drawn = Math.floor(run.random.next() * run.gateways.length);
+  const one = await judgeKilled(run, run.gateways.slice(drawn, drawn + 1));
+  const all = await judgeKilled(run, run.gateways);
+  const found: string[] = [];
+  if (one !== undefined) found.push(`one gateway was killed: ${one}`);
+  if (all !== undefined) found.push(`all gateways were killed: ${all}`);
+  return found;
+}
+
+/** Begins streams at gateways, kills these and has the streams continued. */
+async function judgeKilled(
+  run: CalmRun,
+  killed: readonly GatewayProcess[],
+): Promise<string | undefined> {
   run.breakStreams();
   for (let count = 0; count < CONTINUED_STREAMS; count += 1) {
+    const gateway = killed[count % killed.length];
+    if (gateway === undefined) return 'there is none';
     run.track(run.sendOne(gateway, 'stream').then(() => undefined));
     await pause(run.requestIntervalMs);
   }
   await run.settle();
-  await run.restart(gateway);
+  await pause(STORED_MS);
+  await run.restart(killed);
   run.continueStreams();
   await run.settle();
-  const found = judgeContinued(run.streamCounts());
-  return found === undefined ? [] : [found];
+  return judgeContinued(run.streamCounts());
 }
 
 /** Servers that ask for less get less. */
--- a/tools/soak/controls.ts
+++ b/tools/soak/controls.ts
@@ -69,6 +69,13 @@
     to: 'for (const peer of [])',
     finds: /streams went on, while/,
   },
+  {
+    name: 'the platform does not store where streams began',
+    file: 'src/streams/stored-origins.ts',
+    from: 'const isStoring = mixed.size > 0 && parts.hasFoundPeers();',
+    to: 'const isStoring = false;',
+    finds: /all gateways were killed: .* streams went on/,
+  },
   {
     name: 'leaving servers go on getting requests',
     file: 'src/fleet/fleet.ts',
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -534,9 +534,9 @@
         for (const story of held ?? []) track(continueStream(story));
         held = undefined;
       },
-      async restart(gateway) {
-        gateway.signal('SIGKILL');
-        await serves(gateway);
+      async restart(killed) {
+        for (const gateway of killed) gateway.signal('SIGKILL');
+        await Promise.all(killed.map(serves));
       },
       streamCounts: () => streamCounts,
       changeRoutes() {
