fix(streams): a stream that breaks off right after its server's successor is known does not go on at the version before

Cause: that the server had been replaced was looked at with each further event only; a stream that broke off without one went on at the version before. It is now also looked at when the send ends.

--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -337,7 +337,7 @@
     return outcome;
   }
 
-  function sendTo(placed: PlacedServer, placer: Placer): Promise<SendOutcome> {
+  async function sendTo(placed: PlacedServer, placer: Placer): Promise<SendOutcome> {
     const { server, source, urgency } = placed;
     const stream = streamVersion.sentTo(server);
     log.write('requestSent', {
@@ -349,7 +349,7 @@
       resumes: head.resumes,
       afterEvent: lastEventId ?? head.lastEventId,
     });
-    return sendOnce(
+    const outcome = await sendOnce(
       {
         request: createOutgoing(server, { source, urgency, lastEventId }, mayContinueElsewhere),
         server,
@@ -381,6 +381,8 @@
       },
       clock,
     );
+    stream.ended();
+    return outcome;
   }
 
   /** Whether a send whose path is lost may be made again at another server. The others are left as they are: their
--- a/src/relay/stream-version.ts
+++ b/src/relay/stream-version.ts
@@ -57,6 +57,8 @@
   mayForwardEvent(): boolean;
   /** The first event of the caller's answer is about to reach the caller. */
   begun(): void;
+  /** The send has ended; another may follow. */
+  ended(): void;
 }
 
 /** Dependencies of a request's version. */
@@ -152,12 +154,17 @@
     },
     sentTo(server) {
       let isFirst = false;
+
+      function checkSuccessor(): void {
+        const successor = fleet.successorOf(server);
+        if (isFirst && successor !== undefined) setUnknown(server, successor);
+      }
+
       return {
         mayForwardEvent() {
-          const successor = fleet.successorOf(server);
-          if (successor === undefined || required === undefined) return true;
-          if (isFirst) setUnknown(server, successor);
-          return isFirst;
+          if (required === undefined) return true;
+          checkSuccessor();
+          return isFirst || fleet.successorOf(server) === undefined;
         },
         begun() {
           if (!isContinuable(route)) return;
@@ -165,11 +172,11 @@
           required ??= { version: server.version };
           // gateways may have been lost since the stream began, so a continued one is recorded anew
           record(required.version);
-          const successor = fleet.successorOf(server);
-          if (isFirst && successor !== undefined) setUnknown(server, successor);
+          checkSuccessor();
           const { id, version } = server;
           log.write('streamBegun', { request: head.requestId, server: id, version });
         },
+        ended: checkSuccessor,
       };
     },
   };
