test(streams): the entry of a server that has started again comes after its stream's first event was passed on

The engine registered at once, and the gateway mostly knew of it before it had read the first event, so it was looked at there.

--- a/test/gateway/two-versions.test.ts
+++ b/test/gateway/two-versions.test.ts
@@ -197,12 +197,17 @@
         }
         beginStream(request, response);
         response.write(renderEvent(1, 'v2'));
-        register(fleet.store, server, 'chat', { stage: role, version: 'v2', born });
-        void until(() => knowsVersion(fleet, 'v2', server.id)).then(() => {
-          for (let event = 2; event <= events; event += 1) response.write(renderEvent(event, 'v2'));
-          if (events === EVENTS) response.end();
-          else response.write('', () => response.destroy());
-        });
+        void until(() => hasBegunStream(fleet))
+          .then(() => {
+            register(fleet.store, server, 'chat', { stage: role, version: 'v2', born });
+          })
+          .then(() => until(() => knowsVersion(fleet, 'v2', server.id)))
+          .then(() => {
+            for (let event = 2; event <= events; event += 1)
+              response.write(renderEvent(event, 'v2'));
+            if (events === EVENTS) response.end();
+            else response.write('', () => response.destroy());
+          });
       };
       if (role === 'decode') server.script(answer);
     }
@@ -238,6 +243,10 @@
   });
 });
 
+function hasBegunStream({ gateways }: VersionFleet): boolean {
+  return gateways.some(({ log }) => log.lines.some(({ event }) => event === 'streamBegun'));
+}
+
 function knowsVersion({ gateways }: VersionFleet, version: string, server = ''): boolean {
   const lines = gateways.flatMap(({ log }) => log.lines);
   return lines.some(
