refactor(relay): the successor of a server is looked up once an event, and one listener for errors

mayForwardEvent looked it up twice for each event of a running stream, once to note it and once to decide. exchange.abort added a listener for errors beside the one that each source has from its start (listen).

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -247,8 +247,6 @@
       if (finished) return;
       finish();
       source.destroy();
-      // ignores errors caused by closing the connection
-      source.on('error', () => undefined);
     },
     discard() {
       if (finished) return;
--- a/src/relay/stream-version.ts
+++ b/src/relay/stream-version.ts
@@ -157,14 +157,15 @@
 
       function checkSuccessor(): void {
         const successor = fleet.successorOf(server);
-        if (isFirst && successor !== undefined) setUnknown(server, successor);
+        if (successor !== undefined) setUnknown(server, successor);
       }
 
       return {
         mayForwardEvent() {
           if (required === undefined) return true;
+          if (!isFirst) return fleet.successorOf(server) === undefined;
           checkSuccessor();
-          return isFirst || fleet.successorOf(server) === undefined;
+          return true;
         },
         begun() {
           if (!isContinuable(route)) return;
@@ -172,11 +173,13 @@
           required ??= { version: server.version };
           // gateways may have been lost since the stream began, so a continued one is recorded anew
           record(required.version);
-          checkSuccessor();
+          if (isFirst) checkSuccessor();
           const { id, version } = server;
           log.write('streamBegun', { request: head.requestId, server: id, version });
         },
-        ended: checkSuccessor,
+        ended() {
+          if (isFirst) checkSuccessor();
+        },
       };
     },
   };
