refactor(streams): segments group records by isSameOrigin; one unit for the stored segments' counter

Segments made a name of service and version for a map, beside isSameOrigin; a segment has a few groups at most. Two things named list in the records. The counter reedtally_gateway_origin_segments_total counted streams, not segments, where they were dropped, so its outcomes could not be compared; originsDropped still says how many streams.

--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -248,7 +248,7 @@
     }),
     originsStored: new Counter({
       name: 'reedtally_gateway_origin_segments_total',
-      help: 'Segments of where streams began that were to be stored, by outcome; streams where they were dropped',
+      help: 'Segments of where streams began that were to be stored, by outcome',
       labelNames: ['outcome'],
       registers,
     }),
--- a/src/streams/origin-records.ts
+++ b/src/streams/origin-records.ts
@@ -50,7 +50,7 @@
     }
   }
 
-  function list(attempt: string, now: number): readonly StreamOrigin[] {
+  function originsOf(attempt: string, now: number): readonly StreamOrigin[] {
     const record = records.get(attempt);
     return record === undefined || record.expiresAt <= now ? [] : record.origins;
   }
@@ -65,10 +65,10 @@
       dropOldest(now);
     },
     find(attempt, now) {
-      const [origin, contradicting] = list(attempt, now);
+      const [origin, contradicting] = originsOf(attempt, now);
       return contradicting === undefined ? origin : undefined;
     },
-    isContradicted: (attempt, now) => list(attempt, now).length > 1,
+    isContradicted: (attempt, now) => originsOf(attempt, now).length > 1,
     *list(now) {
       for (const [attempt, { origins, expiresAt }] of records) {
         if (expiresAt <= now) continue;
--- a/src/streams/origin-segments.ts
+++ b/src/streams/origin-segments.ts
@@ -5,7 +5,7 @@
  */
 import { randomUUID } from 'node:crypto';
 import * as z from 'zod';
-import type { StreamOrigin } from './messages.js';
+import { isSameOrigin, type StreamOrigin } from './messages.js';
 
 /** Start of the keys of all segments. */
 const PREFIX = 'stream-origins/';
@@ -52,7 +52,8 @@
 
 /** Creates an empty segment of a bucket, under a key that no other has. */
 export function createSegment(bucket: number): Segment {
-  const groups = new Map<string, { origin: StreamOrigin; attempts: Set<string> }>();
+  /** One for each service and version; few. */
+  const groups: { origin: StreamOrigin; attempts: Set<string> }[] = [];
   let size = 0;
   let characters = 0;
   let keepMs = 0;
@@ -60,14 +61,13 @@
     key: `${resolveSegmentPrefix(bucket)}${randomUUID()}`,
     bucket,
     add(attempt, origin, kept) {
-      const name = JSON.stringify([origin.service, origin.version]);
-      const group = groups.get(name) ?? { origin, attempts: new Set<string>() };
-      if (group.attempts.has(attempt)) return true;
+      const group = groups.find((known) => isSameOrigin(known.origin, origin));
+      if (group?.attempts.has(attempt) === true) return true;
       const isFull = size >= MAX_RECORDS || characters + attempt.length > MAX_CHARACTERS;
       // one that alone is too long for a segment has one of its own
       if (isFull && size > 0) return false;
-      groups.set(name, group);
-      group.attempts.add(attempt);
+      if (group === undefined) groups.push({ origin, attempts: new Set([attempt]) });
+      else group.attempts.add(attempt);
       size += 1;
       characters += attempt.length;
       keepMs = Math.max(keepMs, kept);
@@ -75,11 +75,11 @@
     },
     size: () => size,
     encode() {
-      const origins: StoredSegment['origins'] = [];
-      for (const { origin, attempts } of groups.values()) {
-        const { service, version } = origin;
-        origins.push({ service, version, attempts: [...attempts] });
-      }
+      const origins = groups.map(({ origin: { service, version }, attempts }) => ({
+        service,
+        version,
+        attempts: [...attempts],
+      }));
       return { keepMs, origins };
     },
   };
--- a/src/streams/stored-origins.ts
+++ b/src/streams/stored-origins.ts
@@ -134,7 +134,7 @@
       if (waiting.size <= MAX_WAITING) return;
       waiting.delete(key);
       if (open.get(segment.bucket) === segment) open.delete(segment.bucket);
-      metrics.originsStored.inc({ outcome: 'dropped' }, segment.size());
+      metrics.originsStored.inc({ outcome: 'dropped' });
       log.write('originsDropped', { bucket: segment.bucket, streams: segment.size() });
     }
   }
