test(streams): fixtures for what two tests each built; the ids of a broken stream are asked for in full again

just-started and mixed-releases built the same parts of origin keeping, stored-origins and stream-origins each had a way to pick a gateway; these are fixtures now. The tests of servers that began a stream before their entry share one story.

Without the look at the end of a send the third of these tests fails ('v2, v1'), as before.

--- a/test/gateway/two-versions.test.ts
+++ b/test/gateway/two-versions.test.ts
@@ -182,67 +182,73 @@
   afterEach(() => fleet.close());
 
   /**
-   * Engines have started again with another version of their software; the entry of one comes once it has begun a stream.
+   * Asks for a stream. Engines have started again with another version of their software; the entry of one comes once
+   * it has begun the stream.
    *
    * @param events how many events the stream then has before it breaks off
    */
-  function restartBeforeEntries(events: number): void {
+  async function askBeforeEntries(events: number): Promise<SeenStream | undefined> {
     const born = Date.now();
-    for (const { server, role } of fleet.engines) {
+    for (const engine of fleet.engines) {
       const answer: ScriptedAnswer = (request, response) => {
-        server.script(answer);
-        if (request.headers['last-event-id'] !== undefined) {
+        engine.server.script(answer);
+        if (request.headers['last-event-id'] !== undefined)
           writeEvents(request, response, EVENTS, 'v1');
-          return;
-        }
-        beginStream(request, response);
-        response.write(renderEvent(1, 'v2'));
-        void until(() => hasBegunStream(fleet))
-          .then(() => {
-            register(fleet.store, server, 'chat', { stage: role, version: 'v2', born });
-          })
-          .then(() => until(() => knowsVersion(fleet, 'v2', server.id)))
-          .then(() => {
-            for (let event = 2; event <= events; event += 1)
-              response.write(renderEvent(event, 'v2'));
-            if (events === EVENTS) response.end();
-            else response.write('', () => response.destroy());
-          });
+        else void beginBeforeEntry(fleet, { engine, born, events }, request, response);
       };
-      if (role === 'decode') server.script(answer);
+      if (engine.role === 'decode') engine.server.script(answer);
     }
+    const [seen] = await askForStreams(1, () => fleet.gateways);
+    const unfinished = describeUnfinished(seen === undefined ? [] : [seen], fleet.gateways);
+    expect([...(seen?.versions ?? [])], unfinished).to.deep.equal(['v2']);
+    return seen;
   }
 
   it('go on there once it is known', async function () {
     this.timeout(60_000);
-    restartBeforeEntries(EVENTS);
-    const [seen] = await askForStreams(1, () => fleet.gateways);
-    const unfinished = describeUnfinished(seen === undefined ? [] : [seen], fleet.gateways);
-    expect([...(seen?.versions ?? [])], unfinished).to.deep.equal(['v2']);
+    const seen = await askBeforeEntries(EVENTS);
     expect(seen?.ids).to.deep.equal([1, 2, 3, 4, 5]);
   });
 
   it('do not go on at the version before, within the answer or over their caller’s attempts', async function () {
     this.timeout(60_000);
-    restartBeforeEntries(3);
-    const [seen] = await askForStreams(1, () => fleet.gateways);
-    const unfinished = describeUnfinished(seen === undefined ? [] : [seen], fleet.gateways);
-    expect([...(seen?.versions ?? [])], unfinished).to.deep.equal(['v2']);
-    expect(seen?.ids.slice(0, 1)).to.deep.equal([1]);
+    const seen = await askBeforeEntries(3);
+    expect(seen?.ids).to.deep.equal([1, 2, 3]);
     expect(seen?.statuses).to.deep.equal([200, 503]);
   });
 
   it('do not go on at the version before where they break off right after it is known', async function () {
     this.timeout(60_000);
-    restartBeforeEntries(1);
-    const [seen] = await askForStreams(1, () => fleet.gateways);
-    const unfinished = describeUnfinished(seen === undefined ? [] : [seen], fleet.gateways);
-    expect([...(seen?.versions ?? [])], unfinished).to.deep.equal(['v2']);
+    const seen = await askBeforeEntries(1);
     expect(seen?.ids).to.deep.equal([1]);
     expect(seen?.statuses).to.deep.equal([200, 503]);
   });
 });
 
+/** A server that has started again, and how many events a stream has there. */
+interface RestartedServer {
+  engine: VersionedEngine;
+  born: number;
+  events: number;
+}
+
+/** Begins a stream at a new version, and goes on once that is known. */
+async function beginBeforeEntry(
+  fleet: VersionFleet,
+  { engine, born, events }: RestartedServer,
+  ...[request, response]: Parameters<ScriptedAnswer>
+): Promise<void> {
+  const { server, role } = engine;
+  beginStream(request, response);
+  response.write(renderEvent(1, 'v2'));
+  await until(() => hasBegunStream(fleet));
+  register(fleet.store, server, 'chat', { stage: role, version: 'v2', born });
+  await until(() => knowsVersion(fleet, 'v2', server.id));
+  const rest = Array.from({ length: events - 1 }, (_, index) => renderEvent(index + 2, 'v2'));
+  if (events === EVENTS) response.end(rest.join(''));
+  else response.write(rest.join(''), () => response.destroy());
+}
+
 function hasBegunStream({ gateways }: VersionFleet): boolean {
   return gateways.some(({ log }) => log.lines.some(({ event }) => event === 'streamBegun'));
 }
--- a/test/streams/just-started.test.ts
+++ b/test/streams/just-started.test.ts
@@ -1,12 +1,8 @@
 // Guards against a gateway that has just started and takes itself for the only one before it knows its peers: it refused
 // for good what they would have known.
 import { expect } from 'chai';
-import { createSilentLog } from '../../src/events/index.js';
-import { createOriginKeeping } from '../../src/gateway/origin-keeping.js';
-import { createGatewayMetrics } from '../../src/metrics/index.js';
 import type { RegisteredServer } from '../../src/fleet/index.js';
-import { createFakeClock } from '../fixtures/fake-clock.js';
-import { createMemoryTable } from '../fixtures/memory-table.js';
+import { startOriginKeeping } from '../fixtures/origin-keeping.js';
 
 const servers = ['v1', 'v2'].map((version) => ({ version }) as RegisteredServer);
 const continued = { requestId: 'r2', attempt: 'r1', services: ['chat'] };
@@ -14,24 +10,15 @@
 describe('a gateway that has just started and knows no other', () => {
   function start() {
     const state = { hasReadAddresses: false, fleetSize: undefined as number | undefined };
-    const { streams } = createOriginKeeping({
-      clock: createFakeClock().clock,
-      log: createSilentLog(),
-      metrics: createGatewayMetrics(),
-      node: 'self',
-      table: createMemoryTable().table,
-      signal: AbortSignal.abort(),
+    const { streams } = startOriginKeeping({
       fleet: () => ({ registered: () => servers }),
-      routes: { index: () => undefined },
       overlay: () => ({
         peers: () => [],
         knownGateways: () => 1,
         fleetSize: () => state.fleetSize,
         send: () => false,
       }),
-      isStoreReachable: () => true,
       hasReadAddresses: () => state.hasReadAddresses,
-      holderOf: () => 'self',
     });
     return { state, streams };
   }
--- a/test/streams/mixed-releases.test.ts
+++ b/test/streams/mixed-releases.test.ts
@@ -1,10 +1,6 @@
 import { expect } from 'chai';
-import { createSilentLog } from '../../src/events/index.js';
-import { createOriginKeeping } from '../../src/gateway/origin-keeping.js';
-import { createGatewayMetrics } from '../../src/metrics/index.js';
 import type { GatewayState, PeerMessage } from '../../src/peers/index.js';
-import { createFakeClock } from '../fixtures/fake-clock.js';
-import { createMemoryTable } from '../fixtures/memory-table.js';
+import { startOriginKeeping } from '../fixtures/origin-keeping.js';
 
 function peer(node: string, recordsOrigins?: boolean): GatewayState {
   return {
@@ -25,24 +21,15 @@
   it('do not send where streams began to the earlier ones, which would close the link', () => {
     const sent: { to: string; message: PeerMessage }[] = [];
     const peers = [peer('earlier'), peer('same', true)];
-    const { streams } = createOriginKeeping({
-      clock: createFakeClock().clock,
-      log: createSilentLog(),
-      metrics: createGatewayMetrics(),
-      node: 'self',
-      table: createMemoryTable().table,
-      signal: AbortSignal.abort(),
+    const { streams } = startOriginKeeping({
       fleet: () => ({ registered: () => [] }),
-      routes: { index: () => undefined },
       overlay: () => ({
         peers: () => peers,
         knownGateways: () => 3,
         fleetSize: () => 3,
         send: (to, message) => sent.push({ to, message }) > 0,
       }),
-      isStoreReachable: () => true,
       hasReadAddresses: () => true,
-      holderOf: () => 'self',
     });
     streams.record('a', { service: 'chat', version: 'v1' }, 1_000);
     void streams.find({ requestId: 'b', attempt: 'c', services: ['chat'] });
--- a/test/streams/stored-origins.test.ts
+++ b/test/streams/stored-origins.test.ts
@@ -2,13 +2,7 @@
 // then as well, while servers of several software versions run.
 import { expect } from 'chai';
 import { BUCKETS, MAX_SEGMENTS_PER_BUCKET } from '../../src/streams/index.js';
-import {
-  createOriginFleet,
-  KEEP_MS,
-  SERVICE,
-  type OriginFleet,
-  type OriginGateway,
-} from '../fixtures/origin-fleet.js';
+import { createOriginFleet, KEEP_MS, SERVICE, type OriginFleet } from '../fixtures/origin-fleet.js';
 
 const BOTH = ['v1', 'v1.2'];
 /** Share of streams that go on after all gateways were lost. */
@@ -20,12 +14,6 @@
 /** Replicas of a bucket that may each read it. */
 const READERS = 4;
 
-function pick(fleet: OriginFleet, index: number): OriginGateway {
-  const gateway = fleet.gateways[index % fleet.gateways.length];
-  if (gateway === undefined) throw new Error('there is no gateway');
-  return gateway;
-}
-
 /** Begins streams of both versions in turn, some each 100 ms; returns the version of each attempt. */
 async function begin(fleet: OriginFleet, count: number, each = 10): Promise<Map<string, string>> {
   const begun = new Map<string, string>();
@@ -33,7 +21,7 @@
     for (let index = 0; index < each; index += 1) {
       const version = BOTH[begun.size % BOTH.length] ?? '';
       const attempt = `a${begun.size}`;
-      pick(fleet, begun.size).streams.record(attempt, { service: SERVICE, version }, KEEP_MS);
+      fleet.at(begun.size).streams.record(attempt, { service: SERVICE, version }, KEEP_MS);
       begun.set(attempt, version);
     }
     await fleet.settle(100);
@@ -51,7 +39,7 @@
   const counted = { known: 0, wrong: 0 };
   let index = 0;
   for (const [attempt, version] of begun) {
-    const lookup = await fleet.find(pick(fleet, (index += 1)), attempt);
+    const lookup = await fleet.find(fleet.at((index += 1)), attempt);
     if (lookup.kind !== 'known') continue;
     counted.known += 1;
     if (lookup.origin.version !== version) counted.wrong += 1;
@@ -81,12 +69,12 @@
   it('are of the streams that began before a second version came, too', async () => {
     const fleet = createOriginFleet(3, ['v1']);
     await fleet.settle(1_000);
-    pick(fleet, 0).streams.record('early', { service: SERVICE, version: 'v1' }, KEEP_MS);
+    fleet.at(0).streams.record('early', { service: SERVICE, version: 'v1' }, KEEP_MS);
     await fleet.settle(1_000);
     fleet.register(BOTH);
     await fleet.settle(1_000);
     loseAll(fleet);
-    expect(await fleet.find(pick(fleet, 1), 'early')).to.deep.include({
+    expect(await fleet.find(fleet.at(1), 'early')).to.deep.include({
       kind: 'known',
       origin: { service: SERVICE, version: 'v1' },
     });
@@ -96,10 +84,10 @@
   it('cost no call while one version serves', async () => {
     const fleet = createOriginFleet(3, ['v1']);
     for (let index = 0; index < 100; index += 1) {
-      pick(fleet, index).streams.record(`a${index}`, { service: SERVICE, version: 'v1' }, KEEP_MS);
+      fleet.at(index).streams.record(`a${index}`, { service: SERVICE, version: 'v1' }, KEEP_MS);
       await fleet.settle(50);
     }
-    expect(await fleet.find(pick(fleet, 1), 'b')).to.include({ source: 'only-version' });
+    expect(await fleet.find(fleet.at(1), 'b')).to.include({ source: 'only-version' });
     expect([fleet.table.reads, fleet.table.writes, fleet.table.rows.size]).to.deep.equal([0, 0, 0]);
     end(fleet);
   });
@@ -127,7 +115,7 @@
     const lookups: Promise<unknown>[] = [];
     for (const attempt of begun.keys()) {
       const stream = { requestId: undefined, attempt, services: [SERVICE] };
-      lookups.push(pick(fleet, (index += 1)).streams.find(stream));
+      lookups.push(fleet.at((index += 1)).streams.find(stream));
     }
     await fleet.settle(1_000);
     await Promise.all(lookups);
@@ -181,14 +169,14 @@
     const attempts = Array.from({ length: 20 }, (_, index) => `a${index}`);
     for (const version of BOTH) {
       for (const attempt of attempts)
-        pick(fleet, 0).streams.record(attempt, { service: SERVICE, version }, KEEP_MS);
+        fleet.at(0).streams.record(attempt, { service: SERVICE, version }, KEEP_MS);
       await fleet.settle(1_000);
     }
     for (const gateway of fleet.gateways)
       expect(await fleet.find(gateway, 'a0')).to.include({ reason: 'not-recorded' });
     loseAll(fleet);
     for (const [index, attempt] of attempts.entries()) {
-      const lookup = await fleet.find(pick(fleet, index), attempt);
+      const lookup = await fleet.find(fleet.at(index), attempt);
       expect(lookup).to.include({ kind: 'unknown' });
     }
     end(fleet);
@@ -198,7 +186,7 @@
   it('are stored by each gateway that stops, as the first of a bucket may have stopped before', async () => {
     const fleet = createOriginFleet(3, BOTH);
     await fleet.settle(1_000);
-    const last = pick(fleet, 2);
+    const last = fleet.at(2);
     const late = Array.from({ length: 20 }, (_, index) => `late-${index}`);
     for (const attempt of late)
       last.streams.record(attempt, { service: SERVICE, version: 'v1' }, KEEP_MS);
@@ -215,7 +203,7 @@
     const fleet = createOriginFleet(3, ['v1']);
     await fleet.settle(1_000);
     fleet.register(BOTH);
-    const last = pick(fleet, 2);
+    const last = fleet.at(2);
     const late = Array.from({ length: 20 }, (_, index) => `late-${index}`);
     for (const attempt of late)
       last.streams.record(attempt, { service: SERVICE, version: 'v1.2' }, KEEP_MS);
@@ -248,13 +236,13 @@
     fleet.table.down = true;
     loseAll(fleet);
     const [attempt] = begun.keys();
-    expect(await fleet.find(pick(fleet, 0), attempt)).to.deep.equal({
+    expect(await fleet.find(fleet.at(0), attempt)).to.deep.equal({
       kind: 'unknown',
       reason: 'no-answer',
     });
     fleet.table.down = false;
     await fleet.settle(500);
-    expect(await fleet.find(pick(fleet, 0), attempt)).to.include({ kind: 'known' });
+    expect(await fleet.find(fleet.at(0), attempt)).to.include({ kind: 'known' });
     end(fleet);
   });
 
--- a/test/streams/stream-origins.test.ts
+++ b/test/streams/stream-origins.test.ts
@@ -13,29 +13,17 @@
 import { createSeededRandom } from '../../src/task/index.js';
 import { createFakeClock, settle } from '../fixtures/fake-clock.js';
 import { createLateClock } from '../fixtures/late-clock.js';
-import {
-  createOriginFleet,
-  KEEP_MS,
-  SERVICE,
-  type OriginFleet,
-  type OriginGateway,
-} from '../fixtures/origin-fleet.js';
+import { createOriginFleet, KEEP_MS, SERVICE, type OriginFleet } from '../fixtures/origin-fleet.js';
 
 const BOTH = ['v1', 'v1.2'];
 const ORIGIN = { service: SERVICE, version: 'v1' };
 /** Share of streams whose origin is known after the gateway that began them, or a third of all, was lost. */
 const KNOWN_SHARE = 0.9;
 
-function at(fleet: OriginFleet, index: number): OriginGateway {
-  const gateway = fleet.gateways[index];
-  if (gateway === undefined) throw new Error(`there is no gateway ${index}`);
-  return gateway;
-}
-
 describe('where a stream began', () => {
   it('is known at every gateway, also once the one that began it is gone', async () => {
     const fleet = createOriginFleet(7, BOTH);
-    const began = at(fleet, 0);
+    const began = fleet.at(0);
     began.streams.record('a', ORIGIN, KEEP_MS);
     fleet.advance(5);
     fleet.kill(began);
@@ -51,12 +39,12 @@
     const lost = fleet.gateways.slice(0, 30);
     // all were begun at gateways that are lost
     for (const [index, attempt] of attempts.entries())
-      at(fleet, index % lost.length).streams.record(attempt, ORIGIN, KEEP_MS);
+      fleet.at(index % lost.length).streams.record(attempt, ORIGIN, KEEP_MS);
     fleet.advance(5);
     for (const gateway of lost) fleet.kill(gateway);
     let known = 0;
     for (const attempt of attempts) {
-      const gateway = at(fleet, 30 + Math.floor(random.next() * 70));
+      const gateway = fleet.at(30 + Math.floor(random.next() * 70));
       if ((await fleet.find(gateway, attempt)).kind === 'known') known += 1;
     }
     expect(known / attempts.length).to.be.at.least(KNOWN_SHARE);
@@ -64,7 +52,7 @@
 
   it('is known while the gateways start again one after another', async () => {
     const fleet = createOriginFleet(7, BOTH);
-    at(fleet, 0).streams.record('a', ORIGIN, KEEP_MS);
+    fleet.at(0).streams.record('a', ORIGIN, KEEP_MS);
     fleet.advance(5);
     for (const gateway of fleet.gateways) {
       fleet.kill(gateway);
@@ -78,14 +66,14 @@
 
   it('is not guessed by a gateway that no peer answers', async () => {
     const fleet = createOriginFleet(3, ['v1']);
-    fleet.cut(at(fleet, 0));
-    expect(await fleet.find(at(fleet, 0), 'a')).to.deep.equal({
+    fleet.cut(fleet.at(0));
+    expect(await fleet.find(fleet.at(0), 'a')).to.deep.equal({
       kind: 'unknown',
       reason: 'no-answer',
     });
     fleet.advance(2_000);
-    expect(await fleet.find(at(fleet, 0), 'a')).to.include({ kind: 'unknown' });
-    expect(await fleet.find(at(fleet, 1), 'a')).to.include({ source: 'only-version' });
+    expect(await fleet.find(fleet.at(0), 'a')).to.include({ kind: 'unknown' });
+    expect(await fleet.find(fleet.at(1), 'a')).to.include({ source: 'only-version' });
   });
 
   it('is not inferred until another version has been gone for as long as its streams may go on', async () => {
@@ -96,9 +84,9 @@
       fleet.restart(gateway);
     }
     fleet.advance(KEEP_MS - 1_000);
-    expect(await fleet.find(at(fleet, 0), 'a')).to.include({ kind: 'unknown' });
+    expect(await fleet.find(fleet.at(0), 'a')).to.include({ kind: 'unknown' });
     fleet.advance(2_000);
-    expect(await fleet.find(at(fleet, 0), 'a')).to.include({ source: 'only-version' });
+    expect(await fleet.find(fleet.at(0), 'a')).to.include({ source: 'only-version' });
   });
 
   it('is never wrong, whatever comes and goes', async function () {
