feat(relay): a send's line names the status of its answer and whether it is signed; a failure that is passed on has a line

A failure that was passed on left no line and sendEnded neither status nor signature, so that the hypotheses of the incident could not be told apart for one id: a worker's own status passed on (its status, its signature, failurePassedOn), another request's answer (requestRefused, answerNotOwn), a send taken for one not made (unsent or withheld).

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -127,6 +127,11 @@
   sendEnded: { id: 7042, level: 'info', text: 'a send ended' },
   requestRefused: { id: 7043, level: 'info', text: 'request refused; it did not run' },
   requestFailed: { id: 7044, level: 'warn', text: 'request failed; it may have run' },
+  failurePassedOn: {
+    id: 7103,
+    level: 'info',
+    text: 'a failure of a backend server is passed on to the caller',
+  },
   callerLeft: { id: 7045, level: 'info', text: 'caller left before the end of the answer' },
   promptRead: { id: 7046, level: 'info', text: 'the reading of a prompt at an engine ended' },
   requestsWaitedUnread: {
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -252,6 +252,12 @@
       labelNames: ['outcome'],
       registers,
     }),
+    failuresPassedOn: new Counter({
+      name: 'reedtally_gateway_failures_passed_on_total',
+      help: 'Failures of backend servers that were passed on to callers, by their status',
+      labelNames: ['service', 'status'],
+      registers,
+    }),
     withheld: new Counter({
       name: 'reedtally_gateway_sends_withheld_total',
       help: 'Sends that were not made since the server wanted nothing, by why',
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -447,6 +447,8 @@
       fingerprint: outcome.kind === 'lost' ? fingerprint.full() : undefined,
       parts: outcome.kind === 'lost' ? sharedParts : undefined,
       reason: 'reason' in outcome ? outcome.reason : undefined,
+      status: 'head' in outcome ? outcome.head.status : undefined,
+      isSigned: 'facts' in outcome ? outcome.facts.isSigned : undefined,
       move: step.kind,
       ms: Math.round(limit.elapsedMs()),
     });
--- a/src/relay/responder.ts
+++ b/src/relay/responder.ts
@@ -60,6 +60,15 @@
       fail(statuses.badGateway, 'the continuation failed');
       return;
     }
+    const { status } = outcome.head;
+    log.write('failurePassedOn', {
+      request: requestId,
+      status,
+      isSigned: outcome.facts.isSigned,
+      attempts: progress.attempts,
+      ms: Math.round(clock.now() - arrivedAt),
+    });
+    metrics.failuresPassedOn.inc({ service, status: String(status) });
     answer.begin(outcome.head, true);
     answer.write(outcome.body);
     answer.finish();
--- a/src/relay/send.ts
+++ b/src/relay/send.ts
@@ -31,9 +31,9 @@
   /** The complete answer was forwarded. */
   | { kind: 'finished'; status: number }
   /** The server answered with a failure, which was not forwarded. */
-  | { kind: 'failed'; head: AnswerHead; body: Buffer }
+  | { kind: 'failed'; head: AnswerHead; facts: AnswerFacts; body: Buffer }
   /** The server did not run the request. */
-  | { kind: 'declined'; status: number; isOtherServer: boolean }
+  | { kind: 'declined'; head: AnswerHead; facts: AnswerFacts; isOtherServer: boolean }
   /** The server received nothing. */
   | { kind: 'unsent'; reason: string }
   /** Nothing was sent, because the server is leaving or has asked for a pause, or the request is over. */
@@ -89,7 +89,7 @@
 export function sendOnce(send: Send, clock: Clock): Promise<SendOutcome> {
   if (send.signal.aborted) return Promise.resolve(overOutcome);
   return new Promise((resolve) => {
-    let head: AnswerHead | undefined;
+    let received: { head: AnswerHead; facts: AnswerFacts } | undefined;
     let buffered: Buffer[] = [];
     let bufferedBytes = 0;
     let isForwarding = false;
@@ -97,16 +97,16 @@
     const splitter = send.isStream ? createEventSplitter() : undefined;
 
     const exchange: Exchange = startExchange(send.request, send.agent, clock, {
-      onHead(received, facts) {
-        head = received;
+      onHead(head, facts) {
+        received = { head, facts };
         if (facts.load !== undefined) send.loadReceived(facts.load);
-        send.headReceived(received, facts);
+        send.headReceived(head, facts);
         if (facts.isDeclined) {
-          settleDeclined(received, facts);
+          settleDeclined(head, facts);
           exchange.discard();
           return;
         }
-        const defect = findDefect(facts, received);
+        const defect = findDefect(facts, head);
         if (defect !== undefined) lose(defect);
       },
       onData(chunk) {
@@ -135,7 +135,7 @@
           });
 
     function abandon(waitedMs: number): void {
-      if (head !== undefined || !send.mayTryAnother()) return;
+      if (received !== undefined || !send.mayTryAnother()) return;
       exchange.abort();
       settle({ kind: 'overdue', reason: `no answer within ${Math.round(waitedMs)} ms` });
     }
@@ -159,7 +159,7 @@
     }
 
     function isSuccessful(): boolean {
-      return head !== undefined && isSuccess(head.status);
+      return received !== undefined && isSuccess(received.head.status);
     }
 
     function buffer(chunk: Buffer): void {
@@ -173,9 +173,9 @@
     }
 
     function begin(): void {
-      if (isForwarding || head === undefined) return;
+      if (isForwarding || received === undefined) return;
       isForwarding = true;
-      if (!send.isContinuation) send.answer.begin(head, !send.isContinuable);
+      if (!send.isContinuation) send.answer.begin(received.head, !send.isContinuable);
       send.answerBegun();
     }
 
@@ -215,9 +215,9 @@
       });
     }
 
-    function settleDeclined({ status }: AnswerHead, facts: AnswerFacts): void {
+    function settleDeclined(head: AnswerHead, facts: AnswerFacts): void {
       const isOtherServer = isOtherIncarnation(facts, resolveServerName(send.server));
-      settle({ kind: 'declined', status, isOtherServer });
+      settle({ kind: 'declined', head, facts, isOtherServer });
     }
 
     /** Why a stream that has ended is not whole. */
@@ -231,9 +231,10 @@
     }
 
     function finish(): void {
-      if (head === undefined) return;
+      if (received === undefined) return;
+      const { head, facts } = received;
       if (!isSuccessful()) {
-        settle({ kind: 'failed', head, body: Buffer.concat(buffered) });
+        settle({ kind: 'failed', head, facts, body: Buffer.concat(buffered) });
         return;
       }
       const truncation = splitter === undefined ? undefined : findTruncation(splitter, head);
