fix(relay): a promise that a request did not run follows from its run record, never from a server's status

Callers saw 408, 421, 429 and 503, which promise that a request did not run and never will, for requests that may run once and that a server had run. They then repeat them.

Cause: between a server and a gateway only the server's statement says that it did not run a request; between a gateway and a caller these statuses do. forwardFailure passed any failure on as it was.

Change: the answer to a caller owns the record of its request's run, which only grows, and nothing else writes to the caller. It gives a promise only if no send can have begun the request; a server's failure whose status callers take for a promise is passed on only where the request may be repeated. Otherwise the caller gets 502, "may have run", without the server's signature. The decision for own answers (refusal or failure), which was made in three places, is the same one. A signed 421 was answered by a server that ran the request, so it is no decline.

Evidence: "does not make the caller repeat what may run once" failed before for 14 of 14 kinds of answer, on a route whose calls may run once and on one whose streams may not be resumed; it passes now, as do those that a true failure, a decline and the answer on a route that may be repeated reach callers as before.

--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -11,7 +11,7 @@
 import type { CallerLimits } from '../routing/index.js';
 import { createCallerAnswer, type CallerAnswer } from './caller-answer.js';
 import type { BackendProtocol } from './protocol.js';
-import { statuses } from './responder.js';
+import { improperStatuses } from './final-answer.js';
 import type { CallerRequest } from './request.js';
 
 /** Limits until a first configuration is known. */
@@ -118,7 +118,7 @@
     if (body === 'broken') return;
     if (body === 'too-large') {
       log.write('requestRefused', { request: head.requestId, reason: 'body-too-large' });
-      answer.refuse(statuses.tooLarge, 'the body is larger than the configuration allows');
+      answer.reject(improperStatuses.tooLarge, 'the body is larger than the configuration allows');
       return;
     }
     const { method = 'GET', url: path = '/' } = request;
@@ -145,7 +145,7 @@
       retryAfterMs: Math.round(retryAfterMs),
       ms: Math.round(waitedMs),
     });
-    answer.refuse(statuses.unavailable, 'not run: overloaded', retryAfterMs);
+    answer.end({ reason: 'overloaded', retryAfterMs });
   }
 
   return {
--- a/src/relay/next-step.ts
+++ b/src/relay/next-step.ts
@@ -11,8 +11,6 @@
   attempts: number;
   /** Sends that certainly reached no server. */
   unsent: number;
-  /** Whether a server may have run the request or part of it. */
-  mayHaveRun: boolean;
   /** Whether the caller has been sent the head of an answer. */
   isBegun: boolean;
 }
@@ -24,10 +22,8 @@
   | { kind: 'again'; costs: boolean; reason: string }
   /** Forward the server's failure. */
   | { kind: 'pass-failure' }
-  /** Answer that the request may have run. */
-  | { kind: 'fail'; reason: string }
-  /** Answer that the request did not run. */
-  | { kind: 'refuse'; reason: string }
+  /** End without a server's answer. */
+  | { kind: 'end'; reason: string }
   /** The caller has left, the time limit has passed, or the request is banned. */
   | { kind: 'stop' };
 
@@ -45,23 +41,19 @@
   const mayRepeat = isRepeatable(route);
   const hasAttempts = progress.attempts < route.maxAttempts;
 
-  function giveUp(reason: string): NextStep {
-    return progress.mayHaveRun ? { kind: 'fail', reason } : { kind: 'refuse', reason };
-  }
-
   return (
     match<SendOutcome, NextStep>(outcome)
       .with({ kind: 'finished' }, () => ({ kind: 'done' }))
       .with({ kind: 'aborted' }, () => ({ kind: 'stop' }))
       .with({ kind: 'unsent' }, ({ reason }) => {
-        if (progress.unsent >= MAX_UNSENT) return giveUp(reason);
+        if (progress.unsent >= MAX_UNSENT) return { kind: 'end', reason };
         return { kind: 'again', costs: false, reason: 'unsent' };
       })
       // needs no limit: the placer refuses the request once no server is left
       .with({ kind: 'withheld' }, () => ({ kind: 'again', costs: false, reason: 'withheld' }))
-      .with({ kind: 'unpaid' }, ({ reason }) => giveUp(reason))
+      .with({ kind: 'unpaid' }, ({ reason }) => ({ kind: 'end', reason }))
       .with({ kind: 'declined' }, () => {
-        if (!hasAttempts) return giveUp('declined by the server');
+        if (!hasAttempts) return { kind: 'end', reason: 'declined by the server' };
         return { kind: 'again', costs: true, reason: 'declined' };
       })
       .with({ kind: 'failed' }, ({ head }) => {
@@ -71,7 +63,7 @@
       })
       .with({ kind: 'lost' }, { kind: 'overdue' }, { kind: 'cut' }, ({ kind, reason }) => {
         const canContinue = !progress.isBegun || isContinuable(route);
-        if (!mayRepeat || !hasAttempts || !canContinue) return { kind: 'fail', reason };
+        if (!mayRepeat || !hasAttempts || !canContinue) return { kind: 'end', reason };
         return { kind: 'again', costs: true, reason: kind };
       })
       .exhaustive()
--- a/src/relay/protocol.ts
+++ b/src/relay/protocol.ts
@@ -75,6 +75,8 @@
   /** Headers of one send, alternating names and values. */
   sendHeaders(head: CallerHead, terms: SendTerms, bodyBytes: number): string[];
   readAnswer(head: AnswerHead): AnswerFacts;
+  /** Whether callers take a status for the promise that their request did not run and never will. */
+  promisesNotRun(status: number): boolean;
   /**
    * Headers of an answer to forward to the caller, alternating names and values.
    *
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -21,9 +21,10 @@
 import { readOwnAnswer } from './answer-reader.js';
 import type { CallerAnswer } from './caller-answer.js';
 import type { Connections } from './connections.js';
-import { createResponder, statuses } from './responder.js';
+import { createResponder } from './responder.js';
 import { createEnginePlacer, type SchedulerClient } from './engine-placer.js';
 import { startExchange, type OutgoingRequest } from './exchange.js';
+import { improperStatuses, type Ending } from './final-answer.js';
 import { hasReachedServer, resolveHealthOutcome, type ExchangeOutcome } from './health-outcome.js';
 import {
   isContinuable,
@@ -119,11 +120,10 @@
   if (index === undefined) {
     parts.metrics.refusals.inc({ reason: 'no-configuration' });
     parts.log.write('requestRefused', { request: head.requestId, reason: 'no-configuration' });
-    answer.refuse(
-      statuses.unavailable,
-      'the routing configuration has not been loaded yet',
-      NOT_READY_RETRY_MS,
-    );
+    answer.end({
+      reason: 'the routing configuration has not been loaded yet',
+      retryAfterMs: NOT_READY_RETRY_MS,
+    });
     return;
   }
   const route = index.find(head.host, callerRequest.path);
@@ -132,7 +132,7 @@
     const { version } = index.table;
     parts.metrics.refusals.inc({ reason: 'no-route' });
     parts.log.write('requestRefused', { request: head.requestId, reason: 'no-route', version });
-    answer.refuse(statuses.notFound, 'no route matches this host and path');
+    answer.reject(improperStatuses.notFound, 'no route matches this host and path');
     return;
   }
   const lookup = await findOrigin(parts.streams, route, head);
@@ -166,7 +166,6 @@
   const progress: Progress = {
     attempts: 0,
     unsent: 0,
-    mayHaveRun: false,
     isBegun: false,
   };
   let lastEventId: string | undefined;
@@ -176,10 +175,11 @@
   const sharedParts = head.prompt?.parts.slice(0, -1).map(({ id }) => id) ?? [];
   const watched = parts.quarantine.watch({ fingerprint, service, sharedParts }, stopBanned);
 
-  const { refuse, fail, forwardFailure, recordOutcome } = createResponder({
+  const { end, passOnFailure, recordOutcome } = createResponder({
     parts,
     callerRequest,
     service,
+    mayRepeat: isRepeatable(route),
     progress,
     ban: () => ban,
   });
@@ -330,7 +330,9 @@
 
   async function send(placed: PlacedServer, placer: Placer): Promise<SendOutcome> {
     const watchedSend = watched.sent(placed.server);
+    answer.run.sendStarted();
     const outcome = await sendTo(placed, placer);
+    answer.run.sendEnded(outcome.kind);
     if (outcome.kind === 'lost')
       await Promise.race([watchedSend.lost(), wait(clock, CRASH_PROBE_WAIT_MS)]);
     if (outcome.kind === 'finished') watched.succeeded();
@@ -412,7 +414,6 @@
     if (!hasReachedServer(outcome.kind)) return;
     progress.attempts += 1;
     retries.arrived({ isPrefilled: false });
-    if (outcome.kind !== 'declined') progress.mayHaveRun = true;
   }
 
   /** Makes one send; returns whether another is to follow. */
@@ -423,7 +424,7 @@
       return false;
     }
     const admission = await watched.admit(limit.signal);
-    if (admission === 'busy') refuse('on-trial', TRIAL_RETRY_MS, 0);
+    if (admission === 'busy') end({ reason: 'on-trial', retryAfterMs: TRIAL_RETRY_MS });
     if (admission === 'aborted') stop();
     if (admission !== 'admitted') return false;
     const placed = await placer.place();
@@ -432,7 +433,7 @@
       return false;
     }
     if (placed.kind === 'refused') {
-      refuse(placed.reason, placed.retryAfterMs, placed.backlogMs);
+      end(placed);
       return false;
     }
     const outcome = retries.renew() ? await send(placed, placer) : unpaid;
@@ -477,18 +478,16 @@
       endWithoutRetry(outcome, SPENT_REASON);
       return false;
     }
-    if (step.kind === 'pass-failure' && outcome.kind === 'failed') forwardFailure(outcome);
-    if (step.kind === 'fail') fail(statuses.badGateway, step.reason);
-    if (step.kind === 'refuse') refuse(step.reason, DECLINED_RETRY_MS, 0);
+    if (step.kind === 'pass-failure' && outcome.kind === 'failed') passOnFailure(outcome);
+    if (step.kind === 'end') end({ reason: step.reason, retryAfterMs: DECLINED_RETRY_MS });
     if (step.kind === 'stop') stop();
     if (step.kind === 'done') recordOutcome('finished');
     return false;
   }
 
   function endWithoutRetry(outcome: SendOutcome, reason: string): void {
-    if (outcome.kind === 'failed' && !progress.isBegun) forwardFailure(outcome);
-    else if (progress.mayHaveRun) fail(statuses.badGateway, reason);
-    else refuse(reason, DECLINED_RETRY_MS, 0);
+    if (outcome.kind === 'failed' && !progress.isBegun) passOnFailure(outcome);
+    else end({ reason, retryAfterMs: DECLINED_RETRY_MS });
   }
 
   /** Aborts a request that has just been banned, unless an answer has begun: a complete answer would
@@ -502,7 +501,7 @@
   /** Ends a request that is banned, has reached its time limit, or whose caller has left. */
   function stop(): void {
     if (ban !== undefined) {
-      refuse('ends-servers', ban.leftMs, 0);
+      end({ reason: 'ends-servers', retryAfterMs: ban.leftMs });
       return;
     }
     if (!limit.isReached()) {
@@ -510,8 +509,7 @@
       recordOutcome('caller-left');
       return;
     }
-    if (progress.mayHaveRun || progress.isBegun) fail(statuses.gatewayTimeout, 'time limit');
-    else refuse('time limit', DECLINED_RETRY_MS, 0);
+    end(timeLimitEnding);
   }
 
   return {
@@ -519,16 +517,16 @@
     async serve(): Promise<void> {
       if (stopIfBanned()) return;
       if (!parts.canFinish(limitMs)) {
-        refuse('stopping', STOPPING_RETRY_MS, 0);
+        end({ reason: 'stopping', retryAfterMs: STOPPING_RETRY_MS });
         return;
       }
       if (limit.isOver()) {
-        refuse('time limit', DECLINED_RETRY_MS, 0);
+        end(timeLimitEnding);
         return;
       }
       const refusal = streamVersion.findRefusal(parts.fleet.available(service));
       if (refusal !== undefined) {
-        refuse(refusal.reason, refusal.retryAfterMs, 0);
+        end(refusal);
         return;
       }
       parts.budget.requestReceived(service);
@@ -554,3 +552,10 @@
 const STOPPING_RETRY_MS = 30;
 /** Retry-After when servers declined or could not be reached, in ms. */
 const DECLINED_RETRY_MS = 150;
+
+/** The end of a request whose time limit has passed. */
+const timeLimitEnding: Ending = {
+  reason: 'time limit',
+  retryAfterMs: DECLINED_RETRY_MS,
+  isTimeLimit: true,
+};
--- a/src/relay/responder.ts
+++ b/src/relay/responder.ts
@@ -1,24 +1,13 @@
 /**
- * Ends a request that got no successful answer: forwards a server's failure, refuses the request (it
- * did not run and will not) or fails it (it may have run). An answer that has begun is aborted.
+ * Ends a request that got no successful answer: forwards a server's failure, or answers by itself that
+ * the request did not run or that it may have. An answer that has begun is aborted.
  */
 import type { Ban } from '../quarantine/index.js';
+import type { Ending } from './final-answer.js';
 import type { Progress } from './next-step.js';
 import type { CallerRequest, RelayParts } from './request.js';
 import type { SendOutcome } from './send.js';
 
-/** HTTP statuses of the gateway's own answers. */
-export const statuses = {
-  notFound: 404,
-  tooLarge: 413,
-  /** The request may have run. */
-  badGateway: 502,
-  /** The request did not run and will not. */
-  unavailable: 503,
-  /** The time limit has passed, and the request may have run. */
-  gatewayTimeout: 504,
-} as const;
-
 /** Smallest and largest power of 4 that a prompt's size is told in; larger prompts count as the last. */
 const SIZE_EXPONENTS = { least: 4, most: 10 } as const;
 
@@ -27,19 +16,24 @@
   parts: Pick<RelayParts, 'clock' | 'log' | 'metrics'>;
   callerRequest: CallerRequest;
   service: string;
+  /** Whether the request may run more than once. */
+  mayRepeat: boolean;
   progress: Progress;
   /** The request's ban, if it is banned. */
   ban(): Ban | undefined;
 }
 
+/** Why a request ends, and the backlog that decided it, in milliseconds. */
+export interface RequestEnding extends Ending {
+  backlogMs?: number;
+}
+
 /** Ends one request. */
 export interface Responder {
-  /** Forwards a server's failure; fails the request instead if an answer has begun. */
-  forwardFailure: (outcome: SendOutcome & { kind: 'failed' }) => void;
-  /** Refuses the request; fails it instead if it may have run. */
-  refuse: (reason: string, retryAfterMs: number, backlogMs: number) => void;
-  /** Answers that the request may have run; aborts an answer that has begun. */
-  fail: (status: number, reason: string) => void;
+  /** Forwards a server's failure, or ends the request if its caller may not be given that. */
+  passOnFailure: (outcome: SendOutcome & { kind: 'failed' }) => void;
+  /** Ends the request without a server's answer; aborts an answer that has begun. */
+  end: (ending: RequestEnding) => void;
   /** Records the request's outcome and duration in the metrics. */
   recordOutcome: (outcome: string) => void;
 }
@@ -55,31 +49,39 @@
   const { answer, arrivedAt } = callerRequest;
   const { requestId } = callerRequest.head;
 
-  function forwardFailure(outcome: SendOutcome & { kind: 'failed' }): void {
+  function passOnFailure(outcome: SendOutcome & { kind: 'failed' }): void {
+    const { status } = outcome.head;
     if (progress.isBegun) {
-      fail(statuses.badGateway, 'the continuation failed');
+      end({ reason: 'the continuation failed', retryAfterMs: 0 });
       return;
     }
-    const { status } = outcome.head;
+    if (!answer.passOn(outcome, terms.mayRepeat)) {
+      end({ reason: `the server answered ${status}`, retryAfterMs: 0 });
+      return;
+    }
+    metrics.failuresPassedOn.inc({ service, status: String(status) });
     log.write('failurePassedOn', {
       request: requestId,
       status,
       isSigned: outcome.facts.isSigned,
       attempts: progress.attempts,
-      ms: Math.round(clock.now() - arrivedAt),
+      ms: elapsedMs(),
     });
-    metrics.failuresPassedOn.inc({ service, status: String(status) });
-    answer.begin(outcome.head, true);
-    answer.write(outcome.body);
-    answer.finish();
     recordOutcome('server-failure');
   }
 
-  function refuse(reason: string, retryAfterMs: number, backlogMs: number): void {
-    if (progress.mayHaveRun) {
-      fail(statuses.badGateway, reason);
+  function end(ending: RequestEnding): void {
+    if (progress.isBegun) {
+      answer.abort();
+      logFailed(ending.reason, undefined);
       return;
     }
+    const { status, isPromise } = answer.end(ending);
+    if (isPromise) logRefused(ending);
+    else logFailed(ending.reason, status);
+  }
+
+  function logRefused({ reason, retryAfterMs, backlogMs = 0 }: RequestEnding): void {
     metrics.refusals.inc({ reason });
     log.write('requestRefused', {
       request: requestId,
@@ -89,26 +91,28 @@
       attempts: progress.attempts,
       fingerprint: terms.ban()?.fingerprint,
       crashes: terms.ban()?.crashes,
-      ms: Math.round(clock.now() - arrivedAt),
+      ms: elapsedMs(),
     });
-    answer.refuse(statuses.unavailable, `not run: ${reason}`, retryAfterMs);
     recordOutcome('refused');
   }
 
-  function fail(status: number, reason: string): void {
+  function logFailed(reason: string, status: number | undefined): void {
     log.write('requestFailed', {
       request: requestId,
       reason,
       status,
+      run: answer.run.state(),
       attempts: progress.attempts,
       isBegun: progress.isBegun,
-      ms: Math.round(clock.now() - arrivedAt),
+      ms: elapsedMs(),
     });
-    if (progress.isBegun) answer.abort();
-    else answer.refuse(status, `may have run: ${reason}`);
     recordOutcome('failed');
   }
 
+  function elapsedMs(): number {
+    return Math.round(clock.now() - arrivedAt);
+  }
+
   function recordOutcome(outcome: string): void {
     metrics.requests.inc({ service, outcome });
     const tokens = callerRequest.head.prompt?.tokens;
@@ -117,7 +121,7 @@
     metrics.duration.observe({ service }, (clock.now() - arrivedAt) / 1_000);
   }
 
-  return { forwardFailure, refuse, fail, recordOutcome };
+  return { passOnFailure, end, recordOutcome };
 }
 
 /** The least power of 4 that is not below a number of tokens, within bounds. */
--- a/test/arrivals/busy-loop.test.ts
+++ b/test/arrivals/busy-loop.test.ts
@@ -74,7 +74,7 @@
       limits: () => undefined,
       serve({ answer }) {
         readAfter.push(turns);
-        answer.refuse(503, 'not run: for the test', 100);
+        answer.end({ reason: 'for the test', retryAfterMs: 100 });
         return Promise.resolve();
       },
     });
@@ -115,7 +115,8 @@
       limits: () => undefined,
       serve({ answer }) {
         served += 1;
-        answer.refuse(502, 'may have run: for the test');
+        answer.run.sendStarted();
+        answer.end({ reason: 'for the test', retryAfterMs: 100 });
         return Promise.resolve();
       },
     });
@@ -149,7 +150,7 @@
       limits: () => undefined,
       serve({ answer, arrivedAt }) {
         ages.push(clock.now() - arrivedAt);
-        answer.refuse(503, 'not run: for the test', 100);
+        answer.end({ reason: 'for the test', retryAfterMs: 100 });
         return Promise.resolve();
       },
     });
--- a/test/gateway/guards.test.ts
+++ b/test/gateway/guards.test.ts
@@ -63,7 +63,7 @@
       limits: () => undefined,
       serve({ head, answer }) {
         if (head.requestId === 'bad') return Promise.reject(new Error('no such engine'));
-        answer.refuse(503, 'not run: for the test', 100);
+        answer.end({ reason: 'for the test', retryAfterMs: 100 });
         return Promise.resolve();
       },
     });
--- a/test/relay/promises.test.ts
+++ b/test/relay/promises.test.ts
@@ -66,7 +66,11 @@
         for (const headers of [signed, {}]) {
           // without a signature, 421 says that another incarnation has the address
           if (status === 421 && headers !== signed) continue;
-          const seen = await askServersThatSay(status, { ...headers, 'Retry-After': '0.001' }, path);
+          const seen = await askServersThatSay(
+            status,
+            { ...headers, 'Retry-After': '0.001' },
+            path,
+          );
           expect(runs).to.deep.equal(['asked']);
           const isPromise = seen.status !== 502 || 'retry-after' in seen.headers;
           const isForeign = 'x-server-signature' in seen.headers;
