fix(errors): the status of a failure follows its outcome; what may have run has no status that promises the opposite

Callers saw 503 for a call that may run once and that ran beyond its deadline (code `cancelled`, outcome `unknown`), and 400 for a generation that an engine had begun and no engine went on with.

Cause: the status was chosen by the code alone. A code can have both outcomes: `resolveOutcome` keeps the code of the last attempt and sets `unknown` when an earlier one may have run, and ports use one code for a call that was not sent and one whose answer was lost.

Now the outcome decides first, and the type of the statuses of `unknown` (409, 500, 502, 504) holds none of 408, 421, 429 and 503, so no code can be given one there. Both fronts and the generated page ask the same function.

--- a/src/caller/answers.ts
+++ b/src/caller/answers.ts
@@ -22,7 +22,7 @@
  * @param failure what went wrong
  */
 export function createFailureBody(failure: Failure): FailureBody {
-  const type = resolveHttpStatus(failure.code) < 500 ? 'invalid_request_error' : 'server_error';
+  const type = resolveHttpStatus(failure) < 500 ? 'invalid_request_error' : 'server_error';
   return { error: { ...failure, type, param: failure.field ?? null } };
 }
 
@@ -42,5 +42,5 @@
     // OpenAI's clients retry server errors unless this header says otherwise
     context.header('x-should-retry', 'false');
   }
-  return context.json(createFailureBody(failure), resolveHttpStatus(failure.code));
+  return context.json(createFailureBody(failure), resolveHttpStatus(failure));
 }
--- a/src/errors/http-status.ts
+++ b/src/errors/http-status.ts
@@ -1,20 +1,34 @@
 /**
- * The HTTP status that goes with each failure code, at the caller front and the operator front.
+ * The HTTP status that goes with each failure, at the caller front and the operator front. A status that says that a
+ * request has not run goes only with the outcome `not-run`; what may have run has statuses that promise nothing.
  */
 import { match } from 'ts-pattern';
-import type { FailureCode } from './failure.js';
+import type { Failure, FailureCode } from './failure.js';
 
-/** HTTP statuses that the fronts answer with when something did not work. */
-export type FailureStatus =
+/** HTTP statuses of requests that provably started nothing. */
+export type RefusalStatus =
   400 | 401 | 403 | 404 | 408 | 409 | 413 | 422 | 429 | 431 | 500 | 502 | 503;
 
+/** HTTP statuses of requests that may have run. */
+export type DoubtStatus = 409 | 500 | 502 | 504;
+
+/** HTTP statuses that the fronts answer with when something did not work. */
+export type FailureStatus = RefusalStatus | DoubtStatus;
+
 /**
  * Chooses the HTTP status for a failure.
  *
- * @param code the failure's reason
+ * @param failure its reason, and whether work may have run
  */
-export function resolveHttpStatus(code: FailureCode): FailureStatus {
-  return match<FailureCode, FailureStatus>(code)
+export function resolveHttpStatus({ code, outcome }: Pick<Failure, 'code' | 'outcome'>) {
+  return match<Failure['outcome'], FailureStatus>(outcome)
+    .with('not-run', () => resolveRefusalStatus(code))
+    .with('unknown', () => resolveDoubtStatus(code))
+    .exhaustive();
+}
+
+function resolveRefusalStatus(code: FailureCode): RefusalStatus {
+  return match<FailureCode, RefusalStatus>(code)
     .with('malformed-request', 'idempotency-key-missing', 'deadline-expired', () => 400)
     .with('unauthenticated', () => 401)
     .with('forbidden', 'no-binding', () => 403)
@@ -35,3 +49,11 @@
     )
     .otherwise(() => 503);
 }
+
+function resolveDoubtStatus(code: FailureCode): DoubtStatus {
+  return match<FailureCode, DoubtStatus>(code)
+    .with('in-progress', () => 409)
+    .with('internal', () => 500)
+    .with('deadline-expired', () => 504)
+    .otherwise(() => 502);
+}
--- a/src/node/unreadable-request.ts
+++ b/src/node/unreadable-request.ts
@@ -26,7 +26,7 @@
     return;
   }
   const failure = describe(error.code, node);
-  const status = resolveHttpStatus(failure.code);
+  const status = resolveHttpStatus(failure);
   const body = JSON.stringify(createFailureBody(failure));
   const head = [
     `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
--- a/src/operator/answers.ts
+++ b/src/operator/answers.ts
@@ -17,7 +17,7 @@
   if (failure.retryAfterMs !== undefined) {
     context.header('Retry-After', String(Math.ceil(failure.retryAfterMs / MS_PER_SECOND)));
   }
-  return context.json({ error: failure }, resolveHttpStatus(failure.code));
+  return context.json({ error: failure }, resolveHttpStatus(failure));
 }
 
 /**
--- /dev/null
+++ b/test/caller/promises.test.ts
@@ -0,0 +1,82 @@
+/**
+ * What a caller is told of a call that a worker or an engine began: never a status that promises the opposite.
+ */
+import { expect } from 'chai';
+import type { FailureBody } from '../../src/caller/index.js';
+import { failureCodeSchema, resolveHttpStatus } from '../../src/errors/index.js';
+import { keyOf, MODEL, SERVICE, startCluster, type Cluster } from '../fixtures/cluster.js';
+
+/** Statuses after which callers send a call again, since they say that it has not run. */
+const PROMISES = [408, 421, 429, 503];
+
+describe('the status of a failure', () => {
+  it('never says that a request was refused when it may have run', () => {
+    for (const code of failureCodeSchema.options) {
+      const status = resolveHttpStatus({ code, outcome: 'unknown' });
+      expect(status, code).to.be.oneOf([409, 500, 502, 504]);
+    }
+  });
+});
+
+describe('a call that may run once', () => {
+  let cluster: Cluster;
+
+  beforeEach(async () => {
+    cluster = await startCluster({ nodes: 1, engines: 0, workers: 1, serviceMs: 5 });
+  });
+
+  afterEach(() => cluster.stop());
+
+  function send(key: string, more: Record<string, string> = {}): Promise<Response> {
+    return fetch(`${cluster.nodes[0]?.origin ?? ''}/v1/services/${SERVICE}/pages/7`, {
+      method: 'POST',
+      headers: {
+        authorization: `Bearer ${keyOf('kumasi')}`,
+        'x-reedtally-class': 'once',
+        'idempotency-key': key,
+        ...more,
+      },
+      body: '{"part":"gasket"}',
+    });
+  }
+
+  function countExecutions(): number {
+    const entries = cluster.workers.flatMap((worker) => worker.entries());
+    return entries.filter(({ event }) => event === 'execution').length;
+  }
+
+  it('is not answered with a promise when it runs beyond its deadline, nor again under its key', async () => {
+    cluster.workers[0]?.setFault({ kind: 'delay-answer', ms: 1_000 });
+    for (const attempt of ['first', 'again']) {
+      const answer = await send('k', { 'x-reedtally-deadline-ms': '300' });
+      const { error } = (await answer.json()) as FailureBody;
+      expect(PROMISES, attempt).not.to.include(answer.status);
+      expect(error, attempt).to.include({ outcome: 'unknown' });
+      expect(answer.headers.get('retry-after'), attempt).to.equal(null);
+      expect(answer.headers.get('x-should-retry'), attempt).to.equal('false');
+    }
+    expect(countExecutions()).to.equal(1);
+  });
+});
+
+describe('a generation that an engine began', () => {
+  it('is not answered with a promise when the engines decline to go on with it', async () => {
+    const cluster = await startCluster({ nodes: 1, engines: 1, workers: 0 });
+    cluster.engines[0]?.setFault({ kind: 'break-mid-stream', afterTokens: 3, count: 1 });
+    const answer = fetch(`${cluster.nodes[0]?.origin ?? ''}/v1/completions`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${keyOf('kumasi')}`, 'x-reedtally-deadline-ms': '1500' },
+      body: JSON.stringify({ model: MODEL, prompt: 'torque? [[answer:50]]', max_tokens: 50 }),
+    });
+    while (!cluster.engines[0]?.entries().some(({ event }) => event === 'start')) {
+      await new Promise(setImmediate);
+    }
+    cluster.engines[0].setFault({ kind: 'unavailable', path: '/v1/completions' });
+    const { status } = await answer;
+    const { error } = (await (await answer).json()) as FailureBody;
+    await cluster.stop();
+    expect(error.outcome).to.equal('unknown');
+    expect(status).to.be.oneOf([502, 504]);
+    expect(PROMISES).not.to.include(status);
+  });
+});
--- a/tools/docs/pages.ts
+++ b/tools/docs/pages.ts
@@ -4,7 +4,12 @@
  */
 import { format } from 'prettier';
 import { z } from 'zod';
-import { codeExplanations, failureCodeSchema, resolveHttpStatus } from '../../src/errors/index.js';
+import {
+  codeExplanations,
+  failureCodeSchema,
+  resolveHttpStatus,
+  type FailureCode,
+} from '../../src/errors/index.js';
 import { eventCatalogue, type CatalogueEntry } from '../../src/events/index.js';
 import { createMetrics } from '../../src/metrics/index.js';
 import { settingsSchema } from '../../src/settings/index.js';
@@ -181,11 +186,19 @@
   ),
 ];
 
+/** The statuses of a code, by the outcomes that it can have. */
+function renderStatuses(code: FailureCode): string {
+  const { outcome } = codeExplanations[code];
+  const outcomes = outcome === 'either' ? (['not-run', 'unknown'] as const) : [outcome];
+  const statuses = outcomes.map((possible) => resolveHttpStatus({ code, outcome: possible }));
+  return [...new Set(statuses)].join(', ');
+}
+
 function renderRefusals(): Promise<string> {
   const rows: string[][] = [];
   for (const code of failureCodeSchema.options) {
     const { meaning, outcome, remedy } = codeExplanations[code];
-    rows.push([`\`${code}\``, String(resolveHttpStatus(code)), outcome, meaning, remedy]);
+    rows.push([`\`${code}\``, renderStatuses(code), outcome, meaning, remedy]);
   }
   return finish([
     '# What each refusal means',
@@ -194,6 +207,7 @@
     '`outcome`, `step`, `peer` and, where it helps, `field` and `retryAfterMs`. The `outcome` of the',
     'answer itself counts: `not-run` means that provably nothing was started; `unknown` that it may',
     'have run, and that the system never runs it again. The column “Ran?” says which can occur.',
+    'The status follows the outcome: where a code has both, the first is that of `not-run`.',
     'Each is counted in `reedtally_refusals_total` under its code and step.',
     '',
     ...renderTable(['Code', 'Status', 'Ran?', 'Meaning', 'What to do'], rows),
