docs(errors): codes of refusals that end a request which an earlier attempt may have run have both outcomes

The page said that cannot-be-on-time, queue-full, no-backend-server and leaving occur as not-run only. resolveOutcome (src/router/retries.ts) gives them out as unknown when a repeatable request's earlier attempt may have run; the test of a generation that an engine began and that engines then declined (test/caller/promises.test.ts) ends so. The page's statuses of these codes are generated from both outcomes.

--- a/src/errors/explanations.ts
+++ b/src/errors/explanations.ts
@@ -92,7 +92,7 @@
   },
   'cannot-be-on-time': {
     meaning: 'The work ahead takes longer than the request may wait.',
-    outcome: 'not-run',
+    outcome: 'either',
     remedy: ASK_LATER,
   },
   'rate-limited': {
@@ -107,7 +107,7 @@
   },
   'queue-full': {
     meaning: 'Too many requests wait, or the engine has no room.',
-    outcome: 'not-run',
+    outcome: 'either',
     remedy: ASK_LATER,
   },
   'in-progress': {
@@ -117,12 +117,12 @@
   },
   'no-backend-server': {
     meaning: 'No backend server of the reached groups can take the request now.',
-    outcome: 'not-run',
+    outcome: 'either',
     remedy: 'Operators look at `reedtally status`: are they live, drained, loaded?',
   },
   leaving: {
     meaning: 'The node or backend server is shutting down and takes no new work.',
-    outcome: 'not-run',
+    outcome: 'either',
     remedy: 'Ask `/v1/entry-points` of another node which address to use.',
   },
   'configuration-stale': {
