fix(router): a call given up at its deadline ends as deadline-expired, not as cancelled by its caller

Callers that still waited were told `cancelled` ("the caller went away"), and their key's outcome was stored as that.

Cause: the runner gives a call up at its deadline by the same signal as for a caller that leaves, and the port names the loss after the signal.

Evidence: the test of a call that runs beyond its deadline (test/caller/promises.test.ts) failed before with 'cancelled' in place of 'deadline-expired'.

The signal bears the reason, and the runner names it; the outcome stays the port's: unknown once the call may have reached the worker, else not-run. A call whose deadline passed is not retried, as before.

--- a/src/router/retries.ts
+++ b/src/router/retries.ts
@@ -140,7 +140,7 @@
  */
 function isRetryable(attempt: FailedAttempt): boolean {
   const { failure } = attempt;
-  if (failure.code === 'cancelled') return false;
+  if (failure.code === 'cancelled' || failure.code === 'deadline-expired') return false;
   if (isFromServer(failure) || lacksOtherServers(attempt)) return true;
   if (isUnstartedResumption(attempt)) return true;
   return match(failure.code)
--- a/src/router/service-call.ts
+++ b/src/router/service-call.ts
@@ -14,6 +14,9 @@
 import { resolveOutcome, type Retries } from './retries.js';
 import type { RetryBudget } from './retry-budget.js';
 
+/** Why a call is given up at its deadline. */
+const OVERDUE = 'the deadline passed before the call was answered';
+
 /** A call to run. Times are on the node's clock. */
 export interface ServiceJob {
   requestId: string;
@@ -160,14 +163,16 @@
       if (signal.aborted) abort();
       signal.addEventListener('abort', abort, { once: true });
     }
-    const timer = clock.after(job.deadlineAt - startedAt, abort);
+    const timer = clock.after(job.deadlineAt - startedAt, () => {
+      controller.abort(OVERDUE);
+    });
     const service = backends.service(place.server, place.address);
     const answer = await service.call(job.call, controller.signal);
     timer.cancel();
     signal.removeEventListener('abort', abort);
     const result = answer.isOk() ? 'answered' : resolveResult(answer.error);
     placement.release(request, place, createPlaceEnd(result, clock.now() - startedAt));
-    return answer;
+    return controller.signal.reason === OVERDUE ? answer.mapErr(explainDeadline) : answer;
   }
 
   return { run };
@@ -209,6 +214,12 @@
   return failure.outcome === 'not-run' ? 'refused' : 'cut';
 }
 
+/** Names the deadline as the reason of a call that was given up at it; its outcome stays. */
+function explainDeadline(failure: Failure): Failure {
+  if (failure.code !== 'cancelled') return failure;
+  return { ...failure, code: 'deadline-expired', message: OVERDUE };
+}
+
 function deadlineExpired(node: string): Failure {
   return createRefusal({
     code: 'deadline-expired',
--- a/test/caller/promises.test.ts
+++ b/test/caller/promises.test.ts
@@ -45,13 +45,14 @@
     return entries.filter(({ event }) => event === 'execution').length;
   }
 
-  it('is not answered with a promise when it runs beyond its deadline, nor again under its key', async () => {
+  it('is answered 504 when it runs beyond its deadline, and again under its key', async () => {
     cluster.workers[0]?.setFault({ kind: 'delay-answer', ms: 1_000 });
     for (const attempt of ['first', 'again']) {
       const answer = await send('k', { 'x-reedtally-deadline-ms': '300' });
       const { error } = (await answer.json()) as FailureBody;
       expect(PROMISES, attempt).not.to.include(answer.status);
-      expect(error, attempt).to.include({ outcome: 'unknown' });
+      expect(error, attempt).to.include({ code: 'deadline-expired', outcome: 'unknown' });
+      expect(answer.status, attempt).to.equal(504);
       expect(answer.headers.get('retry-after'), attempt).to.equal(null);
       expect(answer.headers.get('x-should-retry'), attempt).to.equal('false');
     }
