fix(caller): a worker's own 408, 421, 429 or 503 after a run does not leave the system for a call that may run once

Callers of a class that may not be repeated were answered with the worker's status, without an outcome and without `x-should-retry`, and so again under the same key. They take these four for a promise that the call has not run; it had.

Cause: any answer of a worker is passed on and stored as it is. To a worker 503 may mean that something behind it failed; only `x-not-started: true` says that it started nothing, and the port makes a refusal of that.

The stored outcome stays `answered`, never run again. Other statuses, and all statuses of a class that may be repeated, are passed on as before; tests show both.

--- a/src/caller/commands/call-service.ts
+++ b/src/caller/commands/call-service.ts
@@ -7,7 +7,12 @@
 import { Err, Ok, type Result } from 'ts-results-es';
 import type { ClaimAnswer } from '../../claims/index.js';
 import { resolveRoute } from '../../configuration/index.js';
-import { createUnknownOutcome, createRefusal, type Failure } from '../../errors/index.js';
+import {
+  createUnknownOutcome,
+  createRefusal,
+  isPromise,
+  type Failure,
+} from '../../errors/index.js';
 import type { ServiceAnswer, ServiceCall } from '../../ports/index.js';
 import type { ServiceJob } from '../../router/index.js';
 import type { Timer } from '../../task/index.js';
@@ -50,9 +55,14 @@
     const outcome = await runTracked(tracker, parts.node, () =>
       keyed === undefined ? runUnkeyed(parts, job, signal) : runKeyed(parts, job, keyed, signal),
     );
-    if (outcome.result.isErr()) return refuse(parts, context, tracker.fail(outcome.result.error));
+    const service = resolveService(context);
+    const result =
+      keyed === undefined
+        ? outcome.result
+        : outcome.result.andThen((answer) => withoutPromise(service, answer));
+    if (result.isErr()) return refuse(parts, context, tracker.fail(result.error));
     tracker.succeed();
-    return createResponse(context, outcome.result.value, outcome.isReplayed);
+    return createResponse(context, result.value, outcome.isReplayed);
   };
 }
 
@@ -68,7 +78,7 @@
   const body = await readBytes(context, node);
   if (body.isErr()) return body;
   const call = createCall(context, arrival.requestId, body.value);
-  const target = { service: context.req.param('service') ?? '' };
+  const target = { service: resolveService(context) };
   const query = { team: arrival.team.name, class: className, target };
   const route = resolveRoute(parts.replica.current(), query, node);
   if (route.isErr()) return route;
@@ -82,6 +92,10 @@
   return Ok({ job, keyed: { team: team.name, key: idempotencyKey, requestId, bodyHash } });
 }
 
+function resolveService(context: Context): string {
+  return context.req.param('service') ?? '';
+}
+
 function createCall(context: Context, requestId: string, body: Uint8Array): ServiceCall {
   const url = new URL(context.req.url);
   const rest = url.pathname.slice(PREFIX.length);
@@ -170,6 +184,14 @@
   return { result, isReplayed: false };
 }
 
+/**
+ * Keeps the answer of a call that ran from saying that it did not. A worker's status says what it means to the worker;
+ * where it started nothing, the port has made a refusal of it.
+ */
+function withoutPromise(service: string, answer: ServiceAnswer): Result<ServiceAnswer, Failure> {
+  return isPromise(answer.status) ? Err(answeredPromise(service, answer)) : Ok(answer);
+}
+
 function createResponse(context: Context, answer: ServiceAnswer, isReplayed: boolean): Response {
   const headers = new Headers({ 'content-type': answer.contentType });
   if (isReplayed) headers.set(REPLAYED_HEADER, 'true');
@@ -178,6 +200,15 @@
   return new Response(Uint8Array.from(answer.body), { status: answer.status, headers });
 }
 
+function answeredPromise(service: string, { status }: ServiceAnswer): Failure {
+  return createUnknownOutcome({
+    code: 'backend-server-failed',
+    message: `the worker answered status ${status} and did not say that it started nothing; the call may have run`,
+    step: 'service.call',
+    peer: service,
+  });
+}
+
 function keyMissing(node: string, className: string): Failure {
   return createRefusal({
     code: 'idempotency-key-missing',
--- a/src/errors/http-status.ts
+++ b/src/errors/http-status.ts
@@ -12,6 +12,9 @@
 /** HTTP statuses of requests that may have run. */
 export type DoubtStatus = 409 | 500 | 502 | 504;
 
+/** Statuses that callers take for a promise that a request has not run, so that they may send it again. */
+const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+
 /** HTTP statuses that the fronts answer with when something did not work. */
 export type FailureStatus = RefusalStatus | DoubtStatus;
 
@@ -27,6 +30,15 @@
     .exhaustive();
 }
 
+/**
+ * Whether callers take a status for a promise that a request has not run.
+ *
+ * @param status an HTTP status
+ */
+export function isPromise(status: number): boolean {
+  return PROMISES.has(status);
+}
+
 function resolveRefusalStatus(code: FailureCode): RefusalStatus {
   return match<FailureCode, RefusalStatus>(code)
     .with('malformed-request', 'idempotency-key-missing', 'deadline-expired', () => 400)
--- a/stand-ins/plain-service/stand-in.ts
+++ b/stand-ins/plain-service/stand-in.ts
@@ -42,6 +42,8 @@
   createFaultSchema('partial-answer', {}),
   /** Runs the call and answers with the id of another request. */
   createFaultSchema('wrong-request-id', {}),
+  /** Runs the call and answers with this status. */
+  createFaultSchema('status', { status: z.number().int().min(200).max(599) }),
 ]);
 
 /** A fault of a plain service. */
@@ -150,7 +152,8 @@
 
     const bodyHash = createHash('sha256').update(body).digest('hex');
     const answer = { worker: id, incarnation, requestId, method, path, bodyHash, serial: own };
-    const reply = createJsonReply(200, answer satisfies PlainServiceAnswer);
+    const status = findFault(faults, 'status')?.status ?? 200;
+    const reply = createJsonReply(status, answer satisfies PlainServiceAnswer);
     const wrong = findFault(faults, 'wrong-request-id') !== undefined;
     const answeredId = wrong ? `${requestId}-other` : requestId;
     return { ...reply, headers: { ...reply.headers, 'x-request-id': answeredId } };
--- a/test/caller/promises.test.ts
+++ b/test/caller/promises.test.ts
@@ -58,6 +58,44 @@
     }
     expect(countExecutions()).to.equal(1);
   });
+
+  for (const status of PROMISES) {
+    it(`is not answered ${status} by a worker's word after its run, nor again under its key`, async () => {
+      cluster.workers[0]?.setFault({ kind: 'status', status });
+      for (const attempt of ['first', 'again']) {
+        const answer = await send('k');
+        expect(answer.status, attempt).to.equal(502);
+        const { error } = (await answer.json()) as FailureBody;
+        expect(error, attempt).to.include({ code: 'backend-server-failed', outcome: 'unknown' });
+        expect(error.message, attempt).to.include(String(status));
+        expect(answer.headers.get('x-should-retry'), attempt).to.equal('false');
+      }
+      expect(countExecutions()).to.equal(1);
+    });
+  }
+
+  for (const status of [200, 404, 409, 500, 502, 504]) {
+    it(`is answered ${status} by a worker's word, and again under its key, with one run`, async () => {
+      cluster.workers[0]?.setFault({ kind: 'status', status });
+      for (const replayed of [null, 'true']) {
+        const answer = await send('k');
+        expect(answer.status).to.equal(status);
+        expect(await answer.json()).to.include({ path: '/pages/7', serial: 1 });
+        expect(answer.headers.get('x-reedtally-replayed')).to.equal(replayed);
+      }
+      expect(countExecutions()).to.equal(1);
+    });
+  }
+
+  for (const status of PROMISES) {
+    it(`passes a worker's ${status} on where the class may be repeated`, async () => {
+      cluster.workers[0]?.setFault({ kind: 'status', status });
+      const answer = await send('k', { 'x-reedtally-class': 'default' });
+      expect(answer.status).to.equal(status);
+      expect(await answer.json()).to.include({ path: '/pages/7' });
+      expect(answer.headers.get('x-should-retry')).to.equal(null);
+    });
+  }
 });
 
 describe('a generation that an engine began', () => {
