fix(ports): calls to engines and workers have a connection of their own, so that no late answer is taken for theirs

A generation was told `not-run` (`queue-full`) by a late second refusal of the request before it on the connection, and would be sent to another engine while this one ran it; a KV export gave the handle of another prompt; an order that was carried out counted as refused by its fence. A call to a worker that was asked again under its id got the late decline of its first send while it ran; a call under another id lost its answer (`answer-mismatched`).

Cause: connections were kept between requests, and refusals, handles and the fence's answer bear no request's id; an id does not tell two sends of one call apart.

Now generations, orders, states, KV calls, cancels and calls to workers end their connection, so that nothing of one can stand before the answer of another. Loads and cache events keep their connections: they are numbered and late anyway. The cost is a connect for each request.

--- a/src/ports/http/channel.ts
+++ b/src/ports/http/channel.ts
@@ -2,7 +2,8 @@
  * HTTP exchanges with one peer. It knows for certain whether a request could have reached the peer:
  * a request counts as sent from the moment at which it is about to be written on an established
  * connection. Nothing is retried and nothing is pipelined, so a kept-alive connection that dies
- * under a request loses that request and no other.
+ * under a request loses that request and no other. Where an answer does not say whose it is, each exchange has a
+ * connection of its own.
  */
 import type { IncomingHttpHeaders } from 'node:http';
 import { Err, Ok, type Result } from 'ts-results-es';
@@ -78,6 +79,11 @@
   origin: string;
   /** Longest time that a connection may take to be made. */
   connectTimeoutMs?: number;
+  /**
+   * Whether every exchange has a connection of its own. An answer that comes late, or a second time, can then not be
+   * taken for that of the next request; needed where answers do not say whose they are. False when absent.
+   */
+  separate?: boolean;
 }
 
 const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
@@ -99,8 +105,10 @@
     connect: { timeout: terms.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS },
   });
 
+  const reset = terms.separate ?? false;
+
   function start(request: HttpRequest, receiver: Receiver): Exchange {
-    return startExchange(pool, request, receiver);
+    return startExchange(pool, { ...request, reset }, receiver);
   }
 
   return {
@@ -109,7 +117,12 @@
   };
 }
 
-function startExchange(pool: Pool, request: HttpRequest, receiver: Receiver): Exchange {
+/** A request, and whether its connection ends with it. */
+interface Sending extends HttpRequest {
+  reset: boolean;
+}
+
+function startExchange(pool: Pool, request: Sending, receiver: Receiver): Exchange {
   let sent = false;
   let finished = false;
   let controller: Dispatcher.DispatchController | undefined;
@@ -151,6 +164,7 @@
       path: request.path,
       headers: request.headers ?? null,
       body: request.body ?? null,
+      reset: request.reset,
     },
     handler,
   );
--- a/src/ports/http/model-engine.ts
+++ b/src/ports/http/model-engine.ts
@@ -54,12 +54,17 @@
   const timeoutMs = terms.timeoutMs ?? DEFAULT_TIMEOUT_MS;
   const kvTimeoutMs = terms.kvTimeoutMs ?? DEFAULT_KV_TIMEOUT_MS;
   const peer = `${id}@${address}`;
-  const channel = createHttpChannel({ origin: `http://${address}` });
+  const origin = `http://${address}`;
+  /** For whatever has an effect or decides something: refusals, receipts and handles bear no request's id. */
+  const separate = createHttpChannel({ origin, separate: true });
+  /** For reports, which are late in any case and bear a number of their own. */
+  const kept = createHttpChannel({ origin });
 
   async function ask(
     request: HttpRequest,
     step: Step,
     patienceMs: number = timeoutMs,
+    channel = separate,
   ): Promise<Result<HttpAnswer, Failure>> {
     const asked = await channel.ask(request, { clock, timeoutMs: patienceMs });
     if (asked.isErr()) return Err(describeLoss(peer, step, asked.error));
@@ -73,14 +78,22 @@
     schema: Schema,
     step: Step,
     patienceMs: number = timeoutMs,
+    channel = separate,
   ): Promise<Result<z.infer<Schema>, Failure>> {
-    const answer = await ask(request, step, patienceMs);
+    const answer = await ask(request, step, patienceMs, channel);
     if (answer.isErr()) return answer;
     return parseJson(schema, answer.value.body).mapErr((message) =>
       describeFailed(peer, step, message),
     );
   }
 
+  function report<Schema extends z.ZodType>(
+    request: HttpRequest,
+    schema: Schema,
+  ): Promise<Result<z.infer<Schema>, Failure>> {
+    return query(request, schema, 'engine.connect', timeoutMs, kept);
+  }
+
   async function cancel(requestId: string): Promise<Result<void, Failure>> {
     const answer = await ask(createJsonPost('/v1/cancel', { requestId }), 'engine.stream');
     return answer.map(() => undefined);
@@ -94,7 +107,7 @@
       yield Err(describeCancelled(peer));
       return;
     }
-    const source = openChunkSource(channel, peer, createJsonPost('/v1/completions', request));
+    const source = openChunkSource(separate, peer, createJsonPost('/v1/completions', request));
     signal.addEventListener('abort', source.abort);
     try {
       for (;;) {
@@ -115,15 +128,15 @@
     address,
     generate,
     cancel,
-    load: () => query({ method: 'GET', path: '/v1/load' }, loadReportSchema, 'engine.connect'),
+    load: () => report({ method: 'GET', path: '/v1/load' }, loadReportSchema),
     async cacheEvents(after) {
       const request = { method: 'GET', path: `/v1/cache-events?after=${after}` };
-      const answer = await query(request, cacheEventsSchema, 'engine.connect');
+      const answer = await report(request, cacheEventsSchema);
       return answer.map((body) => body.events);
     },
     async order(order, patienceMs = timeoutMs) {
       const patience = { clock, timeoutMs: patienceMs };
-      const asked = await channel.ask(createJsonPost('/v1/orders', order), patience);
+      const asked = await separate.ask(createJsonPost('/v1/orders', order), patience);
       if (asked.isOk()) return resolveOrderOutcome(peer, order, asked.value);
       const failure = describeLoss(peer, 'order.send', asked.error);
       return { kind: asked.error.sent ? 'unknown' : 'not-sent', failure };
--- a/src/ports/http/plain-service.ts
+++ b/src/ports/http/plain-service.ts
@@ -41,13 +41,16 @@
   const queryTimeoutMs = terms.queryTimeoutMs ?? DEFAULT_QUERY_TIMEOUT_MS;
   const callTimeoutMs = terms.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
   const peer = `${id}@${address}`;
-  const channel = createHttpChannel({ origin: `http://${address}` });
+  const origin = `http://${address}`;
+  /** A call that is asked again bears the id of the one before, so that its answers would not be told apart. */
+  const separate = createHttpChannel({ origin, separate: true });
+  const kept = createHttpChannel({ origin });
 
   async function query<Schema extends z.ZodType>(
     path: string,
     schema: Schema,
   ): Promise<Result<z.infer<Schema>, Failure>> {
-    const asked = await channel.ask({ method: 'GET', path }, { clock, timeoutMs: queryTimeoutMs });
+    const asked = await kept.ask({ method: 'GET', path }, { clock, timeoutMs: queryTimeoutMs });
     if (asked.isErr()) return Err(describeUnreachable(peer, asked.error.reason));
     const { status, body } = asked.value;
     if (status !== 200) return Err(describeUnreachable(peer, `answered status ${status}`));
@@ -59,7 +62,7 @@
     address,
     async call(call, signal) {
       const patience = { clock, timeoutMs: callTimeoutMs, signal };
-      const asked = await channel.ask(createRequest(call), patience);
+      const asked = await separate.ask(createRequest(call), patience);
       if (asked.isErr()) return Err(describeLoss(peer, asked.error));
       return resolveAnswer(peer, call, asked.value);
     },
