fix(claims): a key that another call has claimed is not answered not-run when that claim cannot be read

A second call under a key was told `claims-unavailable`, `not-run`, while the first one ran: a caller that takes it for the fate of its key may do the thing again under a new one.

Cause: the write of the second claim conflicts, which says that the key is claimed; the read that follows failed, or the row was of a form that this version does not know, and both were answered like a claim that could not be written.

Evidence: the test in test/claims/claims.test.ts failed before with 'not-run' in place of 'unknown'.

--- a/src/claims/claims.ts
+++ b/src/claims/claims.ts
@@ -189,16 +189,17 @@
     return true;
   }
 
+  /** Reads the claim that another call has on the key. */
   async function readExisting(request: ClaimRequest): Promise<ClaimAnswer> {
     const read = await table.get(claimRowKey(request));
-    if (read.isErr()) return refuse(unavailable(node));
+    if (read.isErr()) return refuse(unreadable(node));
     if (read.value === undefined) return refuse(unavailable(node));
     return resolveExisting(request, read.value);
   }
 
   async function resolveExisting(request: ClaimRequest, row: Row): Promise<ClaimAnswer> {
     const found = parseClaimRow(row.value);
-    if (found === undefined) return refuse(unavailable(node));
+    if (found === undefined) return refuse(unreadable(node));
     if (found.bodyHash !== request.bodyHash) return refuse(reused(node));
     return match(found.state)
       .with('answered', () => loadAnswer(found))
@@ -331,6 +332,18 @@
   });
 }
 
+/** The key is claimed, so its call may have run, whatever became of this request. */
+function unreadable(node: string): Failure {
+  return createUnknownOutcome({
+    code: 'claims-unavailable',
+    message:
+      'the idempotency key is claimed and its outcome cannot be read; retry with the same key for its answer',
+    step: 'claim.read-back',
+    peer: node,
+    retryAfterMs: RETRY_AFTER_MS,
+  });
+}
+
 function reused(node: string): Failure {
   return createRefusal({
     code: 'idempotency-key-reused',
--- a/src/errors/explanations.ts
+++ b/src/errors/explanations.ts
@@ -131,9 +131,9 @@
     remedy: 'Use another entry point; operators see to the table service and the links.',
   },
   'claims-unavailable': {
-    meaning: 'The claim that keeps the call from running twice cannot be stored now.',
-    outcome: 'not-run',
-    remedy: `${ASK_LATER} Operators see to the table service.`,
+    meaning: 'The claim that keeps the call from running twice cannot be stored, or not read, now.',
+    outcome: 'either',
+    remedy: `${ASK_LATER} Use the same idempotency key. Operators see to the table service.`,
   },
   'retry-budget-spent': {
     meaning:
--- a/test/claims/claims.test.ts
+++ b/test/claims/claims.test.ts
@@ -138,6 +138,19 @@
     expect(textOf(await runUntil(two.claim(request())))).to.equal('outcome-unknown');
   });
 
+  it('does not say not-run of a key that another call has claimed when that claim cannot be read', async () => {
+    const { createNode, request, runUntil, control } = setUp();
+    const [one, two] = [createNode('n1'), createNode('n2')];
+    await runUntil(one.claim(request()));
+    const reads = control.reads;
+    control.failReads = 1;
+    const answer = await runUntil(two.claim(request()));
+    expect(control.reads).to.equal(reads + 1);
+    expect(answer).to.have.nested.property('failure.outcome', 'unknown');
+    expect(answer).to.have.nested.property('failure.retryAfterMs', 1_000);
+    expect(textOf(await runUntil(two.claim(request())))).to.equal('in-progress');
+  });
+
   it('replaces an unknown outcome with the answer', async () => {
     const { createNode, request, runUntil, advance, endedLeases } = setUp();
     const [one, two] = [createNode('n1'), createNode('n2')];
