fix(node): a refusal of unreadable bytes is not written where the answer to a whole request is due

A caller whose keyed call ran got 408, 400 or 431 with `not-run`, when half a request, bytes that are no HTTP or too large headers stood behind the call on its connection (a pipelining client, or a pool that shares a connection): HTTP gives answers in the order of the requests, so the refusal was read as the answer to the call.

Cause: what HTTP cannot read is refused by a write to the socket, whatever else is due there.

Evidence: test/caller/promises.test.ts, three tests on bare sockets with a worker that runs the call; before, the first line was `408 Request Timeout`, `400 Bad Request` and `431 Request Header Fields Too Large`.

Now the connection closes after the answers to its whole requests, and requests that still come on it are not taken: a closed connection promises nothing. A request that is not whole has started nothing and is refused as before.

--- a/src/node/servers.ts
+++ b/src/node/servers.ts
@@ -57,7 +57,7 @@
     noDelay: true,
   };
   const receive: RequestListener = (incoming, outgoing) => {
-    void answer(incoming, outgoing);
+    if (connections.takesRequests(incoming.socket)) void answer(incoming, outgoing);
   };
   const server =
     certificate === undefined
@@ -68,7 +68,8 @@
         );
   const connections = followConnections(server, certificate !== undefined);
   server.on('clientError', (error, socket) => {
-    refuseUnreadable(error, socket, node);
+    // A refusal would be read as the answer to the request before it, which runs.
+    if (!connections.closeAfterAnswers(socket)) refuseUnreadable(error, socket, node);
   });
   return new Promise((resolve, reject) => {
     server.once('error', reject);
--- a/test/caller/promises.test.ts
+++ b/test/caller/promises.test.ts
@@ -1,10 +1,18 @@
 /**
  * What a caller is told of a call that a worker or an engine began: never a status that promises the opposite.
  */
+import { connect } from 'node:net';
 import { expect } from 'chai';
 import type { FailureBody } from '../../src/caller/index.js';
 import { failureCodeSchema, resolveHttpStatus } from '../../src/errors/index.js';
-import { keyOf, MODEL, SERVICE, startCluster, type Cluster } from '../fixtures/cluster.js';
+import {
+  keyOf,
+  MODEL,
+  SERVICE,
+  startCluster,
+  waitUntil,
+  type Cluster,
+} from '../fixtures/cluster.js';
 
 /** Statuses after which callers send a call again, since they say that it has not run. */
 const PROMISES = [408, 421, 429, 503];
@@ -98,6 +106,41 @@
   }
 });
 
+describe('a connection whose request runs', () => {
+  const parts = { settings: { requests: { readTimeoutMs: 300 } } };
+  const followers = [
+    { title: 'a half-sent request', bytes: 'POST /v1/completions HTTP/1.1\r\nHost: n1\r\n' },
+    { title: 'bytes that are not HTTP', bytes: '\u0000\u0001 nothing\r\n\r\n' },
+    {
+      title: 'a request with too large headers',
+      bytes: `GET / HTTP/1.1\r\nx: ${'x'.repeat(20_000)}\r\n\r\n`,
+    },
+  ];
+
+  for (const { title, bytes } of followers) {
+    it(`is not answered with the refusal of ${title} behind it`, async () => {
+      const cluster = await startCluster({ nodes: 1, engines: 0, workers: 1, ...parts });
+      const [worker] = cluster.workers;
+      worker?.setFault({ kind: 'delay-answer', ms: 3_000 });
+      const [host = '', port = ''] = (cluster.nodes[0]?.addresses.caller ?? '').split(':');
+      const socket = connect(Number(port), host);
+      let received = '';
+      socket.setEncoding('utf8').on('data', (piece: string) => (received += piece));
+      const closed = new Promise((resolve) => socket.once('close', resolve));
+      socket.write(
+        `POST /v1/services/${SERVICE}/pages/7 HTTP/1.1\r\nHost: n1\r\nContent-Length: 0\r\n` +
+          `Authorization: Bearer ${keyOf('kumasi')}\r\nx-reedtally-class: once\r\nidempotency-key: k\r\n\r\n`,
+      );
+      const hasRun = () => worker?.entries().some(({ event }) => event === 'execution') ?? false;
+      await waitUntil('it runs', hasRun);
+      socket.write(bytes);
+      await closed;
+      await cluster.stop();
+      expect(received.match(/HTTP\/1\.1 .*/g)).to.deep.equal(['HTTP/1.1 200 OK']);
+    });
+  }
+});
+
 describe('a generation that an engine began', () => {
   it('is not answered with a promise when the engines decline to go on with it', async () => {
     const cluster = await startCluster({ nodes: 1, engines: 1, workers: 0 });
