--- a/test/caller/promises.test.ts
+++ b/test/caller/promises.test.ts
@@ -95,6 +95,41 @@
     });
   }
 
+  it('is told not-run of a claim whose write was lost, has not run, and runs once under its key', async () => {
+    cluster.table.setFault({ kind: 'drop-answer', path: '/v1/transactions' });
+    cluster.table.setFault({ kind: 'cut', path: '/v1/rows' });
+    const answer = await send('k');
+    const { error } = (await answer.json()) as FailureBody;
+    expect(error).to.include({ code: 'claims-unavailable', outcome: 'not-run' });
+    expect(answer.status).to.equal(503);
+    cluster.table.setFault({ kind: 'none' });
+    const later = async () => (await send('k')).status === 200;
+    expect(countExecutions()).to.equal(0);
+    await waitUntil('the claim that landed is fenced', later);
+    expect(countExecutions()).to.equal(1);
+  });
+
+  it('has one outcome for all who wait for it, where the worker promises after its run', async () => {
+    cluster.workers[0]?.setFault({ kind: 'status', status: 503 });
+    cluster.workers[0]?.setFault({ kind: 'delay-answer', ms: 300 });
+    const first = send('k');
+    await waitUntil('it runs', () => countExecutions() === 1);
+    const joined = send('k');
+    expect([(await first).status, (await joined).status]).to.deep.equal([502, 502]);
+    expect(countExecutions()).to.equal(1);
+  });
+
+  it("is told not-run of a worker's own refusal, and runs once when it is asked again", async () => {
+    cluster.workers[0]?.setFault({ kind: 'unavailable' });
+    const declined = await send('k');
+    const { error } = (await declined.json()) as FailureBody;
+    expect(error).to.include({ outcome: 'not-run' });
+    expect([declined.status, countExecutions()]).to.deep.equal([503, 0]);
+    cluster.workers[0]?.setFault({ kind: 'none' });
+    expect((await send('k')).status).to.equal(200);
+    expect(countExecutions()).to.equal(1);
+  });
+
   for (const status of PROMISES) {
     it(`passes a worker's ${status} on where the class may be repeated`, async () => {
       cluster.workers[0]?.setFault({ kind: 'status', status });
