fix(ports): writes and single rows of the table service have a connection of their own

A late second answer of the table service to one write passed for the answer to the next on its connection: a claim that is not stored counts as stored, its call is sent, and a second call under the key runs it again. A late row passed for that of another key.

Cause: as for engines and workers, an answer bears no request's id.

Evidence: test/ports/answers-of-others.test.ts; both tests failed before (revision 99, the row of another key). That the platform's table service answers twice is not known.

Ranges keep their connections.

--- a/src/ports/http/table-service.ts
+++ b/src/ports/http/table-service.ts
@@ -20,7 +20,13 @@
   type Transaction,
   type TransactionOutcome,
 } from '../table-service.js';
-import { createHttpChannel, type HttpAnswer, type HttpRequest, type Loss } from './channel.js';
+import {
+  createHttpChannel,
+  type HttpAnswer,
+  type HttpChannel,
+  type HttpRequest,
+  type Loss,
+} from './channel.js';
 import { createJsonPost, parseJson } from './json.js';
 
 /** The calls of a table service. */
@@ -51,7 +57,10 @@
  */
 export function createHttpTableService(terms: HttpTableServiceTerms): TableService {
   const { timeoutMs, baseUrl: peer, clock = createSystemClock() } = terms;
-  const channel = createHttpChannel({ origin: peer });
+  /** For writes and single rows, on which claims and leases are decided: a write's answer bears no id. */
+  const separate = createHttpChannel({ origin: peer, separate: true });
+  /** For ranges, which are read page by page and all the time. */
+  const kept = createHttpChannel({ origin: peer });
 
   function count(operation: TableOperation, outcome: TableCallOutcome): void {
     terms.onCall?.(operation, outcome);
@@ -60,6 +69,7 @@
   async function read(
     operation: TableOperation,
     request: HttpRequest,
+    channel: HttpChannel,
   ): Promise<Result<HttpAnswer, Failure>> {
     const asked = await channel.ask(request, { clock, timeoutMs });
     const result = asked
@@ -71,24 +81,23 @@
 
   return {
     async get(key) {
-      const result = await read('get', {
-        method: 'GET',
-        path: `/v1/rows/${encodeURIComponent(key)}`,
-      });
+      const request = { method: 'GET', path: `/v1/rows/${encodeURIComponent(key)}` };
+      const result = await read('get', request, separate);
       return result.andThen((answer) => {
         if (answer.status === 404) return Ok(undefined);
         return parseRead(peer, rowSchema, answer);
       });
     },
     async range(range) {
-      const result = await read('range', { method: 'GET', path: resolveRangePath(range) });
+      const request = { method: 'GET', path: resolveRangePath(range) };
+      const result = await read('range', request, kept);
       return result
         .andThen((answer) => parseRead(peer, rowsSchema, answer))
         .map((answer) => answer.rows);
     },
     async transact(transaction) {
       const request = createJsonPost('/v1/transactions', transaction satisfies Transaction);
-      const asked = await channel.ask(request, { clock, timeoutMs });
+      const asked = await separate.ask(request, { clock, timeoutMs });
       const outcome = asked.isOk()
         ? resolveOutcome(peer, asked.value)
         : resolveLostOutcome(peer, asked.error);
--- a/test/ports/answers-of-others.test.ts
+++ b/test/ports/answers-of-others.test.ts
@@ -4,7 +4,11 @@
  */
 import type { Socket } from 'node:net';
 import { expect } from 'chai';
-import { createHttpModelEngine, createHttpPlainService } from '../../src/ports/http/index.js';
+import {
+  createHttpModelEngine,
+  createHttpPlainService,
+  createHttpTableService,
+} from '../../src/ports/http/index.js';
 import type { EngineRequest, ModelEngine, Order, PlainService } from '../../src/ports/index.js';
 import {
   idOf,
@@ -135,4 +139,38 @@
       expect(Buffer.from(answer.body).toString()).to.equal(id);
     }
   });
+
+  it('of the table service does not pass for the answer to the next write', async () => {
+    const committed = (revision: number) =>
+      renderAnswer(200, JSON_TYPE, `{"revision":${revision}}`);
+    await start(
+      (_request, index) => committed(index + 1),
+      () => committed(99),
+    );
+    const table = createHttpTableService({ baseUrl: `http://${server.address}`, timeoutMs: 1_000 });
+    for (const index of INDICES) {
+      const put = { key: `claims/${index}`, value: 'claimed' };
+      const conditions = [{ key: put.key, revision: 0 }];
+      const outcome = await table.transact({ conditions, puts: [put], deletes: [] });
+      expect(outcome).to.deep.equal({ kind: 'committed', revision: index + 1 });
+    }
+  });
+
+  it('of the table service does not pass for the next row', async () => {
+    const render = (index: number) =>
+      renderAnswer(
+        200,
+        JSON_TYPE,
+        JSON.stringify({ key: `claims/${index}`, revision: 1, value: {} }),
+      );
+    await start(
+      (_request, index) => render(index),
+      () => render(0),
+    );
+    const table = createHttpTableService({ baseUrl: `http://${server.address}`, timeoutMs: 1_000 });
+    for (const index of INDICES) {
+      const key = `claims/${index}`;
+      expect((await table.get(key)).unwrap()).to.have.property('key', key);
+    }
+  });
 });
