fix(relay): a 101 that nobody asked for is no answer

What callers saw: a server that answered an ordinary request with a 101 and went on to run it had the 101 passed on, so that the caller's connection stood at a protocol that it had not asked for; with X-Not-Executed on it, the caller was answered 503, a promise that the request had not run.

Cause: the HTTP client gives 100, 102 and 103 to nobody, but takes a 101 without a matching Upgrade for the answer. The exchange read it as a final head.

Evidence: two of the five tests of interim answers failed on: "make no request pass for one that did not run" (503 in place of 502 for the 101; 100, 102 and 103 were right) and "are no answers" (101 passed on). The other three held before.

Why it works: the exchange takes no head below 200 for an answer, whoever sends the request (a send, the reading of a prompt, a release). The request may have run then, and the connection is closed, since what follows on it is of no known protocol.

--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -19,6 +19,9 @@
 /** Answers to other requests that are read past until the one that is due. */
 const MAX_ANSWERS_OF_OTHERS = 4;
 
+/** Least status of an answer: a head below it announces one, or leads to another protocol. */
+const MIN_STATUS = 200;
+
 /** Time within which the rest of an answer has to come for its connection to be used again, in ms. */
 const DISCARD_MS = 1_000;
 
@@ -184,6 +187,11 @@
     }
     watched?.heard();
     const { statusCode: status = 0, rawHeaders, headers } = response;
+    if (status < MIN_STATUS) {
+      fail(`status ${status} is no answer`);
+      response.destroy();
+      return;
+    }
     const head: AnswerHead = { status, rawHeaders, headers };
     const facts = request.readAnswer(head);
     if (facts === undefined) readPast(response);
