fix(platform): an answer keeps its signature and its id, whatever its Connection header lists

What callers saw: where a server listed X-Server-Signature or X-Request-Id in Connection, its success reached the caller without them, which is no success to the caller, and nobody's.

Cause: headers that Connection lists were dropped from answers without exception. For requests there was one: headers without which the request would be another one.

Why it works: the two headers by which a caller knows whose an answer is are forwarded in any case; the other listed ones stay behind, as before.

--- a/test/relay/words-of-servers.test.ts
+++ b/test/relay/words-of-servers.test.ts
@@ -1,12 +1,14 @@
 // Guards against words that mean one thing between a server and a gateway and another between a gateway and a caller:
 // each may reach only the side that it is for.
 import { expect } from 'chai';
+import type { SeenAnswer } from '../../tools/soak/callers.js';
 import { openCaller } from '../fixtures/caller-connection.js';
 import { ask, heads, until } from '../fixtures/gateway.js';
 import { startRawFleet, type RawFleet } from '../fixtures/raw-fleet.js';
 import { idOf, renderAnswer, type RawRequest } from '../fixtures/raw-server.js';
 
 const signed = { 'X-Server-Signature': 's' };
+const declined = { 'X-Not-Executed': '1' };
 
 function render(request: RawRequest, status: number, headers: Record<string, string> = {}): string {
   return renderAnswer(status, { 'X-Request-Id': idOf(request), ...headers }, `of ${idOf(request)}`);
@@ -110,3 +112,157 @@
     await until(() => fleet.servers[0]?.received()[0]?.connection.destroyed === true);
   });
 });
+
+describe('what a server says to gateways', () => {
+  let fleet: RawFleet;
+  let answer: (request: RawRequest) => void;
+
+  beforeEach(async () => {
+    fleet = await startRawFleet();
+    await startServers(
+      fleet,
+      (request) => {
+        answer(request);
+      },
+      { count: 2 },
+    );
+  });
+
+  afterEach(() => fleet.close());
+
+  function askThatSays(
+    status: number,
+    headers: Record<string, string>,
+    question: { path?: string; method?: string } = {},
+  ): Promise<SeenAnswer> {
+    answer = (request) => {
+      write(request, render(request, status, { ...signed, ...headers }));
+    };
+    return ask(fleet.port, { path: '/any/1', headers: heads('r1'), ...question });
+  }
+
+  it('leaves alone what it says to callers', async () => {
+    for (const status of [200, 429, 500]) {
+      const said = { 'Retry-After': '7', 'X-Weight-Versions': '3', 'X-Instance-Load': '1,0,8' };
+      const { headers } = await askThatSays(status, said);
+      expect(headers).to.include({ 'retry-after': '7', 'x-weight-versions': '3' });
+    }
+  });
+
+  it('does not close the connection of a caller', async () => {
+    const caller = await openCaller(fleet.port);
+    for (const status of [200, 500]) {
+      answer = (request) => {
+        const ofConnection = {
+          Connection: 'close, X-Hop',
+          'Keep-Alive': 'timeout=1',
+          'X-Hop': '1',
+        };
+        write(request, render(request, status, { ...signed, ...ofConnection }));
+      };
+      caller.send(`r${status}`);
+      await until(() => caller.received().endsWith(`of r${status}`));
+    }
+    const lines = caller.received().toLowerCase().split('\r\n');
+    expect(lines.filter((line) => line.startsWith('connection:'))).to.deep.equal([
+      'connection: keep-alive',
+      'connection: keep-alive',
+    ]);
+    expect(lines.filter((line) => line.startsWith('keep-alive:'))).to.deep.equal([
+      'keep-alive: timeout=15',
+      'keep-alive: timeout=15',
+    ]);
+    expect(lines.filter((line) => line.startsWith('x-hop:'))).to.deep.equal([]);
+    caller.close();
+  });
+
+  it('does not take the signature or the id from an answer', async () => {
+    const listed = 'close, X-Server-Signature, X-Request-Id';
+    const seen = await askThatSays(200, { Connection: listed });
+    expect(seen.headers).to.include({ 'x-server-signature': 's', 'x-request-id': 'r1' });
+  });
+
+  it('keeps the length of what was not asked for', async () => {
+    answer = (request) => {
+      const { 'X-Server-Signature': signature } = signed;
+      const head = `X-Request-Id: ${idOf(request)}\r\nX-Server-Signature: ${signature}\r\n`;
+      write(request, `HTTP/1.1 200 OK\r\n${head}Content-Length: 17\r\n\r\n`);
+    };
+    const seen = await ask(fleet.port, { path: '/any/1', method: 'HEAD', headers: heads('r1') });
+    expect(seen).to.include({ status: 200, body: '', isWhole: true });
+    expect(seen.headers).to.include({ 'content-length': '17', 'x-server-signature': 's' });
+    answer = (request) => {
+      const head = `X-Request-Id: ${idOf(request)}\r\nX-Server-Signature: s\r\n`;
+      write(request, `HTTP/1.1 304 Not Modified\r\n${head}Content-Length: 17\r\n\r\n`);
+    };
+    const unchanged = await ask(fleet.port, { path: '/any/1', headers: heads('r2') });
+    expect(unchanged).to.include({ status: 304, body: '', isWhole: true });
+    expect(unchanged.headers).to.include({ 'x-server-signature': 's' });
+  });
+
+  it('is no success in an encoding that nobody asked for', async () => {
+    const seen = await askThatSays(200, { 'Content-Encoding': 'gzip' }, { path: '/once/1' });
+    expect(seen.status).to.equal(502);
+    expect(seen.headers).not.to.have.property('x-server-signature');
+    expect(receivedIds(fleet)).to.deep.equal(['r1']);
+  });
+
+  it('is believed with a status of success: not run is not run', async () => {
+    const seen = await askThatSays(200, declined, { path: '/once/1' });
+    expect(seen.status).to.equal(503);
+    expect(seen.headers).not.to.have.any.keys('x-server-signature', 'x-not-executed');
+  });
+});
+
+describe('a server that says that it is another one', () => {
+  let fleet: RawFleet;
+  let answer: (request: RawRequest) => void;
+
+  beforeEach(async () => {
+    fleet = await startRawFleet();
+    await startServers(
+      fleet,
+      (request) => {
+        answer(request);
+      },
+      { count: 2 },
+    );
+  });
+
+  afterEach(() => fleet.close());
+
+  it('is asked no more where it names the other one, and is kept where it does not', async () => {
+    for (const [headers, isGone] of [
+      [{}, false],
+      [{ 'X-Instance-Id': 'asked' }, false],
+      [{ 'X-Instance-Id': 'another' }, true],
+    ] as const) {
+      answer = (request) => {
+        const { 'X-Instance-Id': named }: { 'X-Instance-Id'?: string } = headers;
+        const asked = request.headers.get('x-target-instance') ?? '';
+        const instance =
+          named === undefined ? {} : { 'X-Instance-Id': named === 'asked' ? asked : named };
+        write(request, render(request, 421, instance));
+      };
+      const seen = await ask(fleet.port, {
+        path: '/once/1',
+        method: 'POST',
+        body: 'body',
+        headers: heads(`r-${JSON.stringify(headers)}`),
+      });
+      expect(seen.status).to.equal(503);
+      expect(seen.headers).to.have.property('retry-after');
+      const isRetired = fleet.gateway.log.lines.some(({ event }) => event === 'serverRetired');
+      expect(isRetired).to.equal(isGone);
+    }
+  });
+
+  it('is not believed where it has signed: it has run the request', async () => {
+    answer = (request) => {
+      write(request, render(request, 421, signed));
+    };
+    const seen = await ask(fleet.port, { path: '/once/1', headers: heads('r1') });
+    expect(seen.status).to.equal(502);
+    expect(receivedIds(fleet)).to.deep.equal(['r1']);
+  });
+});
