--- a/test/relay/words-of-servers.test.ts
+++ b/test/relay/words-of-servers.test.ts
@@ -141,6 +141,23 @@
     return ask(fleet.port, { path: '/any/1', headers: heads('r1'), ...question });
   }
 
+  for (const status of [200, 500, 503]) {
+    it(`with status ${status} reaches no caller`, async () => {
+      const asked = { 'Server-Limit': '3000', 'Server-Leaving': '0' };
+      const seen = await askThatSays(status, asked);
+      expect(seen).to.include({ status, body: 'of r1' });
+      expect(seen.headers).to.include({ 'x-server-signature': 's' });
+      expect(seen.headers).not.to.have.any.keys('server-limit', 'server-leaving');
+    });
+  }
+
+  it('reaches no caller: nor for how long a gateway is to leave it alone', async () => {
+    const seen = await askThatSays(503, { 'Retry-After': '7' });
+    expect(seen).to.include({ status: 503, body: 'of r1' });
+    expect(seen.headers).to.include({ 'x-server-signature': 's' });
+    expect(seen.headers).not.to.have.property('retry-after');
+  });
+
   it('leaves alone what it says to callers', async () => {
     for (const status of [200, 429, 500]) {
       const said = { 'Retry-After': '7', 'X-Weight-Versions': '3', 'X-Instance-Load': '1,0,8' };
