fix(relay): bytes that are no request are not answered in the place of an earlier request

What callers saw: on a connection with a request at work, bytes behind it that were no request were answered 400 at once. The caller takes that for the answer to the earlier request, which ran, does not repeat it and never gets its answer, since the connection was closed. In the middle of an answer that had begun, the 400 was written into its body.

Cause: Node's HTTP server reports what it cannot read when it reads it; the front wrote its answer straight to the connection, past the answers that were due.

Why it works: a record of the answers that are due on each connection decides. Where there are some, they go out, the last one says that the connection closes, and it closes behind it; the 400 is written only where nothing is due. A request whose own body is what cannot be read counts as not due: no server has it. Once a connection is answered for good, no request on it is passed on.

--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -11,6 +11,7 @@
 import type { CallerLimits } from '../routing/index.js';
 import { createCallerAnswer, type CallerAnswer } from './caller-answer.js';
 import type { BackendProtocol } from './protocol.js';
+import { createCallerConnections } from './caller-connections.js';
 import { improperStatuses } from './final-answer.js';
 import type { CallerRequest } from './request.js';
 
@@ -61,6 +62,7 @@
 export function createFront(parts: FrontParts): Front {
   const { log, protocol, arrivals, admission } = parts;
   const sockets = new Set<Socket>();
+  const connections = createCallerConnections(log);
   let closing = false;
   let inFlight = 0;
   let received = 0;
@@ -80,12 +82,7 @@
     socket.on('close', () => sockets.delete(socket));
   });
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-    if (socket.writable && error.code !== 'ECONNRESET') {
-      log.write('requestMalformed', { code: error.code });
-      socket.end('HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n');
-      return;
-    }
-    socket.destroy();
+    connections.unreadable(socket, error);
   });
 
   function limits(): CallerLimits {
@@ -100,8 +97,14 @@
   async function receive(request: IncomingMessage, response: ServerResponse): Promise<void> {
     received += 1;
     const arrival = arrivals.requestRead(request.socket);
+    const { socket } = request;
+    if (!connections.requestStarted(socket, response)) {
+      socket.destroy();
+      return;
+    }
     const head = protocol.readCaller(request.rawHeaders);
-    const answer = createCallerAnswer(response, protocol, head.requestId, () => closing);
+    const isClosing = () => closing || connections.closesBehind(socket, response);
+    const answer = createCallerAnswer(response, protocol, head.requestId, isClosing);
     const decision = admission.decide(arrival, head.waitMs);
     if (!decision.isAdmitted) {
       refuseOverloaded(head.requestId, arrival, decision.retryAfterMs, answer);
--- a/test/relay/words-of-servers.test.ts
+++ b/test/relay/words-of-servers.test.ts
@@ -2,7 +2,7 @@
 // each may reach only the side that it is for.
 import { expect } from 'chai';
 import type { SeenAnswer } from '../../tools/soak/callers.js';
-import { openCaller } from '../fixtures/caller-connection.js';
+import { openCaller, type CallerConnection } from '../fixtures/caller-connection.js';
 import { ask, heads, until } from '../fixtures/gateway.js';
 import { startRawFleet, type RawFleet } from '../fixtures/raw-fleet.js';
 import { idOf, renderAnswer, type RawRequest } from '../fixtures/raw-server.js';
@@ -283,3 +283,111 @@
     expect(receivedIds(fleet)).to.deep.equal(['r1']);
   });
 });
+
+describe('a connection of a caller', () => {
+  let fleet: RawFleet;
+  let caller: CallerConnection;
+  const held = new Map<string, RawRequest>();
+
+  beforeEach(async () => {
+    held.clear();
+    fleet = await startRawFleet();
+    await startServers(fleet, (request) => {
+      held.set(idOf(request), request);
+    });
+    caller = await openCaller(fleet.port);
+  });
+
+  afterEach(() => {
+    caller.close();
+    return fleet.close();
+  });
+
+  /** Answers a request that a server has received. */
+  async function answerHeld(id: string): Promise<void> {
+    await until(() => held.has(id));
+    const request = held.get(id);
+    if (request !== undefined) write(request, render(request, 200, signed));
+  }
+
+  function findIds(): string[] {
+    return [...caller.received().matchAll(/X-Request-Id: (\S+)/gi)].map(([, id = '']) => id);
+  }
+
+  it('gives each request its own answer, in their order', async () => {
+    caller.send('r1');
+    caller.send('r2');
+    await answerHeld('r2');
+    await answerHeld('r1');
+    await until(() => caller.received().endsWith('of r2'));
+    expect(findIds()).to.deep.equal(['r1', 'r2']);
+  });
+
+  it('has no answer to bytes behind a request that is at work', async () => {
+    caller.send('r1');
+    await until(() => held.has('r1'));
+    caller.write('no request\r\n\r\n');
+    await until(() => fleet.gateway.log.lines.some(({ event }) => event === 'requestMalformed'));
+    await answerHeld('r1');
+    await until(() => caller.isEnded());
+    expect(caller.received()).to.match(/^HTTP\/1.1 200 [^]*of r1$/);
+  });
+
+  it('has no answer to bytes within an answer that has begun', async () => {
+    caller.send('r1');
+    await until(() => held.has('r1'));
+    const request = held.get('r1');
+    const head = 'X-Request-Id: r1\r\nX-Server-Signature: s\r\nContent-Length: 100010\r\n';
+    if (request !== undefined)
+      write(request, `HTTP/1.1 200 OK\r\n${head}\r\n${'a'.repeat(100_000)}`);
+    await until(() => caller.received().endsWith('aaa'));
+    caller.write('no request\r\n\r\n');
+    await until(() => fleet.gateway.log.lines.some(({ event }) => event === 'requestMalformed'));
+    if (request !== undefined) write(request, 'b'.repeat(10));
+    await until(() => caller.isEnded());
+    expect(caller.received()).to.match(/^HTTP\/1.1 200 [^]*ab{10}$/);
+  });
+
+  it('that closes behind such bytes ends the request that is at work', async () => {
+    caller.send('r1');
+    await until(() => held.has('r1'));
+    caller.write('no request\r\n\r\n');
+    await until(() => fleet.gateway.log.lines.some(({ event }) => event === 'requestMalformed'));
+    caller.end();
+    await until(() => held.get('r1')?.connection.destroyed === true);
+  });
+
+  it('with several requests at work gets all their answers before it closes', async () => {
+    caller.send('r1');
+    caller.send('r2');
+    caller.write('no request\r\n\r\n');
+    await answerHeld('r2');
+    await answerHeld('r1');
+    await until(() => caller.isEnded());
+    expect(findIds()).to.deep.equal(['r1', 'r2']);
+    expect(caller.received()).to.match(/of r2$/);
+  });
+
+  it('is told that a body cannot be read, unless an earlier request is at work', async () => {
+    const lines = Object.entries(heads('broken')).map(([name, value]) => `${name}: ${value}\r\n`);
+    const head = `POST /once/1 HTTP/1.1\r\n${lines.join('')}Transfer-Encoding: chunked\r\n\r\n`;
+    caller.send('r1');
+    await until(() => held.has('r1'));
+    caller.write(`${head}no length\r\n`);
+    await until(() => fleet.gateway.log.lines.some(({ event }) => event === 'requestMalformed'));
+    await answerHeld('r1');
+    await until(() => caller.isEnded());
+    expect(caller.received()).to.match(/^HTTP\/1.1 200 [^]*of r1$/);
+    const other = await openCaller(fleet.port);
+    other.write(`${head}no length\r\n`);
+    await until(() => other.isEnded());
+    expect(other.received()).to.match(/^HTTP\/1.1 400 /);
+    expect(receivedIds(fleet)).to.deep.equal(['r1']);
+  });
+
+  it('is told that what it sent cannot be read where no request is at work', async () => {
+    caller.write('no request\r\n\r\n');
+    await until(() => caller.isEnded());
+    expect(caller.received()).to.match(/^HTTP\/1.1 400 /);
+  });
+});
