fix(relay): a request that does not come in time is answered 408, one with too large a head 431

What callers saw: a head that was slow to come, as on a lossy link, was answered 400, after which callers do not repeat a request; nor does a 400 say that it did not run.

Cause: the front gave one answer to every error of Node's HTTP server, and that server goes on reading what it has reported.

Evidence: "is told that it did not run, and it does not, though the rest comes later" gets 400 with the answers by code left out; in it, Node's server does hand the late request over, and the record keeps it from being passed on.

Why it works: 408 is a promise that holds here: the request was not read in whole, and nothing on a connection that is answered for good is passed on (requestStarted), also not what had only been late.

--- a/src/relay/caller-connections.ts
+++ b/src/relay/caller-connections.ts
@@ -7,8 +7,12 @@
 import type { Duplex } from 'node:stream';
 import type { Log } from '../events/index.js';
 
-/** The answer where no other is due; it ends the connection. */
-const MALFORMED = 'HTTP/1.1 400 Bad Request\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
+/** Answers where no other is due, by the code of the error. All of them end the connection. */
+const answersByCode: Readonly<Record<string, string>> = {
+  ERR_HTTP_REQUEST_TIMEOUT: '408 Request Timeout',
+  HPE_HEADER_OVERFLOW: '431 Request Header Fields Too Large',
+};
+const MALFORMED = '400 Bad Request';
 
 /** The connections of callers. */
 export interface CallerConnections {
@@ -43,6 +47,11 @@
     }
   }
 
+  function answer(socket: Duplex, code: string): void {
+    const status = answersByCode[code] ?? MALFORMED;
+    socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+  }
+
   return {
     requestStarted(socket, response) {
       if (unreadable.has(socket)) return false;
@@ -66,7 +75,7 @@
       if (unreadable.has(socket)) return;
       unreadable.add(socket);
       log.write('requestMalformed', { code });
-      if (!isDue) socket.end(MALFORMED);
+      if (!isDue) answer(socket, code);
     },
     closesBehind: (socket, response) =>
       unreadable.has(socket) && [...listDue(socket)].at(-1) === response,
