fix(platform): only the store's own word says that a write was not done

A write that the store answered with 500, 502 or 504 passed for one that was not done. Of the store's failures only 503 says that nothing was done, and 4xx and 507 that the call was refused; any other may have followed the write. Nothing that callers see depends on it at present: whoever writes treats all outcomes but "committed" alike, and an order lease is taken by "committed" alone (read, not run).

Evidence: "takes no other failure for a write that was not executed" failed before for these three of nine statuses.

Why it works: these outcomes are unknown, as where the answer is lost, and whoever must know reads the row.

--- a/test/gateway/adapter.test.ts
+++ b/test/gateway/adapter.test.ts
@@ -12,6 +12,7 @@
   startStoreStandIn,
   type StoreStandIn,
 } from '../../stand-ins/users-platform/index.js';
+import { renderAnswer, startRawServer } from '../fixtures/raw-server.js';
 
 const SETTINGS = `node=front-a-1
 zone=a
@@ -144,6 +145,34 @@
     expect((await store.transact(write)).kind).to.equal('unavailable');
   });
 
+  it('takes no other failure for a write that was not executed', async () => {
+    const write = { conditions: [], puts: [{ key: 'k', value: 1 }], deletes: [] };
+    const kinds: Record<number, string> = {};
+    for (const status of [400, 403, 412, 429, 500, 502, 503, 504, 507]) {
+      const server = await startRawServer(({ connection }) => {
+        connection.write(renderAnswer(status, {}, '{}'));
+      });
+      const client = createStore(
+        () => server.address,
+        createCaller(),
+        () => undefined,
+      );
+      kinds[status] = (await client.transact(write)).kind;
+      await server.close();
+    }
+    expect(kinds).to.deep.equal({
+      400: 'unavailable',
+      403: 'unavailable',
+      412: 'conflict',
+      429: 'unavailable',
+      500: 'unknown',
+      502: 'unknown',
+      503: 'unavailable',
+      504: 'unknown',
+      507: 'unavailable',
+    });
+  });
+
   it('reads tables with more rows than one page', async () => {
     for (let index = 0; index < 1_100; index += 1) {
       stand.put('reedtally', `k${String(index).padStart(5, '0')}`, index);
