test(soak): servers fail after a run, are full and answer twice, in spans that a seed draws

Cause: the soak's servers answered a run with 200, a stream or a reset only, so that nothing showed what a caller is told where a server's own 408, 429 or 503 follows a run, nor answers of another request while servers are full.

Servers of all routes now fail after a part of their runs (408, 429 or 503, with and without signature and Retry-After), have two places each and decline beyond these while callers press, and send answers a second time where the next one on the connection is due. Spans are drawn by a generator of their own; the faults of a seed stay as they were.

The judge knows what each server gave after a run: a signed failure has the server's status and is never the gateway's own, a success was one at the server, a failure bears the id of its request, and a refusal of what ran says what the server gave.

Gateways listen in a network that the process id gives, so that two runs on a machine do not meet; their number and their program are parameters.

--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -15,6 +15,9 @@
     rmSync(folder, { recursive: true });
     expect(result.broken).to.deep.equal([]);
     expect(result.succeeded).to.be.greaterThan(50);
+    for (const [what, count] of Object.entries(result.spans)) {
+      expect(count, what).to.be.greaterThan(0);
+    }
   });
 });
 
@@ -25,6 +28,7 @@
       kind: 'once' as const,
       path: '/once/1',
       runs: ['s'],
+      given: [{ server: 's', status: 200 }],
       events: 3,
       afterEvent: 0,
     };
@@ -32,12 +36,12 @@
   }
 
   function answer(status: number, body = 's answers /once/1', isWhole = true) {
-    return {
-      status,
-      body,
-      isWhole,
-      headers: { 'x-request-id': 'r', 'x-server-signature': 'signed-by-s' },
-    };
+    const signature = { 'x-server-signature': 'signed-by-s' };
+    return { status, body, isWhole, headers: { 'x-request-id': 'r', ...signature } };
+  }
+
+  function own(status: number, headers: Record<string, string> = { 'x-request-id': 'r' }) {
+    return { status, body: 'may have run: lost', isWhole: true, headers };
   }
 
   it('finds a second run', () => {
@@ -53,8 +57,29 @@
   });
 
   it('finds a refusal of what ran', () => {
-    expect(judge(account({ answer: answer(503) }))).to.have.length(1);
-    expect(judge(account({ answer: answer(502) }))).to.have.length(0);
+    expect(judge(account({ answer: own(503) }))).to.have.length(1);
+    expect(judge(account({ answer: own(503), runs: [], given: [] }))).to.have.length(0);
+    expect(judge(account({ answer: own(502) }))).to.have.length(0);
+  });
+
+  it('finds a refusal of what ran that the server itself has signed', () => {
+    for (const status of [408, 429, 503]) {
+      const given = [{ server: 's', status }];
+      expect(judge(account({ answer: answer(status), given }))).to.have.length(1);
+      expect(judge(account({ kind: 'any', answer: answer(status), given }))).to.have.length(0);
+    }
+  });
+
+  it("finds a server's signature on an answer that this server did not give", () => {
+    const given = [{ server: 's', status: 503 }];
+    expect(judge(account({ answer: answer(502), given }))).to.have.length(1);
+    expect(judge(account({ answer: answer(200), given }))).to.have.length(1);
+    const { headers } = answer(503);
+    expect(judge(account({ kind: 'any', answer: own(503, headers), given }))).to.have.length(1);
+  });
+
+  it('finds a failure of another request', () => {
+    expect(judge(account({ answer: own(502, { 'x-request-id': 't' }) }))).to.have.length(1);
   });
 
   it('finds a body that only looks whole', () => {
--- a/tools/soak/answers.ts
+++ b/tools/soak/answers.ts
@@ -18,20 +18,21 @@
 /** Part of the streams that break off after these. */
 const BROKEN_STREAM_SHARE = 0.05;
 
-/** Writes a page, which at times breaks off. */
+/** Writes a page, which at times breaks off; returns all of its body. */
 export function answerPage(
   id: string,
   random: RandomSource,
   request: Parameters<ScriptedAnswer>[0],
   response: Parameters<ScriptedAnswer>[1],
-): void {
+): string {
   const body = `${id} answers ${request.path}`;
   response.writeHead(200, sign(request, id));
   if (random.next() >= BROKEN_PAGE_SHARE) {
     response.end(body);
-    return;
+  } else {
+    response.write(body.slice(0, 5), () => response.destroy());
   }
-  response.write(body.slice(0, 5), () => response.destroy());
+  return body;
 }
 
 /** Writes a stream, which at times breaks off after its second event. */
--- a/tools/soak/calm.ts
+++ b/tools/soak/calm.ts
@@ -22,6 +22,8 @@
 /** How long after a cut first attempts are counted, in ms, and how many at each gateway. */
 const CUT_SETTLE_MS = 1_000;
 const CUT_ATTEMPTS = 100;
+/** Gateways up to which each is asked at the usual interval. */
+const FEW_GATEWAYS = 3;
 /** How long servers ask for less, in ms: longer than the time for which their limits are counted. */
 const ASKING_MS = 5_500;
 /** What servers ask for. */
@@ -99,8 +101,8 @@
 
 /** First attempts at a gateway without a path to the servers are served like those at the others. */
 async function judgeCut(run: CalmRun): Promise<string[]> {
-  const cutIndex = Math.floor(run.random.next() * run.gateways.length);
-  const lastMs = CUT_SETTLE_MS + CUT_ATTEMPTS * run.requestIntervalMs * 2;
+  const cutIndex = Math.floor(run.random.next() * run.cuts.paths.length);
+  const lastMs = CUT_SETTLE_MS + CUT_ATTEMPTS * resolveIntervalMs(run) * 2;
   const healed = run.cuts.cutFor(cutIndex, lastMs);
   await pause(CUT_SETTLE_MS);
   const counts = await Promise.all(run.gateways.map((gateway) => makeFirstAttempts(run, gateway)));
@@ -116,11 +118,16 @@
   return found === undefined ? [] : [found];
 }
 
+/** Time between two requests to one gateway while all are asked; more gateways are not asked for more in all. */
+function resolveIntervalMs({ requestIntervalMs, gateways }: CalmRun): number {
+  return requestIntervalMs * Math.max(1, gateways.length / FEW_GATEWAYS);
+}
+
 async function makeFirstAttempts(run: CalmRun, gateway: GatewayProcess): Promise<AttemptCount> {
   const statuses: Promise<SeenStatus>[] = [];
   for (let count = 0; count < CUT_ATTEMPTS; count += 1) {
     statuses.push(run.sendOne(gateway));
-    await pause(run.requestIntervalMs);
+    await pause(resolveIntervalMs(run));
   }
   const seen = await Promise.all(statuses);
   return { asked: seen.length, served: seen.filter((status) => status === 200).length };
--- a/tools/soak/gateways.ts
+++ b/tools/soak/gateways.ts
@@ -7,6 +7,9 @@
 import { join } from 'node:path';
 import { retryBound } from './retries.js';
 
+/** Network of this process's gateways, so that two runs on a machine do not meet. */
+const NETWORK = `127.${1 + (process.pid % 250)}.${Math.floor(process.pid / 250) % 250}`;
+const FIRST_HOST = 10;
 const FRONT_PORT = 18_144;
 const READINESS_PORT = 18_140;
 const DIRECTORY_PORT = 18_143;
@@ -44,7 +47,7 @@
   program: string,
 ): GatewayProcess {
   const node = `node-${index}`;
-  const host = `127.0.0.${10 + index}`;
+  const host = `${NETWORK}.${FIRST_HOST + index}`;
   const path = join(folder, `${node}.conf`);
   mkdirSync(folder, { recursive: true });
   writeFileSync(path, renderSettings(node, host, store));
@@ -98,7 +101,7 @@
     `listen.readiness=${host}:${READINESS_PORT}`,
     `listen.directory=${host}:${DIRECTORY_PORT}`,
     `listen.control=${host}:${PEER_PORT}`,
-    `seeds=127.0.0.10:${PEER_PORT}`,
+    `seeds=${NETWORK}.${FIRST_HOST}:${PEER_PORT}`,
     `provider.address=${store}`,
     `bounds.graceS=${GRACE_S}`,
     'bounds.leaseMs=3000',
--- a/tools/soak/judge.ts
+++ b/tools/soak/judge.ts
@@ -13,6 +13,8 @@
   answer: SeenAnswer | undefined;
   /** Servers that ran it, in order. */
   runs: string[];
+  /** Heads that servers gave after these runs. */
+  given: { server: string; status: number }[];
   /** Events that its stream has. */
   events: number;
   /** The last event that the caller had of an earlier attempt; 0 at first. */
@@ -22,6 +24,11 @@
 /** Statuses by which a gateway promises that a request did not run and never will. */
 const PROMISES: ReadonlySet<number> = new Set([408, 421, 429, 503]);
 
+/** A server's signature begins so. */
+const SIGNATURE = 'signed-by-';
+/** A gateway's own failure of what may have run begins so. */
+const OWN_FAILURE = 'may have run';
+
 /**
  * Lists what an account breaks.
  *
@@ -33,19 +40,36 @@
   if (kind === 'once' && runs.length > 1) broken.push(`ran ${runs.length} times`);
   if (answer === undefined) return broken;
   if (kind === 'once' && PROMISES.has(answer.status) && runs.length > 0) {
-    broken.push(`was refused with ${answer.status} and ran`);
+    const statuses = account.given.map(({ status }) => status).join(', ') || 'nothing';
+    broken.push(`was refused with ${answer.status} and ran; its server gave ${statuses}`);
   }
   if (answer.status === 404) broken.push('was not found though its route is there');
-  if (answer.status >= 200 && answer.status < 300) broken.push(...judgeSuccess(account, answer));
+  const isSuccess = answer.status >= 200 && answer.status < 300;
+  broken.push(...(isSuccess ? judgeSuccess(account, answer) : judgeFailure(account, answer)));
   return broken;
 }
 
+/** A failure that a server has signed has the status that this server gave, and is never the gateway's own. */
+function judgeFailure({ id, given }: Account, { status, headers, body }: SeenAnswer): string[] {
+  const requestId = headers['x-request-id'];
+  if (requestId !== undefined && requestId !== id) return ['failed as another request'];
+  const signature = headers['x-server-signature'];
+  if (signature === undefined) return [];
+  const isGiven = given.some(
+    (own) => signature === `${SIGNATURE}${own.server}` && own.status === status,
+  );
+  if (!isGiven) return [`failed with ${status} and a signature of another answer`];
+  return body.startsWith(OWN_FAILURE) ? ["has a server's signature on the gateway's failure"] : [];
+}
+
 function judgeSuccess(account: Account, answer: SeenAnswer): string[] {
   const signature = answer.headers['x-server-signature'];
   if (typeof signature !== 'string') return ['succeeded without a signature'];
   if (answer.headers['x-request-id'] !== account.id) return ['got the answer to another request'];
   if (account.kind === 'stream') return judgeEvents(account, answer);
-  const server = signature.slice('signed-by-'.length);
+  const server = signature.slice(SIGNATURE.length);
+  const isGiven = account.given.some((own) => own.server === server && own.status === 200);
+  if (!isGiven) return ['succeeded where the server did not'];
   const expected = `${server} answers ${account.path}`;
   if (answer.isWhole && answer.body !== expected) return ['got a body that is not the whole one'];
   return [];
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -49,6 +49,8 @@
     seeds: { type: 'string', default: '1', description: 'A seed, or FIRST-LAST' },
     seconds: { type: 'string', default: '8', description: 'How long faults come, for each seed' },
     regressions: { type: 'boolean', default: false, description: 'Seeds that failed once' },
+    gateways: { type: 'string', default: '3', description: 'How many run' },
+    program: { type: 'string', description: "The gateway's program, where not the built one" },
     controls: { type: 'boolean', default: false, description: 'Mechanisms switched off instead' },
   },
   async run({ args }) {
@@ -58,14 +60,18 @@
     }
     for (const seed of args.regressions ? REGRESSION_SEEDS : parseSeeds(args.seeds)) {
       const folder = join('out', 'soak', String(seed));
-      const { requests, succeeded, faults, broken } = await runSoak({
+      const { requests, succeeded, faults, spans, broken } = await runSoak({
         seed,
         seconds: Number(args.seconds),
         folder,
+        gateways: Number(args.gateways),
+        ...(args.program !== undefined && { program: args.program }),
       });
+      const { failed, full, repeated } = spans;
       const verdict = broken.length === 0 ? 'held' : `BROKEN ${broken.join('; ')}`;
       process.stdout.write(
-        `seed ${seed}: ${requests} requests, ${succeeded} good, ${faults} faults: ${verdict}\n`,
+        `seed ${seed}: ${requests} requests, ${succeeded} good, ${faults} faults, ` +
+          `${failed} failed after a run, ${full} full, ${repeated} answered twice: ${verdict}\n`,
       );
       if (broken.length > 0) process.exitCode = 1;
     }
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -3,10 +3,14 @@
  * them, callers, and faults in series that overlap. Ends with a calm phase in which every gateway
  * must serve again.
  */
+import type { ServerResponse } from 'node:http';
 import {
   breakStream,
+  echo,
+  sign,
   startServerStandIn,
   startStoreStandIn,
+  type ReceivedRequest,
   type ScriptedAnswer,
   type ServerStandIn,
   type StoreStandIn,
@@ -22,6 +26,7 @@
 import { createGatewayProcess, type GatewayProcess } from './gateways.js';
 import { judge, type Account } from './judge.js';
 import { createRetryCount } from './retries.js';
+import { createSpanServers, type SpanCounts, type WholeAnswer } from './spans.js';
 import {
   judgeStory,
   MAX_ATTEMPTS,
@@ -34,6 +39,8 @@
 
 const BUILT_PROGRAM = 'dist/platform/main.js';
 const GATEWAYS = 3;
+/** Gateways that may be cut from the servers; each of these has one more process. */
+const MOST_CUT = 16;
 /** Time between two requests, in ms. */
 const REQUEST_MS = 12;
 /** Time between two faults, in ms; each lasts up to three times as long, so that they overlap. */
@@ -43,6 +50,8 @@
 
 /** Time without disturbance after which the rules hold again, in ms, as the users' pages have it. */
 const CONTACT_MS = 3_000;
+/** Body of a server's failure, which is one event, so that it is a whole answer to a stream too. */
+const FAILURE_BODY = 'id: 1\ndata: it failed\n\n';
 /** Part of the requests that servers turn away while they refuse. */
 const REFUSED_SHARE = 0.7;
 /** What servers ask for while faults go on. */
@@ -53,6 +62,12 @@
 const FATAL_SHARE = 0.01;
 /** Time between two releases of the engines' software, in ms; two versions serve side by side from one to the next. */
 const RELEASE_MS = 1_500;
+/** Time for which servers do what a span draws, in ms. */
+const SPAN_MS = 800;
+/** Time between two further requests while servers have few places, in ms. */
+const PRESS_MS = 4;
+/** Part of these that may run once. */
+const PRESSED_ONCE_SHARE = 0.7;
 /** Events up to which each send of a stream breaks off, while streams are to be continued by their callers. */
 const BROKEN_EVENTS = 2;
 /** Time after which the operator and the servers have written again what a restored store lacks, in ms. */
@@ -63,6 +78,7 @@
   requests: number;
   succeeded: number;
   faults: number;
+  spans: SpanCounts;
   /** What was broken, with the request's id. */
   broken: string[];
 }
@@ -75,6 +91,7 @@
   folder: string;
   /** The gateway's program; another one than the built one for controls. */
   program?: string;
+  gateways?: number;
 }
 
 /** Where a request of the soak goes. */
@@ -109,7 +126,7 @@
  */
 export async function runSoak(terms: SoakTerms): Promise<SoakResult> {
   const random = createSeededRandom(terms.seed);
-  const { program = BUILT_PROGRAM } = terms;
+  const { program = BUILT_PROGRAM, gateways: gatewayCount = GATEWAYS } = terms;
   const store = await startStoreStandIn();
   const accounts = new Map<string, Account>();
   const backends: Backend[] = [];
@@ -127,9 +144,16 @@
   const askingRandom = createSeededRandom(terms.seed);
   /** Apart from the faults, as above. */
   const cutRandom = createSeededRandom(terms.seed + 1);
-  const cuts = createCuts(GATEWAYS, cutRandom);
+  const cuts = createCuts(Math.min(gatewayCount, MOST_CUT), cutRandom);
   /** Apart from the faults, as above. */
   const versionRandom = createSeededRandom(terms.seed + 2);
+  /** Apart from the faults, as above. */
+  const spans = createSpanServers(
+    createSeededRandom(terms.seed + 3),
+    createSeededRandom(terms.seed + 4),
+  );
+  /** Apart from the faults, as above. */
+  const pressRandom = createSeededRandom(terms.seed + 5);
   /** Software versions at which engines start. */
   let versions = ['v1', 'v2'];
   /** Each send of a stream breaks off. */
@@ -237,18 +261,24 @@
     const answer: ScriptedAnswer = (request, response) => {
       backend.server.script(answer);
       const id = String(request.headers['x-request-id']);
+      spans.repeatDue(id, response);
       const asked = asking.arrived(backend.id, sentTo.get(id) ?? '');
       for (const [name, value] of Object.entries(asked)) response.setHeader(name, value);
       const isPrefill = request.headers['x-stage'] === 'prefill';
       const isRefusing = performance.now() < refusingUntil && askingRandom.next() < REFUSED_SHARE;
       const isOther = request.headers['x-target-instance'] !== backend.id;
       const isTurnedAway =
-        !isOther && (isRefusing || asking.isPaused(backend.id) || random.next() < 0.03);
+        !isOther &&
+        (isRefusing ||
+          asking.isPaused(backend.id) ||
+          random.next() < 0.03 ||
+          (!isPrefill && spans.isFull(backend.id)));
       retries.arrived(backend.service, id, isPrefill && !isTurnedAway && !isOther);
       if (isOther) {
         response.writeHead(421, { 'X-Request-Id': id, 'X-Instance-Id': backend.id }).end();
       } else if (isTurnedAway) {
-        response.writeHead(503, { 'X-Request-Id': id, 'X-Not-Executed': '1' }).end();
+        const headers = { 'X-Request-Id': id, 'X-Not-Executed': '1' };
+        give(id, response, { status: 503, headers, body: '' });
       } else if (isPrefill) {
         response.writeHead(200, { 'X-Request-Id': id }).end(JSON.stringify({ kvHandle: id }));
       } else {
@@ -257,18 +287,46 @@
           track(restart(backend));
           return;
         }
-        if (random.next() < 0.03) response.socket?.resetAndDestroy();
-        else if (backend.service === 'chat') answerAsEngine(backend.version, request, response);
-        else answerPage(backend.id, random, request, response);
+        spans.run(backend.id, response, () => {
+          answerRun(backend, request, response);
+        });
       }
     };
     backend.server.script(answer);
   }
 
+  function give(id: string, response: ServerResponse, answer: WholeAnswer): void {
+    response.writeHead(answer.status, answer.headers).end(answer.body);
+    spans.answered(id, response, answer);
+  }
+
+  /** Answers a request that a server has run. */
+  function answerRun(backend: Backend, request: ReceivedRequest, response: ServerResponse): void {
+    const id = String(request.headers['x-request-id']);
+    const failure = spans.drawFailure();
+    const given = accounts.get(id)?.given;
+    if (random.next() < 0.03) {
+      response.socket?.resetAndDestroy();
+    } else if (failure !== undefined) {
+      const { status, isSigned } = failure;
+      given?.push({ server: backend.id, status });
+      const own = isSigned ? sign(request, backend.id) : echo(request);
+      give(id, response, { status, headers: { ...own, ...failure.headers }, body: FAILURE_BODY });
+    } else {
+      given?.push({ server: backend.id, status: 200 });
+      if (backend.service === 'chat') {
+        answerAsEngine(backend.version, request, response);
+        return;
+      }
+      const body = answerPage(backend.id, random, request, response);
+      spans.answered(id, response, { status: 200, headers: sign(request, backend.id), body });
+    }
+  }
+
   function answerAsEngine(
     version: string,
-    request: Parameters<ScriptedAnswer>[0],
-    response: Parameters<ScriptedAnswer>[1],
+    request: ReceivedRequest,
+    response: ServerResponse,
   ): void {
     const last = Number(request.headers['last-event-id'] ?? 0);
     if (isBreakingStreams && last < BROKEN_EVENTS) breakStream(request, response, 1, version);
@@ -361,6 +419,7 @@
       path,
       answer: undefined,
       runs: [],
+      given: [],
       events: EVENTS,
       afterEvent: story?.lastEvent ?? 0,
     };
@@ -413,6 +472,26 @@
     }
   }
 
+  /** Callers press while servers have few places, most of them with what may run once. */
+  async function pressAll(until: number): Promise<void> {
+    while (performance.now() < until) {
+      const gateway = gateways[Math.floor(pressRandom.next() * gateways.length)];
+      const other = pressRandom.next() < 0.5 ? 'any' : 'stream';
+      const route = pressRandom.next() < PRESSED_ONCE_SHARE ? 'once' : other;
+      if (gateway !== undefined && spans.arePressed())
+        track(sendOne(gateway, route).then(() => undefined));
+      await pause(PRESS_MS);
+    }
+  }
+
+  async function drawSpans(until: number): Promise<void> {
+    while (performance.now() < until) {
+      spans.draw();
+      await pause(SPAN_MS);
+    }
+    spans.end();
+  }
+
   /** Waits for all work, and for what it leads to. */
   async function settle(): Promise<void> {
     const until = performance.now() + SETTLE_MS;
@@ -436,7 +515,9 @@
 
   async function cutAll(until: number): Promise<void> {
     while (performance.now() < until) {
-      track(cuts.cutFor(Math.floor(cutRandom.next() * GATEWAYS), CUT_MS * cutRandom.next()));
+      track(
+        cuts.cutFor(Math.floor(cutRandom.next() * cuts.paths.length), CUT_MS * cutRandom.next()),
+      );
       await pause(CUT_MS);
     }
   }
@@ -484,7 +565,7 @@
   for (let index = 0; index < 3; index += 1) {
     await addBackend('pages');
   }
-  for (let index = 0; index < GATEWAYS; index += 1) {
+  for (let index = 0; index < gatewayCount; index += 1) {
     const seenAddressOf = cuts.paths[index]?.addressOf ?? ((address: string) => address);
     const proxy = await startProxy(await store.view(seenAddressOf));
     storeProxies.push(proxy);
@@ -501,7 +582,8 @@
       gateway.start();
     }
   }, FAULT_MS);
-  for (const work of [sendAll, causeAll, askForLessAll, cutAll, releaseAll]) track(work(until));
+  const works = [sendAll, causeAll, askForLessAll, cutAll, releaseAll, drawSpans, pressAll];
+  for (const work of works) track(work(until));
   await pause(terms.seconds * 1_000);
   await settle();
   await pause(FAULT_MS * 4);
@@ -559,7 +641,7 @@
     const found = judgeStory(story);
     if (found !== undefined) broken.push(`the stream of ${attempt} ${found}`);
   }
-  return { requests: accounts.size, succeeded, faults, broken };
+  return { requests: accounts.size, succeeded, faults, spans: spans.counts, broken };
 }
 
 function disturbStore(store: StoreStandIn, random: RandomSource): void {
