--- a/stand-ins/network/index.ts
+++ b/stand-ins/network/index.ts
@@ -1,1 +1,2 @@
 export * from './paths.js';
+export * from './loopback.js';
--- a/stand-ins/network/path-process.ts
+++ b/stand-ins/network/path-process.ts
@@ -4,6 +4,7 @@
  */
 import { connect, createServer, type Server, type Socket } from 'node:net';
 import { randomInt } from 'node:crypto';
+import { resolveLoopbackNetwork } from './loopback.js';
 import type { PathCommand, PathReport } from './messages.js';
 
 /** Ports below those that systems give to outgoing connections, so that a listener finds its own port free again. */
@@ -16,6 +17,8 @@
 /** Connections that the system accepts for a process that does not run; further ones hang. Enough for the bursts of a
  * gateway while the process runs: one that finds the queue full is tried again by the system after a second only. */
 const BACKLOG = 32;
+/** Where it listens; the address is that of the run which started it. */
+const HOST = `${resolveLoopbackNetwork(process.ppid)}.1`;
 /** Time until a taken port is tried again, in ms. */
 const RETRY_MS = 20;
 
@@ -67,7 +70,7 @@
     server.once('error', () => {
       resolve(false);
     });
-    server.listen({ host: '127.0.0.1', port, backlog: BACKLOG }, () => {
+    server.listen({ host: HOST, port, backlog: BACKLOG }, () => {
       server.removeAllListeners('error');
       resolve(true);
     });
@@ -79,7 +82,7 @@
     const forwarder = createForwarder(target);
     if (!(await listen(forwarder))) continue;
     forwarders.set(target, forwarder);
-    report({ kind: 'opened', target, address: `127.0.0.1:${forwarder.port}` });
+    report({ kind: 'opened', target, address: `${HOST}:${forwarder.port}` });
     return;
   }
 }
--- a/tools/soak/gateways.ts
+++ b/tools/soak/gateways.ts
@@ -5,10 +5,10 @@
 import { spawn, type ChildProcess } from 'node:child_process';
 import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
+import { resolveLoopbackNetwork } from '../../stand-ins/network/index.js';
 import { retryBound } from './retries.js';
 
-/** Network of this process's gateways, so that two runs on a machine do not meet. */
-const NETWORK = `127.${1 + (process.pid % 250)}.${Math.floor(process.pid / 250) % 250}`;
+const NETWORK = resolveLoopbackNetwork(process.pid);
 const FIRST_HOST = 10;
 const FRONT_PORT = 18_144;
 const READINESS_PORT = 18_140;
