test(soak): controls for failures that are passed on and for answers of other requests; two stood at text that is gone

Cause: the soak had no control for the decision what a caller is told of a server's failure, and none for whose answer an answer is.

A server's failure is passed on always (src/relay/final-answer.ts); answers are taken for the one that is due (src/relay/answer-reader.ts). The other two name today's text, and the one for 'may have run' the place where that is decided now.

--- a/tools/soak/controls.ts
+++ b/tools/soak/controls.ts
@@ -36,11 +36,26 @@
   },
   {
     name: 'what may have run is refused as not run',
-    file: 'src/relay/responder.ts',
-    from: 'badGateway: 502',
-    to: 'badGateway: 503',
+    file: 'src/relay/final-answer.ts',
+    from: 'BAD_GATEWAY = 502',
+    to: 'BAD_GATEWAY = 503',
     finds: /was refused with 503 and ran/,
   },
+  {
+    name: 'any failure of a server is passed on',
+    file: 'src/relay/final-answer.ts',
+    from: 'return mayRepeat || !protocol.promisesNotRun(status);',
+    to: 'return true;',
+    finds: /was refused with (408|429|503) and ran; its server gave \1/,
+  },
+  {
+    name: 'answers to other requests are taken for the one that is due',
+    file: 'src/relay/answer-reader.ts',
+    from: 'if (facts.requestId === requestId) return facts;',
+    to: 'return facts;',
+    finds:
+      /was refused with 503 and ran; its server gave (200|nothing)|the answer to another request/,
+  },
   {
     name: 'a broken answer is ended properly',
     file: 'src/relay/caller-answer.ts',
@@ -86,8 +101,8 @@
   {
     name: 'changed routes are not taken over',
     file: 'src/routing/replica.ts',
-    from: 'if (!isNewer(document, source)) return;',
-    to: 'if (before > 0) return;',
+    from: 'if (!supersedesCurrent(document, source)) return;',
+    to: 'if (previousVersion > 0) return;',
     finds: /changed routes are not in force/,
   },
   {
@@ -100,7 +115,7 @@
   {
     name: 'nothing is heard of what servers ask for',
     file: 'src/backpressure/backpressure.ts',
-    from: 'noteUnreadable(server, signals);',
+    from: 'recordUnreadable(server, signals);',
     to: 'return;',
     finds: /in a window of its limit|after it said it left|in its rest/,
   },
