fix(node): a request answered 408 does not run when its rest comes later

What callers saw: 408 with the outcome not-run for a call that was slow to arrive; when its rest came, it ran. Also on a connection that was opened in advance and first used after the refusal. Cause: the refusal ended the connection for writing only; what came afterwards was read and handled. Why it works: reading stops with the refusal, and the connection is destroyed once that is written.

--- a/src/node/unreadable-request.ts
+++ b/src/node/unreadable-request.ts
@@ -14,7 +14,8 @@
 }
 
 /**
- * Refuses a request and closes its connection.
+ * Refuses a request and closes its connection, of which nothing more is read: the rest of the request could still come,
+ * and would run.
  *
  * @param error what the parser found
  * @param socket the caller's connection
@@ -34,7 +35,10 @@
     `content-length: ${Buffer.byteLength(body)}`,
     'connection: close',
   ];
-  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`);
+  socket.pause();
+  socket.end(`${head.join('\r\n')}\r\n\r\n${body}`, () => {
+    socket.destroy();
+  });
 }
 
 function describe(code: string | undefined, node: string): Failure {
--- a/test/caller/promises.test.ts
+++ b/test/caller/promises.test.ts
@@ -176,6 +176,33 @@
   }
 });
 
+describe('a request that does not come in time', () => {
+  // without this, the rest of a call that had been answered 408 ran it
+  it('is told not-run, and does not run though the rest comes', async () => {
+    const settings = { requests: { readTimeoutMs: 100 } };
+    const cluster = await startCluster({ nodes: 1, engines: 0, workers: 1, settings });
+    const [host = '', port = ''] = (cluster.nodes[0]?.addresses.caller ?? '').split(':');
+    const socket = connect({ port: Number(port), host, allowHalfOpen: true });
+    let received = '';
+    socket.setEncoding('utf8').on('data', (piece: string) => (received += piece));
+    socket.on('error', () => undefined);
+    const closed = new Promise((resolve) => socket.once('close', resolve));
+    socket.write(
+      `POST /v1/services/${SERVICE}/pages/7 HTTP/1.1\r\nHost: n1\r\nContent-Length: 4\r\n` +
+        `Authorization: Bearer ${keyOf('kumasi')}\r\nx-reedtally-class: once\r\nidempotency-key: k\r\n\r\nbo`,
+    );
+    await waitUntil('it is refused', () => received.includes('not-run'));
+    // the end of the connection shows at a write after the first
+    const writing = setInterval(() => socket.write('dy'), 10);
+    await closed;
+    clearInterval(writing);
+    const runs = cluster.workers[0]?.entries().filter(({ event }) => event === 'execution');
+    await cluster.stop();
+    expect(received).to.match(/^HTTP\/1.1 408 /);
+    expect(runs).to.deep.equal([]);
+  });
+});
+
 describe('a generation that an engine began', () => {
   it('is not answered with a promise when the engines decline to go on with it', async () => {
     const cluster = await startCluster({ nodes: 1, engines: 1, workers: 0 });
