fix(node): a connection closes with its last answer, also when a request that is not taken comes meanwhile

A request on a closing connection was dropped and yet counted as unanswered, so that the connection stayed open for good. A request that is not taken is not counted.

--- a/src/node/connections.ts
+++ b/src/node/connections.ts
@@ -55,6 +55,7 @@
   server.on('request', (incoming, outgoing) => {
     const { socket } = incoming;
     quiet.delete(socket);
+    if (closing.has(socket)) return;
     const open = unanswered.get(socket) ?? new Set();
     unanswered.set(socket, open.add(incoming));
     outgoing.once('close', () => {
