fix(relay): a request that comes late does not close the connection under an earlier one

What callers saw: behind a request at work, half a head that became whole after its time closed the connection without the earlier answer. Cause: the front destroyed the connection of a request that it does not take. Now it closes behind the last answer that is due, and at once only where none is.

--- a/src/relay/caller-connections.ts
+++ b/src/relay/caller-connections.ts
@@ -31,7 +31,7 @@
 /** Creates a record without connections. */
 export function createCallerConnections(log: Log): CallerConnections {
   const dueBySocket = new WeakMap<Duplex, Set<ServerResponse>>();
-  /** Connections of which nothing is read any more. */
+  /** Connections of which no further request is taken. */
   const unreadable = new WeakSet<Duplex>();
 
   function listDue(socket: Duplex): Set<ServerResponse> {
@@ -54,7 +54,11 @@
 
   return {
     requestStarted(socket, response) {
-      if (unreadable.has(socket)) return false;
+      if (unreadable.has(socket)) {
+        // behind answers that are due, the connection closes with the last of them
+        if (listDue(socket).size === 0) socket.destroy();
+        return false;
+      }
       const due = listDue(socket).add(response);
       response.on('close', () => {
         due.delete(response);
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -99,7 +99,7 @@
     const arrival = arrivals.requestRead(request.socket);
     const { socket } = request;
     if (!connections.requestStarted(socket, response)) {
-      socket.destroy();
+      request.resume();
       return;
     }
     const head = protocol.readCaller(request.rawHeaders);
--- a/test/relay/caller-connections.test.ts
+++ b/test/relay/caller-connections.test.ts
@@ -1,6 +1,6 @@
 // Guards against a promise to a caller whose request comes after it: what follows on a connection that was answered for
 // good must not be passed on.
-import { createServer, type Server } from 'node:http';
+import { createServer, type Server, type ServerResponse } from 'node:http';
 import { connect, type AddressInfo } from 'node:net';
 import { expect } from 'chai';
 import { createSilentLog } from '../../src/events/index.js';
@@ -16,6 +16,8 @@
   let port: number;
   /** Requests that were passed on, by path. */
   const passedOn: string[] = [];
+  let first: ServerResponse | undefined;
+  let unreadable = 0;
   let late = 0;
 
   before(async () => {
@@ -23,12 +25,17 @@
     server = createServer(
       { connectionsCheckingInterval: HEAD_LIMIT_MS / 2 },
       (request, response) => {
-        if (connections.requestStarted(request.socket, response)) passedOn.push(request.url ?? '');
-        else late += 1;
+        if (!connections.requestStarted(request.socket, response)) {
+          late += 1;
+          return;
+        }
+        passedOn.push(request.url ?? '');
+        first = response;
       },
     );
     server.headersTimeout = HEAD_LIMIT_MS;
     server.on('clientError', (error, socket) => {
+      unreadable += 1;
       connections.unreadable(socket, error);
     });
     await new Promise<void>((resolve) => server.listen(0, '127.0.0.1', resolve));
@@ -67,4 +74,18 @@
     expect(caller.received()).to.equal('');
     caller.close();
   });
+
+  // without this, the rest that came late closed the connection under the earlier request
+  it('does not lose the answer to an earlier request when the rest comes', async () => {
+    const [unreadableBefore, lateBefore] = [unreadable, late];
+    const caller = await openCaller(port);
+    caller.write('GET /earlier HTTP/1.1\r\nHost: a\r\n\r\nGET /slow HTTP/1.1\r\nHost: a\r\n');
+    await until(() => passedOn.includes('/earlier') && unreadable > unreadableBefore);
+    caller.write('\r\n');
+    await until(() => late > lateBefore);
+    first?.end('answered');
+    await until(() => caller.isEnded());
+    expect(caller.received()).to.match(/^HTTP\/1.1 200 [^]*answered/);
+    expect(passedOn).not.to.include('/slow');
+  });
 });
