fix(relay): a server's 408, 421 or 429 is tried at another server where the request may be repeated

A signed 421 was tried elsewhere as long as it counted as a decline; since it counts as a run, it went to the caller at once, as 408 and 429 always did. Another server need not give them. The test found one send in place of two before.

--- a/src/relay/next-step.ts
+++ b/src/relay/next-step.ts
@@ -27,6 +27,9 @@
   /** The caller has left, the time limit has passed, or the request is banned. */
   | { kind: 'stop' };
 
+/** Failures below 500 that another server need not give. */
+const OTHERS_MAY_ANSWER: ReadonlySet<number> = new Set([408, 421, 429]);
+
 /** Maximum number of sends that reach no server. */
 const MAX_UNSENT = 3;
 
@@ -57,7 +60,8 @@
         return { kind: 'again', costs: true, reason: 'declined' };
       })
       .with({ kind: 'failed' }, ({ head }) => {
-        const isRetryable = head.status >= 500 && mayRepeat && hasAttempts;
+        const isServersOwn = head.status >= 500 || OTHERS_MAY_ANSWER.has(head.status);
+        const isRetryable = isServersOwn && mayRepeat && hasAttempts;
         if (!isRetryable || progress.isBegun) return { kind: 'pass-failure' };
         return { kind: 'again', costs: true, reason: 'failed' };
       })
--- a/test/relay/promises.test.ts
+++ b/test/relay/promises.test.ts
@@ -1,5 +1,5 @@
-// Guards against a promise that is not true: a server's 408, 429 or 503 told callers that a request had not run, which
-// it had; between a server and a gateway only the server's own statement says so.
+// Guards against a promise that is not true: a server's 408, 429 or 503 tells callers that a request did not run, though
+// it did; between a server and a gateway only the server's own statement says so.
 import { expect } from 'chai';
 import type { SeenAnswer } from '../../tools/soak/callers.js';
 import { ask, promptHeads } from '../fixtures/gateway.js';
@@ -88,6 +88,14 @@
     expect(seen.headers).to.include({ 'x-server-signature': 's' });
   });
 
+  it('is asked of another server first where the request may be repeated', async () => {
+    for (const status of PROMISES) {
+      const seen = await askServersThatSay(status, signed, '/any/1');
+      expect(seen).to.include({ status, body: SAID });
+      expect(runs).to.have.length(2);
+    }
+  });
+
   it('is passed on with its signature where its status promises nothing', async () => {
     for (const status of [400, 404, 409, 500, 504]) {
       const seen = await askServersThatSay(status, signed);
