--- a/src/relay/caller-answer.ts
+++ b/src/relay/caller-answer.ts
@@ -1,8 +1,8 @@
 /**
  * The answer to one caller: a backend server's answer, forwarded, or a refusal or failure from the
  * gateway itself. An answer that has begun and cannot be completed is aborted by closing its
- * connection, so that the caller can detect the truncation. Nothing else writes to the caller, so
- * that a promise that the request did not run is made only as its run record allows.
+ * connection, so that the caller can detect the truncation. Nothing else answers a request that
+ * was read, so that a promise that it did not run is made only as its run record allows.
  */
 import type { ServerResponse } from 'node:http';
 import type { AnswerHead } from './exchange.js';
--- a/src/relay/final-answer.ts
+++ b/src/relay/final-answer.ts
@@ -6,7 +6,7 @@
 import type { BackendProtocol } from './protocol.js';
 import type { RunState } from './run-record.js';
 
-/** The only status by which this gateway promises that a request did not run and never will. */
+/** Promises that a request, which was read in whole, did not run and never will. */
 const NOT_RUN = 503;
 /** The request may have run. */
 const BAD_GATEWAY = 502;
--- a/src/relay/placer.ts
+++ b/src/relay/placer.ts
@@ -66,7 +66,7 @@
   msUntilResumed(): number;
   /** Servers of the service to use only if there is no other. */
   avoidedServers(): string[];
-  /** Starts an exchange with a server for this request. */
+  /** Starts an exchange with a server for this request that does not run it: its prefill. */
   start(
     server: RegisteredServer,
     terms: Pick<SendTerms, 'isPrefill' | 'urgency'>,
