--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -19,6 +19,7 @@
 } from '../fleet/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
 import { createOverlay, type Overlay } from '../peers/index.js';
+import { watchMemory } from '../process/index.js';
 import { resolveEra } from '../ports/position.js';
 import type { RowFeed } from '../ports/row-feed.js';
 import type { TableService } from '../ports/table-service.js';
@@ -73,6 +74,8 @@
  * must be back within two seconds. */
 const REWRITE_SPREAD_MS = 1_500;
 
+const BYTES_PER_MB = 1_048_576;
+
 /** The platform's adapters. */
 export interface GatewayPlatform extends StatusFormat {
   protocol: BackendProtocol;
@@ -108,6 +111,8 @@
 
 /** A running gateway. */
 export interface Gateway {
+  /** Number of requests in progress. */
+  inFlight(): number;
   /** Applies changed settings; listen addresses keep their initial values. */
   reconfigure(settings: GatewaySettings): void;
   /** Finishes requests in flight and stops within the grace period. */
@@ -407,6 +412,10 @@
     return settings.bounds.directoryTtlMs * TTL_SHARE;
   }
 
+  function resolveMemoryLimit(): number | undefined {
+    return settings.memoryMb === undefined ? undefined : settings.memoryMb * BYTES_PER_MB;
+  }
+
   function recordSettings(): void {
     metrics.settingsSince.reset();
     metrics.settingsSince.set({ fingerprint: settings.fingerprint }, Date.now() / 1_000);
@@ -472,6 +481,18 @@
 
   void Promise.race([publishing.done, wait(clock, MAX_SEED_DELAY_MS)]).then(addSeeds);
   roleController.start();
+  const memoryWatch = watchMemory({
+    clock: guardedClock,
+    log,
+    limitBytes: resolveMemoryLimit,
+    holders: () => ({
+      requestCount: front.inFlight(),
+      tunnelCount: serverPaths.tunnelHost.carried(),
+    }),
+    observed({ rss }) {
+      metrics.residentMemory.set(rss);
+    },
+  });
   recordSettings();
   log.write('gatewayStarted', {
     settings: settings.fingerprint,
@@ -501,6 +522,7 @@
     front.close();
     overlay.close();
     serverPaths.close();
+    memoryWatch.stop();
     status.close();
     log.flush();
   }
@@ -517,7 +539,7 @@
     }
   }
 
-  return { stop, reconfigure };
+  return { inFlight: () => front.inFlight(), stop, reconfigure };
 }
 
 /** Age of a server in ms, by two clocks that may differ; 0 if its start time is unknown. */
--- a/src/gateway/publish-address.ts
+++ b/src/gateway/publish-address.ts
@@ -5,7 +5,7 @@
  */
 import * as z from 'zod';
 import type { Log } from '../events/index.js';
-import type { TableService } from '../ports/table-service.js';
+import type { TableService, Transaction, TransactionOutcome } from '../ports/table-service.js';
 import { wait, type Clock } from '../task/index.js';
 
 const PREFIX = 'gateways/';
@@ -47,12 +47,23 @@
   const key = `${PREFIX}${address.node}`;
   let isWithdrawn = false;
 
-  async function writeRow(): Promise<boolean> {
-    const outcome = await table.transact({
-      conditions: [],
+  /** Writes the row for the first time; one that is there was left by a process that did not stop gracefully. */
+  async function writeFirst(): Promise<void> {
+    const outcome = await putRow([{ key, revision: 0 }]);
+    if (outcome.kind === 'conflict') log.write('gatewayEndedUnstopped', { row: key });
+    if (outcome.kind !== 'committed') await repeat(writeRow);
+  }
+
+  function putRow(conditions: Transaction['conditions']): Promise<TransactionOutcome> {
+    return table.transact({
+      conditions,
       puts: [{ key, value: { address: address.address } }],
       deletes: [],
     });
+  }
+
+  async function writeRow(): Promise<boolean> {
+    const outcome = await putRow([]);
     if (outcome.kind === 'committed') return true;
     log.write('gatewayRowFailed', { outcome: outcome.kind });
     return false;
@@ -72,9 +83,8 @@
   }
 
   async function publish(): Promise<void> {
-    for (const step of [writeRow, readOthers]) {
-      await repeat(step);
-    }
+    await writeFirst();
+    await repeat(readOthers);
   }
 
   /** Repeats a step until it succeeds or publishing ends. */
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -38,6 +38,8 @@
   zone: string;
   /** CPU cores that the process may use. */
   cores: number;
+  /** Limit of the process's resident memory, in MB; `undefined` if it is not set. */
+  memoryMb?: number | undefined;
   callers: ListenAddress;
   readiness: ListenAddress;
   directory: ListenAddress | undefined;
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -297,6 +297,16 @@
       help: 'Peer gateways believed alive',
       registers,
     }),
+    residentMemory: new Gauge({
+      name: 'reedtally_gateway_resident_memory_bytes',
+      help: 'Resident memory of the process',
+      registers,
+    }),
+    errorsUncaught: new Counter({
+      name: 'reedtally_gateway_errors_uncaught_total',
+      help: 'Errors that nobody caught',
+      registers,
+    }),
     logLinesDropped: new Counter({
       name: 'reedtally_gateway_log_lines_dropped_total',
       help: 'Log lines left out to keep the volume bounded',
