feat(scheduling): a declined request's line says which engines said no, and why

What was missing: requestDeclined with reason no-engine counted all engines of the service, whatever their version, and not those that were full, rate-limited or paused; a stream that was refused because its version is gone, or because nobody knows where it began, didn't say which versions were known.

The line now counts the engines of the request's version by role and first refusal, and names what most said; reedtally_gateway_engine_refusals_total counts that, apart for requests that one version alone can serve. streamNotContinued (7110) names the versions that take requests and that leave, the registry's revision and the time since it was last heard. Paused engines are a field of their own in a job; a scheduler of an earlier release ignores it, and the gateway's own check withholds the send.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -194,6 +194,11 @@
     text: 'a ban could not be read or kept on the platform',
   },
   trialAnswered: { id: 7067, level: 'info', text: 'a suspected request may run, or has to wait' },
+  streamNotContinued: {
+    id: 7110,
+    level: 'info',
+    text: 'a stream was not continued; the versions that are known, and how old that knowledge is',
+  },
   streamOriginResolved: {
     id: 7090,
     level: 'info',
--- a/src/fleet/fleet.ts
+++ b/src/fleet/fleet.ts
@@ -42,6 +42,8 @@
 export interface Fleet {
   /** Newest revision taken in. */
   revision(): number;
+  /** Time since the registry or a peer last told anything, in milliseconds; infinite before. */
+  ageMs(): number;
   /** Takes a change in if it is newer than what is known of its server. */
   learn(change: RegistryChange, source: FleetSource): void;
   /**
@@ -108,6 +110,7 @@
   const names = new Map<string, string>();
   const byService = new Map<string, readonly RegisteredServer[]>();
   let newest = 0;
+  let heardAt = Number.NEGATIVE_INFINITY;
   /** The store's era when it was last read whole; peers may know of a later one. */
   let readEra: number | undefined;
   let graceUntil = Number.NEGATIVE_INFINITY;
@@ -122,6 +125,7 @@
 
   function learn(change: RegistryChange, source: FleetSource): void {
     newest = Math.max(newest, change.revision);
+    heardAt = clock.now();
     const known = entries.get(change.id);
     const isNewer = known === undefined || known.change.revision < change.revision;
     if (!isNewer && !bringsVersion(change, known.change)) return;
@@ -242,8 +246,10 @@
 
   return {
     revision: () => newest,
+    ageMs: () => clock.now() - heardAt,
     learn,
     reach(revision) {
+      heardAt = clock.now();
       newest = Math.max(newest, revision);
     },
     replace(changes, revision) {
@@ -262,6 +268,7 @@
         learn({ id: name, revision, server: undefined }, 'store');
       }
       newest = Math.max(newest, revision);
+      heardAt = clock.now();
     },
     retire(id, reason) {
       const entry = findEntry(id);
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -244,6 +244,7 @@
     cacheTokens: (service) => findService(service)?.engine?.cacheTokens ?? 0,
     caches: engineCalls.caches,
     limits: backpressure.limits,
+    metrics,
     mechanisms,
   });
   const submitter = createJobSubmitter({
--- a/src/gateway/schedulers.ts
+++ b/src/gateway/schedulers.ts
@@ -5,6 +5,7 @@
 import type { SendLimits } from '../backpressure/index.js';
 import type { Log } from '../events/index.js';
 import type { RegisteredServer } from '../fleet/index.js';
+import type { GatewayMetrics } from '../metrics/index.js';
 import type { GatewayState } from '../peers/index.js';
 import {
   createLatencyModels,
@@ -35,6 +36,7 @@
   caches: CacheInventory;
   /** Remaining capacity within the rate limits that engines set. */
   limits: SendLimits;
+  metrics: Pick<GatewayMetrics, 'engineRefusals'>;
   mechanisms: SchedulingMechanisms;
 }
 
@@ -120,6 +122,7 @@
       const created = createScheduler({
         clock,
         log,
+        metrics: parts.metrics,
         mechanisms: parts.mechanisms,
         latencyModels: pacesOf(service),
         engines: () => parts.engines(service),
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -240,6 +240,12 @@
       labelNames: ['reason'],
       registers,
     }),
+    engineRefusals: new Counter({
+      name: 'reedtally_gateway_engine_refusals_total',
+      help: 'Requests that a scheduler found no engine for, by what most engines said and whether only one version will do',
+      labelNames: ['bound', 'reason'],
+      registers,
+    }),
     answersNotOwn: new Counter({
       name: 'reedtally_gateway_answers_not_own_total',
       help: 'Answers of servers that bear the id of another request, by whether they declined it',
--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -84,7 +84,8 @@
           isReturn: context.isCallerRetry,
           isRead: prefilled !== undefined,
           version: context.requiredVersion(),
-          excluded: [...excluded, ...context.pausedServers()],
+          excluded: [...excluded],
+          paused: [...context.pausedServers()],
           avoided: context.avoidedServers(),
         },
         (decision) => {
--- a/src/relay/stream-version.ts
+++ b/src/relay/stream-version.ts
@@ -65,7 +65,7 @@
 export interface StreamVersionParts {
   log: Log;
   origins: Pick<StreamOrigins, 'record'>;
-  fleet: Pick<Fleet, 'successorOf'>;
+  fleet: Pick<Fleet, 'successorOf' | 'registered' | 'revision' | 'ageMs'>;
   head: CallerHead;
   route: Route;
   service: string;
@@ -135,6 +135,25 @@
     return required.version !== undefined && required.version === version;
   }
 
+  /** Logs which versions were known when a stream was refused, and how old that knowledge was. */
+  function refuse(reason: ContinuationRefusal['reason'], retryAfterMs: number) {
+    const available = new Set<string | undefined>();
+    const leaving = new Set<string | undefined>();
+    for (const { version, isLeaving } of fleet.registered(service))
+      (isLeaving ? leaving : available).add(version);
+    log.write('streamNotContinued', {
+      request: head.requestId,
+      resumes: head.resumes,
+      reason,
+      version: origin?.version,
+      available: [...available],
+      leaving: [...leaving],
+      revision: fleet.revision(),
+      ageMs: Math.round(fleet.ageMs()),
+    });
+    return { reason, retryAfterMs };
+  }
+
   return {
     required: () => required,
     allows,
@@ -144,12 +163,11 @@
       if (lookup.kind === 'unknown') {
         const isFinal = lookup.reason === 'not-recorded';
         const retryAfterMs = isFinal ? LOST_STREAM_RETRY_MS : NO_ANSWER_RETRY_MS;
-        return { reason: 'stream-origin-unknown', retryAfterMs };
+        return refuse('stream-origin-unknown', retryAfterMs);
       }
       if (!route.targets.some((target) => target.service === service))
-        return { reason: 'stream-service-changed', retryAfterMs: LOST_STREAM_RETRY_MS };
-      if (!servers.some(allows))
-        return { reason: 'stream-version-gone', retryAfterMs: LOST_STREAM_RETRY_MS };
+        return refuse('stream-service-changed', LOST_STREAM_RETRY_MS);
+      if (!servers.some(allows)) return refuse('stream-version-gone', LOST_STREAM_RETRY_MS);
       return undefined;
     },
     sentTo(server) {
--- a/src/scheduling/candidates.ts
+++ b/src/scheduling/candidates.ts
@@ -98,8 +98,8 @@
   };
 }
 
-/** Whether an engine has not failed a request, and has the version that the request's stream began at. */
+/** Whether an engine has not failed a request nor asked for a pause, and has the version that the request's stream began at. */
 function mayServe({ id, version }: RegisteredServer, job: Job): boolean {
-  if (job.excluded.includes(id)) return false;
+  if (job.excluded.includes(id) || job.paused.includes(id)) return false;
   return job.version === undefined || job.version === version;
 }
--- a/src/scheduling/job.ts
+++ b/src/scheduling/job.ts
@@ -35,6 +35,8 @@
   zone: z.string(),
   /** Engines that have failed this request; they are not used again. */
   excluded: z.array(z.string()).readonly(),
+  /** Engines that have asked the gateway for a pause; they are not used meanwhile. */
+  paused: z.array(z.string()).readonly().default([]),
   /** Engines that the gateway avoids; they are used if there is no other. */
   avoided: z.array(z.string()).readonly().default([]),
 });
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -11,6 +11,7 @@
 import type { SendLimits } from '../backpressure/index.js';
 import type { EventFields, Log } from '../events/index.js';
 import type { HealthOutcome, RegisteredServer } from '../fleet/index.js';
+import type { GatewayMetrics } from '../metrics/index.js';
 import type { Clock, Timer } from '../task/index.js';
 import {
   resolveAdmission,
@@ -29,6 +30,7 @@
 import { createDecodeEngines } from './decode-engines.js';
 import { createDecodeLoad } from './decode-load.js';
 import type { Decision, DeclineReason, EnginePlacement, Job } from './job.js';
+import { describeCensus, resolveMainRefusal, takeEngineCensus } from './engine-census.js';
 import { createEngineStates } from './engine-states.js';
 import { createLatencyMargin } from './latency-margin.js';
 import { describeEstimate, describeJob } from './log-fields.js';
@@ -54,6 +56,7 @@
 export interface SchedulerParts {
   clock: Clock;
   log: Log;
+  metrics: Pick<GatewayMetrics, 'engineRefusals'>;
   mechanisms: SchedulingMechanisms;
   /** Latency models of the service's engines. */
   latencyModels: LatencyModels;
@@ -100,7 +103,7 @@
  * @param parts the engines with their latency models and limits
  */
 export function createScheduler(parts: SchedulerParts): Scheduler {
-  const { clock, log, latencyModels, mechanisms, limits } = parts;
+  const { clock, log, latencyModels, mechanisms, metrics, limits } = parts;
   const jobs = new Map<string, TrackedJob>();
   /** By engine, the timer that starts the next prefill shortly before the current one ends. */
   const prefillTimers = new Map<string, Timer>();
@@ -334,16 +337,14 @@
     decline(tracked, 'no-engine', retryAfterMs, 0, describeEngines(tracked.job));
   }
 
-  /** Which engines there were for a request that got none. */
-  function describeEngines({ excluded, avoided }: Job): EventFields {
-    const engines = parts.engines();
-    const unhealthy = engines.filter(({ id }) => !monitor.isAvailable(id, requestCount(id)));
-    return {
-      engines: engines.length,
-      unhealthy: unhealthy.length,
-      excluded: excluded.length,
-      avoided: avoided.length,
-    };
+  /** Counts why a request gets no engine. */
+  function describeEngines(job: Job): EventFields {
+    const census = takeEngineCensus({ ...parts, monitor, decodeEngines, requestCount }, job);
+    metrics.engineRefusals.inc({
+      bound: String(job.version !== undefined),
+      reason: resolveMainRefusal(census),
+    });
+    return describeCensus(census, job);
   }
 
   function decline(
--- a/src/streams/stream-origins.ts
+++ b/src/streams/stream-origins.ts
@@ -240,7 +240,7 @@
         request: stream.requestId,
         resumes: stream.attempt,
         how,
-        ...(lookup.kind === 'known' ? lookup.origin : {}),
+        ...(lookup.kind === 'known' ? lookup.origin : versionsOf(serviceOf(stream))),
         ms: Math.round(clock.now() - startedAt),
       });
       return lookup;
--- a/test/gateway/guards.test.ts
+++ b/test/gateway/guards.test.ts
@@ -39,6 +39,7 @@
       isRead: false,
       zone: 'a',
       excluded: [],
+      paused: [],
       avoided: [],
     };
     peering.received(peer, { kind: 'job.adopt', job, placement: { generator: 'g1' } });
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -2,6 +2,7 @@
 import { unlimited } from '../../src/backpressure/index.js';
 import { createSilentLog, type EventFields, type EventName } from '../../src/events/index.js';
 import type { RegisteredServer } from '../../src/fleet/index.js';
+import { createGatewayMetrics } from '../../src/metrics/index.js';
 import { Ok } from 'ts-results-es';
 import {
   allMechanisms,
@@ -55,6 +56,7 @@
     isRead: false,
     zone: 'a',
     excluded: [],
+    paused: [],
     avoided: [],
     pauseMs: 200,
     ...more,
@@ -89,6 +91,7 @@
   cached: Readonly<Record<string, readonly CachedPart[]>> = {},
 ) {
   const fake = createFakeClock();
+  const metrics = createGatewayMetrics();
   const lines: { event: EventName; fields: EventFields }[] = [];
   const scheduler = createScheduler({
     clock: fake.clock,
@@ -97,6 +100,7 @@
         lines.push({ event, fields });
       },
     },
+    metrics,
     mechanisms: { ...allMechanisms, ...mechanisms },
     latencyModels,
     engines: () => fleet,
--- a/tools/replay/replay.ts
+++ b/tools/replay/replay.ts
@@ -6,6 +6,7 @@
 import { Ok } from 'ts-results-es';
 import { createSendLimits } from '../../src/backpressure/index.js';
 import { createSilentLog } from '../../src/events/index.js';
+import { createGatewayMetrics } from '../../src/metrics/index.js';
 import type { RegisteredServer } from '../../src/fleet/index.js';
 import {
   createLatencyModels,
@@ -109,6 +110,7 @@
     return createScheduler({
       clock: time,
       log: createSilentLog(),
+      metrics: createGatewayMetrics(),
       mechanisms,
       latencyModels,
       engines: listServers,
@@ -147,6 +149,7 @@
       isRead: false,
       zone: 'zone',
       excluded: [],
+      paused: [],
       avoided: [],
     };
     scheduler.submit(job, (decision) => {
