fix(scheduling): a stream that has begun finds a place before new ones do

Cause: a stream goes on at one software version only, but it competed for places as one that can go anywhere. In the second before callers come back, new streams fill the decode engines of all versions; a continued one then found its version's engines full at its own rank and was declined at once, waited as late behind all prefills in time, or queued at the engine behind every more urgent request until its caller left.

Now a request that is bound to a version competes for places and turns with the most urgent: it counts and is admitted as rank 0 at decode engines, has its turn at a prefill engine at its objective even where it misses that, is sent with the first urgency, and waits for a place while it can meet its deadline. What was begun is bounded by what ran before. It is the same with one version.

--- a/src/relay/engine-placer.ts
+++ b/src/relay/engine-placer.ts
@@ -181,7 +181,9 @@
   }
 
   function placed(server: RegisteredServer, source: PrefilledPrompt | undefined): PlacedServer {
-    const urgency = Math.min(MAX_URGENCY, context.rank * URGENCY_STEP);
+    // a stream that has begun is finished before others begin
+    const rank = context.requiredVersion() === undefined ? context.rank : 0;
+    const urgency = Math.min(MAX_URGENCY, rank * URGENCY_STEP);
     return { kind: 'placed', server, source, urgency };
   }
 
--- a/src/scheduling/admission.ts
+++ b/src/scheduling/admission.ts
@@ -66,6 +66,24 @@
   return { option: best, ...resolveDecline(options, terms) };
 }
 
+/**
+ * Decides on a request that goes before others: it has its turn at its objective even where it misses
+ * that, as long as it can meet its deadline.
+ *
+ * @param options engines that could prefill its prompt; not empty
+ * @param terms the request's deadline and margin
+ */
+export function resolvePriorAdmission<Option extends PrefillEstimate>(
+  options: readonly Option[],
+  terms: AdmissionTerms,
+): Admission<Option> {
+  const { timeLeftMs, marginMs } = terms;
+  const eligible = options.filter((option) => resolveFirstTokenMs(option) + marginMs <= timeLeftMs);
+  const option = findCheapest(eligible, (candidate) => costOf(candidate, terms));
+  if (option !== undefined) return { kind: 'punctual', option };
+  return { option: options[0], ...resolveDecline(options, terms) };
+}
+
 /**
  * Chooses the engine at which a request is queued for a later objective than its own, as the terms
  * state it; `undefined` if none can meet that without delaying others.
--- a/src/scheduling/candidates.ts
+++ b/src/scheduling/candidates.ts
@@ -6,7 +6,7 @@
 import type { SendLimits } from '../backpressure/index.js';
 import type { EngineRole, RegisteredServer } from '../fleet/index.js';
 import type { EngineMonitor } from './engine-monitor.js';
-import type { Job } from './job.js';
+import { resolvePlaceRank, type Job } from './job.js';
 
 /** Dependencies of the selection. */
 export interface CandidatesParts {
@@ -60,7 +60,7 @@
 
   /** Whether an engine's rate limit leaves room; the last slot is reserved for requests of rank 0. */
   function hasRoom(id: string, job: Job): boolean {
-    return limits.msUntilRoom(id, job.rank === 0 ? 0 : 1) === 0;
+    return limits.msUntilRoom(id, resolvePlaceRank(job) === 0 ? 0 : 1) === 0;
   }
 
   function list(job: Job, role: EngineRole): RegisteredServer[] {
--- a/src/scheduling/engine-census.ts
+++ b/src/scheduling/engine-census.ts
@@ -7,7 +7,7 @@
 import type { EngineRole, RegisteredServer } from '../fleet/index.js';
 import type { DecodeEngines } from './decode-engines.js';
 import type { EngineMonitor } from './engine-monitor.js';
-import type { Job } from './job.js';
+import { resolvePlaceRank, type Job } from './job.js';
 
 /** Why an engine of the request's version cannot be given it; `free` if there is no reason. */
 export type EngineRefusal =
@@ -62,10 +62,11 @@
   job: Job,
 ): EngineRefusal {
   const { id, role } = engine;
+  const placeRank = resolvePlaceRank(job);
   if (job.excluded.includes(id)) return 'excluded';
   if (job.paused.includes(id)) return 'paused';
-  if (limits.msUntilRoom(id, job.rank === 0 ? 0 : 1) > 0) return 'rate-limited';
-  if (role === 'decode' && decodeEngines.isFull(engine, job.rank)) return 'full';
+  if (limits.msUntilRoom(id, placeRank === 0 ? 0 : 1) > 0) return 'rate-limited';
+  if (role === 'decode' && decodeEngines.isFull(engine, placeRank)) return 'full';
   if (!monitor.isAvailable(id, requestCount(id))) return 'unhealthy';
   return job.avoided.includes(id) ? 'avoided' : 'free';
 }
--- a/src/scheduling/job.ts
+++ b/src/scheduling/job.ts
@@ -44,6 +44,19 @@
 /** A request for engines. */
 export type Job = z.infer<typeof jobSchema>;
 
+/** Whether a request's stream has begun, so that only engines of one software version can serve it. */
+export function isBound({ version }: Job): boolean {
+  return version !== undefined;
+}
+
+/**
+ * The rank at which a request competes for places and turns. One that is bound has fewer places to go to
+ * than others and its caller holds a part of the answer, so it goes with the most urgent.
+ */
+export function resolvePlaceRank(job: Job): number {
+  return isBound(job) ? 0 : job.rank;
+}
+
 export const placementSchema = z.object({
   /** The prefill engine; absent if the decode engine does the prefill. */
   reader: z.string().optional(),
--- a/src/scheduling/prefill-options.ts
+++ b/src/scheduling/prefill-options.ts
@@ -10,7 +10,7 @@
 import type { EngineModel } from './engine-model.js';
 import type { TrackedJob } from './tracked-job.js';
 import type { DecodeEngines } from './decode-engines.js';
-import type { Job } from './job.js';
+import { resolvePlaceRank, type Job } from './job.js';
 import type { EngineStates } from './engine-states.js';
 import type { Work } from './latency-model.js';
 import type { LatencyModels } from './latency-models.js';
@@ -82,7 +82,7 @@
     const mayPrefillLocally = mechanisms.directReads && latencyModels.hasSamples();
     if (!mayPrefillLocally && options.length > 0) return options;
     for (const server of engines) {
-      if (decodeEngines.isFull(server, job.rank)) continue;
+      if (decodeEngines.isFull(server, resolvePlaceRank(job))) continue;
       const option = estimateLocal(tracked, server);
       if (!wouldStallStreams(option, job)) options.push(option);
     }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -15,6 +15,7 @@
 import type { Clock, Timer } from '../task/index.js';
 import {
   resolveAdmission,
+  resolvePriorAdmission,
   resolveLateFirstTokenMs,
   resolveFirstTokenMs,
   resolveReservation,
@@ -29,7 +30,15 @@
 import { createTrackedJob, type TrackedJob } from './tracked-job.js';
 import { createDecodeEngines } from './decode-engines.js';
 import { createDecodeLoad } from './decode-load.js';
-import type { Decision, DeclineReason, EnginePlacement, Job } from './job.js';
+import {
+  isBound,
+  resolvePlaceRank,
+  type Decision,
+  type DeclineReason,
+  type EnginePlacement,
+  type Job,
+} from './job.js';
+import { createPlaceQueue } from './place-queue.js';
 import { describeCensus, resolveMainRefusal, takeEngineCensus } from './engine-census.js';
 import { createEngineStates } from './engine-states.js';
 import { createLatencyMargin } from './latency-margin.js';
@@ -115,6 +124,7 @@
   const decodeLoad = createDecodeLoad();
   const sizeShares = createSizeShares();
   const patience = createCallerPatience();
+  const placeQueue = createPlaceQueue<TrackedJob>();
   const candidates = createCandidates({
     engines: () => parts.engines(),
     monitor,
@@ -202,7 +212,8 @@
       mayBeLate: job.isReturn || mechanisms.lateFirstAttempts,
       spareCapacity: spare,
     };
-    const admission = resolveAdmission(prefillOptions, terms);
+    const admit = isBound(job) ? resolvePriorAdmission : resolveAdmission;
+    const admission = admit(prefillOptions, terms);
     if (admission.kind !== 'punctual') {
       const prefillMs = admission.option?.prefillMs ?? 0;
       sizeShares.estimated(resolveSizedRequest(job), prefillMs, clock.now());
@@ -441,9 +452,40 @@
   function chooseDecodeEngine(tracked: TrackedJob, zone: string): RegisteredServer | undefined {
     const { job } = tracked;
     const decodeCandidates = candidates.list(job, 'decode');
-    const chosen = decodeEngines.choose(decodeCandidates, zone, job.rank, options.busyMs);
-    if (chosen === undefined) declineWithoutEngine(tracked);
-    return chosen;
+    const chosen = findPlace(decodeCandidates, job, zone);
+    if (chosen !== undefined) return chosen;
+    if (isBound(job) && decodeCandidates.length > 0) awaitPlace(tracked);
+    else declineWithoutEngine(tracked);
+    return undefined;
+  }
+
+  function findPlace(
+    engines: readonly RegisteredServer[],
+    job: Job,
+    zone: string,
+  ): RegisteredServer | undefined {
+    return decodeEngines.choose(engines, zone, resolvePlaceRank(job), options.busyMs);
+  }
+
+  /** A bound request waits for a place at a decode engine while it can still meet its deadline. */
+  function awaitPlace(tracked: TrackedJob): void {
+    tracked.engine = undefined;
+    tracked.expiryTimer?.cancel();
+    placeQueue.add(tracked);
+    tracked.expiryTimer = clock.after(Math.max(0, msUntilLatestStart(tracked)), () => {
+      if (placeQueue.remove(tracked)) declineWithoutEngine(tracked);
+    });
+  }
+
+  /** A place at a decode engine is free: a request that waits for one is placed before any that comes later. */
+  function placeFreed(): void {
+    const next = placeQueue.takeNext(
+      ({ job }) => findPlace(candidates.list(job, 'decode'), job, job.zone) !== undefined,
+    );
+    if (next === undefined) return;
+    next.expiryTimer?.cancel();
+    if (next.job.isRead) placeForDecode(next);
+    else route(next);
   }
 
   function startPrefill(tracked: TrackedJob, engine: EngineModel): void {
@@ -496,7 +538,7 @@
     if (placement.reader !== undefined) limits.take(placement.reader);
     limits.take(placement.generator);
     tracked.expiryTimer?.cancel();
-    decodeEngines.start(placement.generator, job.rank, job.prompt.tokens);
+    decodeEngines.start(placement.generator, resolvePlaceRank(job), job.prompt.tokens);
     observeDecodeLoad();
     log.write('requestPlaced', {
       ...describeJob(job),
@@ -557,7 +599,7 @@
       if (jobs.has(job.id)) return;
       const tracked = createTrackedJob(job, clock.now(), () => undefined);
       jobs.set(job.id, { ...tracked, stage: 'generating', placement });
-      decodeEngines.start(placement.generator, job.rank, job.prompt.tokens);
+      decodeEngines.start(placement.generator, resolvePlaceRank(job), job.prompt.tokens);
     },
     prefillCompleted(id) {
       const tracked = jobs.get(id);
@@ -589,9 +631,12 @@
         patience.left(tracked.job.rank, waitedMs(tracked), clock.now());
       monitor.requestEnded(id);
       if (outcome !== undefined) recordOutcome(tracked, outcome);
+      placeQueue.remove(tracked);
       leaveEngine(tracked, false);
-      if (tracked.placement !== undefined)
-        decodeEngines.end(tracked.placement.generator, tracked.job.rank, tracked.job.prompt.tokens);
+      if (tracked.placement === undefined) return;
+      const { job, placement } = tracked;
+      decodeEngines.end(placement.generator, resolvePlaceRank(job), job.prompt.tokens);
+      placeFreed();
     },
     forget(engine) {
       monitor.forget(engine);
--- a/src/scheduling/tracked-job.ts
+++ b/src/scheduling/tracked-job.ts
@@ -3,7 +3,7 @@
  */
 import type { Timer } from '../task/index.js';
 import type { EngineModel } from './engine-model.js';
-import type { Decision, EnginePlacement, Job } from './job.js';
+import { isBound, resolvePlaceRank, type Decision, type EnginePlacement, type Job } from './job.js';
 import type { WaitingPrompt } from './prefill-queue.js';
 
 /** Processing stage of a request; `read-directly` is a local prefill on the decode engine. */
@@ -13,8 +13,8 @@
 export interface TrackedJob extends WaitingPrompt {
   job: Job;
   submittedAt: number;
-  /** Time from the submission until the first event is due, in ms: the request's latency objective, or
-   * the later one of a reservation. */
+  /** Time from the submission until the first event is due, in ms: the request's latency objective, the
+   * later one of a reservation, or the deadline of a request that is bound. */
   objectiveMs: number;
   /** A long prompt that is queued for a later objective, since its size is behind. */
   isReserved: boolean;
@@ -52,7 +52,7 @@
   const tracked: TrackedJob = {
     job,
     submittedAt: now,
-    objectiveMs: job.aimLeftMs,
+    objectiveMs: isBound(job) ? job.timeLeftMs : job.aimLeftMs,
     isReserved: false,
     isAdmitted: false,
     expectedFirstTokenAt: now,
@@ -63,7 +63,7 @@
     placement: undefined,
     placedAt: now,
     reroutes: 0,
-    rank: job.rank,
+    rank: resolvePlaceRank(job),
     isLate: false,
     dueAt: now,
     prefillEstimateMs: 0,
