fix(roles): a controller that has just started asks which engines are changing their role

Cause: an order is known only to the controller that sent it, and the registry shows the new role at the end of the change. A controller that lives on forgot its own order after 6 s.

Now a controller asks each engine that is new to it for its state, soon after its start, and asks again when a change is overdue; until then the engine counts with the role that it will have, and gets no requests.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -254,6 +254,11 @@
   tunnelRefused: { id: 7083, level: 'info', text: 'a peer was not connected to a server' },
   roleLeaseTaken: { id: 7070, level: 'info', text: 'lease for role orders acquired' },
   roleLeaseDenied: { id: 7071, level: 'info', text: 'lease for role orders is not to be had' },
+  roleChangeFound: {
+    id: 7111,
+    level: 'info',
+    text: 'an engine changes its role, or has, though the registry says otherwise',
+  },
   roleOrdered: { id: 7072, level: 'info', text: 'engine ordered to change its role' },
   roleOrderEnded: { id: 7073, level: 'info', text: 'the answer to a role order' },
 } as const satisfies Record<string, CatalogueEntry>;
--- a/src/roles/controller.ts
+++ b/src/roles/controller.ts
@@ -7,15 +7,17 @@
 import type { EngineRole, RegisteredServer } from '../fleet/index.js';
 import type { Clock, Timer } from '../task/index.js';
 import type { OrderLease, OrderGrant } from './order-lease.js';
-import type { RoleOrders } from './orders.js';
+import type { EngineState, RoleOrders } from './orders.js';
 import { resolveChanges, type RoleChange } from './plan.js';
 
 /** Interval between two checks of the split, in ms. */
 const CHECK_INTERVAL_MS = 400;
+/** The same while no engine is known yet, so that a gateway that has just started soon knows which ones change. */
+const FIRST_CHECK_INTERVAL_MS = 50;
 /** How long a deviation must last before it is corrected, in ms: longer than an entry takes to come back after a
  * restart. */
 const MIN_DEVIATION_MS = 1_200;
-/** Delay within which an engine's new role appears in the registry, in ms. */
+/** Delay within which an engine's new role appears in the registry, in ms; then the engine is asked. */
 const REGISTRY_DELAY_MS = 3_000;
 
 /** Dependencies of the role controller. */
@@ -56,6 +58,8 @@
   const { clock, log } = parts;
   const pending = new Map<string, PendingChange>();
   const deviatesSince = new Map<string, number>();
+  /** Engines whose state was asked for since they became known. */
+  const asked = new Set<string>();
   let timer: Timer | undefined;
   let stopped = false;
 
@@ -69,7 +73,7 @@
     return found;
   }
 
-  /** Removes pending changes that are registered or overdue. */
+  /** Removes pending changes that are registered; engines whose change is overdue are asked again. */
   function removeFinished(): void {
     const now = clock.now();
     for (const service of parts.services()) {
@@ -77,14 +81,58 @@
         if (pending.get(id)?.role === role) pending.delete(id);
       }
     }
+    const present = listPresent();
     for (const [id, { until }] of pending) {
-      if (until < now) pending.delete(id);
+      if (until >= now) continue;
+      // an engine finishes its running work first, however long that takes
+      if (present.has(id)) asked.delete(id);
+      else pending.delete(id);
     }
+    for (const id of asked) {
+      if (!present.has(id)) asked.delete(id);
+    }
+  }
+
+  /** Ids of the engines that this gateway schedules. */
+  function listPresent(): Set<string> {
+    const present = new Set<string>();
+    for (const service of parts.services()) {
+      for (const { id } of parts.engines(service)) present.add(id);
+    }
+    return present;
+  }
+
+  function setPending(id: string, service: string, role: EngineRole): void {
+    const until = clock.now() + parts.roleChangeMs(service) + REGISTRY_DELAY_MS;
+    pending.set(id, { role, until });
+  }
+
+  /**
+   * Asks engines that are new to this controller whether they change their role: another controller, which is gone, may
+   * have ordered it, and the registry still has the role before.
+   */
+  async function askNewEngines(service: string): Promise<void> {
+    const added = parts.engines(service).filter(({ id }) => !asked.has(id));
+    for (const { id } of added) asked.add(id);
+    await Promise.all(added.map((engine) => askRole(service, engine)));
+  }
+
+  async function askRole(service: string, engine: RegisteredServer): Promise<void> {
+    if (engine.role === undefined) return;
+    const state = await parts.orders.state(engine);
+    const target = state.isOk() ? resolveTarget(state.value, engine.role) : engine.role;
+    if (target === engine.role) {
+      pending.delete(engine.id);
+      return;
+    }
+    log.write('roleChangeFound', { server: engine.id, registered: engine.role, role: target });
+    setPending(engine.id, service, target);
   }
 
   async function check(): Promise<void> {
     removeFinished();
     for (const service of parts.services()) {
+      await askNewEngines(service);
       const changes = resolveChanges(listEngines(service), parts.decodeLoad(service));
       if (changes.length === 0) {
         deviatesSince.delete(service);
@@ -113,15 +161,15 @@
       log.write('roleOrderEnded', { server: server.id, outcome: 'no-state', reason: state.error });
       return;
     }
-    if (state.value.isChanging || state.value.role === role) return;
+    if (state.value.isChanging || state.value.role === role) {
+      setPending(server.id, service, role);
+      return;
+    }
     // the grant may have ended while the state was read
     if (stopped || !grant.isValid()) return;
     const { fence } = grant;
     log.write('roleOrdered', { server: server.id, role, fence, ordersBefore: state.value.orders });
-    pending.set(server.id, {
-      role,
-      until: clock.now() + parts.roleChangeMs(service) + REGISTRY_DELAY_MS,
-    });
+    setPending(server.id, service, role);
     const ordersBefore = state.value.orders;
     const answer = await parts.orders.order(server, {
       role,
@@ -137,7 +185,8 @@
   }
 
   function schedule(): void {
-    timer = clock.after(CHECK_INTERVAL_MS, () => {
+    const delayMs = asked.size === 0 ? FIRST_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS;
+    timer = clock.after(delayMs, () => {
       void check().finally(() => {
         if (!stopped) schedule();
       });
@@ -153,3 +202,9 @@
     },
   };
 }
+
+/** The role that an engine has, or will have once its change is complete. */
+function resolveTarget({ role, isChanging }: EngineState, registered: EngineRole): EngineRole {
+  if (!isChanging || role !== registered) return role;
+  return role === 'prefill' ? 'decode' : 'prefill';
+}
