--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -35,6 +35,7 @@
     level: 'error',
     text: 'no configuration at start: neither table service nor peer answered; no work is taken',
   },
+  signalReceived: { id: 1011, level: 'info', text: 'the process got a signal' },
   leaseJoined: { id: 2001, level: 'info', text: 'node lease acquired' },
   leaseRenewalFailed: { id: 2002, level: 'warn', text: 'node lease could not be renewed' },
   leaseLapsed: { id: 2003, level: 'warn', text: 'own node lease ran out' },
--- a/src/gateway/draining.ts
+++ b/src/gateway/draining.ts
@@ -38,8 +38,12 @@
 /** The drain of one gateway. */
 export interface Draining {
   isStopping: () => boolean;
-  /** Begins the drain. */
-  begin(): void;
+  /**
+   * Begins the drain.
+   *
+   * @param askedAt when the stop was asked for, from which the grace period counts, in ms on the clock
+   */
+  begin(askedAt: number): void;
   /**
    * Whether a request may be accepted. A stopping gateway accepts all for a while, since callers learn of the
    * stop with delay; after that only those whose time limit ends within the grace period.
@@ -72,8 +76,8 @@
 
   return {
     isStopping: () => Number.isFinite(stoppingAt),
-    begin() {
-      stoppingAt = clock.now();
+    begin(askedAt) {
+      stoppingAt = askedAt;
     },
     canFinish(timeLimitMs) {
       const { graceMs } = parts.bounds();
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -110,8 +110,12 @@
 export interface Gateway {
   /** Applies changed settings; listen addresses keep their initial values. */
   reconfigure(settings: GatewaySettings): void;
-  /** Finishes requests in flight and stops within the grace period. */
-  stop(): Promise<void>;
+  /**
+   * Finishes requests in flight and stops within the grace period.
+   *
+   * @param askedAt when the stop was asked for, in ms on the gateway's clock; now by default
+   */
+  stop(askedAt?: number): Promise<void>;
 }
 
 /**
@@ -482,8 +486,8 @@
   });
 
   /** Keeps serving until callers have moved to other gateways, then finishes what is in flight. */
-  async function stop(): Promise<void> {
-    draining.begin();
+  async function stop(askedAt = clock.now()): Promise<void> {
+    draining.begin(askedAt);
     log.write('gatewayStopping', {
       inFlight: front.inFlight(),
       graceMs: settings.bounds.graceMs,
