--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -36,6 +36,11 @@
     text: 'no configuration at start: neither table service nor peer answered; no work is taken',
   },
   signalReceived: { id: 1011, level: 'info', text: 'the process got a signal' },
+  settingsAwaited: {
+    id: 1012,
+    level: 'warn',
+    text: 'waiting for settings that are not there or not whole',
+  },
   leaseJoined: { id: 2001, level: 'info', text: 'node lease acquired' },
   leaseRenewalFailed: { id: 2002, level: 'warn', text: 'node lease could not be renewed' },
   leaseLapsed: { id: 2003, level: 'warn', text: 'own node lease ran out' },
