fix(gateway): what a stopping gateway has passed on is answered, also within a short grace period

What callers saw: with a grace period of 2 s, requests that the gateway took within 0.6 s of SIGTERM and passed on were cut without an answer 1.4 s after it, well before the last sixth of the grace (LOST), and requests that may not be repeated among them.

Cause: the end of the grace reserved for closing was fixed at 1.2 s and 0.6 s whatever the grace, and what was still at work then was cut by closing its connection.

The time for closing is now a sixth of the grace at most; at its beginning all that is left is ended with an answer of the gateway's own, by its run record (502 if it may have run, 503 if not), and only then are connections closed. The stop gives up its row at the store beside the drain, tunnels that carry requests of peers are waited for as own requests are, and a request is judged by what is left of its time limit.

--- a/src/gateway/draining.ts
+++ b/src/gateway/draining.ts
@@ -7,9 +7,13 @@
 import { wait, type Clock } from '../task/index.js';
 import type { FleetBounds } from './settings.js';
 
-/** End of the grace period reserved for closing connections, in ms, so that the process exits before it is
- * killed. */
-const SHUTDOWN_RESERVE_MS = 1_200;
+/** End of the grace period in which requests that are still at work are ended and connections closed, in ms, so that the
+ * process exits before it is killed. */
+const CLOSING_MS = 600;
+/** Upper bound of that time as a share of the grace period: what still runs in the last sixth may be left unfinished. */
+const CLOSING_SHARE = 1 / 6;
+/** Time before the end of the grace period in which a request has to end, as a multiple of the above. */
+const FINISHING_FACTOR = 2;
 /** How long a stopping gateway accepts every request, in ms. Requests that callers send within three seconds of
  * the stop signal may fail with the process, later ones may not. */
 const ACCEPT_ALL_MS = 2_500;
@@ -48,13 +52,15 @@
    * Whether a request may be accepted. A stopping gateway accepts all for a while, since callers learn of the
    * stop with delay; after that only those whose time limit ends within the grace period.
    *
-   * @param timeLimitMs the request's time limit, in milliseconds
+   * @param leftMs what is left of the request's time limit, in milliseconds
    */
-  canFinish: (timeLimitMs: number) => boolean;
+  canFinish: (leftMs: number) => boolean;
   /** Waits until callers have moved to other gateways, or the grace period is about to end. */
   callersMoved(): Promise<DrainEnd>;
-  /** Waits until nothing is in flight, or the grace period is over. */
+  /** Waits until nothing is in flight, or what is has to be ended. */
   finished(): Promise<void>;
+  /** How long closing may take after that, in ms. */
+  closingMs: () => number;
 }
 
 /**
@@ -70,6 +76,15 @@
     return clock.now() - stoppingAt;
   }
 
+  function closingMs(): number {
+    return Math.min(CLOSING_MS, parts.bounds().graceMs * CLOSING_SHARE);
+  }
+
+  /** When the last requests have to end, in ms after the stop was asked for. */
+  function lastEndMs(): number {
+    return parts.bounds().graceMs - closingMs() * FINISHING_FACTOR;
+  }
+
   function isAtWork(): boolean {
     return parts.front().inFlight() > 0 || parts.tunnels() > 0;
   }
@@ -79,18 +94,17 @@
     begin(askedAt) {
       stoppingAt = askedAt;
     },
-    canFinish(timeLimitMs) {
+    canFinish(leftMs) {
       const { graceMs } = parts.bounds();
       if (stoppingForMs() < Math.min(ACCEPT_ALL_MS, graceMs * ACCEPT_ALL_SHARE)) return true;
-      return stoppingForMs() + timeLimitMs < graceMs - SHUTDOWN_RESERVE_MS;
+      return stoppingForMs() + leftMs < lastEndMs();
     },
     async callersMoved() {
-      const { graceMs } = parts.bounds();
       // whoever asked the directory before the stop may come until its answer expires
       const leastMs = parts.directoryTtlMs() + QUIET_MS;
       let received = parts.front().received();
       let quietSinceMs = stoppingForMs();
-      while (stoppingForMs() < graceMs - SHUTDOWN_RESERVE_MS) {
+      while (stoppingForMs() < lastEndMs()) {
         await wait(clock, STOP_POLL_MS);
         if (isAtWork() || parts.front().received() !== received) quietSinceMs = stoppingForMs();
         received = parts.front().received();
@@ -100,10 +114,10 @@
       return 'grace-period';
     },
     async finished() {
-      const { graceMs } = parts.bounds();
-      while (parts.front().inFlight() > 0 && stoppingForMs() < graceMs - SHUTDOWN_RESERVE_MS / 2) {
+      while (isAtWork() && stoppingForMs() < parts.bounds().graceMs - closingMs()) {
         await wait(clock, STOP_POLL_MS);
       }
     },
+    closingMs,
   };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -66,8 +66,10 @@
  * have the same few seeds, which a fleet that starts at once would overload. */
 const MAX_SEED_DELAY_MS = 300;
 
-/** Longest time for which a gateway that stops waits for the platform to store its last records, in ms. */
-const MAX_FLUSH_MS = 500;
+/** Part of the time for closing in which the last answers are written and the platform stores the last records. */
+const FLUSH_SHARE = 0.6;
+/** Poll interval of the last answers, in ms. */
+const ANSWER_POLL_MS = 10;
 
 /** Time over which gateways spread the rewriting of rows after the store was restored from a backup, in ms; rows
  * must be back within two seconds. */
@@ -495,11 +497,13 @@
     front.startClosing();
     roleController.stop();
     overlay.publish();
-    await publishing.withdraw();
+    const withdrawn = publishing.withdraw();
     const end = await draining.callersMoved();
     front.stopListening();
     await draining.finished();
-    await Promise.race([storedOrigins.flush(), wait(clock, MAX_FLUSH_MS)]);
+    front.endRequests();
+    const closed = Promise.all([withdrawn, storedOrigins.flush(), allAnswered()]);
+    await Promise.race([closed, wait(clock, draining.closingMs() * FLUSH_SHARE)]);
     log.write('gatewayStopped', { inFlight: front.inFlight(), end });
     shutdown.abort();
     front.close();
@@ -509,6 +513,10 @@
     log.flush();
   }
 
+  async function allAnswered(): Promise<void> {
+    while (front.inFlight() > 0) await wait(clock, ANSWER_POLL_MS);
+  }
+
   function reconfigure(next: GatewaySettings): void {
     Object.assign(settings, next);
     recordSettings();
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -13,7 +13,7 @@
 import type { BackendProtocol } from './protocol.js';
 import { createCallerConnections } from './caller-connections.js';
 import { improperStatuses } from './final-answer.js';
-import type { CallerRequest } from './request.js';
+import type { CallerRequest, RequestEnd } from './request.js';
 
 /** Limits until a first configuration is known. */
 const DEFAULT_LIMITS: CallerLimits = {
@@ -48,6 +48,8 @@
   inFlight(): number;
   /** Number of requests read so far. */
   received(): number;
+  /** Ends all requests in progress with an answer of the gateway's own; an answer that has begun is aborted. */
+  endRequests(): void;
   /** Stops listening and closes idle connections; active ones close with their answer. */
   stopListening(): void;
   /** Closes the server and all connections at once. */
@@ -62,9 +64,10 @@
 export function createFront(parts: FrontParts): Front {
   const { log, protocol, arrivals, admission } = parts;
   const sockets = new Set<Socket>();
+  /** Of each request in progress. */
+  const ends = new Set<AbortController>();
   const connections = createCallerConnections(log);
   let closing = false;
-  let inFlight = 0;
   let received = 0;
   const server: Server = createServer(
     { maxHeaderSize: MAX_HEADER_BYTES, noDelay: true, keepAlive: false, requestTimeout: 0 },
@@ -111,11 +114,11 @@
       request.resume();
       return;
     }
-    inFlight += 1;
-    const callerLeft = new AbortController();
+    const end = new AbortController();
+    ends.add(end);
     response.on('close', () => {
-      inFlight -= 1;
-      if (!response.writableFinished) callerLeft.abort();
+      ends.delete(end);
+      if (!response.writableFinished) end.abort('caller-left' satisfies RequestEnd);
     });
     const body = await readBody(request, limits().maxBodyBytes);
     if (body === 'broken') return;
@@ -132,7 +135,7 @@
       body,
       arrivedAt: arrival.at,
       answer,
-      callerLeft: callerLeft.signal,
+      ended: end.signal,
     });
   }
 
@@ -161,8 +164,11 @@
     startClosing() {
       closing = true;
     },
-    inFlight: () => inFlight,
+    inFlight: () => ends.size,
     received: () => received,
+    endRequests() {
+      for (const end of ends) end.abort('stopping' satisfies RequestEnd);
+    },
     stopListening() {
       server.close();
       server.closeIdleConnections();
--- a/src/relay/request.ts
+++ b/src/relay/request.ts
@@ -90,9 +90,9 @@
   /**
    * Whether this gateway will run long enough to finish a request.
    *
-   * @param timeLimitMs the request's time limit, in milliseconds
+   * @param leftMs what is left of the request's time limit, in milliseconds
    */
-  canFinish(timeLimitMs: number): boolean;
+  canFinish(leftMs: number): boolean;
 }
 
 /** A complete request of a caller. */
@@ -104,10 +104,13 @@
   /** When its head arrived, which may be long before it was read, in ms on the gateway's clock. */
   arrivedAt: number;
   answer: CallerAnswer;
-  /** Aborted when the caller closes the connection. */
-  callerLeft: AbortSignal;
+  /** Aborted, with the cause as its reason, when the request is to end before its server and its time limit end it. */
+  ended: AbortSignal;
 }
 
+/** Why a request is ended from outside: its caller has closed the connection, or the gateway is about to end. */
+export type RequestEnd = 'caller-left' | 'stopping';
+
 /**
  * Serves a request.
  *
@@ -498,12 +501,17 @@
     if (ban !== undefined) limit.end();
   }
 
-  /** Ends a request that is banned, has reached its time limit, or whose caller has left. */
+  /** Ends a request that is banned, has reached its time limit, or was ended from outside. */
   function stop(): void {
     if (ban !== undefined) {
       end({ reason: 'ends-servers', retryAfterMs: ban.leftMs });
       return;
     }
+    const cause = callerRequest.ended.reason as RequestEnd | undefined;
+    if (!limit.isReached() && cause === 'stopping') {
+      end(stoppingEnding);
+      return;
+    }
     if (!limit.isReached()) {
       log.write('callerLeft', { request: requestId, ms: Math.round(limit.elapsedMs()) });
       recordOutcome('caller-left');
@@ -516,8 +524,8 @@
     close: watched.ended,
     async serve(): Promise<void> {
       if (stopIfBanned()) return;
-      if (!parts.canFinish(limitMs)) {
-        end({ reason: 'stopping', retryAfterMs: STOPPING_RETRY_MS });
+      if (!parts.canFinish(limit.leftMs())) {
+        end(stoppingEnding);
         return;
       }
       if (limit.isOver()) {
@@ -532,15 +540,15 @@
       parts.budget.requestReceived(service);
       const timer = limit.start();
       const placer = createPlacer();
-      callerRequest.callerLeft.addEventListener('abort', limit.end);
-      if (callerRequest.callerLeft.aborted) limit.end();
+      callerRequest.ended.addEventListener('abort', limit.end);
+      if (callerRequest.ended.aborted) limit.end();
       try {
         while (await attempt(placer)) {
           // each iteration makes one send
         }
       } finally {
         timer.cancel();
-        callerRequest.callerLeft.removeEventListener('abort', limit.end);
+        callerRequest.ended.removeEventListener('abort', limit.end);
         placer.close();
         retries.close();
       }
@@ -553,6 +561,9 @@
 /** Retry-After when servers declined or could not be reached, in ms. */
 const DECLINED_RETRY_MS = 150;
 
+/** The end of a request that this gateway cannot finish before it ends itself. */
+const stoppingEnding: Ending = { reason: 'stopping', retryAfterMs: STOPPING_RETRY_MS };
+
 /** The end of a request whose time limit has passed. */
 const timeLimitEnding: Ending = {
   reason: 'time limit',
