fix(process): an error that nobody caught leaves what is in flight and the process alone

What callers saw: an error thrown by any callback or promise ended the gateway, and the connections of all requests at work closed without an answer (LOST, and an end by itself).

Weighed: to end after the grace period gives fresh state, but hands whoever can cause such an error an end of each gateway in turn, since callers come again elsewhere with the same request (as `GET //` once did), and each end counts. To go on leaves at worst the one request, which its time limit ends; what a gateway believes of others is renewed by heartbeats and reads. So a gateway that runs goes on; the line with the stack and the counter are as before (errorUncaught, reedtally_gateway_errors_uncaught_total), and an error during the start still ends it with 1.

--- a/src/process/index.ts
+++ b/src/process/index.ts
@@ -5,3 +5,4 @@
 export * from './settled-file.js';
 export * from './signals.js';
 export * from './start-stoppably.js';
+export * from './survive-errors.js';
