fix(node): a node's signals go by the same piece as a gateway's

What operators saw: SIGHUP ended a running `reedtally node` at once, with what it had in flight; so did a signal while it loaded its parts, and by its code (`once`) each second SIGTERM or SIGINT of a stop.

Cause: only the first SIGTERM and SIGINT were handled, once the settings were read. The command now handles signals (src/process/signals.ts) before it loads the node; a node has no settings to read again, so SIGHUP is written and changes nothing.

--- a/src/node/main.ts
+++ b/src/node/main.ts
@@ -1,7 +1,9 @@
 /**
- * The node process: reads settings, runs a node, and stops it gracefully on SIGTERM or SIGINT.
+ * The node process: reads settings, runs a node, and stops it gracefully when a signal asks for it. Settings are read at the
+ * start alone, so a signal to read them again changes nothing.
  */
 import { createLog, type Log } from '../events/index.js';
+import { createSignals, type Signals } from '../process/signals.js';
 import {
   loadCertificate,
   loadSecret,
@@ -20,9 +22,10 @@
  * Runs a node until it is told to stop.
  *
  * @param file path of its settings
+ * @param signals the signals that have come, and those to come
  * @returns the exit code
  */
-export async function runNode(file: string): Promise<number> {
+export async function runNode(file: string, signals = createSignals()): Promise<number> {
   const settings = loadSettings(file);
   if (settings.isErr()) return reportIssues(createLog('unnamed', 'info'), settings.error);
   const log = createLog(settings.value.node, settings.value.log.level);
@@ -30,7 +33,7 @@
   if (Array.isArray(secrets)) return reportIssues(log, secrets);
   const node = createNode(settings.value, secrets, log);
   // before the start, or a signal that comes meanwhile would end the process at once
-  const stopSignal = receiveStopSignal();
+  const stopSignal = receiveStopSignal(signals, log);
   try {
     await node.start();
   } catch (error) {
@@ -74,13 +77,13 @@
   return WRONG_SETTINGS;
 }
 
-function receiveStopSignal(): Promise<void> {
+function receiveStopSignal(signals: Signals, log: Log): Promise<void> {
   return new Promise((resolve) => {
-    process.once('SIGTERM', () => {
-      resolve();
-    });
-    process.once('SIGINT', () => {
-      resolve();
+    signals.attach({
+      received(signal, effect) {
+        log.write('signalReceived', { signal, effect });
+      },
+      stop: resolve,
     });
   });
 }
