--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -44,6 +44,11 @@
   },
   memoryEased: { id: 1014, level: 'info', text: 'resident memory is well below its limit again' },
   signalReceived: { id: 1015, level: 'info', text: 'a signal came' },
+  settingsAwaited: {
+    id: 1016,
+    level: 'warn',
+    text: 'waiting for settings that are not there or not whole',
+  },
   leaseJoined: { id: 2001, level: 'info', text: 'node lease acquired' },
   leaseRenewalFailed: { id: 2002, level: 'warn', text: 'node lease could not be renewed' },
   leaseLapsed: { id: 2003, level: 'warn', text: 'own node lease ran out' },
