fix(gateway): an address that is taken at the start is waited for

What was seen: with the callers' or the peers' address taken at the start, as by the process before that has not quite ended, the code before wrote "could not start" and lived on without ever serving, also once the address was free (4 s later: no answer); with that of readiness or metrics taken it served, but without that address for good. Signals were not attached to anything then.

Cause: the first error of `listen` ended the start, but not the process, which its timers kept alive.

The callers' address is listened on last, and the gateway says that it is ready only then, so that a stop that comes during the wait has nothing in flight.

--- a/src/arrivals/accept-waiting.ts
+++ b/src/arrivals/accept-waiting.ts
@@ -5,9 +5,18 @@
 import { closeSync } from 'node:fs';
 import type { Server } from 'node:http';
 import { Socket, type ListenOptions } from 'node:net';
+import { setTimeout } from 'node:timers/promises';
 import type { Log } from '../events/index.js';
 import { loadNativeAccept, type NativeAccept } from './native-accept.js';
 
+/** Longest wait for an address that is taken, in ms: longer than a process that was there before takes to end. */
+const LONGEST_WAIT_MS = 30_000;
+/** Time between two tries to take it, and between two words on that, in ms. */
+const RETRY_MS = 50;
+const WORD_MS = 5_000;
+/** Code of the system's error. */
+const ADDRESS_TAKEN = 'EADDRINUSE';
+
 /** Connections accepted in one turn, so that open ones are read again before a burst of new ones has ended. */
 const MAX_PER_TURN = 256;
 
@@ -25,10 +34,10 @@
 
 /**
  * Makes a server listen and accept all connections that wait. Connections accepted this way are given to the server's
- * listeners like all others.
+ * listeners like all others. An address that is taken is waited for, as the process before may still be there.
  *
  * @param server an HTTP server; its `close` waits only for the connections that it accepted by itself
- * @param address where it listens; rejects with the system's error if it cannot
+ * @param address where it listens; rejects with the system's error if it cannot, or not in time
  * @param parts the log, and what hears of an empty queue
  */
 export async function listenAccepting(
@@ -37,11 +46,32 @@
   parts: AcceptWaitingParts,
 ): Promise<void> {
   await acceptWaiting(server, parts);
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject);
+  const startedAt = performance.now();
+  let wordAt = Number.NEGATIVE_INFINITY;
+  for (;;) {
+    const error = await tryListening(server, address);
+    if (error === undefined) return;
+    const now = performance.now();
+    if (error.code !== ADDRESS_TAKEN || now - startedAt >= LONGEST_WAIT_MS) throw error;
+    if (now - wordAt >= WORD_MS) {
+      const waitedMs = Math.round(now - startedAt);
+      parts.log.write('portTaken', { error: String(error), waitedMs });
+      wordAt = now;
+    }
+    await setTimeout(RETRY_MS);
+  }
+}
+
+/** Makes a server listen; resolves with the system's error if it cannot. */
+function tryListening(
+  server: Server,
+  address: ListenOptions,
+): Promise<NodeJS.ErrnoException | undefined> {
+  return new Promise((resolve) => {
+    server.once('error', resolve);
     server.listen(address, () => {
-      server.off('error', reject);
-      resolve();
+      server.off('error', resolve);
+      resolve(undefined);
     });
   });
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -136,6 +136,7 @@
   const mechanisms = parts.mechanisms ?? allMechanisms;
   const shutdown = new AbortController();
   let hasReadAddresses = false;
+  let isListening = false;
 
   const storeHealth = createStoreHealth(clock, log, {
     lost() {
@@ -396,7 +397,7 @@
   }
 
   function isReady(): boolean {
-    return !draining.isStopping() && routes.version() > 0;
+    return isListening && !draining.isStopping() && routes.version() > 0;
   }
 
   function* engineServices(): Generator<string> {
@@ -445,7 +446,6 @@
   });
   await overlay.listen(settings.peers.host, settings.peers.port);
   overlay.start();
-  await front.listen(settings.callers.host, settings.callers.port);
   const status = await startStatus({
     settings,
     log,
@@ -456,6 +456,9 @@
     isReady,
     directoryTtlMs: resolveDirectoryTtl,
   });
+  // last, so that no caller waits for what else is started
+  await front.listen(settings.callers.host, settings.callers.port);
+  isListening = true;
   const address = { node, address: formatAddress(settings.peers) };
   const publishing = publishAddress({
     table: platform.table,
