test(soak): signals in series at any moment, and settings that come late or in parts

By seed, apart from the faults drawn before: series of SIGTERM, SIGINT, SIGHUP, SIGQUIT and SIGUSR2 to one gateway or to all, and starts before the settings file is there or whole. An end that no SIGKILL explains, by a signal after the process has written a line or with another code than 0, is broken. The calm waits until gateways that were told to stop have ended, since their end, up to 2 s after the signal, would disturb it.

--- a/tools/soak/gateways.ts
+++ b/tools/soak/gateways.ts
@@ -3,7 +3,7 @@
  * processes that were started here, by their ids.
  */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { createWriteStream, mkdirSync, writeFileSync } from 'node:fs';
+import { createWriteStream, mkdirSync, rmSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { resolveLoopbackNetwork } from '../../stand-ins/network/index.js';
 import { retryBound } from './retries.js';
@@ -17,6 +17,9 @@
 /** Grace period that the gateways are told, in seconds: short, so that a run sees several stops. */
 const GRACE_S = 2;
 
+/** Signals that tell a gateway to stop. */
+const STOPS: ReadonlySet<NodeJS.Signals> = new Set(['SIGTERM', 'SIGINT', 'SIGQUIT']);
+
 /** One gateway process, over all its restarts. */
 export interface GatewayProcess {
   readonly node: string;
@@ -25,9 +28,16 @@
   readonly readinessPort: number;
   /** Disturbed since this moment or before, in ms of the steady clock; it discounts its callers. */
   disturbedUntil: number;
+  /** Starts it if it does not run; its settings are there, whole, unless they come late. */
   start(): void;
+  /** Starts it anew with settings of which only a part is there, or nothing, until they come. */
+  startWithout(share: number, lateMs: number): Promise<void>;
   signal(name: NodeJS.Signals): void;
   isRunning(): boolean;
+  /** Whether it was told to stop and has not ended yet. */
+  isStopping(): boolean;
+  /** Ends that no kill explains, and of which the process could have known. */
+  unexplainedEnds(): readonly string[];
   /** Kills it and waits for its end. */
   end(): Promise<void>;
 }
@@ -50,8 +60,45 @@
   const host = `${NETWORK}.${FIRST_HOST + index}`;
   const path = join(folder, `${node}.conf`);
   mkdirSync(folder, { recursive: true });
-  writeFileSync(path, renderSettings(node, host, store));
+  const settings = renderSettings(node, host, store);
+  writeFileSync(path, settings);
   let child: ChildProcess | undefined;
+  /** What was told to stop last. */
+  let stopping: ChildProcess | undefined;
+  /** Settings are being left out. */
+  let isLate = false;
+  const unexplained: string[] = [];
+
+  function launch(): void {
+    if (child !== undefined) return;
+    const log = createWriteStream(join(folder, `${node}.log`), { flags: 'a' });
+    const started = spawn(process.execPath, [program, '--settings', path], {
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    let hasSpoken = false;
+    started.stdout.once('data', () => (hasSpoken = true));
+    started.stdout.pipe(log, { end: false });
+    started.stderr.pipe(log, { end: false });
+    started.on('exit', (code, signal) => {
+      if (child === started) child = undefined;
+      // before it has written anything, no program of ours may have run yet
+      const isExplained = code === 0 || signal === 'SIGKILL' || (signal !== null && !hasSpoken);
+      if (!isExplained) unexplained.push(`${node} ended with ${signal ?? `code ${code}`}`);
+    });
+    child = started;
+  }
+
+  function end(): Promise<void> {
+    const ending = child;
+    if (ending === undefined) return Promise.resolve();
+    return new Promise((resolve) => {
+      ending.on('exit', () => {
+        resolve();
+      });
+      ending.kill('SIGCONT');
+      ending.kill('SIGKILL');
+    });
+  }
 
   return {
     node,
@@ -60,33 +107,29 @@
     readinessPort: READINESS_PORT,
     disturbedUntil: 0,
     start() {
-      if (child !== undefined) return;
-      const log = createWriteStream(join(folder, `${node}.log`), { flags: 'a' });
-      const started = spawn(process.execPath, [program, '--settings', path], {
-        stdio: ['ignore', 'pipe', 'pipe'],
-      });
-      started.stdout.pipe(log, { end: false });
-      started.stderr.pipe(log, { end: false });
-      started.on('exit', () => {
-        if (child === started) child = undefined;
+      if (!isLate) launch();
+    },
+    async startWithout(share, lateMs) {
+      if (isLate) return;
+      isLate = true;
+      await end();
+      if (share === 0) rmSync(path);
+      else writeFileSync(path, settings.slice(0, settings.length * share));
+      launch();
+      await new Promise((resolve) => {
+        setTimeout(resolve, lateMs);
       });
-      child = started;
+      writeFileSync(path, settings);
+      isLate = false;
     },
     signal(name) {
+      if (STOPS.has(name)) stopping = child;
       child?.kill(name);
     },
     isRunning: () => child !== undefined,
-    end() {
-      const ending = child;
-      if (ending === undefined) return Promise.resolve();
-      return new Promise((resolve) => {
-        ending.on('exit', () => {
-          resolve();
-        });
-        ending.kill('SIGCONT');
-        ending.kill('SIGKILL');
-      });
-    },
+    isStopping: () => child !== undefined && child === stopping,
+    unexplainedEnds: () => unexplained,
+    end,
   };
 }
 
--- a/tools/soak/soak.ts
+++ b/tools/soak/soak.ts
@@ -22,6 +22,7 @@
 import { PATIENCE_MS, renderConfiguration, renderHeaders, renderPrompt } from './configuration.js';
 import { judgeCalm, pause, IN_FORCE_MS, type SeenStatus } from './calm.js';
 import { createCuts } from './cuts.js';
+import { drawEdges } from './edges.js';
 import { createFatalCount, FATAL_PART } from './fatal.js';
 import { createGatewayProcess, type GatewayProcess } from './gateways.js';
 import { judge, type Account } from './judge.js';
@@ -154,6 +155,8 @@
   );
   /** Apart from the faults, as above. */
   const pressRandom = createSeededRandom(terms.seed + 5);
+  /** Apart from the faults, as above. */
+  const edgeRandom = createSeededRandom(terms.seed + 6);
   /** Software versions at which engines start. */
   let versions = ['v1', 'v2'];
   /** Each send of a stream breaks off. */
@@ -537,6 +540,14 @@
     }
   }
 
+  /** Waits until gateways that were told to stop have ended, which would disturb what follows. */
+  async function stopsEnded(): Promise<void> {
+    const until = performance.now() + SETTLE_MS;
+    while (gateways.some((gateway) => gateway.isStopping()) && performance.now() < until) {
+      await pause(50);
+    }
+  }
+
   /** Asks a gateway until it serves; false when it does not in time. */
   async function serves(gateway: GatewayProcess): Promise<boolean> {
     const until = performance.now() + SETTLE_MS;
@@ -584,9 +595,11 @@
   }, FAULT_MS);
   const works = [sendAll, causeAll, askForLessAll, cutAll, releaseAll, drawSpans, pressAll];
   for (const work of works) track(work(until));
+  track(drawEdges({ gateways, random: edgeRandom, track }, until));
   await pause(terms.seconds * 1_000);
   await settle();
   await pause(FAULT_MS * 4);
+  await stopsEnded();
   store.setFault('none');
   for (const gateway of gateways) {
     if (!(await serves(gateway))) broken.push(`${gateway.node} did not serve again`);
@@ -632,6 +645,7 @@
   clearInterval(restarts);
   await close();
   broken.push(...retries.judge());
+  for (const gateway of gateways) broken.push(...gateway.unexplainedEnds());
   let succeeded = 0;
   for (const account of accounts.values()) {
     if (account.answer?.status === 200) succeeded += 1;
