test(scheduling): continued streams get and await places; a line when one waits

Tests for the places of streams that have begun (places it on an engine that is full of new ones of its rank; lets it wait for a place; declines it at its deadline; forgets one whose caller has left) and for the line of a declined one. placeAwaited (7112) is written when a request waits for a place. The stand-in of a server can hold streams.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -168,6 +168,11 @@
   requestMalformed: { id: 7048, level: 'info', text: 'bytes of a caller were no request' },
   retryDecided: { id: 7049, level: 'info', text: 'a retry was allowed or denied by the budget' },
   requestQueued: { id: 7056, level: 'info', text: 'request queued although it will be late' },
+  placeAwaited: {
+    id: 7112,
+    level: 'info',
+    text: 'a request waits for a place, since the engines that can serve it are full',
+  },
   requestDeclined: { id: 7057, level: 'info', text: 'scheduler declined a request' },
   retryUnpaid: { id: 7055, level: 'error', text: 'a retry was sent that nothing had paid for' },
   schedulerChanged: { id: 7050, level: 'info', text: 'another gateway schedules a service' },
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -472,6 +472,11 @@
     tracked.engine = undefined;
     tracked.expiryTimer?.cancel();
     placeQueue.add(tracked);
+    log.write('placeAwaited', {
+      ...describeJob(tracked.job),
+      version: tracked.job.version,
+      waitedMs: Math.round(waitedMs(tracked)),
+    });
     tracked.expiryTimer = clock.after(Math.max(0, msUntilLatestStart(tracked)), () => {
       if (placeQueue.remove(tracked)) declineWithoutEngine(tracked);
     });
--- a/stand-ins/users-platform/server.ts
+++ b/stand-ins/users-platform/server.ts
@@ -58,6 +58,8 @@
   version?: string;
   /** Whether a send of a stream breaks off after its next event. */
   breaksStream?: (request: ReceivedRequest) => boolean;
+  /** Holds a stream after its next event until this is settled; not at all if it returns nothing. */
+  holdsStream?: (request: ReceivedRequest) => Promise<void> | undefined;
   /** The process ends, and with it all connections, when it begins to run a request with this body. */
   endsOn?: string;
   /** The process ends when it begins to write an answer on a prompt with this part. */
@@ -107,14 +109,21 @@
       const body = { kvHandle: `handle-${handles}`, tokens: 1, version: 1 };
       response.writeHead(200, echo(request)).end(JSON.stringify(body));
     } else if (terms.events !== undefined) {
-      if (terms.breaksStream?.(request) === true) breakStream(request, response, 1, terms.version);
-      else writeEvents(request, response, terms.events, terms.version);
+      writeStream(request, response, terms.events);
     } else {
       const body = `${id} answers ${request.path}`;
       response.writeHead(200, sign(request, id)).end(body);
     }
   }
 
+  function writeStream(request: ReceivedRequest, response: ServerResponse, events: number): void {
+    const { version } = terms;
+    const held = terms.holdsStream?.(request);
+    if (held !== undefined) void holdStream(request, response, { held, events, version });
+    else if (terms.breaksStream?.(request) === true) breakStream(request, response, 1, version);
+    else writeEvents(request, response, events, version);
+  }
+
   function endsServer({ headers, body }: ReceivedRequest): boolean {
     const parts = String(headers['x-prompt-prefix'] ?? '').split(',');
     const hasPart = parts.some((part) => part.split(':', 1)[0] === terms.endsOnPart);
@@ -235,6 +244,23 @@
   response.write(ids.map((id) => renderEvent(id, version)).join(''), () => response.destroy());
 }
 
+/** Writes a stream's next event, and the others once it is no longer held. */
+async function holdStream(
+  request: ReceivedRequest,
+  response: ServerResponse,
+  terms: { held: Promise<void>; events: number; version: string | undefined },
+): Promise<void> {
+  const { held, events, version } = terms;
+  const next = resolveLastEvent(request) + 1;
+  beginStream(request, response);
+  response.write(renderEvent(next, version));
+  await held;
+  for (let event = next + 1; event <= events; event += 1) {
+    response.write(renderEvent(event, version));
+  }
+  response.end();
+}
+
 /** Sends the head of a stream. */
 export function beginStream(request: ReceivedRequest, response: ServerResponse): void {
   response.writeHead(200, {
--- a/test/scheduling/scheduler.test.ts
+++ b/test/scheduling/scheduler.test.ts
@@ -146,6 +146,8 @@
 }
 
 const ONE_PREFILL_ENGINE = [engine('r1', 'prefill'), engine('g1', 'decode')];
+/** Requests of one rank that an engine takes. */
+const FULL = 16 * 1.5;
 const ON_TIME_ONLY = { directReads: false, lateFirstAttempts: false };
 const NO_LOCAL_PREFILL = { directReads: false };
 
@@ -558,6 +560,68 @@
       expect(placement).not.to.have.property('reader');
     });
 
+    /** Fills the decode engine of v2. */
+    function fillVersion(submit: (job: Job) => Decision | undefined, more: Partial<Job>): Job[] {
+      const running = Array.from({ length: FULL }, () =>
+        job({ isRead: true, excluded: ['g1'], ...more }),
+      );
+      for (const one of running) expect(submit(one)?.kind).to.equal('placed');
+      return running;
+    }
+
+    it('places it on an engine that is full of new ones of its rank', () => {
+      const { submit } = setUp(versioned);
+      fillVersion(submit, { rank: 1 });
+      const next = { rank: 1, isRead: true, excluded: ['g1'] };
+      expect(submit(job(next))?.kind).to.equal('declined');
+      expect(placementOf(submit(job({ ...next, version: 'v2' })))?.generator).to.equal('g2');
+    });
+
+    it('lets it wait for a place, which it gets before a request that comes later', () => {
+      const { submit, scheduler, decisions } = setUp(versioned);
+      const [ends] = fillVersion(submit, { rank: 0 });
+      const continued = job({ rank: 1, version: 'v2', timeLeftMs: 10_000 }, 'own', 200);
+      expect(submit(continued)).to.equal(undefined);
+      scheduler.finished(ends?.id ?? '', 'good');
+      expect(placementOf(decisions.get(continued.id))?.generator).to.equal('g2');
+      expect(submit(job({ isRead: true, excluded: ['g1'] }))?.kind).to.equal('declined');
+    });
+
+    it('declines it while it waits for a place once it can no longer meet its deadline', async () => {
+      const { submit, decisions, advance } = setUp(versioned);
+      fillVersion(submit, { rank: 0 });
+      const continued = job({ rank: 1, version: 'v2', timeLeftMs: 1_000 }, 'own', 200);
+      submit(continued);
+      await advance(800);
+      expect(decisions.has(continued.id)).to.equal(false);
+      await advance(200);
+      expect(decisions.get(continued.id)).to.include({ kind: 'declined', reason: 'no-engine' });
+    });
+
+    it('forgets one that waits for a place once its caller has left', () => {
+      const { submit, scheduler, decisions } = setUp(versioned);
+      const [ends] = fillVersion(submit, { rank: 0 });
+      const continued = job({ rank: 1, version: 'v2', timeLeftMs: 10_000 }, 'own', 200);
+      submit(continued);
+      scheduler.finished(continued.id);
+      scheduler.finished(ends?.id ?? '', 'good');
+      expect(decisions.has(continued.id)).to.equal(false);
+      expect(scheduler.size()).to.equal(FULL - 1);
+    });
+
+    it('says of a declined one which engines of its version said no, and why', () => {
+      const { submit, lines } = setUp(versioned.filter(({ id }) => id !== 'g2'));
+      submit(job({ version: 'v2' }));
+      const declined = lines.find(({ event }) => event === 'requestDeclined');
+      expect(declined?.fields).to.deep.include({
+        version: 'v2',
+        engines: 3,
+        ofVersion: 1,
+        prefill: { free: 1 },
+        decode: {},
+      });
+    });
+
     it('declines it at once if no engine of the version decodes', () => {
       const { submit } = setUp(versioned.filter(({ id }) => id !== 'g2'));
       expect(submit(job({ version: 'v2' }))).to.include({ kind: 'declined', reason: 'no-engine' });
