--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -281,7 +281,7 @@
   roleChangeFound: {
     id: 7111,
     level: 'info',
-    text: 'an engine changes its role, or has, though the registry says otherwise',
+    text: 'an engine changes its role, though it was not ordered from here',
   },
   roleOrdered: { id: 7072, level: 'info', text: 'engine ordered to change its role' },
   roleOrderEnded: { id: 7073, level: 'info', text: 'the answer to a role order' },
--- a/src/roles/controller.ts
+++ b/src/roles/controller.ts
@@ -161,10 +161,8 @@
       log.write('roleOrderEnded', { server: server.id, outcome: 'no-state', reason: state.error });
       return;
     }
-    if (state.value.isChanging || state.value.role === role) {
-      setPending(server.id, service, role);
-      return;
-    }
+    if (state.value.isChanging) setPending(server.id, service, role);
+    if (state.value.isChanging || state.value.role === role) return;
     // the grant may have ended while the state was read
     if (stopped || !grant.isValid()) return;
     const { fence } = grant;
@@ -203,8 +201,11 @@
   };
 }
 
-/** The role that an engine has, or will have once its change is complete. */
+/** The role that an engine will have once its change is complete; the registered one if it does not change. An engine
+ * that has completed its change registers it by itself, so that a state which contradicts the registry for good leaves
+ * the engine in use. */
 function resolveTarget({ role, isChanging }: EngineState, registered: EngineRole): EngineRole {
-  if (!isChanging || role !== registered) return role;
+  if (!isChanging) return registered;
+  if (role !== registered) return role;
   return role === 'prefill' ? 'decode' : 'prefill';
 }
