--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -67,8 +67,10 @@
  * have the same few seeds, which a fleet that starts at once would overload. */
 const MAX_SEED_DELAY_MS = 300;
 
-/** Longest time for which a gateway that stops waits for the platform to store its last records, in ms. */
-const MAX_FLUSH_MS = 500;
+/** Part of the time for closing in which the last answers are written and the platform stores the last records. */
+const FLUSH_SHARE = 0.6;
+/** Poll interval of the last answers, in ms. */
+const ANSWER_POLL_MS = 10;
 
 /** Time over which gateways spread the rewriting of rows after the store was restored from a backup, in ms; rows
  * must be back within two seconds. */
@@ -115,8 +117,12 @@
   inFlight(): number;
   /** Applies changed settings; listen addresses keep their initial values. */
   reconfigure(settings: GatewaySettings): void;
-  /** Finishes requests in flight and stops within the grace period. */
-  stop(): Promise<void>;
+  /**
+   * Finishes requests in flight and stops within the grace period.
+   *
+   * @param askedAt when the stop was asked for, in ms on the gateway's clock; now by default
+   */
+  stop(askedAt?: number): Promise<void>;
 }
 
 /**
@@ -130,6 +136,7 @@
   const mechanisms = parts.mechanisms ?? allMechanisms;
   const shutdown = new AbortController();
   let hasReadAddresses = false;
+  let isListening = false;
 
   const storeHealth = createStoreHealth(clock, log, {
     lost() {
@@ -391,7 +398,7 @@
   }
 
   function isReady(): boolean {
-    return !draining.isStopping() && routes.version() > 0;
+    return isListening && !draining.isStopping() && routes.version() > 0;
   }
 
   function* engineServices(): Generator<string> {
@@ -440,7 +447,6 @@
   });
   await overlay.listen(settings.peers.host, settings.peers.port);
   overlay.start();
-  await front.listen(settings.callers.host, settings.callers.port);
   const status = await startStatus({
     settings,
     log,
@@ -451,6 +457,9 @@
     isReady,
     directoryTtlMs: resolveDirectoryTtl,
   });
+  // last, so that no caller waits for what else is started
+  await front.listen(settings.callers.host, settings.callers.port);
+  isListening = true;
   const address = { node, address: formatAddress(settings.peers) };
   const publishing = publishAddress({
     table: platform.table,
@@ -504,8 +513,8 @@
   });
 
   /** Keeps serving until callers have moved to other gateways, then finishes what is in flight. */
-  async function stop(): Promise<void> {
-    draining.begin();
+  async function stop(askedAt = clock.now()): Promise<void> {
+    draining.begin(askedAt);
     log.write('gatewayStopping', {
       inFlight: front.inFlight(),
       graceMs: settings.bounds.graceMs,
@@ -513,11 +522,13 @@
     front.startClosing();
     roleController.stop();
     overlay.publish();
-    await publishing.withdraw();
+    const withdrawn = publishing.withdraw();
     const end = await draining.callersMoved();
     front.stopListening();
     await draining.finished();
-    await Promise.race([storedOrigins.flush(), wait(clock, MAX_FLUSH_MS)]);
+    front.endRequests();
+    const closed = Promise.all([withdrawn, storedOrigins.flush(), allAnswered()]);
+    await Promise.race([closed, wait(clock, draining.closingMs() * FLUSH_SHARE)]);
     log.write('gatewayStopped', { inFlight: front.inFlight(), end });
     shutdown.abort();
     front.close();
@@ -528,6 +539,10 @@
     log.flush();
   }
 
+  async function allAnswered(): Promise<void> {
+    while (front.inFlight() > 0) await wait(clock, ANSWER_POLL_MS);
+  }
+
   function reconfigure(next: GatewaySettings): void {
     Object.assign(settings, next);
     recordSettings();
