fix(relay): bytes where no head comes, or behind a whole answer, are not read without end

A faulty server that sends blank lines where the head of its answer is due was read at full speed until the time limit of the request, of a call or, at an address of a peer, for ever: the timeout of a WebSocket's handshake is one of its socket and begins anew with every byte, and an address that is being dialled is not dialled again. A kept connection to the store was read for ever too if bytes came behind a whole answer, since only connections of the relay are closed when data comes while they are idle.

One guard (bounded-head) counts what comes before a head, for requests, calls and handshakes; the agent that closes idle connections on data is one class for the relay and the calls; a dial to a peer has a time limit of its own. Heads that only announce an answer end with the time limit of the request, as before.

--- a/src/links/links.ts
+++ b/src/links/links.ts
@@ -8,6 +8,7 @@
 import { createRefusal, type Failure } from '../errors/index.js';
 import type { Log } from '../events/index.js';
 import type { Metrics } from '../metrics/index.js';
+import { boundedHandshake } from '../ports/bounded-head.js';
 import type { Certificate } from '../settings/index.js';
 import type { Clock, Timer } from '../task/index.js';
 import { createLink, type Link, type LinkEnd, type LinkOwner } from './link.js';
@@ -141,6 +142,7 @@
     if (closed || dialled.has(address)) return;
     const scheme = certificate === undefined ? 'ws' : 'wss';
     const socket = new WebSocket(`${scheme}://${address}`, {
+      ...boundedHandshake,
       handshakeTimeout: DIAL_TIMEOUT_MS,
       maxPayload: MAX_FRAME_BYTES,
       perMessageDeflate: false,
--- a/src/paths/tunnel-dialer.ts
+++ b/src/paths/tunnel-dialer.ts
@@ -8,6 +8,7 @@
 import type { Log } from '../events/index.js';
 import type { RegisteredServer } from '../fleet/index.js';
 import type { GatewayState } from '../peers/index.js';
+import { boundedHandshake } from '../ports/bounded-head.js';
 import { setPeerTimeout, type Clock, type RandomSource, type Timer } from '../task/index.js';
 import { createResetError } from './connection-end.js';
 import { ignoreError, type DialFailure } from './dial.js';
@@ -214,6 +215,7 @@
 ): Promise<Result<TunnelStream, DialFailure>> {
   return new Promise((resolve) => {
     const webSocket = new WebSocket(`${url}${encodeURIComponent(server)}`, {
+      ...boundedHandshake,
       perMessageDeflate: false,
     });
     let isTunnel = false;
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -7,7 +7,8 @@
 import { WebSocket, WebSocketServer, type RawData } from 'ws';
 import { listenAccepting } from '../arrivals/index.js';
 import type { Log } from '../events/index.js';
-import type { Clock } from '../task/index.js';
+import { boundedHandshake } from '../ports/bounded-head.js';
+import { setPeerTimeout, type Clock } from '../task/index.js';
 import { decodeMessage, encodeMessage, type GatewayState, type PeerMessage } from './messages.js';
 
 /** Timeout of a WebSocket handshake, in ms. */
@@ -236,19 +237,25 @@
     dial(address, isReplacement = false) {
       if (isClosed || dialling.has(address)) return;
       dialling.add(address);
-      const options = { handshakeTimeout: DIAL_TIMEOUT_MS, ...serverOptions };
+      const options = { ...boundedHandshake, ...serverOptions };
       const socket = new WebSocket(`ws://${address}`, options);
       const state = { isOpen: false, isRefused: false };
       socket.on('error', (error: NodeJS.ErrnoException) => {
         state.isRefused = error.code === 'ECONNREFUSED';
       });
       const link = addLink(socket, address, isReplacement);
+      // a timeout of the socket would begin anew with every byte
+      const timer = setPeerTimeout(clock, DIAL_TIMEOUT_MS, () => {
+        drop(link);
+      });
       socket.on('open', () => {
+        timer.cancel();
         state.isOpen = true;
         dialling.delete(address);
         introduce(link);
       });
       socket.on('close', () => {
+        timer.cancel();
         dialling.delete(address);
         if (!state.isOpen && !isClosed) listener.failed(address, state.isRefused);
       });
--- a/src/relay/connections.ts
+++ b/src/relay/connections.ts
@@ -2,10 +2,11 @@
  * Keep-alive connections to backend servers, one request at a time on each. An idle connection that
  * receives data is closed, since the data belongs to no request.
  */
-import { Agent, type AgentOptions } from 'node:http';
+import type { Agent, AgentOptions } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import { createResetError, TunnelStream } from '../paths/index.js';
+import { IdleGuardAgent } from '../ports/idle-guard-agent.js';
 import type { Clock } from '../task/index.js';
 
 /** Time after which idle connections are closed, in ms; a shorter limit in a server's answers takes
@@ -25,9 +26,7 @@
 type Created = (error: Error | null, connection: Duplex) => void;
 
 /** An agent that closes idle connections on which data arrives, and tunnels once they are not needed. */
-export class KeepAliveAgent extends Agent {
-  readonly #unusable = new WeakSet<Socket>();
-  readonly #idleListeners = new WeakMap<Socket, () => void>();
+export class KeepAliveAgent extends IdleGuardAgent {
   readonly #openedAt = new WeakMap<Duplex, number>();
   readonly #clock: Clock;
   readonly #connector: Connector | undefined;
@@ -98,24 +97,8 @@
   }
 
   override keepSocketAlive(socket: Socket): boolean {
-    if (this.#unusable.has(socket) || socket.readableLength > 0) return false;
     if (socket instanceof TunnelStream && this.#isNotNeeded(socket)) return false;
-    // returns whether the connection may be kept, which its types leave out
-    const keep: (kept: Socket) => unknown = super.keepSocketAlive.bind(this);
-    if (keep(socket) === false) return false;
-    const closeUnusable = (): void => {
-      this.#unusable.add(socket);
-      socket.destroy();
-    };
-    this.#idleListeners.set(socket, closeUnusable);
-    socket.on('data', closeUnusable);
-    return true;
-  }
-
-  override reuseSocket(socket: Socket, request: never): void {
-    const closeUnusable = this.#idleListeners.get(socket);
-    if (closeUnusable !== undefined) socket.off('data', closeUnusable);
-    super.reuseSocket(socket, request);
+    return super.keepSocketAlive(socket);
   }
 }
 
--- a/src/relay/exchange.ts
+++ b/src/relay/exchange.ts
@@ -12,6 +12,7 @@
   type IncomingMessage,
 } from 'node:http';
 import { CONNECT_TIMEOUT_MS, onResetAtEnd, type WatchedExchange } from '../paths/index.js';
+import { boundHead } from '../ports/bounded-head.js';
 import type { Clock } from '../task/index.js';
 import { readNextAnswer, readRest } from './next-answer.js';
 import type { AnswerFacts } from './protocol.js';
@@ -169,6 +170,10 @@
 
   function listen(listened: ClientRequest): void {
     source = listened;
+    boundHead(listened, (reason) => {
+      fail(reason);
+      listened.destroy();
+    });
     listened.on('error', (error: NodeJS.ErrnoException) => {
       if (listened !== source || answer?.complete === true) return;
       fail(error.code ?? error.message);
--- a/test/relay/bytes-without-end.test.ts
+++ b/test/relay/bytes-without-end.test.ts
@@ -3,10 +3,21 @@
 import { expect } from 'chai';
 import { createCaller } from '../../platform/calls.js';
 import { createEventSplitter, MAX_EVENT_BYTES } from '../../src/relay/event-stream.js';
-import { ask, heads, promptHeads, until } from '../fixtures/gateway.js';
+import { ask, heads, promptHeads, sendRaw, until } from '../fixtures/gateway.js';
 import { startRawFleet, type RawFleet } from '../fixtures/raw-fleet.js';
-import { beginWithoutEnd, MAX_TAKEN_BYTES, writeWithoutEnd } from '../fixtures/endless.js';
-import { idOf, renderAnswer, startRawServer, type RawRequest } from '../fixtures/raw-server.js';
+import {
+  beginWithoutEnd,
+  BLANK_LINES,
+  MAX_TAKEN_BYTES,
+  writeWithoutEnd,
+} from '../fixtures/endless.js';
+import {
+  idOf,
+  renderAnswer,
+  startRawServer,
+  type RawRequest,
+  type RawServer,
+} from '../fixtures/raw-server.js';
 
 describe('an answer that never ends', () => {
   let fleet: RawFleet;
@@ -105,6 +116,16 @@
     await closed();
   });
 
+  it('behind blank lines without end ends the request', async () => {
+    await start();
+    answer = ({ connection }) => {
+      writeWithoutEnd(connection, BLANK_LINES);
+    };
+    const { status } = await ask(port, { path: '/once/1', headers: heads('r1') });
+    expect(status).to.equal(502);
+    await closed();
+  });
+
   it('with an event that never ends ends the stream', async () => {
     await start('chat', { stage: 'decode' });
     answer = (request) => {
@@ -133,6 +154,13 @@
 });
 
 describe('a call whose answer never ends', () => {
+  async function closesFor(server: RawServer): Promise<void> {
+    const [request] = server.received();
+    await until(() => request?.connection.destroyed === true);
+    expect(request?.connection.bytesWritten).to.be.below(MAX_TAKEN_BYTES);
+    await server.close();
+  }
+
   it('fails, and its connection is closed', async () => {
     const server = await startRawServer((request) => {
       beginWithoutEnd(request, 200, '');
@@ -147,6 +175,28 @@
     await server.close();
   });
 
+  it('behind blank lines without end fails', async () => {
+    const server = await startRawServer(({ connection }) => {
+      writeWithoutEnd(connection, BLANK_LINES);
+    });
+    const { address } = server;
+    const result = await createCaller()({ address, method: 'GET', path: '/', timeoutMs: 20_000 });
+    expect(result.isErr() && result.error.reason).to.equal('no answer within 131072 bytes');
+    await closesFor(server);
+  });
+
+  it('but for what follows it without end is taken, and its connection closed', async () => {
+    const server = await startRawServer(({ connection }) => {
+      connection.write(renderAnswer(200, {}, 'whole'));
+    });
+    const { address } = server;
+    const result = await createCaller()({ address, method: 'GET', path: '/', timeoutMs: 20_000 });
+    expect(result.isOk() && result.value.body).to.equal('whole');
+    const [request] = server.received();
+    if (request !== undefined) writeWithoutEnd(request.connection);
+    await closesFor(server);
+  });
+
   it('does not keep an ordinary answer from being taken', async () => {
     const body = 'x'.repeat(1024 * 1024);
     const server = await startRawServer(({ connection }) => {
