fix(relay): bytes in the smallest pieces take no more memory than others, and events that come together one write

What waited for its end (an event, a failure, the answer of a call or of a prefill) was kept as the pieces in which it came. Chunks of one byte made a hundred times their bytes of it, so the bounds on bytes did not bound memory. Events as small as blank lines were written to the caller one by one, with a listener for each that had to wait.

What waits is one block (byte-buffer), and the events of a piece are passed on with one write. Whether they may be forwarded is asked once for them, as nothing changes between two events of one piece.

That others are served badly while twenty such streams are read at full speed remains: the bytes cost processor time.

--- a/src/ports/bounded-body.ts
+++ b/src/ports/bounded-body.ts
@@ -1,6 +1,7 @@
 /**
  * Gathers the body of a message up to a size, so that a peer whose bytes never end takes no memory.
  */
+import { createByteBuffer } from './byte-buffer.js';
 
 /** A body as it arrives. */
 export interface BoundedBody {
@@ -11,7 +12,7 @@
    */
   add(chunk: Buffer): boolean;
   /** All that was kept. */
-  bytes(): Buffer;
+  bytes: () => Buffer;
 }
 
 /**
@@ -20,15 +21,15 @@
  * @param maxBytes its largest size
  */
 export function createBoundedBody(maxBytes: number): BoundedBody {
-  const chunks: Buffer[] = [];
+  const kept = createByteBuffer();
   let size = 0;
   return {
     add(chunk) {
       size += chunk.length;
       if (size > maxBytes) return false;
-      chunks.push(chunk);
+      kept.append(chunk);
       return true;
     },
-    bytes: () => Buffer.concat(chunks),
+    bytes: kept.bytes,
   };
 }
--- a/src/relay/event-stream.ts
+++ b/src/relay/event-stream.ts
@@ -2,6 +2,7 @@
  * Splits a server-sent event stream into complete events with their ids, so that only complete ones
  * are forwarded and a broken stream can be resumed after the last of them.
  */
+import { createByteBuffer } from '../ports/byte-buffer.js';
 
 /** One complete event as received, with its terminating blank line. */
 export interface StreamEvent {
@@ -28,23 +29,18 @@
 
 /** Creates a splitter for a new stream. */
 export function createEventSplitter(): EventSplitter {
-  let waiting: Buffer[] = [];
-  let waitingBytes = 0;
+  const waiting = createByteBuffer();
   /** The last bytes of what waits. */
   let tail: Buffer = Buffer.alloc(0);
 
   function keep(bytes: Buffer): void {
-    if (bytes.length > 0) waiting.push(bytes);
-    waitingBytes += bytes.length;
+    waiting.append(bytes);
     tail = Buffer.concat([tail, bytes.subarray(-BLANK_LINE_BYTES)]).subarray(-BLANK_LINE_BYTES);
   }
 
   function takeAll(): Buffer {
-    const bytes = Buffer.concat(waiting);
-    waiting = [];
-    waitingBytes = 0;
     tail = Buffer.alloc(0);
-    return bytes;
+    return waiting.take();
   }
 
   function split(bytes: Buffer): StreamEvent[] {
@@ -64,12 +60,12 @@
 
   return {
     push(chunk) {
-      if (waitingBytes === 0) return split(chunk);
+      if (waiting.size() === 0) return split(chunk);
       // all that waits is put together once an event is complete, not with each piece
       const mayEnd = Buffer.concat([tail, chunk]).toString('latin1').search(BLANK_LINE) >= 0;
       keep(chunk);
       return mayEnd ? split(takeAll()) : [];
     },
-    waitingBytes: () => waitingBytes,
+    waitingBytes: () => waiting.size(),
   };
 }
--- a/src/relay/send.ts
+++ b/src/relay/send.ts
@@ -5,6 +5,7 @@
  * still be retried at another server, where that is allowed.
  */
 import type { Agent } from 'node:http';
+import { createByteBuffer } from '../ports/byte-buffer.js';
 import { resolveServerName, type RegisteredServer } from '../fleet/index.js';
 import { setPeerTimeout, type Clock } from '../task/index.js';
 import type { CallerAnswer } from './caller-answer.js';
@@ -63,7 +64,7 @@
   isContinuable: boolean;
   /** Whether the answer resumes an earlier one that ended early. */
   isContinuation: boolean;
-  /** Whether the next event of the stream may be forwarded. */
+  /** Whether the events of the stream that have just come may be forwarded. */
   mayForwardEvent(): boolean;
   signal: AbortSignal;
   /** Time within which the answer has to begin, in ms; `undefined` for no timeout. */
@@ -90,8 +91,7 @@
   if (send.signal.aborted) return Promise.resolve(overOutcome);
   return new Promise((resolve) => {
     let received: { head: AnswerHead; facts: AnswerFacts } | undefined;
-    let buffered: Buffer[] = [];
-    let bufferedBytes = 0;
+    const buffered = createByteBuffer();
     let isForwarding = false;
     let settled = false;
     const splitter = send.isStream ? createEventSplitter() : undefined;
@@ -162,14 +162,9 @@
       return received !== undefined && isSuccess(received.head.status);
     }
 
-    function buffer(chunk: Buffer): void {
-      buffered.push(chunk);
-      bufferedBytes += chunk.length;
-    }
-
     function bufferFailure(chunk: Buffer): void {
-      buffer(chunk);
-      if (bufferedBytes > MAX_FAILURE_BYTES) lose('the body of the failure is too large');
+      buffered.append(chunk);
+      if (buffered.size() > MAX_FAILURE_BYTES) lose('the body of the failure is too large');
     }
 
     function begin(): void {
@@ -180,28 +175,23 @@
     }
 
     function forwardBody(chunk: Buffer): void {
-      buffer(chunk);
-      if (bufferedBytes < MAX_BUFFERED_BYTES) return;
+      buffered.append(chunk);
+      if (buffered.size() < MAX_BUFFERED_BYTES) return;
       begin();
-      forwardBuffered();
-    }
-
-    function forwardBuffered(): void {
-      for (const chunk of buffered) {
-        forward(chunk);
-      }
-      buffered = [];
+      forward(buffered.take());
     }
 
     function forwardEvents(chunk: Buffer): void {
-      for (const event of splitter?.push(chunk) ?? []) {
+      const events = splitter?.push(chunk) ?? [];
+      if (events.length > 0) {
         if (!send.mayForwardEvent()) {
           lose('another incarnation of the server answers');
           return;
         }
         begin();
-        forward(event.bytes);
-        send.eventForwarded(event.id);
+        // one write for all: events may be as small as a blank line
+        forward(Buffer.concat(events.map(({ bytes }) => bytes)));
+        for (const { id } of events) send.eventForwarded(id);
       }
       const waitingBytes = splitter?.waitingBytes() ?? 0;
       if (waitingBytes > MAX_EVENT_BYTES) lose('an event of the stream is too large');
@@ -234,7 +224,7 @@
       if (received === undefined) return;
       const { head, facts } = received;
       if (!isSuccessful()) {
-        settle({ kind: 'failed', head, facts, body: Buffer.concat(buffered) });
+        settle({ kind: 'failed', head, facts, body: buffered.take() });
         return;
       }
       const truncation = splitter === undefined ? undefined : findTruncation(splitter, head);
@@ -243,7 +233,7 @@
         return;
       }
       begin();
-      forwardBuffered();
+      if (buffered.size() > 0) forward(buffered.take());
       send.answer.finish();
       settle({ kind: 'finished', status: head.status });
     }
--- a/test/relay/bytes-without-end.test.ts
+++ b/test/relay/bytes-without-end.test.ts
@@ -136,6 +136,22 @@
     await closed();
   });
 
+  it('in events as small as blank lines is passed on with one write for those that came together', async () => {
+    await start('chat', { stage: 'decode' });
+    const blankLines = '\n'.repeat(20_000);
+    answer = (request) => {
+      const head = `X-Request-Id: ${idOf(request)}\r\nX-Server-Signature: s\r\nTransfer-Encoding: chunked`;
+      const chunk = `${blankLines.length.toString(16)}\r\n${blankLines}\r\n0\r\n\r\n`;
+      request.connection.write(`HTTP/1.1 200 OK\r\n${head}\r\n\r\n${chunk}`);
+    };
+    const headers = { ...promptHeads('r1'), Connection: 'close' };
+    const lines = Object.entries(headers).map(([name, value]) => `${name}: ${value}\r\n`);
+    const received = await sendRaw(port, `GET /single/1 HTTP/1.1\r\n${lines.join('')}\r\n`);
+    const body = received.slice(received.indexOf('\r\n\r\n') + 4);
+    expect(body.replace(/[^\n]/g, '').length).to.be.at.least(blankLines.length);
+    expect(body.length).to.be.below(2 * blankLines.length);
+  });
+
   it('to the reading of a prompt ends it', async () => {
     await start('chat', { stage: 'prefill' });
     await fleet.add('generator', 'chat', { stage: 'decode' }, (request) => {
