--- a/src/ports/http/model-engine.ts
+++ b/src/ports/http/model-engine.ts
@@ -23,6 +23,7 @@
   type Order,
   type OrderOutcome,
 } from '../model-engine.js';
+import { createListSchema } from '../list-schema.js';
 import { createHttpChannel, type HttpAnswer, type HttpRequest, type Loss } from './channel.js';
 import { openChunkSource } from './engine-stream.js';
 import { createJsonPost, parseJson } from './json.js';
@@ -42,7 +43,7 @@
 const DEFAULT_TIMEOUT_MS = 1_000;
 const DEFAULT_KV_TIMEOUT_MS = 10_000;
 
-const cacheEventsSchema = z.object({ events: z.array(cacheEventSchema) });
+const cacheEventsSchema = z.object({ events: createListSchema(cacheEventSchema) });
 
 /**
  * Creates a model engine that is reached over HTTP. Streams have no time limit of their own.
--- a/src/ports/table-service.ts
+++ b/src/ports/table-service.ts
@@ -12,6 +12,7 @@
 import type { Result } from 'ts-results-es';
 import * as z from 'zod';
 import type { Failure } from '../errors/index.js';
+import { createListSchema } from './list-schema.js';
 
 export const rowSchema = z.object({
   key: z.string(),
@@ -36,8 +37,8 @@
 export type Transaction = z.infer<typeof transactionSchema>;
 
 export const committedSchema = z.object({ revision: z.number().int().positive() });
-export const conflictSchema = z.object({ conflicts: z.array(z.string()) });
-export const rowsSchema = z.object({ rows: z.array(rowSchema) });
+export const conflictSchema = z.object({ conflicts: createListSchema(z.string()) });
+export const rowsSchema = z.object({ rows: createListSchema(rowSchema) });
 
 /**
  * What became of a transaction. `unavailable`: provably nothing was written. `unknown`: the answer
--- a/src/ports/vm-list.ts
+++ b/src/ports/vm-list.ts
@@ -6,6 +6,7 @@
 import type { Result } from 'ts-results-es';
 import * as z from 'zod';
 import type { Failure } from '../errors/index.js';
+import { createListSchema } from './list-schema.js';
 
 /** Labels on a VM or an object of the configuration, by name. */
 export const labelsSchema = z.record(z.string(), z.string());
@@ -30,7 +31,7 @@
 /** One VM as the platform last saw it. */
 export type Vm = z.infer<typeof vmSchema>;
 
-export const vmsSchema = z.object({ vms: z.array(vmSchema) });
+export const vmsSchema = z.object({ vms: createListSchema(vmSchema) });
 
 /** The platform's lagging list of VMs. A VM that is gone is no longer listed. */
 export interface VmList {
