fix(relay): a release of a prompt that is not answered is given up

Nothing bounded it: its connection was held until the engine closed it, and what came there was read.

The test failed before: the connection was not closed within 30 s.

--- a/src/relay/release-prompt.ts
+++ b/src/relay/release-prompt.ts
@@ -4,13 +4,16 @@
 import type { Log } from '../events/index.js';
 import type { Backpressure } from '../backpressure/index.js';
 import type { RegisteredServer } from '../fleet/index.js';
-import type { Clock } from '../task/index.js';
+import { setPeerTimeout, type Clock } from '../task/index.js';
 import { readOwnAnswer, type AnswerReaderParts } from './answer-reader.js';
 import type { Connections } from './connections.js';
 import { startExchange } from './exchange.js';
 import type { BackendProtocol, PrefilledPrompt } from './protocol.js';
 import type { ServerGate } from './server-gate.js';
 
+/** How long a release may take, in ms; the engine expires the prompt by itself some seconds later. */
+const RELEASE_TIMEOUT_MS = 2_000;
+
 /** What releasing a prompt needs. */
 export interface ReleaseParts {
   clock: Clock;
@@ -65,14 +68,20 @@
     clock,
     {
       onHead(head, facts) {
+        limit.cancel();
         gate.headReceived(server, head, facts);
         exchange.discard();
       },
       onData: () => undefined,
       onEnd: () => undefined,
       onError({ reason }) {
+        limit.cancel();
         logFailure(reason);
       },
     },
   );
+  const limit = setPeerTimeout(clock, RELEASE_TIMEOUT_MS, () => {
+    exchange.abort();
+    logFailure(`no answer within ${RELEASE_TIMEOUT_MS} ms`);
+  });
 }
