fix(ports): an engine's stream without events is given up

Comments, blank lines or ids without end are no event, so the bound on the size of an event did not hold them: the stream was read until its caller left.

--- a/src/ports/http/engine-stream.ts
+++ b/src/ports/http/engine-stream.ts
@@ -57,6 +57,8 @@
   let wake: (() => void) | undefined;
   let paused = false;
   let abandoned = false;
+  /** Bytes since the last event. */
+  let bytesWithoutEvent = 0;
 
   const parser: EventSourceParser = createParser({
     maxBufferSize: MAX_EVENT_CHARACTERS,
@@ -74,7 +76,7 @@
     },
     onData(chunk) {
       if (ended) return;
-      if (head?.status === 200) parser.feed(decoder.write(chunk));
+      if (head?.status === 200) read(chunk);
       else if (!refusal.add(chunk)) giveUp('the refusal is too large');
       pauseIfBehind();
     },
@@ -88,8 +90,15 @@
     },
   });
 
+  function read(chunk: Buffer): void {
+    bytesWithoutEvent += chunk.length;
+    parser.feed(decoder.write(chunk));
+    if (bytesWithoutEvent > MAX_EVENT_CHARACTERS) giveUp('too many bytes without an event');
+  }
+
   function receive(data: string): void {
     if (ended) return;
+    bytesWithoutEvent = 0;
     if (data === END_OF_STREAM) {
       end(undefined);
       return;
