fix(relay): a request is taken in only as far as there is memory for it, and refused before its body is read

What callers saw: 600 callers whose bodies of 4 MB stay short of their end took a gateway past its machine, which ended it with everyone's requests. Cause: each body had a bound, their sum none, and a body whose sender stalls was held for ever, as the time limit of a request counted only once it was whole. A body is read into one block of what it was granted, and gives it back at the request's time limit.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
   type RegisteredServer,
   type RegistryChange,
 } from '../fleet/index.js';
+import { createMemoryBudget, resolveBudgetBytes } from '../memory/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
 import { createOverlay, type Overlay } from '../peers/index.js';
 import { resolveEra } from '../ports/position.js';
@@ -24,6 +25,7 @@
 import type { TableService } from '../ports/table-service.js';
 import {
   createFront,
+  createIntake,
   createServerLoads,
   createCallerRetries,
   serveRequest,
@@ -126,6 +128,9 @@
   const shutdown = new AbortController();
   let hasReadAddresses = false;
 
+  const ownBytes = process.memoryUsage.rss();
+  const memory = createMemoryBudget(resolveBudgetBytes(settings.memoryBytes, ownBytes));
+
   const storeHealth = createStoreHealth(clock, log, {
     lost() {
       fleet.storeLost();
@@ -361,6 +366,13 @@
         metrics,
         objectiveMs: () => routes.index()?.leastObjectiveMs,
       }),
+    intake: createIntake({
+      clock,
+      random,
+      metrics,
+      memory,
+      routeLimitMs: (host, path) => routes.index()?.find(host, path)?.timeoutMs,
+    }),
     limits: () => routes.index()?.table.limits,
     serve: (request) => serveRequest(relay, request),
   });
@@ -507,6 +519,7 @@
 
   function reconfigure(next: GatewaySettings): void {
     Object.assign(settings, next);
+    memory.resize(resolveBudgetBytes(settings.memoryBytes, ownBytes));
     recordSettings();
     addSeeds();
   }
--- a/src/gateway/settings.ts
+++ b/src/gateway/settings.ts
@@ -38,6 +38,8 @@
   zone: string;
   /** CPU cores that the process may use. */
   cores: number;
+  /** Memory of the machine, in bytes; `undefined` if not known. */
+  memoryBytes?: number | undefined;
   callers: ListenAddress;
   readiness: ListenAddress;
   directory: ListenAddress | undefined;
--- a/src/relay/caller-answer.ts
+++ b/src/relay/caller-answer.ts
@@ -39,6 +39,8 @@
   begin(head: AnswerHead, isLengthFixed: boolean): void;
   /** Forwards bytes; false if the caller's connection is full: wait for `onDrain`. */
   write(bytes: Buffer): boolean;
+  /** Calls back whenever bytes were written to the caller's connection. */
+  onWritten(written: () => void): void;
   /** Calls back once, when the caller's connection has drained. */
   onDrain(resume: () => void): void;
   finish(): void;
@@ -78,6 +80,7 @@
   const run = createRunRecord();
   let begun = false;
   let ended = false;
+  let written: (() => void) | undefined;
   response.sendDate = false;
   response.on('error', () => {
     ended = true;
@@ -95,7 +98,10 @@
   }
 
   function write(bytes: Buffer): boolean {
-    return ended || response.write(bytes);
+    if (ended) return true;
+    const hasRoom = response.write(bytes);
+    written?.();
+    return hasRoom;
   }
 
   function finish(): void {
@@ -120,6 +126,9 @@
     isEnded: () => ended || response.destroyed,
     begin,
     write,
+    onWritten(listener) {
+      written = listener;
+    },
     onDrain(resume) {
       response.once('drain', resume);
     },
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -7,12 +7,12 @@
 import type { Socket } from 'node:net';
 import { listenAccepting, type Admission, type Arrival, type Arrivals } from '../arrivals/index.js';
 import type { Log } from '../events/index.js';
-import { createBoundedBody } from '../ports/bounded-body.js';
 import type { CallerLimits } from '../routing/index.js';
 import { createCallerAnswer, type CallerAnswer } from './caller-answer.js';
 import type { BackendProtocol } from './protocol.js';
 import { createCallerConnections } from './caller-connections.js';
 import { improperStatuses } from './final-answer.js';
+import type { Intake, IntakeDefect, RefusedRequest } from './intake.js';
 import type { CallerRequest } from './request.js';
 
 /** Limits until a first configuration is known. */
@@ -24,6 +24,8 @@
 };
 /** Maximum size of request headers that the HTTP parser accepts, in bytes. */
 const MAX_HEADER_BYTES = 65_536;
+/** Retry-After of a request whose body did not come in time, in ms. */
+const LATE_RETRY_MS = 150;
 /** Listen backlog; callers reconnect in bursts after a failure. */
 const LISTEN_BACKLOG = 511;
 
@@ -33,6 +35,7 @@
   protocol: BackendProtocol;
   arrivals: Arrivals;
   admission: Admission;
+  intake: Intake;
   limits(): CallerLimits | undefined;
   serve(request: CallerRequest): Promise<void>;
 }
@@ -60,7 +63,7 @@
  * @param parts the relay and the limits
  */
 export function createFront(parts: FrontParts): Front {
-  const { log, protocol, arrivals, admission } = parts;
+  const { log, protocol, arrivals, admission, intake } = parts;
   const sockets = new Set<Socket>();
   const connections = createCallerConnections(log);
   let closing = false;
@@ -103,7 +106,8 @@
       return;
     }
     const head = protocol.readCaller(request.rawHeaders);
-    const isClosing = () => closing || connections.closesBehind(socket, response);
+    let isLate = false;
+    const isClosing = () => closing || isLate || connections.closesBehind(socket, response);
     const answer = createCallerAnswer(response, protocol, head.requestId, isClosing);
     const decision = admission.decide(arrival, head.waitMs);
     if (!decision.isAdmitted) {
@@ -111,29 +115,64 @@
       request.resume();
       return;
     }
+    const taken = intake.take(request, response, head, limits().maxBodyBytes);
+    if (!taken.isTaken) {
+      refuseForMemory(head.requestId, taken, answer);
+      request.resume();
+      return;
+    }
     inFlight += 1;
     const callerLeft = new AbortController();
     response.on('close', () => {
       inFlight -= 1;
       if (!response.writableFinished) callerLeft.abort();
     });
-    const body = await readBody(request, limits().maxBodyBytes);
-    if (body === 'broken') return;
-    if (body === 'too-large') {
-      log.write('requestRefused', { request: head.requestId, reason: 'body-too-large' });
+    answer.onWritten(taken.answerWritten);
+    try {
+      const body = await taken.readBody(arrival.at);
+      isLate = body === 'late';
+      if (typeof body === 'string') {
+        refuseBody(head.requestId, body, answer);
+        return;
+      }
+      const { method = 'GET', url: path = '/' } = request;
+      await parts.serve({
+        method,
+        path,
+        head,
+        body,
+        arrivedAt: arrival.at,
+        answer,
+        callerLeft: callerLeft.signal,
+      });
+    } finally {
+      taken.releaseBody();
+    }
+  }
+
+  function refuseForMemory(
+    request: string | undefined,
+    { retryAfterMs }: RefusedRequest,
+    answer: CallerAnswer,
+  ): void {
+    const reason = 'memory';
+    log.write('requestRefused', { request, reason, retryAfterMs: Math.round(retryAfterMs) });
+    answer.end({ reason, retryAfterMs });
+  }
+
+  /** Ends a request whose body is not whole, so that no server was given it. */
+  function refuseBody(
+    request: string | undefined,
+    defect: IntakeDefect,
+    answer: CallerAnswer,
+  ): void {
+    if (defect === 'broken') return;
+    log.write('requestRefused', { request, reason: `body-${defect}` });
+    if (defect === 'too-large') {
       answer.reject(improperStatuses.tooLarge, 'the body is larger than the configuration allows');
       return;
     }
-    const { method = 'GET', url: path = '/' } = request;
-    await parts.serve({
-      method,
-      path,
-      head,
-      body,
-      arrivedAt: arrival.at,
-      answer,
-      callerLeft: callerLeft.signal,
-    });
+    answer.end({ reason: `body-${defect}`, retryAfterMs: LATE_RETRY_MS });
   }
 
   function refuseOverloaded(
@@ -175,34 +214,3 @@
     },
   };
 }
-
-/** Reads the body; `undefined` if there is none. */
-function readBody(
-  request: IncomingMessage,
-  maxBytes: number,
-): Promise<Buffer | undefined | 'too-large' | 'broken'> {
-  const declared = Number(request.headers['content-length'] ?? 0);
-  if (declared > maxBytes) {
-    request.resume();
-    return Promise.resolve('too-large');
-  }
-  if (declared === 0 && request.headers['transfer-encoding'] === undefined) {
-    request.resume();
-    return Promise.resolve(undefined);
-  }
-  return new Promise((resolve) => {
-    const body = createBoundedBody(maxBytes);
-    request.on('data', (chunk: Buffer) => {
-      if (!body.add(chunk)) resolve('too-large');
-    });
-    request.on('end', () => {
-      resolve(body.bytes());
-    });
-    request.on('close', () => {
-      resolve('broken');
-    });
-    request.on('error', () => {
-      resolve('broken');
-    });
-  });
-}
--- a/src/relay/index.ts
+++ b/src/relay/index.ts
@@ -2,6 +2,7 @@
 export * from './connections.js';
 export * from './engine-placer.js';
 export * from './front.js';
+export * from './intake.js';
 export * from './protocol.js';
 export * from './request.js';
 export * from './service-placer.js';
--- a/test/arrivals/busy-loop.test.ts
+++ b/test/arrivals/busy-loop.test.ts
@@ -11,6 +11,7 @@
 import { sendWhileBlocked } from '../fixtures/caller-thread.js';
 import {
   admitAll,
+  createAmpleIntake,
   ask,
   configuration,
   createKeptLog,
@@ -71,6 +72,7 @@
       protocol: createHeaderProtocol(),
       arrivals: createArrivals({ clock, log, metrics, ...ownLoop }),
       admission: admitAll,
+      intake: createAmpleIntake(),
       limits: () => undefined,
       serve({ answer }) {
         readAfter.push(turns);
@@ -112,6 +114,7 @@
         metrics,
         objectiveMs: () => undefined,
       }),
+      intake: createAmpleIntake(),
       limits: () => undefined,
       serve({ answer }) {
         served += 1;
@@ -147,6 +150,7 @@
       protocol: createHeaderProtocol(),
       arrivals: createArrivals({ clock, log, metrics: createGatewayMetrics(), ...ownLoop }),
       admission: admitAll,
+      intake: createAmpleIntake(),
       limits: () => undefined,
       serve({ answer, arrivedAt }) {
         ages.push(clock.now() - arrivedAt);
--- a/test/gateway/guards.test.ts
+++ b/test/gateway/guards.test.ts
@@ -6,7 +6,14 @@
 import type { Scheduler } from '../../src/scheduling/index.js';
 import { createSystemClock } from '../../src/task/index.js';
 import { createHeaderProtocol } from '../../platform/headers.js';
-import { admitAll, ask, createKeptLog, findPort, heads } from '../fixtures/gateway.js';
+import {
+  admitAll,
+  createAmpleIntake,
+  ask,
+  createKeptLog,
+  findPort,
+  heads,
+} from '../fixtures/gateway.js';
 
 describe('an exception', () => {
   it('while handling a peer’s message is logged and does not affect later messages', () => {
@@ -60,6 +67,7 @@
         ...ownLoop,
       }),
       admission: admitAll,
+      intake: createAmpleIntake(),
       limits: () => undefined,
       serve({ head, answer }) {
         if (head.requestId === 'bad') return Promise.reject(new Error('no such engine'));
