fix(peers): a peer that does not read its link is sent nothing more

Cause: only heartbeats were held back where a peer did not read. All else was written, without an end. At 616 to 640 MB resident of a gateway 84 to 113 MB waited in ten sockets to peers, 8 to 12 MB each, in short messages of which each takes several times its bytes (232 MB of array buffers, 292 MB of heap). What makes so many messages is not known yet.

--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -19,9 +19,11 @@
 const IDLE_TIMEOUT_MS = 60_000;
 /** Idle timeout of a link that carried none, in ms; leaves time for its ends to become partners. */
 const UNUSED_TIMEOUT_MS = 5_000;
-/** Buffered bytes above which heartbeats are skipped, so that a peer that does not read cannot exhaust this
- * process's memory. */
+/** Bytes that wait for a peer to read them, above which it is sent nothing more: a peer that does not read, as one whose
+ * processor is starved, takes no more of this process's memory, and counts as one that cannot be reached. */
 const MAX_BUFFERED_BYTES = 1_000_000;
+/** Messages that may wait so: a short one takes far more memory than its bytes. */
+const MAX_WAITING_MESSAGES = 1_000;
 const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
 
 /** Receives the events of links. */
@@ -47,8 +49,10 @@
   port: () => number;
   /** Dials an address unless a dial to it is in progress. */
   dial(address: string, isReplacement?: boolean): void;
-  /** Sends to a peer; false without an open link, or when a heartbeat is skipped. */
+  /** Sends to a peer; false without an open link, or if the peer does not read what it was sent. */
   send(node: string, message: PeerMessage): boolean;
+  /** Bytes that wait for peers to read them. */
+  waitingBytes: () => number;
   isLinked(node: string): boolean;
   /** Time of the last message from a peer, on the gateway's clock; `undefined` without a link. */
   lastReceivedAt(node: string): number | undefined;
@@ -74,6 +78,8 @@
   /** Address that this end dialled; `undefined` if the other end dialled. */
   address: string | undefined;
   isReplacement: boolean;
+  /** Messages that wait for the peer to read them. */
+  waiting: number;
 }
 
 /** HTTP status of a request that asks for no upgrade. */
@@ -108,6 +114,7 @@
       usedAt: undefined,
       address,
       isReplacement,
+      waiting: 0,
     };
     links.add(link);
     socket.on('message', (data: RawData) => {
@@ -145,7 +152,10 @@
 
   function transmit(link: Link, message: PeerMessage): void {
     if (isAboutRequest(message)) link.usedAt = clock.now();
-    link.socket.send(encodeMessage(message));
+    link.waiting += 1;
+    link.socket.send(encodeMessage(message), () => {
+      link.waiting -= 1;
+    });
   }
 
   function introduce(link: Link): void {
@@ -209,9 +219,9 @@
     return clock.now() - usedAt > IDLE_TIMEOUT_MS;
   }
 
-  function isWritable(link: Link, message: PeerMessage): boolean {
-    if (link.socket.readyState !== WebSocket.OPEN) return false;
-    return message.kind !== 'beat' || link.socket.bufferedAmount < MAX_BUFFERED_BYTES;
+  function isWritable({ socket, waiting }: Link): boolean {
+    if (socket.readyState !== WebSocket.OPEN || waiting >= MAX_WAITING_MESSAGES) return false;
+    return socket.bufferedAmount < MAX_BUFFERED_BYTES;
   }
 
   return {
@@ -255,10 +265,15 @@
     },
     send(node, message) {
       const link = byNode.get(node);
-      if (link === undefined || !isWritable(link, message)) return false;
+      if (link === undefined || !isWritable(link)) return false;
       transmit(link, message);
       return true;
     },
+    waitingBytes() {
+      let bytes = 0;
+      for (const { socket } of links) bytes += socket.bufferedAmount;
+      return bytes;
+    },
     isLinked: (node) => byNode.has(node),
     lastReceivedAt: (node) => byNode.get(node)?.lastReceivedAt,
     idle: () => [...byNode].filter(([, link]) => isIdle(link)).map(([node]) => node),
--- a/src/peers/overlay.ts
+++ b/src/peers/overlay.ts
@@ -93,6 +93,8 @@
   send(node: string, message: PeerMessage): boolean;
   /** Sends to all partners. */
   broadcast(message: PeerMessage): void;
+  /** Bytes that wait for peers to read them. */
+  waitingBytes: () => number;
   /** Sends this gateway's status now if it has changed. */
   publish(): void;
   close(): void;
@@ -375,7 +377,8 @@
       if (message.kind === 'job.submit' && !awaiting.has(node)) awaiting.set(node, clock.now());
       return true;
     }
-    if (!link(node)) return false;
+    // a peer that does not read is sent nothing more, and nothing is queued for it either
+    if (links.isLinked(node) || !link(node)) return false;
     const queue = queued.get(node) ?? [];
     queued.set(node, queue);
     if (queue.length >= MAX_QUEUED) return false;
@@ -404,6 +407,7 @@
         links.send(partner, message);
       }
     },
+    waitingBytes: links.waitingBytes,
     publish() {
       membership.publish();
       membership.flush();
