feat(memory): tunnels and links draw on the budget, bodies go through tunnels in pieces, and what is held is a metric

A body went through a tunnel as one message, which the gateway that carries it received whole: 1,000 tunnels had a bound each of the largest body. Pieces are of 64 KB now, a tunnel is counted with four of them and refused where there is no room. What waits on links to peers is counted. Metrics: bytes held by holder, and the budget.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -150,6 +150,7 @@
     overlay: () => overlay,
     limitConnections,
     isStopping: () => draining.isStopping(),
+    memory,
   });
   const { connections, paths } = serverPaths;
   const loads = createServerLoads(clock);
@@ -353,6 +354,7 @@
     streams,
     canFinish: (timeLimitMs) => draining.canFinish(timeLimitMs),
   };
+  memory.register('links', overlay.waitingBytes);
   const front = createFront({
     log,
     protocol: platform.protocol,
@@ -450,6 +452,7 @@
     format: platform,
     overlay,
     quarantine,
+    memory,
     isReady,
     directoryTtlMs: resolveDirectoryTtl,
   });
--- a/src/gateway/server-paths.ts
+++ b/src/gateway/server-paths.ts
@@ -3,6 +3,7 @@
  */
 import type { Log } from '../events/index.js';
 import type { Fleet, RegisteredServer } from '../fleet/index.js';
+import type { MemoryBudget } from '../memory/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
 import { createPaths, createTunnelDialer, createTunnelHost, type Paths } from '../paths/index.js';
 import type { TunnelDialer, TunnelHost } from '../paths/index.js';
@@ -24,6 +25,8 @@
   limitConnections(server: string): number;
   /** Whether this gateway is stopping; it then carries no further connections for peers. */
   isStopping(): boolean;
+  /** Memory that tunnels for peers may take. */
+  memory: MemoryBudget;
 }
 
 /** Connections of a gateway to backend servers. */
@@ -85,6 +88,7 @@
     },
     isPathLost: (server) => paths.isLost(server),
     isStopping: () => parts.isStopping(),
+    memory: parts.memory,
   });
 
   function listConnected(): RegisteredServer[] {
--- a/src/gateway/status.ts
+++ b/src/gateway/status.ts
@@ -4,6 +4,7 @@
  */
 import type { IncomingMessage, Server } from 'node:http';
 import type { Log } from '../events/index.js';
+import { holders, type MemoryBudget } from '../memory/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
 import type { Overlay } from '../peers/index.js';
 import type { Quarantine } from '../quarantine/index.js';
@@ -28,6 +29,7 @@
   format: StatusFormat;
   overlay: Pick<Overlay, 'peers'>;
   quarantine: Pick<Quarantine, 'bans' | 'lift'>;
+  memory: Pick<MemoryBudget, 'held' | 'total'>;
   isReady: () => boolean;
   /** How long callers may rely on a directory response, in milliseconds. */
   directoryTtlMs: () => number;
@@ -45,7 +47,7 @@
  * @param parts what the gateway knows of itself and of others
  */
 export async function startStatus(parts: StatusParts): Promise<Status> {
-  const { settings, log, metrics, format, overlay, quarantine, isReady } = parts;
+  const { settings, log, metrics, format, overlay, quarantine, memory, isReady } = parts;
 
   function answerDirectory({ url = '' }: IncomingMessage): StatusResponse {
     const { zone } = settings;
@@ -58,6 +60,9 @@
   async function renderMetrics(): Promise<StatusResponse> {
     metrics.peers.set(overlay.peers().length);
     metrics.banned.set(quarantine.bans().length);
+    const held = memory.held();
+    for (const holder of holders) metrics.memoryHeld.set({ holder }, held[holder]);
+    metrics.memoryBudget.set(memory.total());
     const { contentType } = metrics.registry;
     return { status: 200, contentType, body: await metrics.registry.metrics() };
   }
--- a/src/memory/budget.ts
+++ b/src/memory/budget.ts
@@ -8,7 +8,10 @@
 const MAX_SHARE_OF_FREE = 0.25;
 
 /** What holds bytes. */
-export type Holder = 'requests' | 'bodies' | 'answers' | 'tunnels' | 'links' | 'log';
+export const holders = ['requests', 'bodies', 'answers', 'tunnels', 'links'] as const;
+
+/** One of them. */
+export type Holder = (typeof holders)[number];
 
 /** Bytes that are held for one thing. */
 export interface Share {
@@ -55,7 +58,6 @@
     answers: 0,
     tunnels: 0,
     links: 0,
-    log: 0,
   };
   const counters: { holder: Holder; countBytes: () => number }[] = [];
   let sharedBytes = 0;
--- a/src/metrics/metrics.ts
+++ b/src/metrics/metrics.ts
@@ -297,6 +297,17 @@
       help: 'Peer gateways believed alive',
       registers,
     }),
+    memoryHeld: new Gauge({
+      name: 'reedtally_gateway_memory_held_bytes',
+      help: 'Bytes held for others, by what holds them',
+      labelNames: ['holder'],
+      registers,
+    }),
+    memoryBudget: new Gauge({
+      name: 'reedtally_gateway_memory_budget_bytes',
+      help: 'Bytes that may be held for others before what begins is refused',
+      registers,
+    }),
     logLinesDropped: new Counter({
       name: 'reedtally_gateway_log_lines_dropped_total',
       help: 'Log lines left out to keep the volume bounded',
--- a/src/paths/tunnel-host.ts
+++ b/src/paths/tunnel-host.ts
@@ -9,15 +9,18 @@
 import { WebSocketServer } from 'ws';
 import type { Log } from '../events/index.js';
 import type { Fleet } from '../fleet/index.js';
+import type { MemoryBudget } from '../memory/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
 import type { Clock } from '../task/index.js';
 import { createResetError, onResetAtEnd } from './connection-end.js';
 import { dialAddress, type DialFailure } from './dial.js';
 import { TUNNEL_HEADER, TUNNEL_PATH, tunnelStatuses } from './tunnel-protocol.js';
-import { TunnelStream } from './tunnel-stream.js';
+import { MAX_PIECE_BYTES, TunnelStream } from './tunnel-stream.js';
 
 /** Most tunnels carried at a time: a quarter of the connections that a process may have open. */
 const MAX_TUNNELS = 1_000;
+/** Memory that a tunnel may take, in bytes: a piece on its way in each direction, and what both connections buffer. */
+const TUNNEL_BYTES = 4 * MAX_PIECE_BYTES;
 /** Timeout of the connection to the server, in ms: less than the gateway that asks waits. */
 const CONNECT_TIMEOUT_MS = 100;
 
@@ -31,6 +34,7 @@
   isPathLost(server: string): boolean;
   /** Whether this gateway is stopping. */
   isStopping(): boolean;
+  memory: MemoryBudget;
 }
 
 /** Carries connections for other gateways. */
@@ -48,7 +52,7 @@
  * @param parts the servers and this gateway's paths to them
  */
 export function createTunnelHost(parts: TunnelHostParts): TunnelHost {
-  const { clock, log, metrics, fleet } = parts;
+  const { clock, log, metrics, fleet, memory } = parts;
   const tunnels = new Set<TunnelStream>();
   const upgrader = new WebSocketServer({ noServer: true, perMessageDeflate: false });
   upgrader.on('headers', (headers) => {
@@ -70,6 +74,7 @@
   function findObstacle(server: string): string | undefined {
     if (parts.isStopping()) return 'the gateway is stopping';
     if (tunnels.size + opening >= MAX_TUNNELS) return 'too many tunnels';
+    if (!memory.hasRoom(TUNNEL_BYTES)) return 'no memory';
     if (!fleet.isAvailable(server)) return 'the server is unknown or leaves';
     return parts.isPathLost(server) ? 'no path of its own' : undefined;
   }
@@ -107,6 +112,7 @@
 
   function carry(socket: Socket, tunnel: TunnelStream): void {
     tunnels.add(tunnel);
+    const share = memory.hold({ holder: 'tunnels', bytes: TUNNEL_BYTES });
     metrics.tunnels.set(tunnels.size);
     onResetAtEnd(socket, () => tunnel.destroy(createResetError('the server reset')));
     socket.pipe(tunnel);
@@ -121,6 +127,7 @@
       socket.destroySoon();
     });
     tunnel.on('close', () => {
+      share.release();
       socket.destroy();
       tunnels.delete(tunnel);
       metrics.tunnels.set(tunnels.size);
--- a/src/paths/tunnel-stream.ts
+++ b/src/paths/tunnel-stream.ts
@@ -11,6 +11,10 @@
 /** Close code of an orderly end. */
 const ORDERLY_CLOSE = 1_000;
 
+/** Largest piece of a connection that is sent at once, in bytes: the other end receives a piece whole before it passes
+ * it on. */
+export const MAX_PIECE_BYTES = 64 * 1024;
+
 type Callback = (error?: Error | null) => void;
 
 /** A stream over an open WebSocket; in the HTTP client it takes the place of a socket. */
@@ -42,13 +46,14 @@
     if (this.#webSocket.isPaused) this.#webSocket.resume();
   }
 
-  override _write(chunk: Buffer, _encoding: BufferEncoding, callback: Callback): void {
+  override _write(chunk: Buffer, encoding: BufferEncoding, callback: Callback): void {
     this.#idleTimer?.refresh();
-    this.#webSocket.send(chunk, callback);
-  }
-
-  override _writev(chunks: { chunk: Buffer }[], callback: Callback): void {
-    this._write(Buffer.concat(chunks.map(({ chunk }) => chunk)), 'binary', callback);
+    const rest = chunk.subarray(MAX_PIECE_BYTES);
+    const sent: Callback = (error) => {
+      if (error != null || rest.length === 0) callback(error);
+      else this._write(rest, encoding, callback);
+    };
+    this.#webSocket.send(chunk.subarray(0, MAX_PIECE_BYTES), sent);
   }
 
   override _final(callback: Callback): void {
--- a/test/paths/tunnels.test.ts
+++ b/test/paths/tunnels.test.ts
@@ -4,6 +4,7 @@
 import { WebSocketServer } from 'ws';
 import { createSilentLog, type Log } from '../../src/events/index.js';
 import type { RegisteredServer } from '../../src/fleet/index.js';
+import { createMemoryBudget } from '../../src/memory/index.js';
 import { createGatewayMetrics } from '../../src/metrics/index.js';
 import {
   createTunnelDialer,
@@ -72,6 +73,7 @@
       fleet: { find: () => server, isAvailable: () => isAvailable },
       isPathLost: () => isPathLost,
       isStopping: () => isStopping,
+      memory: createMemoryBudget(Number.POSITIVE_INFINITY),
     });
     front = createHttpServer();
     front.on('upgrade', host.upgradeRequested.bind(host));
@@ -231,6 +233,7 @@
       fleet: { find: () => ({ ...server, address: '127.0.0.1:1' }), isAvailable: () => true },
       isPathLost: () => false,
       isStopping: () => false,
+      memory: createMemoryBudget(Number.POSITIVE_INFINITY),
     });
     cut.on('upgrade', cutHost.upgradeRequested.bind(cutHost));
     await listen(cut);
--- a/test/relay/unsent.test.ts
+++ b/test/relay/unsent.test.ts
@@ -7,6 +7,7 @@
 import { createHeaderProtocol } from '../../platform/headers.js';
 import { createSilentLog } from '../../src/events/index.js';
 import type { RegisteredServer } from '../../src/fleet/index.js';
+import { createMemoryBudget } from '../../src/memory/index.js';
 import { createGatewayMetrics } from '../../src/metrics/index.js';
 import {
   createTunnelDialer,
@@ -210,6 +211,7 @@
         fleet: { find: () => registered, isAvailable: () => true },
         isPathLost: () => false,
         isStopping: () => false,
+        memory: createMemoryBudget(Number.POSITIVE_INFINITY),
       });
       front = createHttpServer();
       front.on('upgrade', (request, connection: Duplex, head) => {
