--- a/test/paths/tunnels.test.ts
+++ b/test/paths/tunnels.test.ts
@@ -13,6 +13,7 @@
   type TunnelHost,
   type TunnelStream,
 } from '../../src/paths/index.js';
+import { TUNNEL_HEADER } from '../../src/paths/tunnel-protocol.js';
 import type { GatewayState } from '../../src/peers/index.js';
 import { createSystemClock, createSystemRandom } from '../../src/task/index.js';
 import { createKeptLog, until } from '../fixtures/gateway.js';
@@ -116,6 +117,26 @@
     expect(ends).to.deep.equal(['end']);
   });
 
+  it('carry a large body in pieces, since the peer receives each one whole', async () => {
+    const sizes: number[] = [];
+    const peer = new WebSocketServer({ port: 0, host: '127.0.0.1' });
+    peer.on('connection', (webSocket) => {
+      webSocket.on('message', (data: Buffer) => sizes.push(data.length));
+    });
+    peer.on('headers', (headers) => headers.push(`${TUNNEL_HEADER}: 1`));
+    await until(() => peer.address() !== null);
+    const tunnel = (await createDialer([createPeer('peer', portOf(peer))]).dial(server)).unwrap();
+    const body = Buffer.alloc(3_000_000, 'q');
+    tunnel.cork();
+    tunnel.write(body);
+    tunnel.write(body);
+    tunnel.uncork();
+    await until(() => sizes.reduce((sum, size) => sum + size, 0) === 2 * body.length);
+    tunnel.destroy();
+    peer.close();
+    expect(Math.max(...sizes)).to.be.at.most(65_536);
+  });
+
   it('end with a reset where the server resets, even behind bytes', async () => {
     const { tunnel, atServer, ends } = await open();
     tunnel.resume();
