--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -93,6 +93,10 @@
   }
 
   function refreshLimits(): void {
+    // read for each new connection
+    Object.assign(server, {
+      maxHeaderSize: Math.min(MAX_HEADER_BYTES, limits().maxHeaderBytes),
+    });
     server.headersTimeout = limits().headerTimeoutMs;
     server.keepAliveTimeout = limits().idleTimeoutMs;
   }
