--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -17,6 +17,7 @@
   type RegisteredServer,
   type RegistryChange,
 } from '../fleet/index.js';
+import { createMemoryBudget, resolveBudgetBytes } from '../memory/index.js';
 import type { GatewayMetrics } from '../metrics/index.js';
 import { createOverlay, type Overlay } from '../peers/index.js';
 import { watchMemory } from '../process/index.js';
@@ -25,6 +26,7 @@
 import type { TableService } from '../ports/table-service.js';
 import {
   createFront,
+  createIntake,
   createServerLoads,
   createCallerRetries,
   serveRequest,
@@ -138,6 +140,9 @@
   let hasReadAddresses = false;
   let isListening = false;
 
+  const ownBytes = process.memoryUsage.rss();
+  const memory = createMemoryBudget(resolveBudgetBytes(resolveMemoryLimit(), ownBytes));
+
   const storeHealth = createStoreHealth(clock, log, {
     lost() {
       fleet.storeLost();
@@ -157,6 +162,7 @@
     overlay: () => overlay,
     limitConnections,
     isStopping: () => draining.isStopping(),
+    memory,
   });
   const { connections, paths } = serverPaths;
   const loads = createServerLoads(clock);
@@ -361,6 +367,7 @@
     streams,
     canFinish: (timeLimitMs) => draining.canFinish(timeLimitMs),
   };
+  memory.register('links', overlay.waitingBytes);
   const front = createFront({
     log,
     protocol: platform.protocol,
@@ -374,6 +381,13 @@
         metrics,
         objectiveMs: () => routes.index()?.leastObjectiveMs,
       }),
+    intake: createIntake({
+      clock,
+      random,
+      metrics,
+      memory,
+      routeLimitMs: (host, path) => routes.index()?.find(host, path)?.timeoutMs,
+    }),
     limits: () => routes.index()?.table.limits,
     serve: (request) => serveRequest(relay, request),
   });
@@ -454,6 +468,7 @@
     format: platform,
     overlay,
     quarantine,
+    memory,
     isReady,
     directoryTtlMs: resolveDirectoryTtl,
   });
@@ -496,6 +511,7 @@
     log,
     limitBytes: resolveMemoryLimit,
     holders: () => ({
+      ...memory.held(),
       requestCount: front.inFlight(),
       tunnelCount: serverPaths.tunnelHost.carried(),
     }),
@@ -545,6 +561,7 @@
 
   function reconfigure(next: GatewaySettings): void {
     Object.assign(settings, next);
+    memory.resize(resolveBudgetBytes(resolveMemoryLimit(), ownBytes));
     recordSettings();
     addSeeds();
   }
