--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -44,6 +44,11 @@
   },
   memoryEased: { id: 1014, level: 'info', text: 'resident memory is well below its limit again' },
   signalReceived: { id: 1015, level: 'info', text: 'a signal came' },
+  settingsAwaited: {
+    id: 1016,
+    level: 'warn',
+    text: 'waiting for settings that are not there or not whole',
+  },
   leaseJoined: { id: 2001, level: 'info', text: 'node lease acquired' },
   leaseRenewalFailed: { id: 2002, level: 'warn', text: 'node lease could not be renewed' },
   leaseLapsed: { id: 2003, level: 'warn', text: 'own node lease ran out' },
@@ -182,6 +187,11 @@
   requestMalformed: { id: 7048, level: 'info', text: 'bytes of a caller were no request' },
   retryDecided: { id: 7049, level: 'info', text: 'a retry was allowed or denied by the budget' },
   requestQueued: { id: 7056, level: 'info', text: 'request queued although it will be late' },
+  placeAwaited: {
+    id: 7112,
+    level: 'info',
+    text: 'a request waits for a place, since the engines that can serve it are full',
+  },
   requestDeclined: { id: 7057, level: 'info', text: 'scheduler declined a request' },
   retryUnpaid: { id: 7055, level: 'error', text: 'a retry was sent that nothing had paid for' },
   schedulerChanged: { id: 7050, level: 'info', text: 'another gateway schedules a service' },
@@ -208,6 +218,11 @@
     text: 'a ban could not be read or kept on the platform',
   },
   trialAnswered: { id: 7067, level: 'info', text: 'a suspected request may run, or has to wait' },
+  streamNotContinued: {
+    id: 7110,
+    level: 'info',
+    text: 'a stream was not continued; the versions that are known, and how old that knowledge is',
+  },
   streamOriginResolved: {
     id: 7090,
     level: 'info',
@@ -263,6 +278,11 @@
   tunnelRefused: { id: 7083, level: 'info', text: 'a peer was not connected to a server' },
   roleLeaseTaken: { id: 7070, level: 'info', text: 'lease for role orders acquired' },
   roleLeaseDenied: { id: 7071, level: 'info', text: 'lease for role orders is not to be had' },
+  roleChangeFound: {
+    id: 7111,
+    level: 'info',
+    text: 'an engine changes its role, though it was not ordered from here',
+  },
   roleOrdered: { id: 7072, level: 'info', text: 'engine ordered to change its role' },
   roleOrderEnded: { id: 7073, level: 'info', text: 'the answer to a role order' },
 } as const satisfies Record<string, CatalogueEntry>;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -11,9 +11,11 @@
 import type { SendLimits } from '../backpressure/index.js';
 import type { EventFields, Log } from '../events/index.js';
 import type { HealthOutcome, RegisteredServer } from '../fleet/index.js';
+import type { GatewayMetrics } from '../metrics/index.js';
 import type { Clock, Timer } from '../task/index.js';
 import {
   resolveAdmission,
+  resolvePriorAdmission,
   resolveLateFirstTokenMs,
   resolveFirstTokenMs,
   resolveReservation,
@@ -28,7 +30,16 @@
 import { createTrackedJob, type TrackedJob } from './tracked-job.js';
 import { createDecodeEngines } from './decode-engines.js';
 import { createDecodeLoad } from './decode-load.js';
-import type { Decision, DeclineReason, EnginePlacement, Job } from './job.js';
+import {
+  isBound,
+  resolvePlaceRank,
+  type Decision,
+  type DeclineReason,
+  type EnginePlacement,
+  type Job,
+} from './job.js';
+import { createPlaceQueue } from './place-queue.js';
+import { describeCensus, resolveMainRefusal, takeEngineCensus } from './engine-census.js';
 import { createEngineStates } from './engine-states.js';
 import { createLatencyMargin } from './latency-margin.js';
 import { describeEstimate, describeJob } from './log-fields.js';
@@ -54,6 +65,7 @@
 export interface SchedulerParts {
   clock: Clock;
   log: Log;
+  metrics: Pick<GatewayMetrics, 'engineRefusals'>;
   mechanisms: SchedulingMechanisms;
   /** Latency models of the service's engines. */
   latencyModels: LatencyModels;
@@ -100,7 +112,7 @@
  * @param parts the engines with their latency models and limits
  */
 export function createScheduler(parts: SchedulerParts): Scheduler {
-  const { clock, log, latencyModels, mechanisms, limits } = parts;
+  const { clock, log, latencyModels, mechanisms, metrics, limits } = parts;
   const jobs = new Map<string, TrackedJob>();
   /** By engine, the timer that starts the next prefill shortly before the current one ends. */
   const prefillTimers = new Map<string, Timer>();
@@ -112,6 +124,7 @@
   const decodeLoad = createDecodeLoad();
   const sizeShares = createSizeShares();
   const patience = createCallerPatience();
+  const placeQueue = createPlaceQueue<TrackedJob>();
   const candidates = createCandidates({
     engines: () => parts.engines(),
     monitor,
@@ -199,7 +212,8 @@
       mayBeLate: job.isReturn || mechanisms.lateFirstAttempts,
       spareCapacity: spare,
     };
-    const admission = resolveAdmission(prefillOptions, terms);
+    const admit = isBound(job) ? resolvePriorAdmission : resolveAdmission;
+    const admission = admit(prefillOptions, terms);
     if (admission.kind !== 'punctual') {
       const prefillMs = admission.option?.prefillMs ?? 0;
       sizeShares.estimated(resolveSizedRequest(job), prefillMs, clock.now());
@@ -334,16 +348,14 @@
     decline(tracked, 'no-engine', retryAfterMs, 0, describeEngines(tracked.job));
   }
 
-  /** Which engines there were for a request that got none. */
-  function describeEngines({ excluded, avoided }: Job): EventFields {
-    const engines = parts.engines();
-    const unhealthy = engines.filter(({ id }) => !monitor.isAvailable(id, requestCount(id)));
-    return {
-      engines: engines.length,
-      unhealthy: unhealthy.length,
-      excluded: excluded.length,
-      avoided: avoided.length,
-    };
+  /** Counts why a request gets no engine. */
+  function describeEngines(job: Job): EventFields {
+    const census = takeEngineCensus({ ...parts, monitor, decodeEngines, requestCount }, job);
+    metrics.engineRefusals.inc({
+      bound: String(job.version !== undefined),
+      reason: resolveMainRefusal(census),
+    });
+    return describeCensus(census, job);
   }
 
   function decline(
@@ -440,9 +452,45 @@
   function chooseDecodeEngine(tracked: TrackedJob, zone: string): RegisteredServer | undefined {
     const { job } = tracked;
     const decodeCandidates = candidates.list(job, 'decode');
-    const chosen = decodeEngines.choose(decodeCandidates, zone, job.rank, options.busyMs);
-    if (chosen === undefined) declineWithoutEngine(tracked);
-    return chosen;
+    const chosen = findPlace(decodeCandidates, job, zone);
+    if (chosen !== undefined) return chosen;
+    if (isBound(job) && decodeCandidates.length > 0) awaitPlace(tracked);
+    else declineWithoutEngine(tracked);
+    return undefined;
+  }
+
+  function findPlace(
+    engines: readonly RegisteredServer[],
+    job: Job,
+    zone: string,
+  ): RegisteredServer | undefined {
+    return decodeEngines.choose(engines, zone, resolvePlaceRank(job), options.busyMs);
+  }
+
+  /** A bound request waits for a place at a decode engine while it can still meet its deadline. */
+  function awaitPlace(tracked: TrackedJob): void {
+    tracked.engine = undefined;
+    tracked.expiryTimer?.cancel();
+    placeQueue.add(tracked);
+    log.write('placeAwaited', {
+      ...describeJob(tracked.job),
+      version: tracked.job.version,
+      waitedMs: Math.round(waitedMs(tracked)),
+    });
+    tracked.expiryTimer = clock.after(Math.max(0, msUntilLatestStart(tracked)), () => {
+      if (placeQueue.remove(tracked)) declineWithoutEngine(tracked);
+    });
+  }
+
+  /** A place at a decode engine is free: a request that waits for one is placed before any that comes later. */
+  function placeFreed(): void {
+    const next = placeQueue.takeNext(
+      ({ job }) => findPlace(candidates.list(job, 'decode'), job, job.zone) !== undefined,
+    );
+    if (next === undefined) return;
+    next.expiryTimer?.cancel();
+    if (next.job.isRead) placeForDecode(next);
+    else route(next);
   }
 
   function startPrefill(tracked: TrackedJob, engine: EngineModel): void {
@@ -495,7 +543,7 @@
     if (placement.reader !== undefined) limits.take(placement.reader);
     limits.take(placement.generator);
     tracked.expiryTimer?.cancel();
-    decodeEngines.start(placement.generator, job.rank, job.prompt.tokens);
+    decodeEngines.start(placement.generator, resolvePlaceRank(job), job.prompt.tokens);
     observeDecodeLoad();
     log.write('requestPlaced', {
       ...describeJob(job),
@@ -556,7 +604,7 @@
       if (jobs.has(job.id)) return;
       const tracked = createTrackedJob(job, clock.now(), () => undefined);
       jobs.set(job.id, { ...tracked, stage: 'generating', placement });
-      decodeEngines.start(placement.generator, job.rank, job.prompt.tokens);
+      decodeEngines.start(placement.generator, resolvePlaceRank(job), job.prompt.tokens);
     },
     prefillCompleted(id) {
       const tracked = jobs.get(id);
@@ -588,9 +636,12 @@
         patience.left(tracked.job.rank, waitedMs(tracked), clock.now());
       monitor.requestEnded(id);
       if (outcome !== undefined) recordOutcome(tracked, outcome);
+      placeQueue.remove(tracked);
       leaveEngine(tracked, false);
-      if (tracked.placement !== undefined)
-        decodeEngines.end(tracked.placement.generator, tracked.job.rank, tracked.job.prompt.tokens);
+      if (tracked.placement === undefined) return;
+      const { job, placement } = tracked;
+      decodeEngines.end(placement.generator, resolvePlaceRank(job), job.prompt.tokens);
+      placeFreed();
     },
     forget(engine) {
       monitor.forget(engine);
