fix(backpressure): notices of a server that contradict each other are passed on once by each gateway

Cause: a row was ordered by the age that it carried, counted from each arrival, so a row that was passed on looked newer at each hop than what was known. Two rows that contradict each other replaced one another for ever, each time passed on to all partners. A row now keeps the stamp of the gateway that heard the answer (a hybrid logical time and its name); a gateway applies a stamped row once. Rows of gateways of an earlier version have no stamp: they are applied by age as before, and not passed on.

--- a/src/backpressure/backpressure.ts
+++ b/src/backpressure/backpressure.ts
@@ -29,6 +29,8 @@
   log: Log;
   metrics: Pick<GatewayMetrics, 'signals'>;
   node: string;
+  /** The time of day in ms. */
+  timeOfDay: () => number;
   /** The gateway that allocates the limit of a server. */
   allocatorOf(server: string): string;
   /** Number of known gateways, including this one. */
@@ -84,7 +86,7 @@
  */
 export function createBackpressure(parts: BackpressureParts): Backpressure {
   const { clock, random, log, metrics, node } = parts;
-  const notices = createServerNotices();
+  const notices = createServerNotices(node, parts.timeOfDay);
   const pauses = createPauses(clock, random);
   const limits = createSendLimits({
     clock,
@@ -166,7 +168,8 @@
       startPause(id, signals);
       if (!isNotice(id, signals, isSuccess)) return;
       const { isLeaving, limitPerS } = signals;
-      if (!applyNotice({ server: id, isLeaving, limitPerS, at: clock.now() }, 'server')) return;
+      const answered = { server: id, isLeaving, limitPerS, at: clock.now(), stamp: undefined };
+      if (!applyNotice(answered, 'server')) return;
       const row = notices.rowOf(id, clock.now());
       if (row === undefined) return;
       sendToAllocator(id, [row]);
@@ -179,7 +182,10 @@
       }
       const changed: NoticeRow[] = [];
       for (const row of message.rows) {
-        if (applyNotice(unpackNotice(row, clock.now()), from)) changed.push(row);
+        if (!applyNotice(unpackNotice(row, clock.now()), from)) continue;
+        const current = notices.rowOf(row.server, clock.now());
+        // a row without a stamp could go round without end; differences are repaired on heartbeats
+        if (current !== undefined && row.stamp !== undefined) changed.push(current);
       }
       broadcast(changed);
     },
--- a/src/backpressure/notices.ts
+++ b/src/backpressure/notices.ts
@@ -1,7 +1,8 @@
 /**
  * Table of the signals that servers send to all gateways together, by incarnation. Gateways replicate
- * it by gossip; the latest answer of a server wins. Rows carry the age of the answer, since the
- * gateways' clocks differ.
+ * it by gossip; the latest answer of a server wins, by the stamp of the gateway that heard it. A stamp stays as it is
+ * however often its row is passed on, so that each gateway applies a row once and rows that contradict each other come
+ * to rest. Rows also carry the age of the answer, as of their sender, by which they expire.
  */
 import * as z from 'zod';
 import { hashName } from '../gossip/index.js';
@@ -22,14 +23,23 @@
   limitPerS: number | undefined;
   /** When the server answered, on this gateway's clock in ms. */
   at: number;
+  /** `undefined` for an answer to this gateway, and from gateways of an earlier version. */
+  stamp: NoticeStamp | undefined;
 }
 
+const stampSchema = z.object({ time: z.number(), node: z.string() });
+
+/** Order of notices: a hybrid logical time in ms, of the gateway that heard the answer; names decide between equal ones. */
+export type NoticeStamp = z.infer<typeof stampSchema>;
+
 export const noticeRowSchema = z.object({
   server: z.string(),
   isLeaving: z.boolean().default(false),
   limitPerS: z.number().nonnegative().optional(),
   /** Time since the answer, in ms. */
   ageMs: z.number(),
+  /** Absent in rows of gateways of an earlier version. */
+  stamp: stampSchema.optional(),
 });
 
 /** A notice on the wire. */
@@ -68,17 +78,38 @@
   forget(server: string): void;
 }
 
-/** Creates an empty table. */
-export function createServerNotices(): ServerNotices {
+/**
+ * Creates an empty table.
+ *
+ * @param node the gateway's name
+ * @param timeOfDay the time of day in ms; stamps stay above those seen where it is behind
+ */
+export function createServerNotices(node: string, timeOfDay: () => number): ServerNotices {
   const entries = new Map<string, TableEntry>();
+  let newestTime = 0;
+
+  function createStamp(): NoticeStamp {
+    newestTime = Math.max(newestTime + 1, timeOfDay());
+    return { time: newestTime, node };
+  }
+
+  function isOlder(notice: ServerNotice, known: TableEntry, isFromPeer: boolean): boolean {
+    if (!isFromPeer) return notice.at < known.at;
+    const { stamp } = notice;
+    if (stamp === undefined) return notice.at <= known.at;
+    return known.stamp !== undefined && compareStamps(stamp, known.stamp) <= 0;
+  }
 
   function isSignificantChange(before: number | undefined, after: number | undefined): boolean {
     if (before === undefined || after === undefined) return before !== after;
     return Math.abs(after - before) > MIN_CHANGE_SHARE * before;
   }
 
-  function pack({ server, isLeaving, limitPerS, at }: TableEntry, now: number): NoticeRow {
-    return { server, isLeaving, ageMs: now - at, ...(limitPerS !== undefined && { limitPerS }) };
+  function pack({ server, isLeaving, limitPerS, at, stamp }: TableEntry, now: number): NoticeRow {
+    const row: NoticeRow = { server, isLeaving, ageMs: now - at };
+    if (limitPerS !== undefined) row.limitPerS = limitPerS;
+    if (stamp !== undefined) row.stamp = stamp;
+    return row;
   }
 
   return {
@@ -90,16 +121,18 @@
       // leaving is final for an incarnation, so that it applies even from an older notice
       const isLeaving = notice.isLeaving || known?.isLeaving === true;
       const startsLeaving = isLeaving && known?.isLeaving !== true;
-      const isOlder =
-        known !== undefined && (isFromPeer ? notice.at <= known.at : notice.at < known.at);
-      const latest = isOlder ? known : notice;
+      newestTime = Math.max(newestTime, notice.stamp?.time ?? 0);
+      const latest = known !== undefined && isOlder(notice, known, isFromPeer) ? known : notice;
       if (latest === known && !startsLeaving) return false;
       const { limitPerS, at } = latest;
       if (known === undefined && limitPerS === undefined && !isLeaving) return false;
       const hasChanged = isSignificantChange(known?.sharedPerS, limitPerS);
       const sharedPerS = isFromPeer || hasChanged ? limitPerS : known?.sharedPerS;
-      entries.set(server, { server, isLeaving, limitPerS, at, sharedPerS });
-      return hasChanged || startsLeaving;
+      const isShared = hasChanged || startsLeaving;
+      const ownStamp = isShared ? createStamp() : known?.stamp;
+      const stamp = isFromPeer ? latest.stamp : ownStamp;
+      entries.set(server, { server, isLeaving, limitPerS, at, sharedPerS, stamp });
+      return isShared;
     },
     rows(now) {
       const found: NoticeRow[] = [];
@@ -127,6 +160,13 @@
   };
 }
 
+/** Negative where the first stamp is older. */
+function compareStamps(first: NoticeStamp, second: NoticeStamp): number {
+  if (first.time !== second.time) return first.time - second.time;
+  if (first.node === second.node) return 0;
+  return first.node < second.node ? -1 : 1;
+}
+
 /**
  * Converts a row from another gateway.
  *
@@ -134,6 +174,6 @@
  * @param now this gateway's clock, in ms
  */
 export function unpackNotice(row: NoticeRow, now: number): ServerNotice {
-  const { server, isLeaving, limitPerS, ageMs } = row;
-  return { server, isLeaving, limitPerS, at: now - Math.max(0, ageMs) };
+  const { server, isLeaving, limitPerS, ageMs, stamp } = row;
+  return { server, isLeaving, limitPerS, at: now - Math.max(0, ageMs), stamp };
 }
--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -172,6 +172,7 @@
     log,
     metrics,
     node,
+    timeOfDay: () => Date.now(),
     allocatorOf: (server) => schedulers.holderOf(fleet.find(server)?.service ?? ''),
     gateways: () => overlay.knownGateways(),
     serverLeaving(server) {
--- a/test/backpressure/backpressure.test.ts
+++ b/test/backpressure/backpressure.test.ts
@@ -27,6 +27,7 @@
     log: createSilentLog(),
     metrics: createGatewayMetrics(),
     node: 'self',
+    timeOfDay: () => clock.now(),
     allocatorOf: () => allocator,
     gateways: () => 7,
     serverLeaving: (id) => leaving.push(id),
