fix(scheduling): a request that waits for a place does not keep others of its version waiting

The queue took 'no place' of the first request for that of its whole version, though it may exclude engines that others use; and it was looked at only when a placed request ended, though places also come with engines that change their role or end a pause. Each waiting request is asked now, also by a timer while any waits.

--- a/src/scheduling/place-queue.ts
+++ b/src/scheduling/place-queue.ts
@@ -9,11 +9,9 @@
   add(item: Item): void;
   /** Removes a request; false if it didn't wait. */
   remove(item: Item): boolean;
-  /**
-   * Removes and returns the first request for which there is a place now.
-   *
-   * @param hasPlace asked once for each software version
-   */
+  /** Number of requests that wait. */
+  size(): number;
+  /** Removes and returns the first request for which there is a place now. */
   takeNext(hasPlace: (item: Item) => boolean): Item | undefined;
 }
 
@@ -25,16 +23,12 @@
       items.add(item);
     },
     remove: (item) => items.delete(item),
+    size: () => items.size,
     takeNext(hasPlace) {
-      const full = new Set<string | undefined>();
       for (const item of items) {
-        const { version } = item.job;
-        if (full.has(version)) continue;
-        if (hasPlace(item)) {
-          items.delete(item);
-          return item;
-        }
-        full.add(version);
+        if (!hasPlace(item)) continue;
+        items.delete(item);
+        return item;
       }
       return undefined;
     },
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -103,6 +103,8 @@
 /** How often a waiting request is rerouted because its engine became unavailable; after that it is
  * sent to its engine anyway, which bounds the loop when all engines are unhealthy. */
 const MAX_REROUTES = 5;
+/** Interval at which requests that wait for a place are tried again, in ms. */
+const PLACE_CHECK_MS = 100;
 /** Retry-After when no engine accepts requests, in ms. */
 const NO_ENGINE_RETRY_MS = 200;
 
@@ -125,6 +127,7 @@
   const sizeShares = createSizeShares();
   const patience = createCallerPatience();
   const placeQueue = createPlaceQueue<TrackedJob>();
+  let placeCheck: Timer | undefined;
   const candidates = createCandidates({
     engines: () => parts.engines(),
     monitor,
@@ -472,6 +475,7 @@
     tracked.engine = undefined;
     tracked.expiryTimer?.cancel();
     placeQueue.add(tracked);
+    schedulePlaceCheck();
     log.write('placeAwaited', {
       ...describeJob(tracked.job),
       version: tracked.job.version,
@@ -482,15 +486,30 @@
     });
   }
 
-  /** A place at a decode engine is free: a request that waits for one is placed before any that comes later. */
+  function hasPlace({ job }: TrackedJob): boolean {
+    return findPlace(candidates.list(job, 'decode'), job, job.zone) !== undefined;
+  }
+
+  /** A place at a decode engine may be free: requests that wait for one are placed before any that comes later. */
   function placeFreed(): void {
-    const next = placeQueue.takeNext(
-      ({ job }) => findPlace(candidates.list(job, 'decode'), job, job.zone) !== undefined,
-    );
-    if (next === undefined) return;
-    next.expiryTimer?.cancel();
-    if (next.job.isRead) placeForDecode(next);
-    else route(next);
+    // each is tried once: one that finds no prefill engine waits again
+    for (let tries = placeQueue.size(); tries > 0; tries -= 1) {
+      const next = placeQueue.takeNext(hasPlace);
+      if (next === undefined) return;
+      next.expiryTimer?.cancel();
+      if (next.job.isRead) placeForDecode(next);
+      else route(next);
+    }
+  }
+
+  /** Places also come with engines that change their role, start or end a pause, which nothing announces. */
+  function schedulePlaceCheck(): void {
+    if (placeCheck !== undefined || placeQueue.size() === 0) return;
+    placeCheck = clock.after(PLACE_CHECK_MS, () => {
+      placeCheck = undefined;
+      placeFreed();
+      schedulePlaceCheck();
+    });
   }
 
   function startPrefill(tracked: TrackedJob, engine: EngineModel): void {
