fix(roles): an engine that did not answer is asked again, and a gateway without services checks at the usual interval

Found by the review: 200 checks in 10 s (25 before) at a gateway that schedules nothing; an engine whose state was lost counted as one that does not change. An engine that changes on another's order keeps the role that it changes to.

--- a/src/roles/controller.ts
+++ b/src/roles/controller.ts
@@ -120,7 +120,12 @@
   async function askRole(service: string, engine: RegisteredServer): Promise<void> {
     if (engine.role === undefined) return;
     const state = await parts.orders.state(engine);
-    const target = state.isOk() ? resolveTarget(state.value, engine.role) : engine.role;
+    if (state.isErr()) {
+      // not known: it is asked again at the next check
+      asked.delete(engine.id);
+      return;
+    }
+    const target = resolveTarget(state.value, engine.role);
     if (target === engine.role) {
       pending.delete(engine.id);
       return;
@@ -161,7 +166,8 @@
       log.write('roleOrderEnded', { server: server.id, outcome: 'no-state', reason: state.error });
       return;
     }
-    if (state.value.isChanging) setPending(server.id, service, role);
+    if (state.value.isChanging)
+      setPending(server.id, service, resolveTarget(state.value, server.role ?? role));
     if (state.value.isChanging || state.value.role === role) return;
     // the grant may have ended while the state was read
     if (stopped || !grant.isValid()) return;
@@ -183,7 +189,8 @@
   }
 
   function schedule(): void {
-    const delayMs = asked.size === 0 ? FIRST_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS;
+    const isFirst = asked.size === 0 && parts.services().length > 0;
+    const delayMs = isFirst ? FIRST_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS;
     timer = clock.after(delayMs, () => {
       void check().finally(() => {
         if (!stopped) schedule();
