fix(peers): a link that the peer does not read is ended

Messages of all kinds were left out of it without a word: a lost end of a request leaves its place taken at the scheduler. The loss of a link is what both ends handle already.

--- a/src/events/catalogue.ts
+++ b/src/events/catalogue.ts
@@ -107,7 +107,7 @@
   gatewayEndedUnstopped: {
     id: 7104,
     level: 'warn',
-    text: 'the row of an earlier process of this name was not withdrawn, so it did not stop gracefully',
+    text: 'the row of an earlier process of this name was not withdrawn: it did not stop gracefully, or without the store',
   },
   settingsReloaded: { id: 7004, level: 'info', text: 'settings were read again' },
   settingsUnreadable: { id: 7005, level: 'error', text: 'settings could not be read again' },
@@ -276,6 +276,11 @@
   pathRestored: { id: 7081, level: 'info', text: 'the path to a server is back' },
   tunnelFailed: { id: 7082, level: 'info', text: 'a peer could not connect to a server' },
   tunnelRefused: { id: 7083, level: 'info', text: 'a peer was not connected to a server' },
+  peerNotReading: {
+    id: 7113,
+    level: 'warn',
+    text: 'a link to a peer that leaves too much unread was ended',
+  },
   roleLeaseTaken: { id: 7070, level: 'info', text: 'lease for role orders acquired' },
   roleLeaseDenied: { id: 7071, level: 'info', text: 'lease for role orders is not to be had' },
   roleChangeFound: {
--- a/src/peers/links.ts
+++ b/src/peers/links.ts
@@ -20,8 +20,8 @@
 const IDLE_TIMEOUT_MS = 60_000;
 /** Idle timeout of a link that carried none, in ms; leaves time for its ends to become partners. */
 const UNUSED_TIMEOUT_MS = 5_000;
-/** Bytes that wait for a peer to read them, above which it is sent nothing more: a peer that does not read, as one whose
- * processor is starved, takes no more of this process's memory, and counts as one that cannot be reached. */
+/** Bytes that wait for a peer to read them, above which its link is ended: a peer that does not read, as one whose
+ * processor is starved, takes no more of this process's memory. */
 const MAX_BUFFERED_BYTES = 1_000_000;
 /** Messages that may wait so: a short one takes far more memory than its bytes. */
 const MAX_WAITING_MESSAGES = 1_000;
@@ -50,7 +50,7 @@
   port: () => number;
   /** Dials an address unless a dial to it is in progress. */
   dial(address: string, isReplacement?: boolean): void;
-  /** Sends to a peer; false without an open link, or if the peer does not read what it was sent. */
+  /** Sends to a peer; false without an open link, or if the peer does not read what it was sent, which ends its link. */
   send(node: string, message: PeerMessage): boolean;
   /** Bytes that wait for peers to read them. */
   waitingBytes: () => number;
@@ -220,9 +220,17 @@
     return clock.now() - usedAt > IDLE_TIMEOUT_MS;
   }
 
-  function isWritable({ socket, waiting }: Link): boolean {
-    if (socket.readyState !== WebSocket.OPEN || waiting >= MAX_WAITING_MESSAGES) return false;
-    return socket.bufferedAmount < MAX_BUFFERED_BYTES;
+  /** Whether the peer leaves too much unread. */
+  function isBehind({ socket, waiting }: Link): boolean {
+    return waiting >= MAX_WAITING_MESSAGES || socket.bufferedAmount >= MAX_BUFFERED_BYTES;
+  }
+
+  /** Ends a link that the peer does not read: messages that are left out of a link would leave the two ends with different
+   * views, while the loss of one makes both renew what they know of each other. */
+  function dropUnread(node: string, link: Link): void {
+    const { waiting, socket } = link;
+    log.write('peerNotReading', { peer: node, waiting, bytes: socket.bufferedAmount });
+    drop(link);
   }
 
   return {
@@ -272,7 +280,11 @@
     },
     send(node, message) {
       const link = byNode.get(node);
-      if (link === undefined || !isWritable(link)) return false;
+      if (link?.socket.readyState !== WebSocket.OPEN) return false;
+      if (isBehind(link)) {
+        dropUnread(node, link);
+        return false;
+      }
       transmit(link, message);
       return true;
     },
--- a/src/peers/overlay.ts
+++ b/src/peers/overlay.ts
@@ -377,8 +377,7 @@
       if (message.kind === 'job.submit' && !awaiting.has(node)) awaiting.set(node, clock.now());
       return true;
     }
-    // a peer that does not read is sent nothing more, and nothing is queued for it either
-    if (links.isLinked(node) || !link(node)) return false;
+    if (!link(node)) return false;
     const queue = queued.get(node) ?? [];
     queued.set(node, queue);
     if (queue.length >= MAX_QUEUED) return false;
