--- a/src/process/memory-watch.ts
+++ b/src/process/memory-watch.ts
@@ -62,6 +62,8 @@
     const share = usage.rss / limitBytes;
     if (share < HIGH_SHARE) ease(usage);
     else if (share >= loggedShare + STEP_SHARE) warn(usage, share, limitBytes);
+    // so that the next rise is logged again
+    else if (share <= loggedShare - STEP_SHARE) loggedShare = share;
   }
 
   function warn(usage: MemoryUsage, share: number, limitBytes: number): void {
