--- a/src/gateway/draining.ts
+++ b/src/gateway/draining.ts
@@ -12,7 +12,8 @@
 const CLOSING_MS = 600;
 /** Upper bound of that time as a share of the grace period: what still runs in the last sixth may be left unfinished. */
 const CLOSING_SHARE = 1 / 6;
-/** Time before the end of the grace period in which a request has to end, as a multiple of the above. */
+/** Time before the end of the grace period by which requests have to end, as a multiple of the closing time: as long
+ * again is left for answers that come late. */
 const FINISHING_FACTOR = 2;
 /** How long a stopping gateway accepts every request, in ms. Requests that callers send within three seconds of
  * the stop signal may fail with the process, later ones may not. */
--- a/src/process/await-file.ts
+++ b/src/process/await-file.ts
@@ -1,6 +1,6 @@
 /**
  * The wait of a process that starts for a file that is not there yet, or not whole. It is bounded: a file that never
- * comes is a mistake of whoever starts the process, who has to hear of it.
+ * comes is a mistake of whoever starts the process, who has to be told.
  */
 import { wait, type Clock } from '../task/index.js';
 import type { FileReading, SettledFile } from './settled-file.js';
@@ -9,8 +9,8 @@
 export const LONGEST_WAIT_MS = 30_000;
 /** Time between two readings, in ms. */
 const POLL_MS = 50;
-/** Time between two words on the wait, in ms. */
-const WORD_MS = 5_000;
+/** Interval between two reports of the wait, in ms. */
+const REPORT_INTERVAL_MS = 5_000;
 
 /** How the wait for a file ended; a file that is not whole ended it by its bound. */
 export type AwaitedFile<Content, Mistake> =
@@ -20,7 +20,7 @@
 export interface AwaitFileParts<Content, Mistake> {
   file: SettledFile<Content, Mistake>;
   clock: Clock;
-  /** Hears at once, and then now and then, of a file that is not there or not whole. */
+  /** Called at once, and then at an interval, while the file is missing or not whole. */
   waiting(reading: FileReading<Content, Mistake>, waitedMs: number): void;
   /** Whether the process was told to stop meanwhile. */
   isStopped(): boolean;
@@ -36,7 +36,7 @@
 ): Promise<AwaitedFile<Content, Mistake>> {
   const { file, clock } = parts;
   const startedAt = clock.now();
-  let wordAt = Number.NEGATIVE_INFINITY;
+  let reportedAt = Number.NEGATIVE_INFINITY;
   for (;;) {
     if (parts.isStopped()) return { kind: 'stopped' };
     const reading = file.read();
@@ -46,9 +46,9 @@
     if (waitedMs >= LONGEST_WAIT_MS) {
       return isUnsettled ? { kind: 'missing', reason: 'it changes all the time' } : reading;
     }
-    if (!isUnsettled && clock.now() - wordAt >= WORD_MS) {
+    if (!isUnsettled && clock.now() - reportedAt >= REPORT_INTERVAL_MS) {
       parts.waiting(reading, waitedMs);
-      wordAt = clock.now();
+      reportedAt = clock.now();
     }
     await wait(clock, isUnsettled ? Math.min(POLL_MS, reading.leftMs) : POLL_MS);
   }
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -96,7 +96,7 @@
   }
 
   function refreshLimits(): void {
-    // read for each new connection
+    // Node.js has no setter for it, and reads the property for each new connection
     Object.assign(server, {
       maxHeaderSize: Math.min(MAX_HEADER_BYTES, limits().maxHeaderBytes),
     });
