--- a/src/relay/caller-connections.ts
+++ b/src/relay/caller-connections.ts
@@ -24,6 +24,8 @@
   requestStarted(socket: Duplex, response: ServerResponse): boolean;
   /** Bytes were no request, or a request did not come in time. */
   unreadable(socket: Duplex, error: NodeJS.ErrnoException): void;
+  /** Whether requests can be read from a connection; what was cut off in one that cannot gets no answer. */
+  isReadable(socket: Duplex): boolean;
   /** Whether a connection closes behind an answer that is due on it. */
   closesBehind(socket: Duplex, response: ServerResponse): boolean;
 }
@@ -81,6 +83,7 @@
       log.write('requestMalformed', { code });
       if (!isDue) answer(socket, code);
     },
+    isReadable: (socket) => !unreadable.has(socket),
     closesBehind: (socket, response) =>
       unreadable.has(socket) && [...listDue(socket)].at(-1) === response,
   };
--- a/src/relay/front.ts
+++ b/src/relay/front.ts
@@ -138,6 +138,7 @@
     try {
       const body = await taken.readBody(arrival.at);
       isLate = body === 'late';
+      if (isLate && !connections.isReadable(socket)) return;
       if (typeof body === 'string') {
         refuseBody(head.requestId, body, answer);
         return;
