fix(gateway): a stop that ends with unanswered requests waits for them no longer

Cause: the wait for answers polled every 10 ms for ever once its race against the closing time was lost, where a response never closes (a request cut off on an unreadable connection). It ends with the shutdown now. Evidence: the timer's stack in 'is told that a body cannot be read, unless an earlier request is at work', which hung before and ends after.

--- a/src/gateway/gateway.ts
+++ b/src/gateway/gateway.ts
@@ -557,7 +557,7 @@
   }
 
   async function allAnswered(): Promise<void> {
-    while (front.inFlight() > 0) await wait(clock, ANSWER_POLL_MS);
+    while (front.inFlight() > 0 && !shutdown.signal.aborted) await wait(clock, ANSWER_POLL_MS);
   }
 
   function reconfigure(next: GatewaySettings): void {
