--- a/review/7/play.mjs
+++ b/review/7/play.mjs
@@ -1,7 +1,6 @@
 /**
- * Callers whose streams have begun lose their connections and take the streams up again some seconds later. Meanwhile all
- * gateways are killed at the same moment and start again, and then a release begins: a server of another software version
- * starts beside the others.
+ * A route is split between two services. Callers whose streams have begun there lose their connections and take the
+ * streams up again some seconds later. Meanwhile all gateways are killed at the same moment and start again.
  */
 import process from 'node:process';
 import { fileURLToPath, URL } from 'node:url';
@@ -44,12 +43,15 @@
       targetLatencyMs: 300,
       gapTargetMs: 200,
       priority: 1,
-      backend: 'huvo11a',
+      trafficSplit: [
+        { backend: 'huvo11a', weight: 50 },
+        { backend: 'wuno96b', weight: 50 },
+      ],
       maxAttempts: 2,
       resumable: true,
     },
   ],
-  services: ['huvo11a'].map((name) => ({
+  services: ['huvo11a', 'wuno96b'].map((name) => ({
     name,
     healthCheck: '/health',
     maxConnections: 360,
@@ -76,24 +78,25 @@
   const store = await startStore(`${network}.2`);
   atEnd(store.close);
   store.put('op', 'config', configuration);
-  async function startServer(id, version, part) {
+  for (const [index, id] of [
+    'i-70d7a70a24',
+    'i-5733c9a271',
+    'i-91bc02fe55',
+    'i-02d9e6b4a1',
+  ].entries()) {
     const server = await startStreamServer({
       id,
-      backend: 'huvo11a',
-      host: `${network}.${part}`,
+      backend: index < 2 ? 'huvo11a' : 'wuno96b',
+      host: `${network}.${20 + index}`,
       store,
-      version,
+      version: 'v1',
       slots: 64,
       events: EVENTS,
       gapMs: GAP_MS,
       record,
     });
     atEnd(server.close);
-    record.write(`${id} of version ${version} has started`);
   }
-  await startServer('i-70d7a70a24', 'v1', 20);
-  await startServer('i-5733c9a271', 'v1', 21);
-  await startServer('i-91bc02fe55', 'v1', 22);
   const gateways = [];
   for (const index of [0, 1, 2]) {
     const gateway = await createGateway({
@@ -155,8 +158,6 @@
     }
     record.write('all gateways are ready again');
   }
-  await sleep(1_000);
-  await startServer('i-02d9e6b4a1', 'v2', 23);
   await sleep(CONTACT_MS + 200);
   record.write('the streams are taken up');
   const second = await Promise.all(
--- a/review/8/play.mjs
+++ b/review/8/play.mjs
@@ -1,11 +1,9 @@
 /**
- * Clients send two idempotent requests one behind the other on a kept connection, as HTTP/1.1 lets them. Both are at work
- * at a server when their gateway is told to stop.
+ * Callers whose streams have begun lose their connections and take the streams up again some seconds later. Meanwhile all
+ * gateways are killed at the same moment and start again, and then a release begins: a server of another software version
+ * starts beside the others.
  */
-import { createServer as createHttpServer } from 'node:http';
-import { connect } from 'node:net';
 import process from 'node:process';
-import { setTimeout } from 'node:timers';
 import { fileURLToPath, URL } from 'node:url';
 import {
   chooseNetwork,
@@ -17,13 +15,20 @@
   startStore,
   until,
 } from '../common-2/platform.mjs';
-import { drawId } from '../common-2/servers.mjs';
+import { attempt, drawId, startStreamServer } from '../common-2/servers.mjs';
 
 const isTroubled = process.env.TROUBLE !== '0';
 const HOST_NAME = 'ficu95.example';
-const ROUTE = '/cufi504/';
-const CLIENTS = 20;
-const WORK_MS = 500;
+const ROUTE = '/lohu930/';
+const EVENTS = 100;
+const GAP_MS = 100;
+const STREAMS = 30;
+const CONTACT_MS = 3_000;
+/** Between two requests, so that the gateways are not overloaded. */
+const PAUSE_MS = 50;
+/** Streams below which their share says nothing, and the least share, as the rule has them. */
+const MIN_TAKEN_UP = 12;
+const LEAST_SHARE = 0.5;
 
 const record = createRecord(fileURLToPath(new URL('record.txt', import.meta.url)));
 
@@ -31,20 +36,26 @@
   version: 7,
   routes: [
     {
-      name: 'r-pages',
+      name: 'r-answers',
       hostname: HOST_NAME,
       pathPrefix: ROUTE,
-      kind: 'idempotent',
-      timeoutMs: 4_000,
-      targetLatencyMs: 600,
-      priority: 2,
-      backend: 'wuno96b',
+      kind: 'streaming',
+      timeoutMs: 15_000,
+      targetLatencyMs: 300,
+      gapTargetMs: 200,
+      priority: 1,
+      backend: 'huvo11a',
       maxAttempts: 2,
+      resumable: true,
     },
   ],
-  services: [
-    { name: 'wuno96b', healthCheck: '/health', maxConnections: 200, protocol: 'h1', tls: false },
-  ],
+  services: ['huvo11a'].map((name) => ({
+    name,
+    healthCheck: '/health',
+    maxConnections: 360,
+    protocol: 'h1',
+    tls: false,
+  })),
   limits: {
     maxHeaderBytes: 16_384,
     maxBodyBytes: 4_194_304,
@@ -53,27 +64,8 @@
   },
 };
 
-/** A server of pages that takes some time for each. */
-async function startPages(host, id, run) {
-  const server = createHttpServer((request, response) => {
-    request.resume();
-    const requestId = request.headers['x-request-id'];
-    run.add(requestId);
-    record.write(`${id} runs ${requestId}`);
-    setTimeout(() => {
-      const body = `page of ${requestId}`;
-      response.writeHead(200, {
-        'X-Request-Id': requestId,
-        'X-Server-Signature': `${id}.${requestId}`,
-        'Content-Length': body.length,
-      });
-      response.end(body);
-    }, WORK_MS);
-  });
-  await new Promise((done) => {
-    server.listen(0, host, done);
-  });
-  return server;
+function readIds(text) {
+  return [...text.matchAll(/^id: (\d+)$/gm)].map(([, id]) => Number(id));
 }
 
 await runCase(record, async (atEnd) => {
@@ -84,28 +76,26 @@
   const store = await startStore(`${network}.2`);
   atEnd(store.close);
   store.put('op', 'config', configuration);
-  const run = new Set();
-  for (const [index, id] of ['i-70d7a70a24', 'i-5733c9a271'].entries()) {
-    const host = `${network}.${20 + index}`;
-    const server = await startPages(host, id, run);
-    atEnd(() => {
-      server.close();
-      server.closeAllConnections();
-    });
-    store.put('servers', id, {
-      backend: 'wuno96b',
-      address: `${host}:${server.address().port}`,
-      zone: 'hall-a',
-      version: 'v1',
+  async function startServer(id, version, part) {
+    const server = await startStreamServer({
+      id,
+      backend: 'huvo11a',
+      host: `${network}.${part}`,
+      store,
+      version,
       slots: 64,
-      state: 'ready',
-      coldRemainingMs: 0,
-      sequence: 1,
-      born: Date.now(),
+      events: EVENTS,
+      gapMs: GAP_MS,
+      record,
     });
+    atEnd(server.close);
+    record.write(`${id} of version ${version} has started`);
   }
+  await startServer('i-70d7a70a24', 'v1', 20);
+  await startServer('i-5733c9a271', 'v1', 21);
+  await startServer('i-91bc02fe55', 'v1', 22);
   const gateways = [];
-  for (const index of [0, 1]) {
+  for (const index of [0, 1, 2]) {
     const gateway = await createGateway({
       node: `front-${index + 1}`,
       host: `${network}.${10 + index}`,
@@ -120,45 +110,77 @@
   for (const gateway of gateways) {
     if (!(await until(gateway.isReady))) throw new Error(`${gateway.node} is not ready`);
   }
-  await sleep(4_000);
-  const [gateway] = gateways;
+  await sleep(Number(process.env.RUN_IN_MS ?? 5_000));
 
-  /** Sends two requests on one connection; resolves to the answers once all are there or the connection has ended. */
-  async function askTwice() {
-    const ids = [drawId(), drawId()];
-    const socket = connect(gateway.ports.front, gateway.host);
-    let text = '';
-    let isClosed = false;
-    socket.setEncoding('latin1');
-    socket.on('data', (chunk) => (text += chunk));
-    socket.on('error', () => undefined);
-    socket.on('close', () => (isClosed = true));
-    for (const id of ids) {
-      socket.write(
-        `GET ${ROUTE}${id} HTTP/1.1\r\nHost: ${HOST_NAME}\r\nX-Request-Id: ${id}\r\n` +
-          'X-Request-Deadline-Ms: 4000\r\n\r\n',
-      );
-      record.write(`client sent ${id}`);
-      await sleep(100);
-    }
-    const isWhole = (id) => text.includes(`page of ${id}`);
-    await until(() => isClosed || ids.every(isWhole), 4_500);
-    socket.destroy();
-    for (const id of ids) {
-      record.write(
-        `client got ${id}: whole ${isWhole(id)}, run ${run.has(id)}, closed ${isClosed}`,
-      );
-    }
-    return ids.filter((id) => !isWhole(id) && run.has(id) && isClosed);
+  /** One try of a stream; after `breakAfter` events its caller loses the connection. */
+  async function send(index, headers, breakAfter) {
+    const id = drawId();
+    const gateway = gateways[index % gateways.length];
+    const answer = await attempt({
+      gateway,
+      path: `${ROUTE}${index}`,
+      headers: {
+        Host: HOST_NAME,
+        'X-Request-Id': id,
+        'X-Request-Deadline-Ms': '15000',
+        'Content-Length': '5',
+        ...headers,
+      },
+      body: 'hello',
+      isEnough: (text) => readIds(text).length >= breakAfter,
+    });
+    const ids = readIds(answer.text);
+    record.write(
+      `client sent ${id} to ${gateway.node} ${JSON.stringify(headers)}, got ${answer.status}, ` +
+        `events ${ids.at(0)} to ${ids.at(-1)}, complete ${answer.isComplete}` +
+        (answer.status === 200 ? '' : `: ${answer.text.trim()}`),
+    );
+    return { id, status: answer.status, ids };
   }
 
-  const asking = Array.from({ length: CLIENTS }, askTwice);
-  await sleep(300);
+  const first = await Promise.all(
+    Array.from({ length: STREAMS }, async (_, index) => {
+      await sleep(index * PAUSE_MS);
+      return send(index, {}, 10);
+    }),
+  );
   if (isTroubled) {
-    record.write(`${gateway.node} is told to stop`);
-    gateway.signal('SIGTERM');
+    record.write('all gateways are killed');
+    for (const gateway of gateways) gateway.signal('SIGKILL');
+    await until(() => gateways.every((gateway) => !gateway.isRunning()));
+    await sleep(500);
+    for (const gateway of gateways) gateway.start(seeds);
+    for (const gateway of gateways) {
+      if (!(await until(gateway.isReady))) throw new Error(`${gateway.node} is not ready`);
+    }
+    record.write('all gateways are ready again');
   }
-  const lost = (await Promise.all(asking)).flat();
-  record.write(`${lost.length} of ${2 * CLIENTS} requests were passed on and got no answer`);
-  return lost.length > 0;
+  await sleep(1_000);
+  await startServer('i-02d9e6b4a1', 'v2', 23);
+  await sleep(CONTACT_MS + 200);
+  record.write('the streams are taken up');
+  const second = await Promise.all(
+    first.map(async ({ id, ids }, index) => {
+      if (ids.length === 0) return undefined;
+      await sleep(index * PAUSE_MS);
+      const headers = { 'Last-Event-Id': String(ids.at(-1)), Resumes: id };
+      return send(index + 1, headers, 5);
+    }),
+  );
+  const fresh = await Promise.all(
+    Array.from({ length: STREAMS }, async (_, index) => {
+      await sleep(index * PAUSE_MS);
+      return send(index, {}, 5);
+    }),
+  );
+  const takenUp = second.filter((answer) => answer !== undefined);
+  const wentOn = takenUp.filter(({ ids }) => ids.length > 0).length;
+  const begun = fresh.filter(({ ids }) => ids.length > 0).length;
+  const share = wentOn / takenUp.length;
+  const freshShare = begun / fresh.length;
+  record.write(
+    `${wentOn} of ${takenUp.length} streams that were taken up went on; ${begun} of ${fresh.length} new ones began`,
+  );
+  if (takenUp.length < MIN_TAKEN_UP) throw new Error('too few streams were taken up');
+  return share < LEAST_SHARE * freshShare;
 });
